--- /dev/null
+++ b/components/daemon/src/lib.rs
@@ -0,0 +1,1 @@
+//! Wires the parts of one daemon together.
--- /dev/null
+++ b/components/decide/src/lib.rs
@@ -0,0 +1,1 @@
+//! Decisions under load, without I/O or clock.
--- /dev/null
+++ b/components/ledger/src/lib.rs
@@ -0,0 +1,1 @@
+//! Accepting changes: versions, conflicts and history in the platform.
--- /dev/null
+++ b/components/measure/src/lib.rs
@@ -0,0 +1,1 @@
+//! Load and measurement on one machine.
--- /dev/null
+++ b/components/member/src/lib.rs
@@ -0,0 +1,1 @@
+//! Membership of daemons and backend servers: announcements, liveness, draining.
--- /dev/null
+++ b/components/model/src/snapshot.rs
@@ -0,0 +1,95 @@
+//! Whole configurations: a root that names every team's subtree by hash, and the subtrees.
+
+use std::{collections::BTreeMap, sync::Arc};
+
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    ChangeRecord, ContentHash, SettingBody, SettingPath, SettingWrites, TeamName, Version,
+    hash_json,
+};
+
+/// All settings of one team.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct TeamTree {
+    /// Settings by path.
+    pub settings: BTreeMap<SettingPath, SettingBody>,
+}
+
+impl TeamTree {
+    /// Hashes the subtree's canonical encoding.
+    pub fn hash(&self) -> ContentHash {
+        hash_json(self)
+    }
+
+    /// Gives the subtree with the writes applied.
+    pub fn with_writes(&self, writes: &SettingWrites) -> Self {
+        let mut tree = self.clone();
+        for (path, body) in writes {
+            match body {
+                Some(body) => tree.settings.insert(path.clone(), body.clone()),
+                None => tree.settings.remove(path),
+            };
+        }
+        tree
+    }
+}
+
+/// Names one version of a team's subtree.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct TreeRef {
+    /// Hash of the subtree.
+    pub hash: ContentHash,
+    /// Version that last changed the subtree.
+    pub version: Version,
+}
+
+/// The root of a configuration: enough to verify every part of it.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct SnapshotRoot {
+    /// Version of the configuration, zero for the empty one before the first change.
+    pub version: Version,
+    /// Subtree of each team.
+    pub trees: BTreeMap<TeamName, TreeRef>,
+    /// The change that made this version. Absent in version zero only.
+    pub change: Option<ChangeRecord>,
+}
+
+impl SnapshotRoot {
+    /// Hashes the root's canonical encoding.
+    pub fn hash(&self) -> ContentHash {
+        hash_json(self)
+    }
+}
+
+/// A whole configuration. Subtrees are shared between versions.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ConfigSnapshot {
+    /// The root.
+    pub root: SnapshotRoot,
+    /// Subtrees by team; each matches its hash in the root.
+    pub trees: BTreeMap<TeamName, Arc<TeamTree>>,
+}
+
+impl ConfigSnapshot {
+    /// Gives the version of the configuration.
+    pub fn version(&self) -> Version {
+        self.root.version
+    }
+
+    /// Tells whether every subtree is present and matches its hash in the root.
+    pub fn is_intact(&self) -> bool {
+        let matches = |(team, tree): (&TeamName, &Arc<TeamTree>)| {
+            self.root.trees.get(team).is_some_and(|tree_ref| tree_ref.hash == tree.hash())
+        };
+        self.trees.len() == self.root.trees.len() && self.trees.iter().all(matches)
+    }
+
+    /// Lists all settings of all teams, in path order within each team.
+    pub fn settings(&self) -> impl Iterator<Item = (&SettingPath, &SettingBody)> {
+        self.trees.values().flat_map(|tree| tree.settings.iter())
+    }
+}
--- /dev/null
+++ b/components/model/src/validate.rs
@@ -0,0 +1,105 @@
+//! Checks that span a whole configuration.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+};
+
+use serde::{Deserialize, Serialize};
+use thiserror::Error;
+
+use crate::{ServiceName, SettingBody, SettingPath, TeamName, TeamTree, check_path, team_of};
+
+/// Why a whole configuration cannot be accepted.
+#[derive(Clone, Debug, PartialEq, Eq, Error, Serialize, Deserialize)]
+#[serde(tag = "fault", rename_all = "kebab-case")]
+pub enum ConfigFault {
+    /// A route names a service that no setting declares.
+    #[error("route {route} names the service {service}, which does not exist")]
+    MissingService {
+        /// Path of the route.
+        route: SettingPath,
+        /// The service it names.
+        service: ServiceName,
+    },
+    /// Two routes claim the same requests, so their order would decide.
+    #[error("routes {first} and {second} both claim {claim}")]
+    RouteClash {
+        /// Path of the first route.
+        first: SettingPath,
+        /// Path of the second route.
+        second: SettingPath,
+        /// Host and prefix that both claim.
+        claim: String,
+    },
+    /// A path is malformed or lies outside the subtree that holds it.
+    #[error("setting {path} does not belong in the subtree of {team}")]
+    ForeignPath {
+        /// The path.
+        path: SettingPath,
+        /// The team whose subtree holds it.
+        team: TeamName,
+    },
+    /// A field of a setting is out of bounds.
+    #[error("setting {path}: {reason}")]
+    BadBody {
+        /// Path of the setting.
+        path: SettingPath,
+        /// What is wrong, with what is allowed.
+        reason: String,
+    },
+}
+
+/// Checks subtrees together and lists every fault found; an empty list means that they are valid.
+pub fn validate_trees(trees: &BTreeMap<TeamName, Arc<TeamTree>>) -> Vec<ConfigFault> {
+    let mut faults = Vec::new();
+    let mut services = BTreeSet::new();
+    for (team, tree) in trees {
+        for (path, body) in &tree.settings {
+            check_setting(team, path, body, &mut faults);
+            if matches!(body, SettingBody::Service(_)) {
+                services.insert(path);
+            }
+        }
+    }
+    check_routes(trees, &services, &mut faults);
+    faults
+}
+
+fn check_setting(
+    team: &TeamName,
+    path: &SettingPath,
+    body: &SettingBody,
+    faults: &mut Vec<ConfigFault>,
+) {
+    if check_path(path).is_err() || team_of(path) != team {
+        faults.push(ConfigFault::ForeignPath { path: path.clone(), team: team.clone() });
+    }
+    if let Err(err) = body.check() {
+        faults.push(ConfigFault::BadBody { path: path.clone(), reason: err.to_string() });
+    }
+}
+
+fn check_routes(
+    trees: &BTreeMap<TeamName, Arc<TeamTree>>,
+    services: &BTreeSet<&SettingPath>,
+    faults: &mut Vec<ConfigFault>,
+) {
+    let mut claims: BTreeMap<(Option<&str>, &str), &SettingPath> = BTreeMap::new();
+    for (path, body) in trees.values().flat_map(|tree| &tree.settings) {
+        let SettingBody::Route(route) = body else { continue };
+        if !services.contains(&route.service) {
+            faults.push(ConfigFault::MissingService {
+                route: path.clone(),
+                service: route.service.clone(),
+            });
+        }
+        if let Some(first) = claims.insert((route.host.as_deref(), &route.prefix), path) {
+            faults.push(ConfigFault::RouteClash {
+                first: first.clone(),
+                second: path.clone(),
+                claim: format!("{}{}", route.host.as_deref().unwrap_or("*"), route.prefix),
+            });
+        }
+    }
+}
--- /dev/null
+++ b/components/model/tests/path_rules.rs
@@ -0,0 +1,48 @@
+//! Paths and whole-configuration checks.
+
+use std::{collections::BTreeMap, sync::Arc};
+
+use proptest::prelude::*;
+use sk_model::{ConfigFault, TeamTree, check_path, parse_declaration, team_of, validate_trees};
+
+fn tree(settings: &[(&str, &str)]) -> Arc<TeamTree> {
+    let parse = |(path, text): &(&str, &str)| {
+        ((*path).to_owned(), parse_declaration(text).expect("a good declaration"))
+    };
+    Arc::new(TeamTree { settings: settings.iter().map(parse).collect() })
+}
+
+#[test]
+fn good_paths() {
+    assert_eq!(check_path("/ledvica/board/main"), Ok(()));
+    assert_eq!(team_of("/ledvica/board/main"), "ledvica");
+}
+
+#[test]
+fn bad_paths() {
+    for path in ["", "/", "/a", "a/b", "/a//b", "/a/..", "/A/b", "/a/b/"] {
+        assert!(check_path(path).is_err(), "{path}");
+    }
+}
+
+#[test]
+fn missing_service() {
+    let route = "kind = \"route\"\nprefix = \"/board\"\nservice = \"/other/board\"\n";
+    let trees = BTreeMap::from([("one".to_owned(), tree(&[("/one/r", route)]))]);
+    let faults = validate_trees(&trees);
+    assert!(matches!(faults.as_slice(), [ConfigFault::MissingService { .. }]), "{faults:?}");
+}
+
+#[test]
+fn unknown_key() {
+    assert!(parse_declaration("kind = \"service\"\ncolour = \"red\"\n").is_err());
+}
+
+proptest! {
+    #[test]
+    fn any_text(text in ".{0,200}") {
+        // Whatever the bytes, a typed answer comes back and nothing panics.
+        let _ = check_path(&text);
+        let _ = parse_declaration(&text);
+    }
+}
--- /dev/null
+++ b/components/ops/src/lib.rs
@@ -0,0 +1,1 @@
+//! The operators' HTTP interface.
--- /dev/null
+++ b/components/report/src/lib.rs
@@ -0,0 +1,1 @@
+//! Who holds which configuration, kept in the platform.
--- /dev/null
+++ b/components/settings/src/lib.rs
@@ -0,0 +1,1 @@
+//! Checked settings of the daemon, read from TOML.
--- /dev/null
+++ b/components/spread/src/lib.rs
@@ -0,0 +1,1 @@
+//! Passing configuration and membership between daemons.
--- /dev/null
+++ b/components/standin/src/lib.rs
@@ -0,0 +1,1 @@
+//! Stand-ins for the platform and for backend servers, with fault switches.
--- /dev/null
+++ b/components/store/src/lib.rs
@@ -0,0 +1,15 @@
+//! The platform's object API behind a trait, with its HTTP client and an in-memory fake.
+//!
+//! The platform is the only place where anything is agreed or kept. Every call and every waiting
+//! watch counts against its rates, so callers of this crate are expected to be few per fleet.
+
+mod api;
+mod error;
+mod fake;
+mod http_store;
+pub mod wire;
+
+pub use api::{MAX_VALUE_BYTES, ObjectKey, ObjectStore, Revision, SharedStore, StoredObject};
+pub use error::StoreError;
+pub use fake::{FakeStore, WriteFault};
+pub use http_store::HttpStore;
--- /dev/null
+++ b/src/main.rs
@@ -0,0 +1,2 @@
+//! The operator's command line.
+fn main() {}
