Add the thin parts: settings, membership, spread, proxy, reports, stand-ins

Cause: each part of the whole path needs a first form before they can be joined. Change: first forms, not yet joined into a process.

--- a/components/model/src/lib.rs
+++ b/components/model/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! Everything here is plain data with pure functions: no I/O and no clock.
 
+mod ack;
 mod change;
 mod declaration;
 mod hash;
@@ -9,6 +10,7 @@
 mod snapshot;
 mod validate;
 
+pub use ack::{ProxyAck, RejectedVersion};
 pub use change::{ChangeRecord, ChangeRequest, SettingWrites};
 pub use declaration::{
     DeclarationError, RouteSetting, ServiceSetting, SettingBody, ValueSetting, WorkClass,
--- /dev/null
+++ b/components/report/src/fleet.rs
@@ -0,0 +1,121 @@
+//! The report on the whole fleet.
+
+use std::collections::BTreeMap;
+
+use serde::{Deserialize, Serialize};
+use sk_model::{ChangeRecord, DataCentre, ProxyAck, ProxyId, UnixMillis, Version};
+
+/// Where a proxy stands towards the newest version.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(tag = "state", rename_all = "kebab-case")]
+pub enum ProxyState {
+    /// It has itself acknowledged the newest version.
+    InForce,
+    /// It is present and has acknowledged an older version or none.
+    Pending,
+    /// It refused the newest version whole.
+    Rejected {
+        /// Why.
+        reason: String,
+    },
+    /// Nothing is heard of it; what it holds is not known.
+    Unknown,
+}
+
+/// A proxy that membership knows.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct KnownProxy {
+    /// Its data centre.
+    pub data_centre: DataCentre,
+    /// Start of its process, in milliseconds since the epoch.
+    pub incarnation: UnixMillis,
+    /// Whether it is believed present.
+    pub is_present: bool,
+}
+
+/// What is known of one proxy.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ProxyReport {
+    /// The proxy.
+    pub proxy: ProxyId,
+    /// Its data centre.
+    pub data_centre: DataCentre,
+    /// The version it last acknowledged, zero for none.
+    pub version: Version,
+    /// Since when, on the proxy's clock; zero for never.
+    pub since: UnixMillis,
+    /// The daemon the version came from, or `platform`.
+    pub source: ProxyId,
+    /// Where it stands.
+    #[serde(flatten)]
+    pub state: ProxyState,
+}
+
+/// Who holds which configuration.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct FleetReport {
+    /// The newest accepted version.
+    pub version: Version,
+    /// The change that made it.
+    pub change: Option<ChangeRecord>,
+    /// Proxies that hold it.
+    pub in_force: usize,
+    /// All proxies known.
+    pub total: usize,
+    /// Milliseconds from acceptance to the last acknowledgement, by the clocks of the accepting
+    /// daemon and the proxies; absent until every proxy has acknowledged.
+    pub convergence_ms: Option<u64>,
+    /// Each proxy.
+    pub proxies: Vec<ProxyReport>,
+}
+
+/// Makes the report from the newest change, the proxies known and their acknowledgements.
+pub fn make_report(
+    change: Option<ChangeRecord>,
+    known: &BTreeMap<ProxyId, KnownProxy>,
+    acks: &BTreeMap<ProxyId, ProxyAck>,
+) -> FleetReport {
+    let version = change.as_ref().map_or(0, |change| change.version);
+    let report = |(proxy, known): (&ProxyId, &KnownProxy)| {
+        // An ack of an earlier process says nothing about the one that runs now.
+        let ack = acks.get(proxy).filter(|ack| ack.incarnation >= known.incarnation);
+        report_proxy(version, proxy, known, ack)
+    };
+    let proxies: Vec<ProxyReport> = known.iter().map(report).collect();
+    let is_in_force = |proxy: &&ProxyReport| proxy.state == ProxyState::InForce;
+    let in_force = proxies.iter().filter(is_in_force).count();
+    let last = proxies.iter().map(|proxy| proxy.since).max();
+    let accepted = change.as_ref().map(|change| change.accepted_at);
+    let convergence_ms = match (last, accepted) {
+        (Some(last), Some(accepted)) if in_force == proxies.len() => {
+            Some(last.saturating_sub(accepted))
+        }
+        _ => None,
+    };
+    FleetReport { version, change, in_force, total: proxies.len(), convergence_ms, proxies }
+}
+
+fn report_proxy(
+    newest: Version,
+    proxy: &ProxyId,
+    known: &KnownProxy,
+    ack: Option<&ProxyAck>,
+) -> ProxyReport {
+    let refusal = ack.and_then(|ack| ack.rejected.as_ref());
+    let state = match ack {
+        _ if !known.is_present => ProxyState::Unknown,
+        Some(ack) if ack.version >= newest => ProxyState::InForce,
+        _ => match refusal.filter(|rejected| rejected.version == newest) {
+            Some(rejected) => ProxyState::Rejected { reason: rejected.reason.clone() },
+            None => ProxyState::Pending,
+        },
+    };
+    ProxyReport {
+        proxy: proxy.clone(),
+        data_centre: known.data_centre.clone(),
+        version: ack.map_or(0, |ack| ack.version),
+        since: ack.map_or(0, |ack| ack.since),
+        source: ack.map_or_else(ProxyId::new, |ack| ack.source.clone()),
+        state,
+    }
+}
--- /dev/null
+++ b/components/settings/src/check.rs
@@ -0,0 +1,133 @@
+//! Bounds that the types alone do not hold.
+
+use std::{net::SocketAddr, ops::RangeInclusive, path::Path};
+
+use crate::{DaemonSettings, ListenSettings, SettingsError};
+
+const NAME_RULE: &str = "1 to 64 characters of a-z 0-9 - _ .";
+const MIN_SECRET_BYTES: usize = 16;
+/// A neighbour is suspected only after this many missed heartbeats.
+const MIN_MISSED_HEARTBEATS: u64 = 3;
+
+/// Checks every bound and returns the first one broken.
+pub(crate) fn check_settings(file: &Path, settings: &DaemonSettings) -> Result<(), SettingsError> {
+    let checker = BoundChecker { file };
+    checker.name("instance.name", &settings.instance.name)?;
+    checker.name("instance.data_centre", &settings.instance.data_centre)?;
+    checker.name("instance.region", &settings.instance.region)?;
+    checker.addresses(&settings.listen)?;
+    checker.range(
+        "platform.timeout_ms",
+        settings.platform.timeout_ms,
+        50..=30_000,
+        "50 to 30000",
+    )?;
+    checker.holds(
+        "platform.key_prefix",
+        &settings.platform.key_prefix,
+        settings.platform.key_prefix.ends_with('/')
+            && settings.platform.key_prefix.trim_end_matches('/').bytes().all(is_name_byte),
+        "characters of a-z 0-9 - _ . and a `/` at the end",
+    )?;
+    checker.holds(
+        "peers.secret",
+        "too short",
+        settings.peers.secret.len() >= MIN_SECRET_BYTES,
+        "at least 16 characters",
+    )?;
+    check_spread(&checker, settings)?;
+    check_timers(&checker, settings)?;
+    let hash = &settings.operators.manager_sha256;
+    checker.holds(
+        "operators.manager_sha256",
+        "malformed",
+        hash.is_empty() || (hash.len() == 64 && hash.bytes().all(|b| b.is_ascii_hexdigit())),
+        "64 hexadecimal digits, or empty",
+    )
+}
+
+fn check_spread(checker: &BoundChecker, settings: &DaemonSettings) -> Result<(), SettingsError> {
+    let spread = &settings.spread;
+    checker.range("spread.fan_out", spread.fan_out as u64, 1..=64, "1 to 64")?;
+    let repair_ms = spread.repair_interval_ms;
+    checker.range("spread.repair_interval_ms", repair_ms, 100..=60_000, "100 to 60000")?;
+    checker.range("spread.relays", spread.relays as u64, 1..=8, "1 to 8")?;
+    checker.range("spread.max_fetches", spread.max_fetches as u64, 1..=64, "1 to 64")
+}
+
+fn check_timers(checker: &BoundChecker, settings: &DaemonSettings) -> Result<(), SettingsError> {
+    let member = &settings.member;
+    checker.range("member.heartbeat_ms", member.heartbeat_ms, 50..=10_000, "50 to 10000")?;
+    checker.holds(
+        "member.suspect_ms",
+        &member.suspect_ms.to_string(),
+        member.suspect_ms >= MIN_MISSED_HEARTBEATS * member.heartbeat_ms,
+        "at least three times member.heartbeat_ms",
+    )?;
+    let guard = &settings.guard;
+    checker.range("guard.queue", guard.queue as u64, 0..=1024, "0 to 1024")?;
+    checker.range("guard.drain_ms", guard.drain_ms, 0..=600_000, "0 to 600000")?;
+    checker.range("guard.announce_ttl_ms", guard.announce_ttl_ms, 200..=60_000, "200 to 60000")
+}
+
+struct BoundChecker<'a> {
+    file: &'a Path,
+}
+
+impl BoundChecker<'_> {
+    fn holds(
+        &self,
+        key: &'static str,
+        found: &str,
+        is_held: bool,
+        allowed: &'static str,
+    ) -> Result<(), SettingsError> {
+        if is_held {
+            return Ok(());
+        }
+        let (file, found) = (self.file.to_owned(), found.to_owned());
+        Err(SettingsError::Bound { file, key, found, allowed })
+    }
+
+    fn range(
+        &self,
+        key: &'static str,
+        found: u64,
+        range: RangeInclusive<u64>,
+        allowed: &'static str,
+    ) -> Result<(), SettingsError> {
+        self.holds(key, &found.to_string(), range.contains(&found), allowed)
+    }
+
+    fn name(&self, key: &'static str, name: &str) -> Result<(), SettingsError> {
+        let is_name = (1..=64).contains(&name.len()) && name.bytes().all(is_name_byte);
+        self.holds(key, name, is_name, NAME_RULE)
+    }
+
+    fn addresses(&self, listen: &ListenSettings) -> Result<(), SettingsError> {
+        let named = [
+            ("listen.proxy", listen.proxy),
+            ("listen.guard", listen.guard),
+            ("listen.control", listen.control),
+            ("listen.ops", listen.ops),
+        ];
+        for (index, (first, address)) in named.iter().enumerate() {
+            let clash = named[index + 1..].iter().find(|(_, other)| is_clash(*address, *other));
+            if let Some((second, _)) = clash {
+                let (file, address) = (self.file.to_owned(), address.to_string());
+                return Err(SettingsError::Clash { file, first, second, address });
+            }
+        }
+        Ok(())
+    }
+}
+
+/// Two listeners clash on the same port where either takes every address.
+fn is_clash(first: SocketAddr, second: SocketAddr) -> bool {
+    let is_any = first.ip().is_unspecified() || second.ip().is_unspecified();
+    first.port() != 0 && first.port() == second.port() && (is_any || first.ip() == second.ip())
+}
+
+fn is_name_byte(byte: u8) -> bool {
+    matches!(byte, b'a'..=b'z' | b'0'..=b'9' | b'-' | b'_' | b'.')
+}
--- /dev/null
+++ b/components/settings/src/daemon_settings.rs
@@ -0,0 +1,193 @@
+//! The settings struct with its defaults.
+
+use std::net::{Ipv4Addr, SocketAddr};
+
+use serde::{Deserialize, Serialize};
+use sk_model::{DataCentre, ProxyId};
+
+/// Everything that an operator may set for one daemon.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct DaemonSettings {
+    /// Which instance this is and where it stands.
+    pub instance: InstanceSettings,
+    /// Addresses the daemon listens at.
+    #[serde(default)]
+    pub listen: ListenSettings,
+    /// The platform's object API.
+    pub platform: PlatformSettings,
+    /// Other daemons.
+    pub peers: PeerSettings,
+    /// How configuration spreads.
+    #[serde(default)]
+    pub spread: SpreadSettings,
+    /// How daemons watch each other.
+    #[serde(default)]
+    pub member: MemberSettings,
+    /// How the guard admits work to the local backend server.
+    #[serde(default)]
+    pub guard: GuardSettings,
+    /// Who may change what.
+    #[serde(default)]
+    pub operators: OperatorSettings,
+    /// Where metrics go.
+    #[serde(default)]
+    pub metrics: MetricSettings,
+}
+
+/// Which instance this is and where it stands.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct InstanceSettings {
+    /// Name of the daemon, unique in the fleet; 1 to 64 characters of a-z 0-9 - _ .
+    pub name: ProxyId,
+    /// Data centre; the same rule as for the name.
+    pub data_centre: DataCentre,
+    /// Region of the data centre; the same rule as for the name.
+    pub region: String,
+}
+
+/// Addresses the daemon listens at. Port 0 takes a free port, which the daemon prints.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct ListenSettings {
+    /// Callers' HTTP requests.
+    pub proxy: SocketAddr,
+    /// Requests from other daemons for the local backend server.
+    pub guard: SocketAddr,
+    /// Control traffic between daemons.
+    pub control: SocketAddr,
+    /// Operators and announcements of the local backend server.
+    pub ops: SocketAddr,
+}
+
+impl Default for ListenSettings {
+    fn default() -> Self {
+        let local = |port| SocketAddr::from((Ipv4Addr::LOCALHOST, port));
+        Self { proxy: local(7400), guard: local(7401), control: local(7402), ops: local(7403) }
+    }
+}
+
+/// The platform's object API.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct PlatformSettings {
+    /// Address of the platform, as IP and port.
+    pub address: SocketAddr,
+    /// Milliseconds until an answer counts as lost, 50 to 30000. Default 2000.
+    #[serde(default = "default_platform_timeout_ms")]
+    pub timeout_ms: u64,
+    /// Prefix of every key of this fleet, so that fleets can share a platform.
+    #[serde(default = "default_key_prefix")]
+    pub key_prefix: String,
+}
+
+fn default_platform_timeout_ms() -> u64 {
+    2_000
+}
+
+fn default_key_prefix() -> String {
+    "sapphirekeel/".to_owned()
+}
+
+/// Other daemons.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct PeerSettings {
+    /// Control addresses tried for joining, in addition to contacts kept in the platform.
+    #[serde(default)]
+    pub seeds: Vec<SocketAddr>,
+    /// Secret shared by the fleet's daemons, at least 16 characters; shorter ones can be guessed.
+    pub secret: String,
+}
+
+/// What a daemon does with a new version.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum SpreadMode {
+    /// Sends the change at once: least convergence time.
+    #[default]
+    Push,
+    /// Announces the version and lets peers fetch what they lack: fewest control bytes.
+    Announce,
+}
+
+/// How configuration spreads.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct SpreadSettings {
+    /// Whether changes are pushed or announced. Default push.
+    pub mode: SpreadMode,
+    /// Peers each daemon passes a version to, 1 to 64. Default 6.
+    pub fan_out: usize,
+    /// Mean milliseconds between comparisons with a random peer, 100 to 60000. Default 2000.
+    pub repair_interval_ms: u64,
+    /// Daemons per data centre that watch the platform, 1 to 8. Default 2.
+    pub relays: usize,
+    /// Snapshots a daemon serves to peers at once, 1 to 64; more are told to come back. Default 4.
+    pub max_fetches: usize,
+}
+
+impl Default for SpreadSettings {
+    fn default() -> Self {
+        Self {
+            mode: SpreadMode::Push,
+            fan_out: 6,
+            repair_interval_ms: 2_000,
+            relays: 2,
+            max_fetches: 4,
+        }
+    }
+}
+
+/// How daemons watch each other.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct MemberSettings {
+    /// Milliseconds between heartbeats to a neighbour, 50 to 10000. Default 500.
+    pub heartbeat_ms: u64,
+    /// Milliseconds without a heartbeat until a neighbour is suspected; at least three heartbeats,
+    /// so that one lost packet or a short pause suspects nobody. Default 2000.
+    pub suspect_ms: u64,
+}
+
+impl Default for MemberSettings {
+    fn default() -> Self {
+        Self { heartbeat_ms: 500, suspect_ms: 2_000 }
+    }
+}
+
+/// How the guard admits work to the local backend server.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct GuardSettings {
+    /// Requests that may wait for a slot, 0 to 1024. Longer queues only add waiting. Default 24.
+    pub queue: usize,
+    /// Milliseconds a graceful shutdown waits for requests in flight, 0 to 600000. Default 30000.
+    pub drain_ms: u64,
+    /// Milliseconds without an announcement until the server counts as gone, 200 to 60000.
+    /// Default 3000.
+    pub announce_ttl_ms: u64,
+}
+
+impl Default for GuardSettings {
+    fn default() -> Self {
+        Self { queue: 24, drain_ms: 30_000, announce_ttl_ms: 3_000 }
+    }
+}
+
+/// Who may change what.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct OperatorSettings {
+    /// SHA-256 of the managers' token in hexadecimal; empty refuses every manager's call.
+    pub manager_sha256: String,
+}
+
+/// Where metrics go.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct MetricSettings {
+    /// Address that takes statsd datagrams; absent sends none.
+    pub address: Option<SocketAddr>,
+}
