ledger: accept changes through one conditional head

Cause: the daemon needs the ledger's interface to code against. Change: one head object, replaced on its revision, is the commit point; subtrees by content, records that leave the head's tail by id and in chunks of history.

--- a/components/ledger/src/lib.rs
+++ b/components/ledger/src/lib.rs
@@ -1,1 +1,24 @@
 //! Accepting changes: versions, conflicts and history in the platform.
+//!
+//! One head object, replaced under a condition on its revision, is the only commit point. All
+//! else that the ledger writes is immutable and written before the head that refers to it. See
+//! `docs/design/ledger.md` for the ways weighed.
+
+mod backoff;
+mod check;
+mod commit;
+mod error;
+mod head;
+mod keys;
+mod ledger;
+mod read;
+mod settings;
+
+pub use backoff::full_jitter;
+pub use check::{
+    MAX_AUTHOR_BYTES, MAX_CHANGE_ID_BYTES, MAX_RECORD_BYTES, MAX_REVISION_BYTES, MAX_WRITES,
+};
+pub use error::{CorruptData, LedgerError, MalformedChange, SubmitError};
+pub use head::{CHUNK_RECORDS, LedgerEntry, LedgerHead, MAX_TEAMS};
+pub use ledger::Ledger;
+pub use settings::LedgerSettings;
