--- a/components/daemon/src/lib.rs
+++ b/components/daemon/src/lib.rs
@@ -1,1 +1,11 @@
 //! Wires the parts of one daemon together.
+
+mod daemon;
+mod error;
+mod port;
+mod records;
+mod source;
+mod tasks;
+
+pub use daemon::{DaemonAddresses, DaemonHandle, start_daemon};
+pub use error::DaemonError;
--- /dev/null
+++ b/components/daemon/src/port.rs
@@ -0,0 +1,169 @@
+//! What operators can ask of this daemon.
+
+use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Instant};
+
+use async_trait::async_trait;
+use sk_ledger::Ledger;
+use sk_member::{EndpointRecord, EndpointStatus, MemberBoard, MemberRecord};
+use sk_model::{ChangeRecord, ChangeRequest, ConfigSnapshot, TeamName, Version, check_path};
+use sk_ops::{
+    HeldView, OperatorPort, OpsError, PeerView, ServerAnnouncement, ServerView, StateDump,
+    TeamRecord, TeamView,
+};
+use sk_proxy::{LocalServer, LocalServers};
+use sk_report::{FleetReport, KnownProxy, make_report, read_acks};
+use sk_spread::{ControlMeter, HeldConfig};
+use sk_store::SharedStore;
+
+use crate::{
+    records::{read_team, write_team},
+    tasks::{publish_endpoints, unix_now},
+};
+
+const SLOT_RULE: std::ops::RangeInclusive<u32> = 1..=10_000;
+
+/// The parts that operators' calls reach.
+pub(crate) struct DaemonPort {
+    pub(crate) manager_sha256: String,
+    pub(crate) key_prefix: String,
+    pub(crate) store: SharedStore,
+    pub(crate) ledger: Arc<Ledger>,
+    pub(crate) held: Arc<HeldConfig>,
+    pub(crate) members: Arc<MemberBoard>,
+    pub(crate) servers: Arc<LocalServers>,
+    pub(crate) meter: Arc<ControlMeter>,
+    pub(crate) proxy_address: SocketAddr,
+}
+
+#[async_trait]
+impl OperatorPort for DaemonPort {
+    fn manager_sha256(&self) -> &str {
+        &self.manager_sha256
+    }
+
+    async fn team(&self, team: &str) -> Result<Option<TeamRecord>, OpsError> {
+        read_team(&self.store, &self.key_prefix, team).await
+    }
+
+    async fn put_team(&self, team: &TeamName, record: TeamRecord) -> Result<(), OpsError> {
+        write_team(&self.store, &self.key_prefix, team, &record).await
+    }
+
+    async fn submit(&self, request: ChangeRequest) -> Result<ChangeRecord, OpsError> {
+        let now = unix_now();
+        let record = self.ledger.submit(&request, now).await;
+        let record = record.map_err(|err| OpsError::from_submit(err, now))?;
+        log::info!("ops: change {} is version {}.", record.change_id, record.version);
+        Ok(record)
+    }
+
+    async fn outcome(&self, change_id: &str) -> Result<Option<ChangeRecord>, OpsError> {
+        let record = self.ledger.outcome(change_id).await;
+        record.map_err(|err| OpsError::from_ledger(&err, unix_now()))
+    }
+
+    async fn newest(&self) -> Result<HeldView, OpsError> {
+        let snapshot = self.ledger.load(&self.held.current()).await;
+        let snapshot = snapshot.map_err(|err| OpsError::from_ledger(&err, unix_now()))?;
+        Ok(view_snapshot(&snapshot))
+    }
+
+    async fn history(&self, from: Version, most: usize) -> Result<Vec<ChangeRecord>, OpsError> {
+        let records = self.ledger.history(from, most).await;
+        records.map_err(|err| OpsError::from_ledger(&err, unix_now()))
+    }
+
+    async fn report(&self) -> Result<FleetReport, OpsError> {
+        let snapshot = self.ledger.load(&self.held.current()).await;
+        let snapshot = snapshot.map_err(|err| OpsError::from_ledger(&err, unix_now()))?;
+        let acks = read_acks(&self.store, &self.key_prefix).await;
+        let acks = acks.map_err(|err| OpsError::Internal { reason: err.to_string() })?;
+        let view = self.members.view();
+        let known = view.iter().map(|(proxy, record)| (proxy.clone(), known_proxy(record)));
+        Ok(make_report(snapshot.root.change, &known.collect(), &acks))
+    }
+
+    fn state(&self) -> StateDump {
+        let own = self.members.own();
+        let status = self.held.status();
+        let bytes = self.meter.bytes();
+        let view = self.members.view();
+        let servers = self.servers.endpoints();
+        StateDump {
+            proxy: own.proxy.clone(),
+            data_centre: own.data_centre.clone(),
+            version: status.version,
+            since: status.since,
+            source: status.source,
+            rejected: status.rejected,
+            control_sent: bytes.sent,
+            control_received: bytes.received,
+            proxy_address: self.proxy_address,
+            servers: servers.iter().map(view_server).collect(),
+            members: view.iter().map(|(proxy, peer)| (proxy.clone(), view_peer(peer))).collect(),
+        }
+    }
+
+    fn announce(&self, announcement: ServerAnnouncement) -> Result<(), OpsError> {
+        let malformed = |reason: String| OpsError::Malformed { reason };
+        check_path(&announcement.service).map_err(|err| malformed(err.to_string()))?;
+        let address = announcement.address.parse();
+        let address =
+            address.map_err(|_| malformed("`address`; allowed: IP and port".to_owned()))?;
+        if !SLOT_RULE.contains(&announcement.slots) {
+            return Err(malformed("`slots`; allowed: 1 to 10000".to_owned()));
+        }
+        let status = match announcement.is_draining {
+            true => EndpointStatus::Draining,
+            false => EndpointStatus::Ready,
+        };
+        let endpoint = EndpointRecord {
+            service: announcement.service,
+            server: announcement.server,
+            slots: announcement.slots,
+            status,
+        };
+        self.servers.announce(LocalServer { endpoint, address, announced: Instant::now() });
+        publish_endpoints(&self.servers, &self.members);
+        Ok(())
+    }
+}
+
+fn known_proxy(record: &MemberRecord) -> KnownProxy {
+    KnownProxy {
+        data_centre: record.data_centre.clone(),
+        incarnation: record.incarnation,
+        is_present: record.is_present(),
+    }
+}
+
+fn view_snapshot(snapshot: &ConfigSnapshot) -> HeldView {
+    let view = |(team, tree_ref): (&TeamName, &sk_model::TreeRef)| {
+        let tree = snapshot.trees.get(team);
+        let settings = tree.map(|tree| tree.settings.clone()).unwrap_or_default();
+        (team.clone(), TeamView { version: tree_ref.version, settings })
+    };
+    let teams: BTreeMap<_, _> = snapshot.root.trees.iter().map(view).collect();
+    HeldView { version: snapshot.version(), teams }
+}
+
+fn view_server(endpoint: &EndpointRecord) -> (String, ServerView) {
+    let server = ServerView {
+        server: endpoint.server.clone(),
+        status: endpoint.status.to_string(),
+        slots: endpoint.slots,
+    };
+    (endpoint.service.clone(), server)
+}
+
+fn view_peer(record: &MemberRecord) -> PeerView {
+    let service =
+        |endpoint: &EndpointRecord| (endpoint.service.clone(), endpoint.status.to_string());
+    PeerView {
+        data_centre: record.data_centre.clone(),
+        incarnation: record.incarnation,
+        sequence: record.sequence,
+        status: record.status.to_string(),
+        services: record.endpoints.iter().map(service).collect(),
+    }
+}
--- a/components/member/src/record.rs
+++ b/components/member/src/record.rs
@@ -74,8 +74,6 @@
     pub control: SocketAddr,
     /// Address for requests to the local backend server.
     pub guard: SocketAddr,
-    /// Address for operators.
-    pub ops: SocketAddr,
     /// Backend servers beside the daemon.
     pub endpoints: Vec<EndpointRecord>,
 }
--- a/components/member/tests/record_merge.rs
+++ b/components/member/tests/record_merge.rs
@@ -15,7 +15,6 @@
         region: "slovenia".to_owned(),
         control: address,
         guard: address,
-        ops: address,
         endpoints: Vec::new(),
     }
 }
--- a/components/model/src/ack.rs
+++ b/components/model/src/ack.rs
@@ -1,11 +1,12 @@
 //! What a proxy itself says about the configuration it holds.
 
+use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
 
 use crate::{DataCentre, ProxyId, UnixMillis, Version};
 
 /// A version that a proxy refused whole.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
 pub struct RejectedVersion {
     /// The version.
     pub version: Version,
@@ -14,7 +15,7 @@
 }
 
 /// A proxy's own word on what it holds. Nothing else makes a report say "in force".
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
 pub struct ProxyAck {
     /// The proxy.
     pub proxy: ProxyId,
--- a/components/model/src/change.rs
+++ b/components/model/src/change.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 
+use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
 
 use crate::{ChangeId, SettingBody, SettingPath, TeamName, UnixMillis, Version};
@@ -10,7 +11,7 @@
 pub type SettingWrites = BTreeMap<SettingPath, Option<SettingBody>>;
 
 /// A change that an operator asks for. It is applied whole or not at all.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields)]
 pub struct ChangeRequest {
     /// Chosen by the operator; the same id never takes effect twice.
@@ -28,7 +29,7 @@
 }
 
 /// A change that was accepted, as history keeps it.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields)]
 pub struct ChangeRecord {
     /// The version the change became.
--- a/components/model/src/declaration.rs
+++ b/components/model/src/declaration.rs
@@ -1,5 +1,6 @@
 //! The kinds of settings and their TOML form.
 
+use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
@@ -11,7 +12,7 @@
 const MAX_DEADLINE_MS: u64 = 120_000;
 
 /// How long work of a route usually takes, which decides the share it may use of a server.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize, JsonSchema)]
 #[serde(rename_all = "kebab-case")]
 pub enum WorkClass {
     /// Interactive work of a few milliseconds.
@@ -22,7 +23,7 @@
 }
 
 /// A service that backend servers can announce themselves for.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields)]
 pub struct ServiceSetting {
     /// What the service is for, shown in reports.
@@ -31,7 +32,7 @@
 }
 
 /// A route from requests to a service.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields)]
 pub struct RouteSetting {
     /// Host header the route is for. Absent for any host.
@@ -57,7 +58,7 @@
 }
 
 /// A value that the mesh carries for a team without reading it.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields)]
 pub struct ValueSetting {
     /// The value as text.
@@ -65,7 +66,7 @@
 }
 
 /// One setting, by kind.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
 #[serde(tag = "kind", rename_all = "kebab-case")]
 pub enum SettingBody {
     /// Declares a service.
--- a/components/model/src/snapshot.rs
+++ b/components/model/src/snapshot.rs
@@ -2,6 +2,7 @@
 
 use std::{collections::BTreeMap, sync::Arc};
 
+use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
 
 use crate::{
@@ -10,7 +11,7 @@
 };
 
 /// All settings of one team.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
 #[serde(transparent)]
 pub struct TeamTree {
     /// Settings by path.
@@ -37,7 +38,7 @@
 }
 
 /// Names one version of a team's subtree.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields)]
 pub struct TreeRef {
     /// Hash of the subtree.
@@ -47,7 +48,7 @@
 }
 
 /// The root of a configuration: enough to verify every part of it.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields)]
 pub struct SnapshotRoot {
     /// Version of the configuration, zero for the empty one before the first change.
@@ -66,7 +67,7 @@
 }
 
 /// A whole configuration. Subtrees are shared between versions.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
 pub struct ConfigSnapshot {
     /// The root.
     pub root: SnapshotRoot,
--- a/components/model/src/validate.rs
+++ b/components/model/src/validate.rs
@@ -5,13 +5,14 @@
     sync::Arc,
 };
 
+use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
 use crate::{ServiceName, SettingBody, SettingPath, TeamName, TeamTree, check_path, team_of};
 
 /// Why a whole configuration cannot be accepted.
-#[derive(Clone, Debug, PartialEq, Eq, Error, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Error, Serialize, Deserialize, JsonSchema)]
 #[serde(tag = "fault", rename_all = "kebab-case")]
 pub enum ConfigFault {
     /// A route names a service that no setting declares.
--- a/components/ops/src/lib.rs
+++ b/components/ops/src/lib.rs
@@ -1,1 +1,15 @@
-//! The operators' HTTP interface.
+//! The operators' HTTP interface, and the announcements of the local backend server.
+
+mod access;
+mod error;
+mod port;
+mod server;
+mod wire;
+
+pub use access::{hash_token, is_token};
+pub use error::OpsError;
+pub use port::{OperatorPort, SharedPort};
+pub use server::{OpsHandle, start_ops};
+pub use wire::{
+    HeldView, PeerView, ServerAnnouncement, ServerView, StateDump, TeamRecord, TeamView,
+};
--- /dev/null
+++ b/components/ops/src/port.rs
@@ -0,0 +1,50 @@
+//! What the interface needs of the daemon.
+
+use std::sync::Arc;
+
+use async_trait::async_trait;
+use sk_model::{ChangeRecord, ChangeRequest, TeamName, Version};
+use sk_report::FleetReport;
+
+use crate::{HeldView, OpsError, ServerAnnouncement, StateDump, TeamRecord};
+
+/// A port shared by the interface's handlers.
+pub type SharedPort = Arc<dyn OperatorPort>;
+
+/// The daemon as the operators' interface sees it.
+///
+/// # Errors
+///
+/// Each method returns the [`OpsError`] that the operator is to see.
+#[async_trait]
+pub trait OperatorPort: Send + Sync {
+    /// Gives the hash of the managers' token; empty refuses every manager's call.
+    fn manager_sha256(&self) -> &str;
+
+    /// Reads a team, none where it was never created.
+    async fn team(&self, team: &str) -> Result<Option<TeamRecord>, OpsError>;
+
+    /// Creates a team or gives it another token.
+    async fn put_team(&self, team: &TeamName, record: TeamRecord) -> Result<(), OpsError>;
+
+    /// Submits a change on behalf of its team.
+    async fn submit(&self, request: ChangeRequest) -> Result<ChangeRecord, OpsError>;
+
+    /// Looks a change up, none where it is not in force.
+    async fn outcome(&self, change_id: &str) -> Result<Option<ChangeRecord>, OpsError>;
+
+    /// Reads the newest accepted configuration.
+    async fn newest(&self) -> Result<HeldView, OpsError>;
+
+    /// Reads history in version order.
+    async fn history(&self, from: Version, most: usize) -> Result<Vec<ChangeRecord>, OpsError>;
+
+    /// Reports who holds what.
+    async fn report(&self) -> Result<FleetReport, OpsError>;
+
+    /// Gives the state of this daemon, without asking the platform.
+    fn state(&self) -> StateDump;
+
+    /// Takes an announcement of the local backend server.
+    fn announce(&self, announcement: ServerAnnouncement) -> Result<(), OpsError>;
+}
--- /dev/null
+++ b/components/ops/src/server.rs
@@ -0,0 +1,205 @@
+//! The HTTP server of the operators' interface.
+
+use std::net::SocketAddr;
+
+use dropshot::{
+    ApiDescription, ConfigDropshot, HttpResponseOk, HttpResponseUpdatedNoContent, HttpServer, Path,
+    Query, RequestContext, ServerBuilder, TypedBody, endpoint,
+};
+use http::header;
+use schemars::JsonSchema;
+use serde::Deserialize;
+use sk_model::{ChangeRecord, ChangeRequest, Version, check_path};
+use sk_report::FleetReport;
+
+use crate::{
+    HeldView, OpsError, ServerAnnouncement, SharedPort, StateDump, TeamRecord, access::is_token,
+};
+
+/// A change holds at most one subtree, which fits a platform value; JSON escapes may double it.
+const MAX_BODY_BYTES: usize = 2_000_000;
+/// Records of history given at once.
+const MAX_HISTORY: usize = 500;
+
+type OpsRequest = RequestContext<SharedPort>;
+type OpsResult<T> = Result<HttpResponseOk<T>, OpsError>;
+
+/// A running interface.
+pub struct OpsHandle {
+    server: HttpServer<SharedPort>,
+}
+
+/// Starts the interface.
+///
+/// # Errors
+///
+/// Returns an error when the address cannot be bound.
+pub fn start_ops(address: SocketAddr, port: SharedPort) -> Result<OpsHandle, OpsError> {
+    let config = ConfigDropshot {
+        bind_address: address,
+        default_request_body_max_bytes: MAX_BODY_BYTES,
+        ..ConfigDropshot::default()
+    };
+    let log = slog::Logger::root(slog::Discard, slog::o!());
+    let failed = |err: &dyn ToString| OpsError::Internal { reason: err.to_string() };
+    let api = describe_api().map_err(|err| failed(&err))?;
+    let builder = ServerBuilder::new(api, port, log).config(config);
+    Ok(OpsHandle { server: builder.start().map_err(|err| failed(&err))? })
+}
+
+impl OpsHandle {
+    /// Gives the address it listens at.
+    pub fn address(&self) -> SocketAddr {
+        self.server.local_addr()
+    }
+
+    /// Stops the interface after the calls in flight.
+    pub async fn stop(self) {
+        if let Err(reason) = self.server.close().await {
+            log::warn!("ops: stopped badly: {reason}.");
+        }
+    }
+}
+
+fn describe_api() -> Result<ApiDescription<SharedPort>, dropshot::ApiDescriptionRegisterError> {
+    let mut api = ApiDescription::new();
+    api.register(post_change)?;
+    api.register(get_change)?;
+    api.register(get_settings)?;
+    api.register(get_history)?;
+    api.register(get_report)?;
+    api.register(get_state)?;
+    api.register(put_team)?;
+    api.register(put_server)?;
+    Ok(api)
+}
+
+fn bearer(request: &OpsRequest) -> Result<&str, OpsError> {
+    let header = request.request.headers().get(header::AUTHORIZATION);
+    let token = header.and_then(|value| value.to_str().ok()?.strip_prefix("Bearer "));
+    token.ok_or(OpsError::Unauthorised)
+}
+
+fn require_manager(request: &OpsRequest) -> Result<(), OpsError> {
+    match is_token(bearer(request)?, request.context().manager_sha256()) {
+        true => Ok(()),
+        false => Err(OpsError::Unauthorised),
+    }
+}
+
+async fn require_team(request: &OpsRequest, team: &str) -> Result<(), OpsError> {
+    let token = bearer(request)?;
+    // The name becomes part of a key in the platform.
+    if check_path(&format!("/{team}/x")).is_err() || team.contains('/') {
+        return Err(OpsError::Malformed { reason: format!("bad team `{team}`") });
+    }
+    match request.context().team(team).await? {
+        Some(record) if is_token(token, &record.token_sha256) => Ok(()),
+        Some(_) => Err(OpsError::Forbidden { reason: format!("the token is not {team}'s") }),
+        None => Err(OpsError::NotFound { what: format!("team {team}") }),
+    }
+}
+
+#[derive(Deserialize, JsonSchema)]
+struct ChangePath {
+    id: String,
+}
+
+#[derive(Deserialize, JsonSchema)]
+struct TeamPath {
+    team: String,
+}
+
+#[derive(Deserialize, JsonSchema)]
+struct TeamQuery {
+    team: Option<String>,
+}
+
+#[derive(Deserialize, JsonSchema)]
+struct HistoryQuery {
+    from: Option<Version>,
+}
+
+/// Submits a change.
+#[endpoint { method = POST, path = "/v1/changes" }]
+async fn post_change(
+    request: OpsRequest,
+    body: TypedBody<ChangeRequest>,
+) -> OpsResult<ChangeRecord> {
+    let change = body.into_inner();
+    require_team(&request, &change.team).await?;
+    Ok(HttpResponseOk(request.context().submit(change).await?))
+}
+
+/// Looks a change up.
+#[endpoint { method = GET, path = "/v1/changes/{id}" }]
+async fn get_change(request: OpsRequest, path: Path<ChangePath>) -> OpsResult<ChangeRecord> {
+    bearer(&request)?;
+    let id = path.into_inner().id;
+    let record = request.context().outcome(&id).await?;
+    record.map(HttpResponseOk).ok_or(OpsError::NotFound { what: format!("change {id}") })
+}
+
+/// Reads the settings of one team, or of all with the managers' token.
+#[endpoint { method = GET, path = "/v1/settings" }]
+async fn get_settings(request: OpsRequest, query: Query<TeamQuery>) -> OpsResult<HeldView> {
+    let team = query.into_inner().team;
+    match &team {
+        Some(team) if require_manager(&request).is_err() => require_team(&request, team).await?,
+        Some(_) => (),
+        None => require_manager(&request)?,
+    }
+    let mut view = request.context().newest().await?;
+    view.teams.retain(|name, _| team.as_ref().is_none_or(|team| team == name));
+    Ok(HttpResponseOk(view))
+}
+
+/// Reads history.
+#[endpoint { method = GET, path = "/v1/history" }]
+async fn get_history(
+    request: OpsRequest,
+    query: Query<HistoryQuery>,
+) -> OpsResult<Vec<ChangeRecord>> {
+    require_manager(&request)?;
+    let from = query.into_inner().from.unwrap_or(1);
+    Ok(HttpResponseOk(request.context().history(from, MAX_HISTORY).await?))
+}
+
+/// Reports who holds what.
+#[endpoint { method = GET, path = "/v1/report" }]
+async fn get_report(request: OpsRequest) -> OpsResult<FleetReport> {
+    require_manager(&request)?;
+    Ok(HttpResponseOk(request.context().report().await?))
+}
+
+/// Dumps the daemon's state; it works without the platform and shows no secret.
+#[endpoint { method = GET, path = "/v1/state" }]
+async fn get_state(request: OpsRequest) -> OpsResult<StateDump> {
+    Ok(HttpResponseOk(request.context().state()))
+}
+
+/// Creates a team or gives it another token.
+#[endpoint { method = PUT, path = "/v1/teams/{team}" }]
+async fn put_team(
+    request: OpsRequest,
+    path: Path<TeamPath>,
+    body: TypedBody<TeamRecord>,
+) -> Result<HttpResponseUpdatedNoContent, OpsError> {
+    require_manager(&request)?;
+    let team = path.into_inner().team;
+    if check_path(&format!("/{team}/x")).is_err() {
+        return Err(OpsError::Malformed { reason: format!("bad team `{team}`") });
+    }
+    request.context().put_team(&team, body.into_inner()).await?;
+    Ok(HttpResponseUpdatedNoContent())
+}
+
+/// Takes an announcement of the local backend server.
+#[endpoint { method = PUT, path = "/v1/server" }]
+async fn put_server(
+    request: OpsRequest,
+    body: TypedBody<ServerAnnouncement>,
+) -> Result<HttpResponseUpdatedNoContent, OpsError> {
+    request.context().announce(body.into_inner())?;
+    Ok(HttpResponseUpdatedNoContent())
+}
--- /dev/null
+++ b/components/ops/src/wire.rs
@@ -0,0 +1,106 @@
+//! Bodies of the operators' interface.
+
+use std::{collections::BTreeMap, net::SocketAddr};
+
+use schemars::JsonSchema;
+use serde::{Deserialize, Serialize};
+use sk_model::{
+    DataCentre, ProxyId, RejectedVersion, ServiceName, SettingBody, SettingPath, TeamName,
+    UnixMillis, Version,
+};
+
+/// What a backend server says of itself to the daemon beside it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct ServerAnnouncement {
+    /// Service it runs.
+    pub service: ServiceName,
+    /// Identifier its process drew at its start.
+    pub server: String,
+    /// Where it listens, as IP and port.
+    pub address: String,
+    /// Requests it works on at once, 1 to 10000.
+    pub slots: u32,
+    /// Whether it takes no new work.
+    #[serde(default)]
+    pub is_draining: bool,
+}
+
+/// A team as the platform keeps it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct TeamRecord {
+    /// SHA-256 of the team's token in hexadecimal.
+    pub token_sha256: String,
+}
+
+/// A team's settings.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+pub struct TeamView {
+    /// Version that last changed them, the base of the next change.
+    pub version: Version,
+    /// Settings by path.
+    pub settings: BTreeMap<SettingPath, SettingBody>,
+}
+
+/// The accepted configuration as the caller may see it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+pub struct HeldView {
+    /// Version of the whole.
+    pub version: Version,
+    /// Teams.
+    pub teams: BTreeMap<TeamName, TeamView>,
+}
+
+/// Another daemon as this one believes it to be.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+pub struct PeerView {
+    /// Its data centre.
+    pub data_centre: DataCentre,
+    /// Start of its process, in milliseconds since the epoch.
+    pub incarnation: u64,
+    /// Its own count of changes.
+    pub sequence: u64,
+    /// Whether it takes part.
+    pub status: String,
+    /// Services of the backend servers beside it, with their status.
+    pub services: BTreeMap<ServiceName, String>,
+}
+
+/// A backend server beside this daemon.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+pub struct ServerView {
+    /// Its process.
+    pub server: String,
+    /// Whether it takes new work.
+    pub status: String,
+    /// Requests it works on at once.
+    pub slots: u32,
+}
+
+/// The state of one daemon. Holds no secret.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+pub struct StateDump {
+    /// This daemon.
+    pub proxy: ProxyId,
+    /// Its data centre.
+    pub data_centre: DataCentre,
+    /// Version in force.
+    pub version: Version,
+    /// Since when, on its clock.
+    pub since: UnixMillis,
+    /// Where the version came from.
+    pub source: ProxyId,
+    /// The newest version refused.
+    pub rejected: Option<RejectedVersion>,
+    /// Control bytes sent.
+    pub control_sent: u64,
+    /// Control bytes received.
+    pub control_received: u64,
+    /// Address for callers.
+    pub proxy_address: SocketAddr,
+    /// Backend servers beside it, by service.
+    pub servers: BTreeMap<ServiceName, ServerView>,
+    /// Other daemons and this one.
+    pub members: BTreeMap<ProxyId, PeerView>,
+}
--- a/components/proxy/src/forward.rs
+++ b/components/proxy/src/forward.rs
@@ -31,7 +31,11 @@
     let host = request.headers().get(header::HOST).and_then(|host| host.to_str().ok());
     let Some(route) = table.find(host, request.uri().path()) else {
         let text = if table.version() == 0 { "no configuration yet" } else { "no route" };
-        return own_answer(StatusCode::NOT_FOUND, RequestOutcome::NotRun, text);
+        let status = match table.version() {
+            0 => StatusCode::SERVICE_UNAVAILABLE,
+            _ => StatusCode::NOT_FOUND,
+        };
+        return own_answer(status, RequestOutcome::NotRun, text);
     };
     let Some(endpoint) = route.service.endpoints.choose(&mut rand::rng()) else {
         let status = StatusCode::SERVICE_UNAVAILABLE;
--- a/components/report/src/fleet.rs
+++ b/components/report/src/fleet.rs
@@ -2,11 +2,12 @@
 
 use std::collections::BTreeMap;
 
+use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
 use sk_model::{ChangeRecord, DataCentre, ProxyAck, ProxyId, UnixMillis, Version};
 
 /// Where a proxy stands towards the newest version.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
 #[serde(tag = "state", rename_all = "kebab-case")]
 pub enum ProxyState {
     /// It has itself acknowledged the newest version.
@@ -34,7 +35,7 @@
 }
 
 /// What is known of one proxy.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
 pub struct ProxyReport {
     /// The proxy.
     pub proxy: ProxyId,
@@ -52,7 +53,7 @@
 }
 
 /// Who holds which configuration.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
 pub struct FleetReport {
     /// The newest accepted version.
     pub version: Version,
--- a/components/spread/schema/peer.capnp
+++ b/components/spread/schema/peer.capnp
@@ -34,8 +34,7 @@
   region @5 :Text;
   control @6 :Text;
   guard @7 :Text;
-  ops @8 :Text;
-  endpoints @9 :List(Endpoint);
+  endpoints @8 :List(Endpoint);
 
   enum Status {
     alive @0;
--- a/components/spread/src/codec.rs
+++ b/components/spread/src/codec.rs
@@ -68,7 +68,6 @@
     builder.set_region(&record.region);
     builder.set_control(record.control.to_string());
     builder.set_guard(record.guard.to_string());
-    builder.set_ops(record.ops.to_string());
     let mut endpoints = builder.init_endpoints(record.endpoints.len() as u32);
     for (index, endpoint) in record.endpoints.iter().enumerate() {
         write_endpoint(endpoint, endpoints.reborrow().get(index as u32));
@@ -105,7 +104,6 @@
         region: reader.get_region()?.to_string()?,
         control: parse_address(reader.get_control()?)?,
         guard: parse_address(reader.get_guard()?)?,
-        ops: parse_address(reader.get_ops()?)?,
         endpoints: endpoints?,
     })
 }
--- a/components/standin/src/platform.rs
+++ b/components/standin/src/platform.rs
@@ -18,7 +18,7 @@
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
 use sk_store::{
-    FakeStore, ObjectStore, StoreError,
+    FakeStore, ObjectStore, StoreError, StoredObject,
     wire::{ConflictAnswer, ListAnswer, WriteAnswer},
 };
 
@@ -73,6 +73,8 @@
     writes: RateLimit,
     reads: RateLimit,
     meter: PlatformMeter,
+    /// Ends waiting watches at a stop, which would otherwise wait for their timeouts.
+    stopping: tokio::sync::watch::Sender<bool>,
 }
 
 /// A running stand-in.
@@ -93,6 +95,7 @@
         writes: RateLimit::new(options.writes_per_second),
         reads: RateLimit::new(options.reads_per_second),
         meter: PlatformMeter::default(),
+        stopping: tokio::sync::watch::Sender::new(false),
     });
     let config = ConfigDropshot {
         bind_address: options.address,
@@ -129,6 +132,7 @@
     ///
     /// Returns an error when the server failed.
     pub async fn stop(self) -> anyhow::Result<()> {
+        self.context.stopping.send_replace(true);
         self.server.close().await.map_err(|reason| anyhow::anyhow!(reason))
     }
 }
@@ -185,6 +189,21 @@
         is_lost
     }
 
+    async fn watch(
+        &self,
+        key: &str,
+        after: u64,
+        timeout: Duration,
+    ) -> Result<Option<StoredObject>, StoreError> {
+        let mut stopping = self.stopping.subscribe();
+        tokio::select! {
+            object = self.store.watch(key, after, timeout) => object,
+            _ = stopping.wait_for(|stopping| *stopping) => {
+                Err(StoreError::Unavailable { reason: "platform stops".to_owned() })
+            }
+        }
+    }
+
     async fn write(&self, body: PutBody) -> Result<WriteAnswer, StoreError> {
         self.admit(&self.meter.writes, &self.writes).await?;
         let revision = match body.expected {
@@ -278,7 +297,7 @@
     let query = query.into_inner();
     let timeout = Duration::from_millis(query.timeout_ms);
     let result = match context.admit(&context.meter.watches, &context.reads).await {
-        Ok(()) => context.store.watch(&query.key, query.after, timeout).await,
+        Ok(()) => context.watch(&query.key, query.after, timeout).await,
         Err(err) => Err(err),
     };
     let late_ms = context.faults().watch_delay_ms;
--- /dev/null
+++ b/src/cli.rs
@@ -0,0 +1,159 @@
+//! Arguments of the command line.
+
+use std::path::PathBuf;
+
+use gumdrop::Options;
+
+/// Operates a fleet: changes settings and reads reports.
+#[derive(Debug, Options)]
+pub struct CliArgs {
+    /// Print this help
+    pub help: bool,
+    /// A daemon's address for operators; else SAPPHIREKEEL_DAEMON
+    #[options(meta = "IP:PORT")]
+    pub daemon: Option<String>,
+    /// Token; else SAPPHIREKEEL_TOKEN
+    pub token: Option<String>,
+    /// TOML file with `daemon` and `token`, asked last
+    #[options(meta = "FILE")]
+    pub config: Option<PathBuf>,
+    /// Print data as JSON
+    #[options(no_short)]
+    pub json: bool,
+    #[options(command)]
+    pub command: Option<CliCommand>,
+}
+
+/// Subcommands.
+#[derive(Debug, Options)]
+pub enum CliCommand {
+    /// Run a small fleet on loopback and show a change going through it
+    Demo(DemoArgs),
+    /// Check settings files and directories of declarations offline
+    Check(CheckArgs),
+    /// Show what apply would change
+    Plan(PlanArgs),
+    /// Make a team's settings what a directory declares
+    Apply(ApplyArgs),
+    /// Withdraw one setting
+    Withdraw(WithdrawArgs),
+    /// Print accepted settings
+    Get(GetArgs),
+    /// Print who holds what
+    Report(ReportArgs),
+    /// Print a daemon's state
+    State(StateArgs),
+    /// Create a team or give it another token
+    Team(TeamArgs),
+}
+
+/// Arguments of `demo`.
+#[derive(Debug, Options)]
+pub struct DemoArgs {
+    /// Print this help
+    pub help: bool,
+    /// Exit after the report, with 1 if anything did not hold
+    #[options(no_short)]
+    pub once: bool,
+}
+
+/// Arguments of `check`.
+#[derive(Debug, Options)]
+pub struct CheckArgs {
+    /// Print this help
+    pub help: bool,
+    /// Settings files and directories of declarations
+    #[options(free, required)]
+    pub paths: Vec<PathBuf>,
+}
+
+/// Arguments of `plan`.
+#[derive(Debug, Options)]
+pub struct PlanArgs {
+    /// Print this help
+    pub help: bool,
+    /// Directory of declarations, with one directory a team
+    #[options(free, required)]
+    pub directory: PathBuf,
+    /// Team, where the directory holds several
+    pub team: Option<String>,
+}
+
+/// Arguments of `apply`.
+#[derive(Debug, Options)]
+pub struct ApplyArgs {
+    /// Print this help
+    pub help: bool,
+    /// Directory of declarations, with one directory a team
+    #[options(free, required)]
+    pub directory: PathBuf,
+    /// Team, where the directory holds several
+    pub team: Option<String>,
+    /// Revision of the declarations in version control
+    #[options(required, meta = "COMMIT")]
+    pub revision: String,
+    /// Who applies
+    #[options(required, meta = "NAME")]
+    pub author: String,
+    /// Id to look the change up by; else made from its content
+    #[options(no_short, meta = "ID")]
+    pub change_id: Option<String>,
+    /// Wait until it is in force everywhere
+    pub wait: bool,
+    /// Seconds to wait at most; needs the managers' token in SAPPHIREKEEL_MANAGER_TOKEN
+    #[options(no_short, default = "30", meta = "SECONDS")]
+    pub wait_bound: u64,
+}
+
+/// Arguments of `withdraw`.
+#[derive(Debug, Options)]
+pub struct WithdrawArgs {
+    /// Print this help
+    pub help: bool,
+    /// Path of the setting
+    #[options(free, required)]
+    pub path: String,
+    /// Revision of the declarations in version control
+    #[options(required, meta = "COMMIT")]
+    pub revision: String,
+    /// Who withdraws
+    #[options(required, meta = "NAME")]
+    pub author: String,
+}
+
+/// Arguments of `get`.
+#[derive(Debug, Options)]
+pub struct GetArgs {
+    /// Print this help
+    pub help: bool,
+    /// Team; all teams with the managers' token
+    #[options(free)]
+    pub team: Option<String>,
+}
+
+/// Arguments of `report`.
+#[derive(Debug, Options)]
+pub struct ReportArgs {
+    /// Print this help
+    pub help: bool,
+}
+
+/// Arguments of `state`.
+#[derive(Debug, Options)]
+pub struct StateArgs {
+    /// Print this help
+    pub help: bool,
+}
+
+/// Arguments of `team`.
+#[derive(Debug, Options)]
+pub struct TeamArgs {
+    /// Print this help
+    pub help: bool,
+    /// Name of the team
+    #[options(free, required)]
+    pub team: String,
+    /// SHA-256 of the team's token in hexadecimal
+    #[options(no_short, required, meta = "HASH")]
+    pub token_sha256: String,
+}
--- /dev/null
+++ b/src/cmd/demo.rs
@@ -0,0 +1,287 @@
+//! Runs a small fleet on loopback and shows a change going through it.
+
+use std::{
+    collections::BTreeMap,
+    net::SocketAddr,
+    path::PathBuf,
+    time::{Duration, Instant},
+};
+
+use anyhow::{Context, ensure};
+use http_body_util::{BodyExt, Empty};
+use hyper::body::Bytes;
+use hyper_util::{client::legacy::Client, rt::TokioExecutor};
+use sk_daemon::{DaemonHandle, start_daemon};
+use sk_model::{ChangeRecord, ChangeRequest, SettingBody, SettingPath, parse_declaration};
+use sk_ops::{StateDump, TeamRecord, hash_token};
+use sk_report::FleetReport;
+use sk_settings::parse_settings;
+use sk_standin::{
+    BackendHandle, BackendOptions, PlatformHandle, PlatformOptions, start_backend, start_platform,
+};
+
+use super::{CmdOutcome, report::render_report};
+use crate::{
+    cli::DemoArgs,
+    client::{CallError, OpsClient},
+    diff::{make_writes, render_writes},
+};
+
+const MANAGER_TOKEN: &str = "demo manager";
+const TEAM_TOKEN: &str = "demo team";
+const TEAM: &str = "ledvica";
+/// Longest wait for anything on an idle machine; a loaded one needs a part of it.
+const WAIT_BOUND: Duration = Duration::from_secs(20);
+const POLL_INTERVAL: Duration = Duration::from_millis(20);
+
+/// Daemons: name, data centre and the service beside it.
+const DAEMONS: [(&str, &str, Option<&str>); 3] = [
+    ("lj1-board-1", "lj1", Some("/ledvica/queue-board")),
+    ("lj1-records-1", "lj1", Some("/ledvica/treatment-records")),
+    ("lj2-board-1", "lj2", Some("/ledvica/queue-board")),
+];
+
+const FIRST: [(&str, &str); 4] = [
+    (
+        "/ledvica/queue-board",
+        include_str!("../../examples/declarations/first/ledvica/queue-board.toml"),
+    ),
+    (
+        "/ledvica/treatment-records",
+        include_str!("../../examples/declarations/first/ledvica/treatment-records.toml"),
+    ),
+    (
+        "/ledvica/routes/board",
+        include_str!("../../examples/declarations/first/ledvica/routes/board.toml"),
+    ),
+    (
+        "/ledvica/routes/treatments",
+        include_str!("../../examples/declarations/first/ledvica/routes/treatments.toml"),
+    ),
+];
+
+const SECOND: (&str, &str) = (
+    "/ledvica/routes/holdover",
+    include_str!("../../examples/declarations/second/ledvica/routes/holdover.toml"),
+);
+
+struct DemoFleet {
+    platform: PlatformHandle,
+    daemons: Vec<DaemonHandle>,
+    backends: Vec<BackendHandle>,
+}
+
+/// Runs the demo.
+pub async fn run(args: &DemoArgs) -> anyhow::Result<CmdOutcome> {
+    let fleet = start_fleet().await?;
+    let shown = show(&fleet).await;
+    if shown.is_ok() && !args.once {
+        println!("\nCtrl-C stops the demo.");
+        tokio::signal::ctrl_c().await?;
+    }
+    let stopped = stop_fleet(fleet).await;
+    match shown.and(stopped) {
+        Ok(()) => Ok(CmdOutcome::Done),
+        Err(err) => {
+            eprintln!("did not hold: {err:#}");
+            Ok(CmdOutcome::Refused)
+        }
+    }
+}
+
+async fn start_fleet() -> anyhow::Result<DemoFleet> {
+    let platform = start_platform(&PlatformOptions::default())?;
+    let (mut daemons, mut backends) = (Vec::new(), Vec::new());
+    let mut seeds = Vec::new();
+    for (name, data_centre, service) in DAEMONS {
+        let text = settings_text(name, data_centre, platform.address(), &seeds);
+        let settings = parse_settings(&PathBuf::from("demo"), &text)?;
+        let daemon = start_daemon(&settings).await?;
+        seeds.push(daemon.addresses().control);
+        if let Some(service) = service {
+            backends.push(start_server(name, service, daemon.addresses().ops).await?);
+        }
+        daemons.push(daemon);
+    }
+    Ok(DemoFleet { platform, daemons, backends })
+}
+
+async fn start_server(
+    name: &str,
+    service: &str,
+    daemon: SocketAddr,
+) -> anyhow::Result<BackendHandle> {
+    let options = BackendOptions {
+        address: SocketAddr::from(([127, 0, 0, 1], 0)),
+        daemon,
+        service: service.to_owned(),
+        server: format!("{name}-server"),
+        slots: 12,
+        work: Duration::from_millis(1),
+        announce_interval: Duration::from_millis(500),
+    };
+    start_backend(options).await
+}
+
+fn settings_text(
+    name: &str,
+    data_centre: &str,
+    platform: SocketAddr,
+    seeds: &[SocketAddr],
+) -> String {
+    let seeds: Vec<String> = seeds.iter().map(|seed| format!("\"{seed}\"")).collect();
+    format!(
+        r#"
+[instance]
+name = "{name}"
+data_centre = "{data_centre}"
+region = "slovenia"
+
+[listen]
+proxy = "127.0.0.1:0"
+guard = "127.0.0.1:0"
+control = "127.0.0.1:0"
+ops = "127.0.0.1:0"
+
+[platform]
+address = "{platform}"
+
+[peers]
+seeds = [{}]
+secret = "secret of the demo"
+
+[operators]
+manager_sha256 = "{}"
+"#,
+        seeds.join(", "),
+        hash_token(MANAGER_TOKEN)
+    )
+}
+
+async fn show(fleet: &DemoFleet) -> anyhow::Result<()> {
+    println!("platform      {}", fleet.platform.address());
+    for ((name, ..), daemon) in DAEMONS.iter().zip(&fleet.daemons) {
+        let addresses = daemon.addresses();
+        println!("{name:<13} callers {}, operators {}", addresses.proxy, addresses.ops);
+    }
+    let daemon = fleet.daemons[0].addresses().ops.to_string();
+    let manager = OpsClient::new(daemon.clone(), MANAGER_TOKEN.to_owned());
+    let operator = OpsClient::new(daemon, TEAM_TOKEN.to_owned());
+    let team = TeamRecord { token_sha256: hash_token(TEAM_TOKEN) };
+    manager.put(&format!("/v1/teams/{TEAM}"), &team).await.map_err(call_error)?;
+
+    wait_members(&manager).await?;
+    let mut declared = BTreeMap::new();
+    for (path, text) in FIRST {
+        declared.insert(path.to_owned(), parse_declaration(text)?);
+    }
+    let record = apply(&operator, &BTreeMap::new(), &declared, 0).await?;
+    let report = wait_in_force(&manager, &record).await?;
+    print!("\n{}", render_report(&report));
+
+    // The second data centre has no treatment records of its own.
+    let entry = fleet.daemons[2].addresses().proxy;
+    println!(
+        "\nGET /treatments/7 at {entry}\n{}",
+        wait_served(entry, "/treatments/7").await?.trim()
+    );
+
+    let before = control_bytes(fleet).await?;
+    let accepted = declared.clone();
+    declared.insert(SECOND.0.to_owned(), parse_declaration(SECOND.1)?);
+    let record = apply(&operator, &accepted, &declared, record.version).await?;
+    let report = wait_in_force(&manager, &record).await?;
+    print!("\n{}", render_report(&report));
+    let after = control_bytes(fleet).await?;
+    println!("\ncontrol bytes sent by all daemons meanwhile: {}", after - before);
+    println!("GET /holdover/7 at {entry}\n{}", wait_served(entry, "/holdover/7").await?.trim());
+    Ok(())
+}
+
+async fn apply(
+    operator: &OpsClient,
+    accepted: &BTreeMap<SettingPath, SettingBody>,
+    declared: &BTreeMap<SettingPath, SettingBody>,
+    base: u64,
+) -> anyhow::Result<ChangeRecord> {
+    let writes = make_writes(accepted, declared);
+    print!("\n{}", render_writes(accepted, &writes));
+    let request = ChangeRequest {
+        change_id: format!("demo-{}", base + 1),
+        team: TEAM.to_owned(),
+        author: "demo".to_owned(),
+        revision: format!("r{}", base + 1),
+        base,
+        writes,
+    };
+    operator.post("/v1/changes", &request).await.map_err(call_error)
+}
+
+/// Waits until every daemon knows of every other, so that "everywhere" means all three.
+async fn wait_members(manager: &OpsClient) -> anyhow::Result<()> {
+    let begin = Instant::now();
+    loop {
+        let report: FleetReport = manager.get("/v1/report").await.map_err(call_error)?;
+        if report.total == DAEMONS.len() {
+            return Ok(());
+        }
+        ensure!(begin.elapsed() < WAIT_BOUND, "{} daemons found each other", report.total);
+        tokio::time::sleep(POLL_INTERVAL).await;
+    }
+}
+
+async fn wait_in_force(manager: &OpsClient, record: &ChangeRecord) -> anyhow::Result<FleetReport> {
+    let begin = Instant::now();
+    loop {
+        let report: FleetReport = manager.get("/v1/report").await.map_err(call_error)?;
+        if report.version >= record.version && report.in_force == report.total {
+            return Ok(report);
+        }
+        let (in_force, total) = (report.in_force, report.total);
+        ensure!(begin.elapsed() < WAIT_BOUND, "in force on {in_force} of {total} only");
+        tokio::time::sleep(POLL_INTERVAL).await;
+    }
+}
+
+async fn wait_served(entry: SocketAddr, path: &str) -> anyhow::Result<String> {
+    let client = Client::builder(TokioExecutor::new()).build_http::<Empty<Bytes>>();
+    let begin = Instant::now();
+    loop {
+        let response = client.get(format!("http://{entry}{path}").parse()?).await?;
+        let status = response.status();
+        let body = response.into_body().collect().await?.to_bytes();
+        if status.is_success() {
+            return Ok(String::from_utf8_lossy(&body).into_owned());
+        }
+        ensure!(begin.elapsed() < WAIT_BOUND, "{path} answered {status}");
+        tokio::time::sleep(POLL_INTERVAL).await;
+    }
+}
+
+async fn control_bytes(fleet: &DemoFleet) -> anyhow::Result<u64> {
+    let mut sum = 0;
+    for daemon in &fleet.daemons {
+        let client = OpsClient::new(daemon.addresses().ops.to_string(), String::new());
+        sum += client.get::<StateDump>("/v1/state").await.map_err(call_error)?.control_sent;
+    }
+    Ok(sum)
+}
+
+async fn stop_fleet(fleet: DemoFleet) -> anyhow::Result<()> {
+    for backend in fleet.backends {
+        backend.stop().await;
+    }
+    let mut is_clean = true;
+    for daemon in fleet.daemons {
+        is_clean &= daemon.stop().await;
+    }
+    ensure!(is_clean, "a daemon cut off requests");
+    fleet.platform.stop().await.context("platform")
+}
+
+fn call_error(err: CallError) -> anyhow::Error {
+    match err {
+        CallError::Refused(err) => err.into(),
+        CallError::NoAnswer(err) => err,
+    }
+}
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,2 +1,18 @@
 //! The operator's command line.
-fn main() {}
+
+mod cli;
+mod client;
+mod cmd;
+mod declared;
+mod diff;
+
+use std::process::ExitCode;
+
+use gumdrop::Options;
+
+#[tokio::main]
+async fn main() -> ExitCode {
+    env_logger::init();
+    let args = cli::CliArgs::parse_args_default_or_exit();
+    cmd::run(args).await
+}
--- /dev/null
+++ b/tests/common/mod.rs
@@ -0,0 +1,242 @@
+//! Processes of one small fleet, started for a test and ended with it.
+
+#![allow(dead_code)] // Each test file uses a part of it.
+
+use std::{
+    collections::BTreeMap,
+    fs,
+    io::{BufRead, BufReader, Read},
+    path::{Path, PathBuf},
+    process::{Child, Command, ExitStatus, Output, Stdio},
+    time::{Duration, Instant},
+};
+
+/// Longest wait for a condition; an idle machine needs a small part of it.
+pub const WAIT_BOUND: Duration = Duration::from_secs(60);
+pub const POLL_INTERVAL: Duration = Duration::from_millis(20);
+pub const MANAGER_TOKEN: &str = "test manager";
+pub const TEAM_TOKEN: &str = "test team";
+
+/// A process that prints one line with its addresses when it is ready.
+pub struct TestProcess {
+    child: Child,
+    pub ready: String,
+}
+
+impl TestProcess {
+    pub fn start(program: &str, args: &[&str]) -> Self {
+        let mut child = Command::new(program)
+            .args(args)
+            .stdout(Stdio::piped())
+            .stderr(Stdio::inherit())
+            .spawn()
+            .expect("program starts");
+        let mut ready = String::new();
+        let stdout = child.stdout.as_mut().expect("stdout is piped");
+        // Byte by byte, so that nothing after the first line is taken from later readers.
+        let mut byte = [0];
+        while stdout.read(&mut byte).expect("process says where it listens") == 1
+            && byte[0] != b'\n'
+        {
+            ready.push(char::from(byte[0]));
+        }
+        assert!(!ready.is_empty(), "{program} ended before it was ready");
+        Self { child, ready }
+    }
+
+    /// Gives the word after `name=`.
+    pub fn address(&self, name: &str) -> String {
+        let words = self.ready.split(' ');
+        let found = words.filter_map(|word| word.split_once('=')).find(|(key, _)| *key == name);
+        found.expect("address is printed").1.to_owned()
+    }
+
+    pub fn signal(&self, signal: &str) {
+        let pid = self.child.id().to_string();
+        let status = Command::new("kill").args([signal, &pid]).status().expect("kill runs");
+        assert!(status.success());
+    }
+
+    /// Waits until the process has ended and gives the rest of what it printed.
+    pub fn join(mut self) -> (ExitStatus, String) {
+        let begin = Instant::now();
+        let status = loop {
+            if let Some(status) = self.child.try_wait().expect("process can be waited for") {
+                break status;
+            }
+            assert!(begin.elapsed() < WAIT_BOUND, "process does not end");
+            std::thread::sleep(POLL_INTERVAL);
+        };
+        let mut rest = String::new();
+        if let Some(mut stdout) = self.child.stdout.take() {
+            let _ = stdout.read_to_string(&mut rest);
+        }
+        (status, rest)
+    }
+
+    /// Asks for a graceful shutdown and waits for it.
+    pub fn terminate(self) -> (ExitStatus, String) {
+        self.signal("-TERM");
+        self.join()
+    }
+}
+
+impl Drop for TestProcess {
+    fn drop(&mut self) {
+        // Only this very child, and only if it still runs.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+pub fn start_platform() -> TestProcess {
+    TestProcess::start(env!("CARGO_BIN_EXE_sk-platform"), &[])
+}
+
+pub fn platform_address(platform: &TestProcess) -> String {
+    platform.ready.trim_start_matches("platform ").to_owned()
+}
+
+/// What a test sets of one daemon.
+pub struct DaemonPlan<'a> {
+    pub name: &'a str,
+    pub data_centre: &'a str,
+    pub platform: &'a str,
+    pub seeds: &'a [String],
+    pub extra: &'a str,
+}
+
+pub fn start_daemon(directory: &Path, plan: &DaemonPlan<'_>) -> TestProcess {
+    let seeds: Vec<String> = plan.seeds.iter().map(|seed| format!("\"{seed}\"")).collect();
+    let text = format!(
+        r#"
+[instance]
+name = "{}"
+data_centre = "{}"
+region = "slovenia"
+
+[listen]
+proxy = "127.0.0.1:0"
+guard = "127.0.0.1:0"
+control = "127.0.0.1:0"
+ops = "127.0.0.1:0"
+
+[platform]
+address = "{}"
+
+[peers]
+seeds = [{}]
+secret = "secret of the test fleet"
+
+[operators]
+manager_sha256 = "{}"
+
+{}
+"#,
+        plan.name,
+        plan.data_centre,
+        plan.platform,
+        seeds.join(", "),
+        sk_ops::hash_token(MANAGER_TOKEN),
+        plan.extra,
+    );
+    let file = directory.join(format!("{}.toml", plan.name));
+    fs::write(&file, text).expect("settings can be written");
+    TestProcess::start(env!("CARGO_BIN_EXE_sapphirekeeld"), &[file.to_str().expect("path")])
+}
+
+pub fn start_backend(daemon: &str, service: &str, server: &str) -> TestProcess {
+    let args = ["--daemon", daemon, "--service", service, "--server", server];
+    TestProcess::start(env!("CARGO_BIN_EXE_sk-backend"), &args)
+}
+
+/// A directory of the test's own, removed with it.
+pub struct TestDirectory(pub PathBuf);
+
+impl TestDirectory {
+    pub fn new(name: &str) -> Self {
+        let path = Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
+        let _ = fs::remove_dir_all(&path);
+        fs::create_dir_all(&path).expect("directory can be made");
+        Self(path)
+    }
+
+    pub fn write(&self, name: &str, text: &str) {
+        let file = self.0.join(name);
+        fs::create_dir_all(file.parent().expect("file in a directory")).expect("directory");
+        fs::write(file, text).expect("file can be written");
+    }
+}
+
+impl Drop for TestDirectory {
+    fn drop(&mut self) {
+        let _ = fs::remove_dir_all(&self.0);
+    }
+}
+
+/// Runs the operator's command line against a daemon.
+pub fn operate(daemon: &str, token: &str, args: &[&str]) -> Output {
+    Command::new(env!("CARGO_BIN_EXE_sapphirekeel"))
+        .args(["--daemon", daemon, "--token", token])
+        .args(args)
+        .env("SAPPHIREKEEL_MANAGER_TOKEN", MANAGER_TOKEN)
+        .output()
+        .expect("command line runs")
+}
+
+/// Renders a command's end for a golden file.
+pub fn render(output: &Output) -> String {
+    let code = output.status.code().map_or("signal".to_owned(), |code| code.to_string());
+    let (out, err) =
+        (String::from_utf8_lossy(&output.stdout), String::from_utf8_lossy(&output.stderr));
+    format!("{out}{err}exit {code}\n")
+}
+
+/// Waits for a condition.
+pub fn wait_for(what: &str, mut is_met: impl FnMut() -> bool) {
+    let begin = Instant::now();
+    while !is_met() {
+        assert!(begin.elapsed() < WAIT_BOUND, "waited in vain for {what}");
+        std::thread::sleep(POLL_INTERVAL);
+    }
+}
+
+/// An answer to a caller's request.
+#[derive(Debug)]
+pub struct CallAnswer {
+    pub status: u16,
+    pub headers: BTreeMap<String, String>,
+    pub body: String,
+}
+
+/// Makes one request over a connection of its own.
+pub fn call(address: &str, method: &str, path: &str, headers: &str) -> std::io::Result<CallAnswer> {
+    use std::io::Write;
+    let mut stream = std::net::TcpStream::connect(address)?;
+    stream.set_read_timeout(Some(WAIT_BOUND))?;
+    write!(stream, "{method} {path} HTTP/1.1\r\nHost: test\r\nConnection: close\r\n")?;
+    write!(stream, "{headers}Content-Length: 0\r\n\r\n")?;
+    let mut reader = BufReader::new(stream);
+    let mut line = String::new();
+    reader.read_line(&mut line)?;
+    let malformed = || std::io::Error::from(std::io::ErrorKind::InvalidData);
+    let status = line.split(' ').nth(1).and_then(|code| code.parse().ok());
+    let status = status.ok_or_else(malformed)?;
+    let mut headers = BTreeMap::new();
+    loop {
+        line.clear();
+        reader.read_line(&mut line)?;
+        let Some((name, value)) = line.trim_end().split_once(':') else { break };
+        headers.insert(name.to_ascii_lowercase(), value.trim().to_owned());
+    }
+    let mut body = String::new();
+    reader.read_to_string(&mut body)?;
+    Ok(CallAnswer { status, headers, body })
+}
+
+pub fn in_force(daemon: &str) -> (usize, usize) {
+    let output = operate(daemon, MANAGER_TOKEN, &["--json", "report"]);
+    let report: serde_json::Value = serde_json::from_slice(&output.stdout).unwrap_or_default();
+    let count = |name: &str| report[name].as_u64().unwrap_or(0) as usize;
+    (count("in_force"), count("total"))
+}
