Report changes, paths and departed proxies; keep each version's times

Cause: managers could see the newest version only, and a lost daemon's last word vanished from the report. Proof: two relays with overlapping acks and lost answers equal one that saw all in order; a new process of a name is pending, where a report by name alone would say in force.

--- a/components/daemon/src/daemon.rs
+++ b/components/daemon/src/daemon.rs
@@ -19,6 +19,7 @@
 use crate::{
     error::DaemonError,
     port::DaemonPort,
+    reach::{ReachClock, watch_reach},
     source::{BookSink, LedgerSource},
     tasks,
 };
@@ -68,6 +69,7 @@
     table: SharedTable,
     book: Arc<ReportBook>,
     meter: Arc<ControlMeter>,
+    reach: Arc<ReachClock>,
 }
 
 /// Starts a daemon from checked settings.
@@ -98,6 +100,7 @@
             parts.members.clone(),
         )),
         tokio::spawn(tasks::expire_servers(parts.servers.clone(), parts.members.clone(), ttl)),
+        tokio::spawn(watch_reach(parts.reach.clone(), parts.members.clone())),
         tokio::spawn(tasks::flush_reports(parts.book.clone(), parts.store.clone())),
     ];
     log::info!("daemon: {} runs at {}.", settings.instance.name, addresses.proxy);
@@ -175,6 +178,7 @@
         table: SharedTable::default(),
         book: Arc::new(ReportBook::new(&key_prefix)),
         meter: Arc::default(),
+        reach: Arc::default(),
     }
 }
 
@@ -206,6 +210,7 @@
         members: parts.members.clone(),
         servers: parts.servers.clone(),
         meter: parts.meter.clone(),
+        reach: parts.reach.clone(),
         proxy_address: addresses.proxy,
     }
 }
--- a/components/daemon/src/lib.rs
+++ b/components/daemon/src/lib.rs
@@ -3,6 +3,7 @@
 mod daemon;
 mod error;
 mod port;
+mod reach;
 mod records;
 mod source;
 mod tasks;
--- a/components/daemon/src/port.rs
+++ b/components/daemon/src/port.rs
@@ -5,18 +5,24 @@
 use async_trait::async_trait;
 use sk_ledger::Ledger;
 use sk_member::{EndpointRecord, EndpointStatus, MemberBoard, MemberRecord};
-use sk_model::{ChangeRecord, ChangeRequest, ConfigSnapshot, TeamName, Version, check_path};
+use sk_model::{
+    ChangeRecord, ChangeRequest, ConfigSnapshot, ProxyId, TeamName, Version, check_path,
+};
 use sk_ops::{
     HeldView, OperatorPort, OpsError, PeerView, ServerAnnouncement, ServerView, StateDump,
     TeamRecord, TeamView,
 };
 use sk_proxy::{LocalServer, LocalServers};
-use sk_report::{FleetReport, KnownProxy, make_report, read_acks};
+use sk_report::{
+    ChangeReport, FleetReport, KnownProxy, ReportError, make_change_report, make_report, read_acks,
+    read_times,
+};
 use sk_spread::{ControlMeter, HeldConfig};
 use sk_store::SharedStore;
 
 use crate::{
-    records::{read_team, write_team},
+    reach::ReachClock,
+    records::{read_team, store_error, write_team},
     tasks::{publish_endpoints, unix_now},
 };
 
@@ -32,6 +38,7 @@
     pub(crate) members: Arc<MemberBoard>,
     pub(crate) servers: Arc<LocalServers>,
     pub(crate) meter: Arc<ControlMeter>,
+    pub(crate) reach: Arc<ReachClock>,
     pub(crate) proxy_address: SocketAddr,
 }
 
@@ -77,10 +84,18 @@
         let snapshot = self.ledger.load(&self.held.current()).await;
         let snapshot = snapshot.map_err(|err| OpsError::from_ledger(&err, unix_now()))?;
         let acks = read_acks(&self.store, &self.key_prefix).await;
-        let acks = acks.map_err(|err| OpsError::Internal { reason: err.to_string() })?;
-        let view = self.members.view();
-        let known = view.iter().map(|(proxy, record)| (proxy.clone(), known_proxy(record)));
-        Ok(make_report(snapshot.root.change, &known.collect(), &acks))
+        let acks = acks.map_err(report_error)?;
+        Ok(make_report(snapshot.root.change, &self.known_proxies(), &acks))
+    }
+
+    async fn change_report(&self, version: Version) -> Result<ChangeReport, OpsError> {
+        let not_found = || OpsError::NotFound { what: format!("version {version}") };
+        let record = self.history(version, 1).await?.into_iter().next();
+        let record = record.filter(|record| record.version == version).ok_or_else(not_found)?;
+        let times = read_times(&self.store, &self.key_prefix, version).await;
+        let times = times.map_err(report_error)?;
+        let acks = read_acks(&self.store, &self.key_prefix).await.map_err(report_error)?;
+        Ok(make_change_report(record, &times, &self.known_proxies(), &acks))
     }
 
     fn state(&self) -> StateDump {
@@ -129,11 +144,22 @@
     }
 }
 
-fn known_proxy(record: &MemberRecord) -> KnownProxy {
-    KnownProxy {
-        data_centre: record.data_centre.clone(),
-        incarnation: record.incarnation,
-        is_present: record.is_present(),
+impl DaemonPort {
+    fn known_proxies(&self) -> BTreeMap<ProxyId, KnownProxy> {
+        let known = |record: &MemberRecord| KnownProxy {
+            data_centre: record.data_centre.clone(),
+            incarnation: record.incarnation,
+            unreachable_since: (!record.is_present()).then(|| self.reach.since(&record.proxy)),
+        };
+        let view = self.members.view();
+        view.iter().map(|(proxy, record)| (proxy.clone(), known(record))).collect()
+    }
+}
+
+fn report_error(err: ReportError) -> OpsError {
+    match err {
+        ReportError::Store(err) => store_error(&err),
+        err => OpsError::Internal { reason: err.to_string() },
     }
 }
 
--- /dev/null
+++ b/components/daemon/src/reach.rs
@@ -0,0 +1,46 @@
+//! Since when other daemons are not reachable, as this daemon saw it.
+
+use std::{
+    collections::BTreeMap,
+    sync::{Arc, Mutex, PoisonError},
+};
+
+use sk_member::{MemberBoard, MemberView};
+use sk_model::{ProxyId, UnixMillis};
+
+use crate::tasks::unix_now;
+
+/// When each daemon that is not reachable was first seen so.
+#[derive(Default)]
+pub(crate) struct ReachClock {
+    since: Mutex<BTreeMap<ProxyId, UnixMillis>>,
+}
+
+impl ReachClock {
+    /// Gives since when a daemon is not reachable; one that was never seen so counts from now.
+    pub(crate) fn since(&self, proxy: &ProxyId) -> UnixMillis {
+        let since = self.since.lock().unwrap_or_else(PoisonError::into_inner);
+        since.get(proxy).copied().unwrap_or_else(unix_now)
+    }
+
+    fn observe(&self, view: &MemberView) {
+        let now = unix_now();
+        let mut since = self.since.lock().unwrap_or_else(PoisonError::into_inner);
+        since.retain(|proxy, _| view.get(proxy).is_some_and(|record| !record.is_present()));
+        for record in view.values().filter(|record| !record.is_present()) {
+            since.entry(record.proxy.clone()).or_insert(now);
+        }
+    }
+}
+
+/// Watches the members until the board is gone.
+pub(crate) async fn watch_reach(clock: Arc<ReachClock>, members: Arc<MemberBoard>) {
+    let mut views = members.subscribe();
+    loop {
+        let view = views.borrow_and_update().clone();
+        clock.observe(&view);
+        if views.changed().await.is_err() {
+            return;
+        }
+    }
+}
--- a/components/daemon/src/records.rs
+++ b/components/daemon/src/records.rs
@@ -53,7 +53,8 @@
     format!("{prefix}teams/{team}")
 }
 
-fn store_error(err: &StoreError) -> OpsError {
+/// Turns a failure of the platform into a refusal for operators.
+pub(crate) fn store_error(err: &StoreError) -> OpsError {
     match err.is_transient() {
         true => OpsError::NotAccepted { retry_at: crate::tasks::unix_now() + RETRY_MS },
         false => OpsError::Internal { reason: err.to_string() },
--- a/components/ops/src/port.rs
+++ b/components/ops/src/port.rs
@@ -4,7 +4,7 @@
 
 use async_trait::async_trait;
 use sk_model::{ChangeRecord, ChangeRequest, TeamName, Version};
-use sk_report::FleetReport;
+use sk_report::{ChangeReport, FleetReport};
 
 use crate::{HeldView, OpsError, ServerAnnouncement, StateDump, TeamRecord};
 
@@ -42,6 +42,9 @@
     /// Reports who holds what.
     async fn report(&self) -> Result<FleetReport, OpsError>;
 
+    /// Reports how one change went through the fleet.
+    async fn change_report(&self, version: Version) -> Result<ChangeReport, OpsError>;
+
     /// Gives the state of this daemon, without asking the platform.
     fn state(&self) -> StateDump;
 
--- a/components/ops/src/server.rs
+++ b/components/ops/src/server.rs
@@ -10,7 +10,7 @@
 use schemars::JsonSchema;
 use serde::Deserialize;
 use sk_model::{ChangeRecord, ChangeRequest, Version, check_path};
-use sk_report::FleetReport;
+use sk_report::{ChangeReport, FleetReport};
 
 use crate::{
     HeldView, OpsError, ServerAnnouncement, SharedPort, StateDump, TeamRecord, access::is_token,
@@ -68,6 +68,7 @@
     api.register(get_settings)?;
     api.register(get_history)?;
     api.register(get_report)?;
+    api.register(get_change_report)?;
     api.register(get_state)?;
     api.register(put_team)?;
     api.register(put_server)?;
@@ -105,6 +106,11 @@
     id: String,
 }
 
+#[derive(Deserialize, JsonSchema)]
+struct VersionPath {
+    version: Version,
+}
+
 #[derive(Deserialize, JsonSchema)]
 struct TeamPath {
     team: String,
@@ -172,6 +178,17 @@
     Ok(HttpResponseOk(request.context().report().await?))
 }
 
+/// Reports how one change went through the fleet.
+#[endpoint { method = GET, path = "/v1/report/changes/{version}" }]
+async fn get_change_report(
+    request: OpsRequest,
+    path: Path<VersionPath>,
+) -> OpsResult<ChangeReport> {
+    require_manager(&request)?;
+    let version = path.into_inner().version;
+    Ok(HttpResponseOk(request.context().change_report(version).await?))
+}
+
 /// Dumps the daemon's state; it works without the platform and shows no secret.
 #[endpoint { method = GET, path = "/v1/state" }]
 async fn get_state(request: OpsRequest) -> OpsResult<StateDump> {
--- a/components/report/src/fleet.rs
+++ b/components/report/src/fleet.rs
@@ -19,7 +19,12 @@
         /// Why.
         reason: String,
     },
-    /// Nothing is heard of it; what it holds is not known.
+    /// Nothing is heard of it; what it holds now is not known.
+    Unreachable {
+        /// Since when, on the clock of the daemon that made the report.
+        since: UnixMillis,
+    },
+    /// It acknowledged once and no daemon knows of it now.
     Unknown,
 }
 
@@ -30,8 +35,8 @@
     pub data_centre: DataCentre,
     /// Start of its process, in milliseconds since the epoch.
     pub incarnation: UnixMillis,
-    /// Whether it is believed present.
-    pub is_present: bool,
+    /// Since when it is not reachable, on this daemon's clock; none while it is believed present.
+    pub unreachable_since: Option<UnixMillis>,
 }
 
 /// What is known of one proxy.
@@ -61,13 +66,15 @@
     pub change: Option<ChangeRecord>,
     /// Proxies that hold it.
     pub in_force: usize,
-    /// All proxies known.
+    /// All proxies that membership knows.
     pub total: usize,
     /// Milliseconds from acceptance to the last acknowledgement, by the clocks of the accepting
     /// daemon and the proxies; absent until every proxy has acknowledged.
     pub convergence_ms: Option<u64>,
-    /// Each proxy.
+    /// Each proxy that membership knows.
     pub proxies: Vec<ProxyReport>,
+    /// Proxies that acknowledged once and that membership no longer knows, such as replaced ones.
+    pub departed: Vec<ProxyReport>,
 }
 
 /// Makes the report from the newest change, the proxies known and their acknowledgements.
@@ -82,6 +89,11 @@
         let ack = acks.get(proxy).filter(|ack| ack.incarnation >= known.incarnation);
         report_proxy(version, proxy, known, ack)
     };
+    let departed = |(proxy, ack): (&ProxyId, &ProxyAck)| {
+        report_held(proxy, &ack.data_centre, Some(ack), ProxyState::Unknown)
+    };
+    let is_departed = |(proxy, _): &(&ProxyId, &ProxyAck)| !known.contains_key(*proxy);
+    let departed = acks.iter().filter(is_departed).map(departed).collect();
     let proxies: Vec<ProxyReport> = known.iter().map(report).collect();
     let is_in_force = |proxy: &&ProxyReport| proxy.state == ProxyState::InForce;
     let in_force = proxies.iter().filter(is_in_force).count();
@@ -93,7 +105,15 @@
         }
         _ => None,
     };
-    FleetReport { version, change, in_force, total: proxies.len(), convergence_ms, proxies }
+    FleetReport {
+        version,
+        change,
+        in_force,
+        total: proxies.len(),
+        convergence_ms,
+        proxies,
+        departed,
+    }
 }
 
 fn report_proxy(
@@ -103,17 +123,25 @@
     ack: Option<&ProxyAck>,
 ) -> ProxyReport {
     let refusal = ack.and_then(|ack| ack.rejected.as_ref());
-    let state = match ack {
-        _ if !known.is_present => ProxyState::Unknown,
-        Some(ack) if ack.version >= newest => ProxyState::InForce,
-        _ => match refusal.filter(|rejected| rejected.version == newest) {
-            Some(rejected) => ProxyState::Rejected { reason: rejected.reason.clone() },
-            None => ProxyState::Pending,
-        },
+    let refusal = refusal.filter(|rejected| rejected.version == newest);
+    let state = match (known.unreachable_since, ack, refusal) {
+        (Some(since), ..) => ProxyState::Unreachable { since },
+        (None, Some(ack), _) if ack.version >= newest => ProxyState::InForce,
+        (None, _, Some(rejected)) => ProxyState::Rejected { reason: rejected.reason.clone() },
+        _ => ProxyState::Pending,
     };
+    report_held(proxy, &known.data_centre, ack, state)
+}
+
+fn report_held(
+    proxy: &ProxyId,
+    data_centre: &DataCentre,
+    ack: Option<&ProxyAck>,
+    state: ProxyState,
+) -> ProxyReport {
     ProxyReport {
         proxy: proxy.clone(),
-        data_centre: known.data_centre.clone(),
+        data_centre: data_centre.clone(),
         version: ack.map_or(0, |ack| ack.version),
         since: ack.map_or(0, |ack| ack.since),
         source: ack.map_or_else(ProxyId::new, |ack| ack.source.clone()),
--- /dev/null
+++ b/components/report/tests/true_reports.rs
@@ -0,0 +1,142 @@
+//! Reports never say more than proxies have themselves acknowledged.
+
+use std::{collections::BTreeMap, sync::Arc};
+
+use proptest::prelude::*;
+use sk_model::{ChangeRecord, ProxyAck, RejectedVersion};
+use sk_report::{
+    KnownProxy, ProxyState, ReportBook, make_change_report, make_report, read_acks, read_times,
+};
+use sk_store::{FakeStore, SharedStore, WriteFault};
+
+const PREFIX: &str = "test/";
+
+fn ack(proxy: &str, incarnation: u64, version: u64) -> ProxyAck {
+    ProxyAck {
+        proxy: proxy.to_owned(),
+        incarnation,
+        data_centre: "lj1".to_owned(),
+        version,
+        since: 1_000 + version,
+        source: "platform".to_owned(),
+        rejected: None,
+    }
+}
+
+fn change(version: u64) -> ChangeRecord {
+    ChangeRecord {
+        version,
+        change_id: format!("c{version}"),
+        team: "ledvica".to_owned(),
+        author: "ana".to_owned(),
+        revision: "4f2a".to_owned(),
+        accepted_at: 1_000,
+        written: vec!["/ledvica/a".to_owned()],
+        withdrawn: Vec::new(),
+    }
+}
+
+fn known(incarnation: u64, unreachable_since: Option<u64>) -> KnownProxy {
+    KnownProxy { data_centre: "lj1".to_owned(), incarnation, unreachable_since }
+}
+
+fn state_of(known_proxy: KnownProxy, ack: Option<ProxyAck>) -> ProxyState {
+    let known = BTreeMap::from([("a".to_owned(), known_proxy)]);
+    let acks = ack.map(|ack| (ack.proxy.clone(), ack)).into_iter().collect();
+    let report = make_report(Some(change(2)), &known, &acks);
+    report.proxies[0].state.clone()
+}
+
+// A daemon that held the newest version is replaced by a new process, which holds nothing yet. A
+// naive report by name would go on saying "in force".
+#[test]
+fn new_process() {
+    assert_eq!(state_of(known(1, None), Some(ack("a", 1, 2))), ProxyState::InForce);
+    assert_eq!(state_of(known(2, None), Some(ack("a", 1, 2))), ProxyState::Pending);
+}
+
+// A daemon is cut off. What it holds now is not known, although its last word was good.
+#[test]
+fn silent_proxy() {
+    let state = state_of(known(1, Some(77)), Some(ack("a", 1, 2)));
+    assert_eq!(state, ProxyState::Unreachable { since: 77 });
+    assert_eq!(state_of(known(1, None), None), ProxyState::Pending);
+}
+
+#[test]
+fn refused_version() {
+    let rejected = Some(RejectedVersion { version: 2, reason: "bad".to_owned() });
+    let ack = ProxyAck { rejected, ..ack("a", 1, 1) };
+    let state = state_of(known(1, None), Some(ack));
+    assert_eq!(state, ProxyState::Rejected { reason: "bad".to_owned() });
+}
+
+// Every daemon is lost and others take their places. The managers still see who held what.
+#[tokio::test]
+async fn all_lost() {
+    let store: SharedStore = Arc::new(FakeStore::new());
+    let book = ReportBook::new(PREFIX);
+    book.note(vec![ack("a", 1, 2), ack("b", 1, 1)]);
+    book.flush(&store).await.expect("platform is up");
+    drop(book);
+    let acks = read_acks(&store, PREFIX).await.expect("platform is up");
+    let report = make_report(Some(change(2)), &BTreeMap::new(), &acks);
+    assert_eq!((report.in_force, report.total, report.departed.len()), (0, 0, 2));
+    assert!(report.departed.iter().all(|proxy| proxy.state == ProxyState::Unknown));
+    let times = read_times(&store, PREFIX, 2).await.expect("platform is up");
+    let report = make_change_report(change(2), &times, &BTreeMap::new(), &acks);
+    assert_eq!(report.delays.map(|delays| delays.max_ms), Some(2));
+}
+
+// The platform is away while acknowledgements arrive. They are kept when it is back; if they were
+// dropped, proxies that hold the version would be reported as pending for ever.
+#[tokio::test]
+async fn outage_kept() {
+    let fake = Arc::new(FakeStore::new());
+    let store: SharedStore = fake.clone();
+    let book = ReportBook::new(PREFIX);
+    book.note(vec![ack("a", 1, 2)]);
+    fake.set_down(true);
+    assert!(book.flush(&store).await.is_err());
+    fake.set_down(false);
+    book.flush(&store).await.expect("platform is up");
+    let acks = read_acks(&store, PREFIX).await.expect("platform is up");
+    assert_eq!(acks["a"].version, 2);
+}
+
+fn any_acks() -> impl Strategy<Value = Vec<ProxyAck>> {
+    let one = ("[abc]", 1..4_u64, 0..6_u64)
+        .prop_map(|(proxy, incarnation, version)| ack(&proxy, incarnation, version));
+    prop::collection::vec(one, 0..24)
+}
+
+proptest! {
+    // Two relays gather overlapping acknowledgements in different orders, with answers of the
+    // platform lost. The report equals that of one relay that saw everything in order.
+    #[test]
+    fn two_relays(acks in any_acks(), split in prop::collection::vec(0..3_u8, 24), lost in 0..3_u8) {
+        let runtime = tokio::runtime::Builder::new_current_thread().build().expect("runtime");
+        runtime.block_on(async {
+            let fake = Arc::new(FakeStore::new());
+            let store: SharedStore = fake.clone();
+            let books = [ReportBook::new(PREFIX), ReportBook::new(PREFIX)];
+            (0..lost).for_each(|_| fake.plan_write(WriteFault::LoseAnswer));
+            for (ack, side) in acks.iter().zip(&split).rev() {
+                if *side != 1 { books[0].note(vec![ack.clone()]); }
+                if *side != 0 { books[1].note(vec![ack.clone()]); }
+            }
+            for book in [&books[1], &books[0], &books[1]] {
+                book.flush(&store).await.expect("platform is up");
+            }
+            let mut naive: BTreeMap<String, ProxyAck> = BTreeMap::new();
+            for ack in &acks {
+                let held = naive.entry(ack.proxy.clone()).or_insert_with(|| ack.clone());
+                if (ack.incarnation, ack.version) > (held.incarnation, held.version) {
+                    *held = ack.clone();
+                }
+            }
+            let kept = read_acks(&store, PREFIX).await.expect("platform is up");
+            assert_eq!(kept, naive);
+        });
+    }
+}
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -136,6 +136,24 @@
 pub struct ReportArgs {
     /// Print this help
     pub help: bool,
+    /// Print comma-separated values
+    #[options(no_short)]
+    pub csv: bool,
+    /// How one change went through the fleet
+    #[options(no_short, meta = "VERSION")]
+    pub change: Option<u64>,
+    /// Who wrote a path when
+    #[options(no_short, meta = "PATH")]
+    pub path: Option<String>,
+    /// Changes of one team
+    #[options(no_short)]
+    pub team: Option<String>,
+    /// Changes from a version on
+    #[options(no_short, meta = "VERSION")]
+    pub from: Option<u64>,
+    /// One proxy only
+    #[options(no_short)]
+    pub proxy: Option<String>,
 }
 
 /// Arguments of `state`.
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -69,8 +69,8 @@
         CliCommand::Get(get) => {
             with(client(), async |client| get::run(&client, &get, is_json).await).await
         }
-        CliCommand::Report(_) => {
-            with(client(), async |client| report::run(&client, is_json).await).await
+        CliCommand::Report(report) => {
+            with(client(), async |client| report::run(&client, &report, is_json).await).await
         }
         CliCommand::State(_) => with(client(), async |client| state::run(&client).await).await,
         CliCommand::Team(team) => {
--- a/src/cmd/report.rs
+++ b/src/cmd/report.rs
@@ -1,21 +1,164 @@
-//! Prints who holds what.
+//! Prints who holds what, how a change went, and who wrote what when.
 
-use sk_report::{FleetReport, ProxyState};
+use std::io;
+
+use serde::Serialize;
+use sk_model::{ChangeRecord, Version};
+use sk_report::{ChangeReport, FleetReport, ProxyReport, ProxyState};
 
 use super::{CmdOutcome, explain, print_json};
-use crate::client::OpsClient;
+use crate::{
+    cli::ReportArgs,
+    client::{CallError, OpsClient},
+};
 
-/// Prints the report.
-pub async fn run(client: &OpsClient, is_json: bool) -> anyhow::Result<CmdOutcome> {
-    let report: FleetReport = match client.get("/v1/report").await {
-        Ok(report) => report,
-        Err(err) => return Ok(explain(&err)),
+/// Prints the report that the arguments ask for.
+pub async fn run(
+    client: &OpsClient,
+    args: &ReportArgs,
+    is_json: bool,
+) -> anyhow::Result<CmdOutcome> {
+    let is_history = args.path.is_some() || args.team.is_some() || args.from.is_some();
+    let printed = match args.change {
+        Some(version) => report_change(client, version, args, is_json).await,
+        None if is_history => report_history(client, args, is_json).await,
+        None => report_fleet(client, args, is_json).await,
     };
-    match is_json {
-        true => print_json(&report)?,
-        false => print!("{}", render_report(&report)),
+    match printed {
+        Ok(printed) => printed.map(|()| CmdOutcome::Done),
+        Err(err) => Ok(explain(&err)),
     }
-    Ok(CmdOutcome::Done)
+}
+
+async fn report_fleet(
+    client: &OpsClient,
+    args: &ReportArgs,
+    is_json: bool,
+) -> Result<anyhow::Result<()>, CallError> {
+    let mut report: FleetReport = client.get("/v1/report").await?;
+    if let Some(proxy) = &args.proxy {
+        report.proxies.retain(|report| report.proxy == *proxy);
+        report.departed.retain(|report| report.proxy == *proxy);
+    }
+    let rows = || report.proxies.iter().chain(&report.departed).map(ProxyRow::new);
+    Ok(match (is_json, args.csv) {
+        (true, _) => print_json(&report),
+        (_, true) => print_csv(rows()),
+        _ => {
+            print!("{}", render_report(&report));
+            Ok(())
+        }
+    })
+}
+
+async fn report_change(
+    client: &OpsClient,
+    version: Version,
+    args: &ReportArgs,
+    is_json: bool,
+) -> Result<anyhow::Result<()>, CallError> {
+    let report: ChangeReport = client.get(&format!("/v1/report/changes/{version}")).await?;
+    Ok(match (is_json, args.csv) {
+        (true, _) => print_json(&report),
+        (_, true) => print_csv(std::iter::once(ChangeRow::new(&report.change))),
+        _ => {
+            print!("{}", render_change(&report));
+            Ok(())
+        }
+    })
+}
+
+async fn report_history(
+    client: &OpsClient,
+    args: &ReportArgs,
+    is_json: bool,
+) -> Result<anyhow::Result<()>, CallError> {
+    let mut records = read_history(client, args.from.unwrap_or(1)).await?;
+    records.retain(|record| {
+        let mut paths = record.written.iter().chain(&record.withdrawn);
+        args.team.as_ref().is_none_or(|team| *team == record.team)
+            && args.path.as_ref().is_none_or(|wanted| paths.any(|path| path == wanted))
+    });
+    Ok(match (is_json, args.csv) {
+        (true, _) => print_json(&records),
+        (_, true) => print_csv(records.iter().map(ChangeRow::new)),
+        _ => {
+            records.iter().for_each(|record| print!("{}", render_record(record)));
+            Ok(())
+        }
+    })
+}
+
+/// Reads all records from a version on, page by page.
+async fn read_history(
+    client: &OpsClient,
+    mut from: Version,
+) -> Result<Vec<ChangeRecord>, CallError> {
+    let mut records = Vec::new();
+    loop {
+        let page: Vec<ChangeRecord> = client.get(&format!("/v1/history?from={from}")).await?;
+        let Some(last) = page.last() else { return Ok(records) };
+        from = last.version + 1;
+        records.extend(page);
+    }
+}
+
+#[derive(Serialize)]
+struct ProxyRow<'a> {
+    proxy: &'a str,
+    data_centre: &'a str,
+    version: Version,
+    since_unix_ms: u64,
+    source: &'a str,
+    state: String,
+}
+
+impl<'a> ProxyRow<'a> {
+    fn new(report: &'a ProxyReport) -> Self {
+        Self {
+            proxy: &report.proxy,
+            data_centre: &report.data_centre,
+            version: report.version,
+            since_unix_ms: report.since,
+            source: &report.source,
+            state: render_state(&report.state),
+        }
+    }
+}
+
+#[derive(Serialize)]
+struct ChangeRow<'a> {
+    version: Version,
+    change_id: &'a str,
+    team: &'a str,
+    author: &'a str,
+    revision: &'a str,
+    accepted_unix_ms: u64,
+    written: String,
+    withdrawn: String,
+}
+
+impl<'a> ChangeRow<'a> {
+    fn new(record: &'a ChangeRecord) -> Self {
+        Self {
+            version: record.version,
+            change_id: &record.change_id,
+            team: &record.team,
+            author: &record.author,
+            revision: &record.revision,
+            accepted_unix_ms: record.accepted_at,
+            written: record.written.join(" "),
+            withdrawn: record.withdrawn.join(" "),
+        }
+    }
+}
+
+fn print_csv<T: Serialize>(rows: impl Iterator<Item = T>) -> anyhow::Result<()> {
+    let mut writer = csv::Writer::from_writer(io::stdout());
+    for row in rows {
+        writer.serialize(row)?;
+    }
+    Ok(writer.flush()?)
 }
 
 /// Renders the report as a table.
@@ -31,18 +174,60 @@
     if let Some(milliseconds) = report.convergence_ms {
         text.push_str(&format!(", {milliseconds} ms after acceptance"));
     }
-    text.push_str("\n\nproxy                data centre  version  since          from                 state\n");
-    for proxy in &report.proxies {
-        let state = match &proxy.state {
-            ProxyState::InForce => "in force".to_owned(),
-            ProxyState::Pending => "pending".to_owned(),
-            ProxyState::Rejected { reason } => format!("rejected: {reason}"),
-            ProxyState::Unknown => "unknown".to_owned(),
-        };
+    text.push_str(&format!(
+        "\n\n{:<20} {:<12} {:<8} {:<14} {:<20} state\n",
+        "proxy", "data centre", "version", "since", "from"
+    ));
+    for proxy in report.proxies.iter().chain(&report.departed) {
+        text.push_str(&format!(
+            "{:<20} {:<12} {:<8} {:<14} {:<20} {}\n",
+            proxy.proxy,
+            proxy.data_centre,
+            proxy.version,
+            proxy.since,
+            proxy.source,
+            render_state(&proxy.state)
+        ));
+    }
+    text
+}
+
+fn render_state(state: &ProxyState) -> String {
+    match state {
+        ProxyState::InForce => "in force".to_owned(),
+        ProxyState::Pending => "pending".to_owned(),
+        ProxyState::Rejected { reason } => format!("rejected: {reason}"),
+        ProxyState::Unreachable { since } => format!("unreachable since {since}"),
+        ProxyState::Unknown => "unknown".to_owned(),
+    }
+}
+
+fn render_change(report: &ChangeReport) -> String {
+    let mut text = render_record(&report.change);
+    text.push_str(&format!("in force on {} of {}\n", report.in_force, report.total));
+    if let Some(delays) = report.delays {
         text.push_str(&format!(
-            "{:<20} {:<12} {:<8} {:<14} {:<20} {state}\n",
-            proxy.proxy, proxy.data_centre, proxy.version, proxy.since, proxy.source
+            "{} proxies acknowledged it: p50 {} ms, p99 {} ms, max {} ms after acceptance\n",
+            report.acknowledged, delays.p50_ms, delays.p99_ms, delays.max_ms
         ));
     }
+    if !report.missing.is_empty() {
+        text.push_str(&format!("missing: {}\n", report.missing.join(" ")));
+    }
+    text
+}
+
+fn render_record(record: &ChangeRecord) -> String {
+    let mut text = format!(
+        "version {} at {} by {} of {}, revision {}, change {}\n",
+        record.version,
+        record.accepted_at,
+        record.author,
+        record.team,
+        record.revision,
+        record.change_id
+    );
+    record.written.iter().for_each(|path| text.push_str(&format!("  wrote {path}\n")));
+    record.withdrawn.iter().for_each(|path| text.push_str(&format!("  withdrew {path}\n")));
     text
 }
