Measure configuration, requests and claims; prove accepting under faults

Cause: no figures yet, and accepting was proved only inside its crate. Change: a pause that doubles with each refusal and shrinks with each commit, 32 partitions.

--- a/components/claim/src/commit.rs
+++ b/components/claim/src/commit.rs
@@ -13,10 +13,15 @@
     settings::ClaimSettings,
 };
 
+/// A shorter pause than this is below what the runtime's timers keep.
+const MIN_LINGER: Duration = Duration::from_millis(1);
+
 /// A partition as one writer knows it, with the revision of the head it was read from.
 #[derive(Default)]
 pub(crate) struct PartitionWriter {
     known: Option<(Option<Revision>, LiveClaims)>,
+    /// Pause before the next commit, zero while the platform carries every one.
+    linger: Duration,
 }
 
 impl PartitionWriter {
@@ -37,9 +42,22 @@
         let prefix = format!("{}claims/{number}", settings.key_prefix);
         let mut last = ClaimError::Unavailable { reason: "no try".to_owned() };
         for attempt in 0..settings.tries {
+            if !self.linger.is_zero() {
+                tokio::time::sleep(jittered(self.linger)).await;
+            }
             let tried = self.try_commit(store, settings, &prefix, wishes, now).await;
             match tried {
-                Ok(verdicts) => return Ok(verdicts),
+                Ok(verdicts) => {
+                    self.shrink_linger();
+                    return Ok(verdicts);
+                }
+                // Nothing was done, and asking again at once would take from the rate that the
+                // other partitions need.
+                Err(ClaimError::Throttled) => {
+                    self.grow_linger(settings.max_linger);
+                    last = ClaimError::Throttled;
+                    continue;
+                }
                 // A commit whose answer was lost may have landed or may yet land. Reading the head
                 // again and committing the same wishes under its revision settles it either way:
                 // attempts that are in the head are granted, and of the two writes at one revision
@@ -55,6 +73,17 @@
         Err(last)
     }
 
+    fn grow_linger(&mut self, max_linger: Duration) {
+        self.linger = (self.linger * 2).clamp(max_linger / 100, max_linger);
+    }
+
+    fn shrink_linger(&mut self) {
+        self.linger = self.linger * 19 / 20;
+        if self.linger < MIN_LINGER {
+            self.linger = Duration::ZERO;
+        }
+    }
+
     async fn try_commit(
         &mut self,
         store: &SharedStore,
@@ -160,6 +189,10 @@
         .map_err(|err| ClaimError::Corrupt { key: key.to_owned(), reason: err.to_string() })
 }
 
+fn jittered(mean: Duration) -> Duration {
+    mean.mul_f64(rand::random_range(0.5..1.5))
+}
+
 fn full_jitter(mean: Duration, attempt: u32) -> Duration {
     let cap = mean.saturating_mul(2_u32.saturating_pow(attempt.min(6)));
     cap.mul_f64(rand::random_range(0.0..2.0))
--- a/components/claim/src/error.rs
+++ b/components/claim/src/error.rs
@@ -12,6 +12,9 @@
         /// What was seen.
         reason: String,
     },
+    /// The platform refuses calls over its rate.
+    #[error("the platform refuses claims over its rate")]
+    Throttled,
     /// The platform holds something that is not a partition of claims.
     #[error("object {key} cannot be read: {reason}")]
     Corrupt {
@@ -24,6 +27,9 @@
 
 impl From<StoreError> for ClaimError {
     fn from(err: StoreError) -> Self {
-        Self::Unavailable { reason: err.to_string() }
+        match err {
+            StoreError::Throttled { .. } => Self::Throttled,
+            err => Self::Unavailable { reason: err.to_string() },
+        }
     }
 }
--- a/components/claim/src/settings.rs
+++ b/components/claim/src/settings.rs
@@ -24,6 +24,10 @@
     pub queue: usize,
     /// Tries of one commit before its claims are refused as unavailable.
     pub tries: u32,
+    /// Longest pause between two commits of one partition while the platform refuses calls over its
+    /// rate. It begins at a hundredth of this, doubles with each refusal and shrinks with each
+    /// commit that comes through, so that groups grow until the platform can carry them.
+    pub max_linger: Duration,
     /// Mean pause after a try that lost against another writer, doubled from try to try.
     pub backoff: Duration,
 }
@@ -32,12 +36,13 @@
     fn default() -> Self {
         Self {
             key_prefix: "sapphirekeel/".to_owned(),
-            partitions: 64,
+            partitions: 32,
             retention: Duration::from_secs(3_600),
             tail_claims: 256,
             batch: 256,
             queue: 1_024,
             tries: 8,
+            max_linger: Duration::from_millis(1_000),
             backoff: Duration::from_millis(4),
         }
     }
--- /dev/null
+++ b/src/bin/sk-measure.rs
@@ -0,0 +1,140 @@
+//! Measurements on one machine. Prints a JSON line for each result.
+
+use std::time::Duration;
+
+use gumdrop::Options;
+use serde::Serialize;
+use sk_measure::{
+    BaselineKind, FleetPlan, LoadPlan, SpreadPlan, measure_baseline, measure_claims, measure_load,
+    measure_spread,
+};
+
+#[derive(Debug, Options)]
+struct MeasureArgs {
+    /// Print this help
+    help: bool,
+    #[options(command)]
+    command: Option<MeasureCommand>,
+}
+
+#[derive(Debug, Options)]
+enum MeasureCommand {
+    /// Configuration against the fleet's size, with the baselines
+    Spread(SpreadArgs),
+    /// The request path against a direct call
+    Load(LoadArgs),
+    /// Claims of requests that may not be repeated
+    Claims(ClaimArgs),
+}
+
+#[derive(Debug, Options)]
+struct SpreadArgs {
+    /// Print this help
+    help: bool,
+    /// Fleet sizes
+    #[options(default = "10,50")]
+    daemons: String,
+    /// One-route changes of each fleet
+    #[options(default = "10")]
+    changes: u64,
+    /// Seconds without changes for idle figures
+    #[options(default = "10")]
+    idle: u64,
+    /// Further settings in TOML
+    #[options(default = "")]
+    settings: String,
+    /// Leave the baselines out
+    #[options(no_short)]
+    no_baseline: bool,
+}
+
+#[derive(Debug, Options)]
+struct LoadArgs {
+    /// Print this help
+    help: bool,
+    /// Requests a second, a run each
+    #[options(default = "500,1000,2000")]
+    rates: String,
+    /// Seconds of each run
+    #[options(default = "10")]
+    seconds: u64,
+    /// Milliseconds of the backend servers' work
+    #[options(default = "1")]
+    work_ms: u64,
+    /// Backend servers
+    #[options(default = "3")]
+    servers: usize,
+}
+
+#[derive(Debug, Options)]
+struct ClaimArgs {
+    /// Print this help
+    help: bool,
+    /// Claims a second, a run each
+    #[options(default = "100,300,600,2000")]
+    rates: String,
+    /// Seconds of each run
+    #[options(default = "5")]
+    seconds: u64,
+    /// Daemons that claim
+    #[options(default = "1")]
+    writers: usize,
+}
+
+#[tokio::main]
+async fn main() -> anyhow::Result<()> {
+    env_logger::init();
+    let args = MeasureArgs::parse_args_default_or_exit();
+    match args.command {
+        Some(MeasureCommand::Spread(args)) => spread(&args).await,
+        Some(MeasureCommand::Load(args)) => load(&args).await,
+        Some(MeasureCommand::Claims(args)) => claims(&args).await,
+        None => anyhow::bail!("{}", MeasureArgs::command_list().unwrap_or_default()),
+    }
+}
+
+async fn spread(args: &SpreadArgs) -> anyhow::Result<()> {
+    for daemons in numbers(&args.daemons)? {
+        let daemons = daemons as usize;
+        let plan = SpreadPlan {
+            fleet: FleetPlan {
+                daemons,
+                // Nine data centres at the full size; at least a few daemons in each.
+                data_centres: (daemons / 5).clamp(2, 9),
+                settings: args.settings.clone(),
+            },
+            changes: args.changes,
+            idle: Duration::from_secs(args.idle),
+        };
+        print(&measure_spread(&plan).await?)?;
+        if !args.no_baseline {
+            print(&measure_baseline(BaselineKind::Poll, daemons, args.changes).await?)?;
+            print(&measure_baseline(BaselineKind::Watch, daemons, args.changes).await?)?;
+        }
+    }
+    Ok(())
+}
+
+async fn load(args: &LoadArgs) -> anyhow::Result<()> {
+    let plan = LoadPlan {
+        rates: numbers(&args.rates)?,
+        time: Duration::from_secs(args.seconds),
+        work_ms: args.work_ms,
+        servers: args.servers,
+    };
+    measure_load(&plan).await?.iter().try_for_each(print)
+}
+
+async fn claims(args: &ClaimArgs) -> anyhow::Result<()> {
+    let figures = measure_claims(&numbers(&args.rates)?, args.writers, args.seconds).await?;
+    figures.iter().try_for_each(print)
+}
+
+fn numbers(list: &str) -> anyhow::Result<Vec<u64>> {
+    Ok(list.split(',').map(|number| number.trim().parse()).collect::<Result<_, _>>()?)
+}
+
+fn print<T: Serialize>(figures: &T) -> anyhow::Result<()> {
+    println!("{}", serde_json::to_string(figures)?);
+    Ok(())
+}
--- /dev/null
+++ b/tests/accept_faults.rs
@@ -0,0 +1,138 @@
+//! Accepting changes while operators race and the platform fails.
+
+mod common;
+
+use common::{
+    DaemonPlan, MANAGER_TOKEN, TEAM_TOKEN, TestDirectory, TestProcess, call_body, in_force,
+    operate, platform_address, render, start_daemon, start_platform, wait_for,
+};
+
+const SERVICE: &str = "kind = \"service\"\n";
+
+struct TestFleet {
+    platform: TestProcess,
+    daemons: Vec<TestProcess>,
+    directory: TestDirectory,
+}
+
+fn start_fleet(name: &str) -> TestFleet {
+    let directory = TestDirectory::new(name);
+    let platform = start_platform();
+    let address = platform_address(&platform);
+    let mut daemons: Vec<TestProcess> = Vec::new();
+    for index in 0..2 {
+        let seeds: Vec<String> = daemons.iter().map(|daemon| daemon.address("control")).collect();
+        let plan = DaemonPlan {
+            name: &format!("daemon{index}"),
+            data_centre: "lj1",
+            platform: &address,
+            seeds: &seeds,
+            extra: "",
+        };
+        daemons.push(start_daemon(&directory.0, &plan));
+    }
+    let fleet = TestFleet { platform, daemons, directory };
+    wait_for("the daemons to meet", || in_force(&fleet.ops(0)).1 == 2);
+    let hash = sk_ops::hash_token(TEAM_TOKEN);
+    let output = operate(&fleet.ops(0), MANAGER_TOKEN, &["team", "ana", "--token-sha256", &hash]);
+    assert!(output.status.success(), "{}", render(&output));
+    fleet
+}
+
+impl TestFleet {
+    fn ops(&self, index: usize) -> String {
+        self.daemons[index].address("ops")
+    }
+
+    fn declare(&self, folder: &str, name: &str) -> String {
+        self.directory.write(&format!("{folder}/ana/{name}.toml"), SERVICE);
+        self.directory.0.join(folder).to_str().expect("path is text").to_owned()
+    }
+
+    fn apply(&self, index: usize, folder: &str, author: &str) -> std::process::Output {
+        let args = ["apply", folder, "--revision", "r1", "--author", author];
+        operate(&self.ops(index), TEAM_TOKEN, &args)
+    }
+
+    fn set_faults(&self, faults: &str) {
+        let platform = platform_address(&self.platform);
+        let answer = call_body(&platform, "PUT", "/v1/faults", faults).expect("platform answers");
+        assert_eq!(answer.status, 204, "{answer:?}");
+    }
+
+    fn history(&self) -> String {
+        let output = operate(&self.ops(0), MANAGER_TOKEN, &["report", "--team", "ana"]);
+        String::from_utf8_lossy(&output.stdout).into_owned()
+    }
+}
+
+// Two operators of one team change it at the same moment through different daemons. Without the
+// condition on what each saw, the later write would silently undo the earlier one.
+#[test]
+fn operators_race() {
+    let fleet = start_fleet("operators_race");
+    let (first, second) = (fleet.declare("first", "one"), fleet.declare("second", "two"));
+    let outputs: Vec<_> = std::thread::scope(|scope| {
+        let fleet = &fleet;
+        let first = scope.spawn(move || fleet.apply(0, &first, "ana"));
+        let second = scope.spawn(move || fleet.apply(1, &second, "bor"));
+        [first, second].into_iter().map(|thread| thread.join().expect("operator")).collect()
+    });
+    let won = outputs.iter().filter(|output| output.status.success()).count();
+    let history = fleet.history();
+    // Either one was refused, or the second to come saw the first and replaced it knowingly.
+    match won {
+        1 => {
+            let lost = outputs.iter().find(|output| !output.status.success()).expect("one lost");
+            assert_eq!(lost.status.code(), Some(1));
+            assert!(render(lost).contains("version 1 by"), "{}", render(lost));
+            assert!(!history.contains("version 2"), "{history}");
+        }
+        2 => assert!(history.contains("withdrew /ana/"), "{history}"),
+        _ => panic!("{outputs:?}"),
+    }
+}
+
+// The platform takes the commit and its answer is lost on the way back. Telling the operator that
+// it failed would be untrue, and trying again blindly would make a second version of it.
+#[test]
+fn lost_answer() {
+    let fleet = start_fleet("lost_answer");
+    let folder = fleet.declare("first", "one");
+    fleet.set_faults("{\"lose_write_answers\": 3}");
+    let output = fleet.apply(0, &folder, "ana");
+    assert!(output.status.success(), "{}", render(&output));
+    let history = fleet.history();
+    assert_eq!(history.matches("version ").count(), 1, "{history}");
+    assert!(history.contains("wrote /ana/one"), "{history}");
+}
+
+// The platform is away while an operator applies a change. The operator must not be told that it
+// is accepted, and the same command must work once the platform is back.
+#[test]
+fn platform_outage() {
+    let fleet = start_fleet("platform_outage");
+    let folder = fleet.declare("first", "one");
+    fleet.set_faults("{\"is_down\": true}");
+    let output = fleet.apply(0, &folder, "ana");
+    assert_eq!(output.status.code(), Some(1), "{}", render(&output));
+    assert!(render(&output).contains("come back"), "{}", render(&output));
+    fleet.set_faults("{}");
+    let output = fleet.apply(0, &folder, "ana");
+    assert!(output.status.success(), "{}", render(&output));
+    assert_eq!(fleet.history().matches("version ").count(), 1);
+    wait_for("2 of 2 in force", || in_force(&fleet.ops(0)) == (2, 2));
+}
+
+// A team's token is used on another team's subtree, by a path inside a change of its own.
+#[test]
+fn foreign_subtree() {
+    let fleet = start_fleet("foreign_subtree");
+    let change = r#"{"change_id":"x","team":"ana","author":"ana","revision":"1","base":0,
+        "writes":{"/bor/one":{"kind":"service"}}}"#;
+    let headers = format!("Authorization: Bearer {TEAM_TOKEN}\r\n");
+    let answer = common::call_with(&fleet.ops(0), "POST", "/v1/changes", &headers, change)
+        .expect("an answer");
+    assert_eq!(answer.status, 400, "{answer:?}");
+    assert_eq!(fleet.history(), "");
+}
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -211,11 +211,33 @@
 
 /// Makes one request over a connection of its own.
 pub fn call(address: &str, method: &str, path: &str, headers: &str) -> std::io::Result<CallAnswer> {
+    call_with(address, method, path, headers, "")
+}
+
+/// Makes one request with a JSON body.
+pub fn call_body(
+    address: &str,
+    method: &str,
+    path: &str,
+    body: &str,
+) -> std::io::Result<CallAnswer> {
+    call_with(address, method, path, "", body)
+}
+
+/// Makes one request with headers and a JSON body.
+pub fn call_with(
+    address: &str,
+    method: &str,
+    path: &str,
+    headers: &str,
+    body: &str,
+) -> std::io::Result<CallAnswer> {
     use std::io::Write;
     let mut stream = std::net::TcpStream::connect(address)?;
     stream.set_read_timeout(Some(WAIT_BOUND))?;
     write!(stream, "{method} {path} HTTP/1.1\r\nHost: test\r\nConnection: close\r\n")?;
-    write!(stream, "{headers}Content-Length: 0\r\n\r\n")?;
+    write!(stream, "Content-Type: application/json\r\n{headers}")?;
+    write!(stream, "Content-Length: {}\r\n\r\n{body}", body.len())?;
     let mut reader = BufReader::new(stream);
     let mut line = String::new();
     reader.read_line(&mut line)?;
