--- a/components/ledger/src/check.rs
+++ b/components/ledger/src/check.rs
@@ -76,16 +76,12 @@
 ///
 /// The base counts as content: a request rebuilt on a newer base is another decision of the
 /// operator's, so it needs an id of its own once the first was accepted.
-pub(crate) fn request_digest(request: &ChangeRequest) -> ContentHash {
+pub fn request_digest(request: &ChangeRequest) -> ContentHash {
     hash_json(request)
 }
 
 /// Gives the record that a request becomes at a version.
-pub(crate) fn record_of(
-    request: &ChangeRequest,
-    version: Version,
-    now: UnixMillis,
-) -> ChangeRecord {
+pub fn record_of(request: &ChangeRequest, version: Version, now: UnixMillis) -> ChangeRecord {
     let paths = |is_written: bool| {
         let picked = request.writes.iter().filter(move |(_, body)| body.is_some() == is_written);
         picked.map(|(path, _)| path.clone()).collect()
--- a/components/ledger/src/commit.rs
+++ b/components/ledger/src/commit.rs
@@ -8,6 +8,7 @@
     validate_trees,
 };
 use sk_store::{MAX_VALUE_BYTES, StoreError};
+use tokio::time::Instant;
 
 use crate::{
     CorruptData, Ledger, LedgerEntry, LedgerHead, MAX_TEAMS, MalformedChange, SubmitError,
@@ -33,12 +34,23 @@
 impl From<ReadError> for TryError {
     fn from(err: ReadError) -> Self {
         match err {
-            ReadError::Store(err) => Self::Away(err),
+            ReadError::Store(err) => err.into(),
             ReadError::Corrupt(fault) => Self::Final(SubmitError::Corrupt(fault)),
         }
     }
 }
 
+impl From<StoreError> for TryError {
+    fn from(err: StoreError) -> Self {
+        match err {
+            StoreError::TooLarge { size } => {
+                Self::Final(SubmitError::TooLarge { size, limit: MAX_VALUE_BYTES })
+            }
+            err => Self::Away(err),
+        }
+    }
+}
+
 impl From<MalformedChange> for TryError {
     fn from(fault: MalformedChange) -> Self {
         Self::Final(SubmitError::Malformed(fault))
@@ -58,6 +70,8 @@
     /// that has not moved is sent the very same bytes under the very same condition; of the two
     /// puts the platform lets only one through, and both would have made the same record.
     doubt: Option<HeadRevision>,
+    /// Hash of the subtree written by an earlier try, which need not be written again.
+    kept: Option<ContentHash>,
 }
 
 /// What a commit writes.
@@ -77,12 +91,16 @@
     ) -> Result<ChangeRecord, SubmitError> {
         check_request(request)?;
         let digest = request_digest(request);
-        let mut attempt = ChangeAttempt { request, digest, now, doubt: None };
+        let mut attempt = ChangeAttempt { request, digest, now, doubt: None, kept: None };
+        let deadline = Instant::now() + self.settings.submit_time;
         let mut retry_after = self.settings.retry_after;
         for number in 0..self.settings.submit_tries.max(1) {
             if number > 0 {
                 self.pause(number - 1).await;
             }
+            if number > 0 && Instant::now() >= deadline {
+                break;
+            }
             match self.try_commit(&mut attempt).await {
                 Ok(record) => return Ok(record),
                 Err(TryError::Retry) => {}
@@ -115,7 +133,7 @@
         }
         let plan = self.plan_commit(attempt, &head).await?;
         self.keep_entries(head.tail.get(..plan.moved).unwrap_or_default()).await?;
-        self.keep_tree(&head, &plan).await?;
+        self.keep_tree(attempt, &head, &plan).await?;
         self.put_head(attempt, revision, plan).await
     }
 
@@ -184,14 +202,22 @@
         self.keep(&self.keys.history(first.record.version), encode(&entries)?).await
     }
 
-    async fn keep_tree(&self, head: &LedgerHead, plan: &CommitPlan) -> Result<(), TryError> {
+    async fn keep_tree(
+        &self,
+        attempt: &mut ChangeAttempt<'_>,
+        head: &LedgerHead,
+        plan: &CommitPlan,
+    ) -> Result<(), TryError> {
         let value = encode(&*plan.tree)?;
         let hash = content_hash(value.as_bytes());
-        if head.root.trees.get(&plan.record.team).is_some_and(|tree_ref| tree_ref.hash == hash) {
+        let named = head.root.trees.get(&plan.record.team).map(|tree_ref| &tree_ref.hash);
+        if named == Some(&hash) || attempt.kept.as_ref() == Some(&hash) {
             return Ok(());
         }
         check_size(&value)?;
-        self.keep(&self.keys.tree(&hash), value).await
+        self.keep(&self.keys.tree(&hash), value).await?;
+        attempt.kept = Some(hash);
+        Ok(())
     }
 
     async fn keep(&self, key: &str, value: String) -> Result<(), TryError> {
@@ -199,7 +225,7 @@
             Ok(_) | Err(StoreError::Conflict { .. }) => Ok(()),
             // Writing it again is harmless, so the outcome need not be looked up.
             Err(StoreError::Unknown { .. }) => Err(TryError::Retry),
-            Err(err) => Err(TryError::Away(err)),
+            Err(err) => Err(err.into()),
         }
     }
 
@@ -231,14 +257,18 @@
                 attempt.doubt = Some(revision);
                 Err(TryError::Retry)
             }
-            Err(err) => Err(TryError::Away(err)),
+            Err(err) => Err(err.into()),
         }
     }
 }
 
 impl ChangeAttempt<'_> {
     /// Answers with the change that was accepted under this id.
-    fn recognise(&self, entry: LedgerEntry) -> Result<ChangeRecord, TryError> {
+    ///
+    /// It was not there when a put came into doubt, so the head has moved on since and an entry of
+    /// other content settles the doubt as well.
+    fn recognise(&mut self, entry: LedgerEntry) -> Result<ChangeRecord, TryError> {
+        self.doubt = None;
         match entry.digest == self.digest {
             true => Ok(entry.record),
             false => {
--- a/components/ledger/src/error.rs
+++ b/components/ledger/src/error.rs
@@ -147,6 +147,12 @@
         /// Version of the head.
         version: Version,
     },
+    /// The platform's head gives a version other content than is held here for it.
+    #[error("the platform holds another version {version} than is held here")]
+    Diverged {
+        /// The version.
+        version: Version,
+    },
     /// The platform's head is older than one already held: it was reset or restored.
     #[error("the platform holds version {found}, older than version {held} held here")]
     Regressed {
--- a/components/ledger/src/head.rs
+++ b/components/ledger/src/head.rs
@@ -45,9 +45,10 @@
 
     /// Gives the entries that have to move to history before the next commit.
     ///
-    /// Only this head decides, never the change about to be committed: all who commit on one head
-    /// move the same entries, so two racers write the same chunk under the same key. One chunk a
-    /// commit keeps up, because a commit adds one record, and spreads the cost over the commits.
+    /// A chunk has a fixed length and begins at a fixed version, and an accepted record never
+    /// changes. So all who ever move a chunk, from whatever head, write the same bytes under the
+    /// same key. One chunk a commit keeps up, because a commit adds one record, and it spreads the
+    /// cost over the commits.
     pub fn overflow(&self, settings: &LedgerSettings) -> &[LedgerEntry] {
         let is_long = self.tail.len() >= settings.tail_records.max(CHUNK_RECORDS);
         match self.tail.get(..CHUNK_RECORDS) {
--- a/components/ledger/src/ledger.rs
+++ b/components/ledger/src/ledger.rs
@@ -1,7 +1,8 @@
 //! The ledger as the daemon holds it.
 
 use std::{
-    sync::{Mutex, MutexGuard, PoisonError},
+    cmp::Ordering,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::Duration,
 };
 
@@ -9,13 +10,16 @@
     ChangeRecord, ChangeRequest, ConfigSnapshot, TeamName, TeamTree, UnixMillis, Version,
 };
 use sk_store::{Revision, SharedStore};
-use std::sync::Arc;
 
 use crate::{
     CorruptData, LedgerEntry, LedgerError, LedgerHead, LedgerSettings, SubmitError,
     check::check_change_id, keys::KeySpace, read::ReadError,
 };
 
+/// Most records of one read of history: 125 calls, a sixteenth of what the platform answers in a
+/// second. Longer histories are read in several steps.
+pub const MAX_HISTORY_RECORDS: usize = 1000;
+
 /// The platform's revision of the head, none before the first commit.
 pub(crate) type HeadRevision = Option<Revision>;
 
@@ -92,8 +96,7 @@
     ///
     /// # Errors
     ///
-    /// Returns a [`LedgerError`] where the platform is away, its data is corrupt, or it holds an
-    /// older version than `held`.
+    /// Returns a [`LedgerError`] where the platform is away or its data is corrupt.
     pub async fn wait_newer(
         &self,
         held: &ConfigSnapshot,
@@ -108,15 +111,20 @@
             let Some(object) = object else { return Ok(None) };
             after = object.revision;
             let head = self.decode_head(&object).map_err(|err| self.name_error(err))?;
-            if head.root.version != held.version() {
-                return self.load_head(&head, Some(after), held).await.map(Some);
+            match head.root.version {
+                version if version > held.version() => {
+                    return self.load_head(&head, Some(after), held).await.map(Some);
+                }
+                version if version == held.version() => self.remember(held.clone(), Some(after)),
+                // Events may come late, so an older head is no proof of a reset platform.
+                _ => {}
             }
-            self.remember(held.clone(), Some(after));
         }
     }
 
-    /// Reads records in version order from `from` on, at most `most`. Takes one call for the head
-    /// and one for each eight records that have left it.
+    /// Reads records in version order from `from` on, at most `most` and never more than
+    /// [`MAX_HISTORY_RECORDS`]. Takes one call for the head and one for each eight records that
+    /// have left it.
     ///
     /// # Errors
     ///
@@ -127,7 +135,7 @@
         most: usize,
     ) -> Result<Vec<ChangeRecord>, LedgerError> {
         let (head, _) = self.read_head().await.map_err(|err| self.name_error(err))?;
-        let entries = self.read_entries(&head, from, most).await;
+        let entries = self.read_entries(&head, from, most.min(MAX_HISTORY_RECORDS)).await;
         let entries = entries.map_err(|err| self.name_error(err))?;
         Ok(entries.into_iter().map(|entry: LedgerEntry| entry.record).collect())
     }
@@ -138,12 +146,7 @@
         revision: HeadRevision,
         held: &ConfigSnapshot,
     ) -> Result<ConfigSnapshot, LedgerError> {
-        let (found, held_version) = (head.root.version, held.version());
-        if found < held_version {
-            // A reset platform would otherwise move proxies back. The error keeps them where they
-            // are and shows in the log until an operator has mended the platform.
-            return Err(CorruptData::Regressed { found, held: held_version }.into());
-        }
+        check_progress(head, held)?;
         let snapshot = self.read_trees(head, held).await.map_err(|err| self.name_error(err))?;
         self.remember(snapshot.clone(), revision);
         Ok(snapshot)
@@ -164,6 +167,11 @@
         (tree_ref.hash == hash).then(|| seen.snapshot.trees.get(team).cloned())?
     }
 
+    /// Gives the newest version seen. A head read after this call is not older.
+    pub(crate) fn seen_version(&self) -> Version {
+        self.seen().snapshot.version()
+    }
+
     fn seen_revision(&self, version: Version) -> HeadRevision {
         let seen = self.seen();
         seen.revision.filter(|_| seen.snapshot.version() == version)
@@ -173,3 +181,16 @@
         self.seen.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
+
+/// Refuses a head that does not follow from what is held.
+///
+/// A platform that was reset or restored would otherwise move proxies back, or give two contents
+/// to one version. The error keeps them where they are and shows until the platform is mended.
+fn check_progress(head: &LedgerHead, held: &ConfigSnapshot) -> Result<(), CorruptData> {
+    let version = head.root.version;
+    match version.cmp(&held.version()) {
+        Ordering::Less => Err(CorruptData::Regressed { found: version, held: held.version() }),
+        Ordering::Equal if head.root != held.root => Err(CorruptData::Diverged { version }),
+        _ => Ok(()),
+    }
+}
--- a/components/ledger/src/lib.rs
+++ b/components/ledger/src/lib.rs
@@ -17,8 +17,9 @@
 pub use backoff::full_jitter;
 pub use check::{
     MAX_AUTHOR_BYTES, MAX_CHANGE_ID_BYTES, MAX_RECORD_BYTES, MAX_REVISION_BYTES, MAX_WRITES,
+    record_of, request_digest,
 };
 pub use error::{CorruptData, LedgerError, MalformedChange, SubmitError};
 pub use head::{CHUNK_RECORDS, LedgerEntry, LedgerHead, MAX_TEAMS};
-pub use ledger::Ledger;
+pub use ledger::{Ledger, MAX_HISTORY_RECORDS};
 pub use settings::LedgerSettings;
--- a/components/ledger/src/read.rs
+++ b/components/ledger/src/read.rs
@@ -28,10 +28,18 @@
 
 impl Ledger {
     /// Reads the head, empty before the first commit.
+    ///
+    /// A head older than one seen before the call means that the platform was reset or restored.
+    /// Committing on it would give out versions a second time, which proxies would never take.
     pub(crate) async fn read_head(&self) -> Result<(LedgerHead, HeadRevision), ReadError> {
+        let held = self.seen_version();
         let object = self.store.get(&self.keys.head()).await.map_err(ReadError::Store)?;
-        let Some(object) = object else { return Ok((LedgerHead::default(), None)) };
-        Ok((self.decode_head(&object)?, Some(object.revision)))
+        let head = object.as_ref().map(|object| self.decode_head(object)).transpose()?;
+        let head = head.unwrap_or_default();
+        match head.root.version {
+            found if found < held => Err(CorruptData::Regressed { found, held }.into()),
+            _ => Ok((head, object.map(|object| object.revision))),
+        }
     }
 
     pub(crate) fn decode_head(&self, object: &StoredObject) -> Result<LedgerHead, ReadError> {
--- a/components/ledger/src/settings.rs
+++ b/components/ledger/src/settings.rs
@@ -16,10 +16,13 @@
     /// Tries of one submit, from 1. 24 outlast any burst of racing teams that a platform of
     /// several hundred writes a second can carry; more would hold the operator without need.
     pub submit_tries: u32,
+    /// Time after which a submit begins no further try. 10 s are as long as an operator waits and
+    /// bound the time spent on a platform that answers slowly or never.
+    pub submit_time: Duration,
     /// Longest pause before the second try; it doubles from try to try. 10 ms are a few round
     /// trips to the platform, so that two racers come apart.
     pub backoff_base: Duration,
-    /// Longest pause between two tries. 500 ms keep the whole submit within about ten seconds.
+    /// Longest pause between two tries. 500 ms keep all tries together within `submit_time`.
     pub backoff_cap: Duration,
     /// When a caller is told to come back while the platform is away. One second keeps the
     /// operators' retries far below the platform's rate.
@@ -33,6 +36,7 @@
             tail_records: 128,
             tail_bytes: 256 * 1024,
             submit_tries: 24,
+            submit_time: Duration::from_secs(10),
             backoff_base: Duration::from_millis(10),
             backoff_cap: Duration::from_millis(500),
             retry_after: Duration::from_secs(1),
