--- /dev/null
+++ b/components/decide/src/admitting.rs
@@ -0,0 +1,312 @@
+//! Admission at the daemon beside a server, which alone knows what the server is running.
+//!
+//! Made for more requests than the server's slots can run: twice its capacity, a burst from one
+//! caller, long documents among short queries. Without a guard all are taken, each waits longer
+//! than its caller does, and the server works at its limit for answers that nobody reads any more.
+//!
+//! The guard runs as many as there are slots, queues a few, and refuses the others at once, while
+//! there is time to go elsewhere. A refusal is final: a refused request was not run.
+
+use std::time::Duration;
+
+use rand::Rng;
+use slotmap::{SlotMap, new_key_type};
+
+use crate::admitting::estimate::{DecayingPeak, ServiceEstimate};
+use crate::admitting::queue::{FlowQueue, flow_lane};
+use crate::backoff::draw_between;
+use crate::{CLASSES, WorkClass, class_index};
+
+pub use crate::admitting::outcome::{Admission, Refusal, RefusalReason, Released};
+pub use crate::admitting::settings::GuardSettings;
+
+mod estimate;
+mod outcome;
+mod queue;
+mod release;
+mod settings;
+
+new_key_type! {
+    /// Identifies an admitted request from its offer to its end. Never reused.
+    pub struct Ticket;
+}
+
+/// Hash of whom a request is counted against: its team, service and caller.
+pub type FlowKey = u64;
+
+/// A request that arrives at the guard.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct GuardRequest {
+    /// Class of the work.
+    pub class: WorkClass,
+    /// Whom it is counted against.
+    pub flow: FlowKey,
+    /// When its caller stops waiting, on the clock of `now`.
+    pub deadline: Duration,
+    /// Whether it must run with nothing else on the server, see [`crate::quarantine`].
+    pub alone: bool,
+}
+
+/// Where an admitted request stands.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum CallStage {
+    Queued,
+    /// Waits for an empty server.
+    AwaitsEmpty,
+    /// Runs since this time.
+    Running(Duration),
+}
+
+#[derive(Clone, Copy, Debug)]
+struct GuardedCall {
+    class: WorkClass,
+    lane: u8,
+    stage: CallStage,
+    /// Last moment at which a start still leaves the usual service time before the deadline.
+    latest_start: Duration,
+}
+
+/// The trial that has or wants the server for itself.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum TrialHold {
+    None,
+    Waiting(Ticket),
+    /// The server is kept empty beside it until this time.
+    Running(Ticket, Duration),
+}
+
+/// Counts of a guard, for a dump and for the load it reports.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct GuardState {
+    /// Requests that run, short and long.
+    pub running: [u32; CLASSES],
+    /// Requests in the queue, short and long.
+    pub queued: [u32; CLASSES],
+    /// Slots in use now: fewer than the settings give while the server is cold.
+    pub slots: u32,
+    /// Whether new requests are refused because the server drains.
+    pub is_draining: bool,
+}
+
+/// Guards one incarnation of one server.
+#[derive(Clone, Debug)]
+pub struct AdmissionGuard {
+    settings: GuardSettings,
+    started_at: Duration,
+    calls: SlotMap<Ticket, GuardedCall>,
+    queues: [FlowQueue; CLASSES],
+    running: [u32; CLASSES],
+    estimates: [ServiceEstimate; CLASSES],
+    /// Slots that short work has lately used at once.
+    short_peak: DecayingPeak,
+    trial: TrialHold,
+    is_draining: bool,
+}
+
+impl AdmissionGuard {
+    /// Makes the guard of a server that started at `started_at`, zero for one that is warm.
+    pub fn new(settings: GuardSettings, started_at: Duration) -> Self {
+        Self {
+            settings,
+            started_at,
+            calls: SlotMap::with_key(),
+            queues: Default::default(),
+            running: [0; CLASSES],
+            estimates: Default::default(),
+            short_peak: DecayingPeak::default(),
+            trial: TrialHold::None,
+            is_draining: false,
+        }
+    }
+
+    /// Decides on a request that arrives at `now`.
+    pub fn offer(
+        &mut self,
+        request: &GuardRequest,
+        now: Duration,
+        rng: &mut (impl Rng + ?Sized),
+    ) -> Admission {
+        if let Some(reason) = self.refusal_reason(request, now) {
+            return Admission::Refused(self.refuse(reason, now, rng));
+        }
+        let class = request.class;
+        let ticket = self.calls.insert(GuardedCall {
+            class,
+            lane: flow_lane(request.flow),
+            stage: CallStage::Queued,
+            latest_start: request.deadline.saturating_sub(self.estimate(class, now)),
+        });
+        self.note_short_demand(class, now);
+        match request.alone {
+            true => self.enter_trial(ticket, now),
+            false if self.has_room(class, now) => self.enter_running(ticket, now),
+            false => {
+                self.queues[class_index(class)].push(flow_lane(request.flow), ticket);
+                Admission::Queued(ticket)
+            }
+        }
+    }
+
+    /// Refuses all new requests from now on and hands back the queued ones, not run, so that they
+    /// can be placed elsewhere. Running ones go on.
+    pub fn drain(&mut self) -> Released {
+        self.is_draining = true;
+        let mut released = Released::default();
+        for queue in &mut self.queues {
+            while let Some(ticket) = queue.pop() {
+                released.refused.push((ticket, RefusalReason::Draining));
+            }
+        }
+        if let TrialHold::Waiting(ticket) = self.trial {
+            self.trial = TrialHold::None;
+            released.refused.push((ticket, RefusalReason::Draining));
+        }
+        for (ticket, _) in &released.refused {
+            self.calls.remove(*ticket);
+        }
+        released
+    }
+
+    /// Makes the refusal for a reason, with a time to come back that is spread over a window, so
+    /// that callers refused in one burst don't return in one.
+    pub fn refuse(
+        &self,
+        reason: RefusalReason,
+        now: Duration,
+        rng: &mut (impl Rng + ?Sized),
+    ) -> Refusal {
+        let settings = &self.settings;
+        let least = match reason {
+            RefusalReason::ColdStart => self.cold_left(now).min(settings.retry_least),
+            RefusalReason::Draining => Duration::ZERO,
+            _ => settings.retry_least,
+        };
+        let retry_after = draw_between(least, least + settings.retry_spread, rng);
+        Refusal { reason, retry_after }
+    }
+
+    /// Tells whether a request runs as a trial with the server kept empty beside it. Asked when the
+    /// server dies, for [`crate::quarantine::CrashReport::is_trial`].
+    pub fn is_trial(&self, ticket: Ticket) -> bool {
+        matches!(self.trial, TrialHold::Running(held, _) if held == ticket)
+    }
+
+    /// Gives the counts.
+    pub fn state(&self, now: Duration) -> GuardState {
+        GuardState {
+            running: self.running,
+            queued: [self.queues[0].len(), self.queues[1].len()],
+            slots: self.slots(now),
+            is_draining: self.is_draining,
+        }
+    }
+
+    /// Gives the load to report to other daemons: zero when idle, one with all slots taken and the
+    /// short queue half full.
+    pub fn load(&self, now: Duration) -> f64 {
+        let queued = f64::from(self.queues[0].len() + self.queues[1].len());
+        let busy = f64::from(self.running_count()) + queued;
+        let full = f64::from(self.slots(now)) + f64::from(self.settings.short_queue) / 2.0;
+        (busy / full).min(1.0)
+    }
+
+    /// Tells why a request cannot be taken, if so.
+    fn refusal_reason(&self, request: &GuardRequest, now: Duration) -> Option<RefusalReason> {
+        let class = request.class;
+        let service = self.estimate(class, now);
+        let left = request.deadline.saturating_sub(now);
+        let queue = &self.queues[class_index(class)];
+        let limit = self.settings.queue_limit(class);
+        let has_room = !request.alone && self.has_room(class, now);
+        match request {
+            _ if self.is_draining => Some(RefusalReason::Draining),
+            _ if left.is_zero() || service > left => Some(RefusalReason::DeadlineTooNear),
+            _ if request.alone && self.trial != TrialHold::None => {
+                Some(RefusalReason::TrialUnderWay)
+            }
+            _ if has_room || request.alone => None,
+            _ if queue.len() >= limit => Some(self.full_reason(now)),
+            _ if queue.lane_len(flow_lane(request.flow)) >= limit - queue.len() => {
+                Some(RefusalReason::ShareExceeded)
+            }
+            _ if self.expected_wait(request, now) + service > left => {
+                Some(RefusalReason::DeadlineTooNear)
+            }
+            _ => None,
+        }
+    }
+
+    fn full_reason(&self, now: Duration) -> RefusalReason {
+        match self.cold_left(now).is_zero() {
+            true => RefusalReason::QueueFull,
+            false => RefusalReason::ColdStart,
+        }
+    }
+
+    /// Gives the time a request would wait in the queue: the work ahead of it in the order of
+    /// [`FlowQueue`], over the slots its class can count on.
+    fn expected_wait(&self, request: &GuardRequest, now: Duration) -> Duration {
+        let class = request.class;
+        let ahead = self.queues[class_index(class)].ahead_of(flow_lane(request.flow));
+        let long = self.running[1] + self.queues[1].len();
+        let slots = match class {
+            WorkClass::Long => self.long_limit(now),
+            WorkClass::Short => self.slots(now) - long.min(self.long_limit(now)),
+        };
+        self.estimate(class, now) * (ahead + 1) / slots.max(1)
+    }
+
+    fn estimate(&self, class: WorkClass, now: Duration) -> Duration {
+        self.estimates[class_index(class)].expected(now)
+    }
+
+    fn running_count(&self) -> u32 {
+        self.running.iter().sum()
+    }
+
+    /// Gives the slots in use: all of a warm server, a growing part of a cold one. A cold server
+    /// that gets a full load at once serves all of it too late.
+    fn slots(&self, now: Duration) -> u32 {
+        let slots = self.settings.slots.max(1);
+        let whole = self.settings.warm_up.as_secs_f64().max(f64::EPSILON);
+        let cold = self.cold_left(now).as_secs_f64() / whole;
+        // Rounding a number between zero and the slots.
+        let held_back = (f64::from(slots) * cold * self.settings.cold_hold).floor() as u32;
+        (slots - held_back.min(slots)).max(1)
+    }
+
+    fn cold_left(&self, now: Duration) -> Duration {
+        match self.started_at {
+            Duration::ZERO => Duration::ZERO,
+            started_at => (started_at + self.settings.warm_up).saturating_sub(now),
+        }
+    }
+
+    /// Gives the slots that long work may hold: its share, or more while short work needs fewer,
+    /// but always one less than there are. The one slot kept lets the first short request after a
+    /// pause run at once, rather than wait out a document.
+    fn long_limit(&self, now: Duration) -> u32 {
+        let slots = self.slots(now);
+        let share = self.settings.long_share_of(slots);
+        let needed = self.short_peak.level(now).ceil() as u32 + 1;
+        share.max(slots.saturating_sub(needed)).max(1)
+    }
+
+    /// Tells whether a request of a class could start at once without passing one that waits.
+    fn has_room(&self, class: WorkClass, now: Duration) -> bool {
+        let waits = self.queues[class_index(class)].len() > 0;
+        !waits && self.may_start(class, now)
+    }
+
+    fn may_start(&self, class: WorkClass, now: Duration) -> bool {
+        let within = class == WorkClass::Short || self.running[1] < self.long_limit(now);
+        self.trial == TrialHold::None && self.running_count() < self.slots(now) && within
+    }
+
+    fn note_short_demand(&mut self, class: WorkClass, now: Duration) {
+        if class == WorkClass::Short {
+            let demand = self.running[0] + self.queues[0].len() + 1;
+            self.short_peak.raise(f64::from(demand.min(self.settings.slots)), now);
+        }
+    }
+}
--- /dev/null
+++ b/components/decide/src/admitting/estimate.rs
@@ -0,0 +1,62 @@
+//! What the guard has learned of its load.
+
+use std::time::Duration;
+
+/// Weight of a new sample, as a divisor. Eight follow a change within about a second at the traffic
+/// of one server.
+const SAMPLE_WEIGHT: u32 = 8;
+/// Time without a sample in which an estimate halves. Without it an estimate above all deadlines
+/// would refuse everything, get no sample and stay for good.
+const ESTIMATE_HALVING: Duration = Duration::from_secs(1);
+/// Halvings after which an estimate is zero for all purposes.
+const MAX_HALVINGS: u32 = 20;
+/// Time in which a peak falls to half. Longer than the gaps of a service with a call a second.
+const PEAK_HALVING: Duration = Duration::from_secs(2);
+
+/// Running mean of the service time of one class.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct ServiceEstimate {
+    mean: Duration,
+    last_sample: Duration,
+    is_known: bool,
+}
+
+impl ServiceEstimate {
+    /// Adds the service time of a request that ended at `now`.
+    pub(super) fn add(&mut self, took: Duration, now: Duration) {
+        self.mean = match self.is_known {
+            true => (self.mean * (SAMPLE_WEIGHT - 1) + took) / SAMPLE_WEIGHT,
+            false => took,
+        };
+        self.is_known = true;
+        self.last_sample = now;
+    }
+
+    /// Gives the expected service time, lower the longer no sample came.
+    pub(super) fn expected(&self, now: Duration) -> Duration {
+        let idle = now.saturating_sub(self.last_sample).as_millis();
+        let halvings = u32::try_from(idle / ESTIMATE_HALVING.as_millis()).unwrap_or(u32::MAX);
+        self.mean / (1 << halvings.min(MAX_HALVINGS))
+    }
+}
+
+/// The highest recent value of a quantity.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct DecayingPeak {
+    peak: f64,
+    at: Duration,
+}
+
+impl DecayingPeak {
+    /// Raises the peak to a value seen at `now`.
+    pub(super) fn raise(&mut self, value: f64, now: Duration) {
+        self.peak = self.level(now).max(value);
+        self.at = now;
+    }
+
+    /// Gives the peak as it has fallen by `now`.
+    pub(super) fn level(&self, now: Duration) -> f64 {
+        let halvings = now.saturating_sub(self.at).as_secs_f64() / PEAK_HALVING.as_secs_f64();
+        self.peak * (-halvings).exp2()
+    }
+}
--- /dev/null
+++ b/components/decide/src/admitting/outcome.rs
@@ -0,0 +1,61 @@
+//! What the guard answers.
+
+use std::time::Duration;
+
+use derive_more::Display;
+
+use crate::admitting::Ticket;
+
+/// Why a request is refused. In each case it did not run.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Hash)]
+pub enum RefusalReason {
+    /// The queue is full.
+    #[display("queue-full")]
+    QueueFull,
+    /// It could not finish in time.
+    #[display("deadline-too-near")]
+    DeadlineTooNear,
+    /// Its flow holds its share of the queue.
+    #[display("share-exceeded")]
+    ShareExceeded,
+    /// The server is leaving.
+    #[display("draining")]
+    Draining,
+    /// The queue is full because the server has just started.
+    #[display("cold-start")]
+    ColdStart,
+    /// It must run alone and another trial has the server, or the server did not empty in time.
+    #[display("trial-under-way")]
+    TrialUnderWay,
+}
+
+/// A final refusal.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Refusal {
+    /// Why.
+    pub reason: RefusalReason,
+    /// When the caller may come back, spread between callers.
+    pub retry_after: Duration,
+}
+
+/// What becomes of an offered request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Admission {
+    /// Run it now.
+    Run(Ticket),
+    /// Hold it until it appears in a [`Released`].
+    Queued(Ticket),
+    /// Answer with the refusal.
+    Refused(Refusal),
+}
+
+/// Requests that leave the queue. Each queued ticket appears once in one of the lists, unless it is
+/// cancelled first.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[must_use]
+pub struct Released {
+    /// To be run now.
+    pub start: Vec<Ticket>,
+    /// To be answered with a refusal, not run; see [`crate::admitting::AdmissionGuard::refuse`].
+    pub refused: Vec<(Ticket, RefusalReason)>,
+}
--- /dev/null
+++ b/components/decide/src/admitting/release.rs
@@ -0,0 +1,151 @@
+//! What follows when an admitted request ends, leaves or waits too long.
+
+use std::time::Duration;
+
+use crate::admitting::{
+    Admission, AdmissionGuard, CallStage, RefusalReason, Released, Ticket, TrialHold,
+};
+use crate::{WorkClass, class_index};
+
+impl AdmissionGuard {
+    /// Takes note that a running request ended, and gives those that leave the queue for it. A
+    /// ticket that has ended before changes nothing.
+    pub fn finish(&mut self, ticket: Ticket, now: Duration) -> Released {
+        if let Some(call) = self.calls.get(ticket)
+            && let CallStage::Running(since) = call.stage
+        {
+            self.estimates[class_index(call.class)].add(now.saturating_sub(since), now);
+        }
+        self.cancel(ticket, now)
+    }
+
+    /// Takes note that the caller of a request left, whether it ran or waited. Its time is not
+    /// counted as a service time.
+    pub fn cancel(&mut self, ticket: Ticket, now: Duration) -> Released {
+        self.remove(ticket);
+        self.expire(now)
+    }
+
+    /// Gives the queued requests that can start now and those that no longer could finish in time.
+    /// To be called at [`AdmissionGuard::next_expiry`].
+    pub fn expire(&mut self, now: Duration) -> Released {
+        let mut released = Released::default();
+        self.end_trial_hold(now);
+        self.refuse_late(now, &mut released);
+        while let Some(ticket) = self.next_ready(now) {
+            self.set_running(ticket, now);
+            released.start.push(ticket);
+        }
+        released
+    }
+
+    /// Gives the time at which a queued request will have waited too long, or a trial's hold on the
+    /// server ends, if there is any.
+    pub fn next_expiry(&self) -> Option<Duration> {
+        let queued = self.waiting().filter_map(|ticket| self.calls.get(ticket));
+        let latest = queued.map(|call| call.latest_start);
+        match self.trial {
+            TrialHold::Running(_, until) => latest.chain([until]).min(),
+            _ => latest.min(),
+        }
+    }
+
+    pub(super) fn enter_running(&mut self, ticket: Ticket, now: Duration) -> Admission {
+        self.set_running(ticket, now);
+        Admission::Run(ticket)
+    }
+
+    /// Lets a suspect run alone: at once on an empty server, else when it has emptied.
+    pub(super) fn enter_trial(&mut self, ticket: Ticket, now: Duration) -> Admission {
+        self.trial = TrialHold::Waiting(ticket);
+        if self.running_count() == 0 {
+            return self.enter_running(ticket, now);
+        }
+        let limit = now + self.settings.trial_wait;
+        if let Some(call) = self.calls.get_mut(ticket) {
+            call.stage = CallStage::AwaitsEmpty;
+            call.latest_start = call.latest_start.min(limit);
+        }
+        Admission::Queued(ticket)
+    }
+
+    fn set_running(&mut self, ticket: Ticket, now: Duration) {
+        let Some(call) = self.calls.get_mut(ticket) else { return };
+        call.stage = CallStage::Running(now);
+        self.running[class_index(call.class)] += 1;
+        self.queues[class_index(call.class)].count_start(call.lane);
+        if self.trial == TrialHold::Waiting(ticket) {
+            self.trial = TrialHold::Running(ticket, now + self.settings.trial_hold);
+        }
+    }
+
+    fn remove(&mut self, ticket: Ticket) {
+        let Some(call) = self.calls.remove(ticket) else { return };
+        let queue = &mut self.queues[class_index(call.class)];
+        match call.stage {
+            CallStage::Queued => queue.remove(call.lane, ticket),
+            CallStage::AwaitsEmpty => {}
+            CallStage::Running(_) => {
+                queue.count_end(call.lane);
+                self.running[class_index(call.class)] -= 1;
+            }
+        }
+        match self.trial {
+            TrialHold::Waiting(held) | TrialHold::Running(held, _) if held == ticket => {
+                self.trial = TrialHold::None;
+            }
+            _ => {}
+        }
+    }
+
+    fn end_trial_hold(&mut self, now: Duration) {
+        if matches!(self.trial, TrialHold::Running(_, until) if until <= now) {
+            self.trial = TrialHold::None;
+        }
+    }
+
+    fn waiting(&self) -> impl Iterator<Item = Ticket> {
+        let trial = match self.trial {
+            TrialHold::Waiting(ticket) => Some(ticket),
+            _ => None,
+        };
+        self.queues.iter().flat_map(|queue| queue.tickets()).chain(trial)
+    }
+
+    /// Refuses those that could no longer finish in time. They would take a slot for an answer that
+    /// comes too late, and make those behind them late too.
+    fn refuse_late(&mut self, now: Duration, released: &mut Released) {
+        let is_late =
+            |ticket: &Ticket| self.calls.get(*ticket).is_some_and(|call| call.latest_start <= now);
+        let late: Vec<_> = self.waiting().filter(is_late).collect();
+        for ticket in late {
+            let reason = match self.trial {
+                TrialHold::Waiting(held) if held == ticket => RefusalReason::TrialUnderWay,
+                _ => RefusalReason::DeadlineTooNear,
+            };
+            self.remove(ticket);
+            released.refused.push((ticket, reason));
+        }
+    }
+
+    /// Takes out the queued request that starts next, if one may. A trial that waits goes first and
+    /// holds the others back, or a busy server would never empty for it.
+    fn next_ready(&mut self, now: Duration) -> Option<Ticket> {
+        match self.trial {
+            TrialHold::Running(..) => return None,
+            TrialHold::Waiting(ticket) => return (self.running_count() == 0).then_some(ticket),
+            TrialHold::None => {}
+        }
+        let share = self.settings.long_share_of(self.slots(now));
+        // Long work below its share goes before short work, which would otherwise take every slot
+        // that becomes free; above its share it comes after.
+        let order = match self.running[1] < share {
+            true => [WorkClass::Long, WorkClass::Short],
+            false => [WorkClass::Short, WorkClass::Long],
+        };
+        order.into_iter().find_map(|class| match self.may_start(class, now) {
+            true => self.queues[class_index(class)].pop(),
+            false => None,
+        })
+    }
+}
--- /dev/null
+++ b/components/decide/src/admitting/settings.rs
@@ -0,0 +1,68 @@
+//! Settings of admission.
+
+use std::time::Duration;
+
+use crate::WorkClass;
+
+/// Settings of the guard of one server.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct GuardSettings {
+    /// Requests the server runs at once. Default 12, as servers state it.
+    pub slots: u32,
+    /// Short requests queued at most. Default 24: two rounds of all slots, so that a wait stays
+    /// about twice the service time.
+    pub short_queue: u32,
+    /// Long requests queued at most. Default 12: they wait in seconds, which few callers do.
+    pub long_queue: u32,
+    /// Fraction of slots that long work may always use, and is given in contention. Default a
+    /// third: short work at two thirds of the slots still has room for its bursts.
+    pub long_share: f64,
+    /// Time in which a server that has just started gets all its slots. Default 10 s.
+    pub warm_up: Duration,
+    /// Fraction of slots held back at its start. Default 0.75: three of twelve run.
+    pub cold_hold: f64,
+    /// Longest wait of a trial for an empty server. Default 200 ms, since the slots that empty
+    /// meanwhile stay unused.
+    pub trial_wait: Duration,
+    /// Longest time for which the server is kept empty beside a trial. Default 500 ms; a trial
+    /// that lives longer goes on in company.
+    pub trial_hold: Duration,
+    /// Shortest time after which a refused caller may return. Default 1 s, the unit of the header.
+    pub retry_least: Duration,
+    /// Window over which returns are spread. Default 2 s: at a thousand refusals a second the
+    /// returns come evenly and not in step.
+    pub retry_spread: Duration,
+}
+
+impl Default for GuardSettings {
+    fn default() -> Self {
+        Self {
+            slots: 12,
+            short_queue: 24,
+            long_queue: 12,
+            long_share: 1.0 / 3.0,
+            warm_up: Duration::from_secs(10),
+            cold_hold: 0.75,
+            trial_wait: Duration::from_millis(200),
+            trial_hold: Duration::from_millis(500),
+            retry_least: Duration::from_secs(1),
+            retry_spread: Duration::from_secs(2),
+        }
+    }
+}
+
+impl GuardSettings {
+    /// Gives the queue's bound for a class.
+    pub fn queue_limit(&self, class: WorkClass) -> u32 {
+        match class {
+            WorkClass::Short => self.short_queue,
+            WorkClass::Long => self.long_queue,
+        }
+    }
+
+    /// Gives the share of long work among a number of slots, at least one.
+    pub fn long_share_of(&self, slots: u32) -> u32 {
+        // Rounding a number between zero and the slots.
+        ((f64::from(slots) * self.long_share).floor() as u32).max(1)
+    }
+}
--- /dev/null
+++ b/components/decide/src/deadline.rs
@@ -0,0 +1,80 @@
+//! Deadlines and the hop bound, carried through nested calls.
+//!
+//! A call travels with the time it has *left*, never with an absolute time: the clocks of two
+//! instances differ, and a deadline read on a slow clock would let work run for a caller that has
+//! gone. Each hop takes off what it spent and what the answer needs for its way back.
+
+use std::time::Duration;
+
+use thiserror::Error;
+
+/// Depth of the deepest call graph in use.
+pub const CALL_DEPTH: u8 = 7;
+/// Most hops a call may take. Two more than [`CALL_DEPTH`], so that a call graph may grow by a
+/// layer without a release here, while a routing loop ends after nine calls and not at its
+/// deadline with thousands in flight.
+pub const HOP_LIMIT: u8 = CALL_DEPTH + 2;
+/// Time kept back at each hop for the answer's way: a round trip between data centres of a region.
+/// Without it a server finishes just in time for an answer that arrives late, and its work is lost.
+pub const RETURN_MARGIN: Duration = Duration::from_millis(1);
+/// Shortest time worth sending a call with. Less than this passes on the network alone.
+pub const MIN_REMAINING: Duration = Duration::from_millis(2);
+
+/// What a call carries from hop to hop.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct CallContext {
+    /// Time left until the caller stops waiting, at the moment the call arrived.
+    pub remaining: Duration,
+    /// Hops taken so far, zero at the first daemon.
+    pub hops: u8,
+    /// Retries that layers above this one are in, see [`crate::retrying`].
+    pub retried_above: u8,
+}
+
+/// Why a call goes no further.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+pub enum DescendError {
+    /// The call has taken [`HOP_LIMIT`] hops, most likely in a routing loop.
+    #[error("call has taken {0} hops, the most allowed is {HOP_LIMIT}")]
+    HopLimit(u8),
+    /// Too little time is left for an answer to arrive.
+    #[error("call has {0:?} left, less than {MIN_REMAINING:?}")]
+    Expired(Duration),
+}
+
+impl CallContext {
+    /// Gives the context of a call that arrives without one.
+    pub fn fresh(deadline: Duration) -> Self {
+        Self { remaining: deadline, hops: 0, retried_above: 0 }
+    }
+
+    /// Bounds the remaining time by the deadline of the route, whichever is nearer.
+    #[must_use]
+    pub fn bounded_by(self, deadline: Duration) -> Self {
+        Self { remaining: self.remaining.min(deadline), ..self }
+    }
+
+    /// Gives the time left after `elapsed` at this hop, less the way back.
+    pub fn left_after(&self, elapsed: Duration) -> Duration {
+        self.remaining.saturating_sub(elapsed).saturating_sub(RETURN_MARGIN)
+    }
+
+    /// Gives the context for the next hop, `elapsed` after arrival, as retry `own_retries` of this
+    /// layer (zero for the first attempt).
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`DescendError`] if the call may go no further. Nothing was sent then, so the
+    /// answer may say "not run".
+    pub fn descend(&self, elapsed: Duration, own_retries: u8) -> Result<Self, DescendError> {
+        let remaining = self.left_after(elapsed);
+        match self.hops.saturating_add(1) {
+            hops if hops > HOP_LIMIT => Err(DescendError::HopLimit(self.hops)),
+            _ if remaining < MIN_REMAINING => Err(DescendError::Expired(remaining)),
+            hops => {
+                let retried_above = self.retried_above.saturating_add(own_retries);
+                Ok(Self { remaining, hops, retried_above })
+            }
+        }
+    }
+}
--- a/components/decide/src/lib.rs
+++ b/components/decide/src/lib.rs
@@ -1,1 +1,29 @@
 //! Decisions under load, without I/O or clock.
+//!
+//! Each module holds one decision of the request path. Time is passed in as `now`, a [`Duration`]
+//! since a start that the caller chooses once per process, and randomness as a
+//! [`rand::Rng`], so that a test can run any load in no time and twice in the same way.
+//!
+//! [`Duration`]: std::time::Duration
+
+pub mod admitting;
+pub mod backoff;
+pub mod deadline;
+pub mod fetch_gate;
+pub mod pacing;
+pub mod placing;
+pub mod quarantine;
+pub mod retrying;
+
+pub use sk_model::WorkClass;
+
+/// Number of work classes, for tables with one cell a class.
+pub(crate) const CLASSES: usize = 2;
+
+/// Gives the cell of a class in such a table.
+pub(crate) fn class_index(class: WorkClass) -> usize {
+    match class {
+        WorkClass::Short => 0,
+        WorkClass::Long => 1,
+    }
+}
--- /dev/null
+++ b/components/decide/src/placing.rs
@@ -0,0 +1,240 @@
+//! Choosing an endpoint for a request.
+//!
+//! Made for a service whose servers differ from minute to minute: one is slow, one has just
+//! started, one is gone and not yet known to be. Two endpoints are drawn by share and the one with
+//! fewer requests of ours in flight per share is taken. Round robin would send the slow one as much
+//! as the others; always taking the least loaded would send all daemons to the same one at once.
+//!
+//! A daemon sees only its own requests, a few per second and endpoint. What it sees decides; what
+//! servers say of themselves (hints) may only lower a share, for a short time.
+
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use rand::Rng;
+use thiserror::Error;
+
+use crate::WorkClass;
+
+pub use crate::placing::call::{CallOutcome, PlacedCall};
+pub use crate::placing::gauge::{EndpointGauge, EndpointState};
+pub use crate::placing::settings::PlacementSettings;
+
+mod call;
+mod draw;
+mod gauge;
+mod outlier;
+mod settings;
+
+/// Identifies an endpoint among those of its service.
+pub type EndpointId = u64;
+/// Identifies one process at an endpoint; a restarted server has another.
+pub type Incarnation = u64;
+
+/// How far an endpoint is from this daemon.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum EndpointDistance {
+    /// In the same data centre.
+    SameCentre,
+    /// In another data centre of the region.
+    SameRegion,
+    /// In another region.
+    OtherRegion,
+}
+
+impl EndpointDistance {
+    /// All distances, the nearest first.
+    pub const ALL: [Self; 3] = [Self::SameCentre, Self::SameRegion, Self::OtherRegion];
+}
+
+/// An endpoint as membership knows it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct EndpointRecord {
+    /// Which endpoint.
+    pub id: EndpointId,
+    /// Which process at it.
+    pub incarnation: Incarnation,
+    /// Requests it runs at once.
+    pub slots: u32,
+    /// How far it is.
+    pub distance: EndpointDistance,
+    /// How long it has been running, when it was announced.
+    pub age: Duration,
+}
+
+/// A request to place.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct PlaceRequest<'a> {
+    /// Its class, since the classes' latencies are not comparable.
+    pub class: WorkClass,
+    /// Endpoints already tried.
+    pub exclude: &'a [EndpointId],
+    /// Whether it may go to an endpoint that is set aside, as its probe. True for requests that
+    /// can be tried again elsewhere, false for those that run at most once.
+    pub may_probe: bool,
+}
+
+/// Why a request could not be placed. It did not run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+pub enum PlaceError {
+    /// The service has no endpoint.
+    #[error("the service has no endpoint")]
+    NoEndpoint,
+    /// All endpoints were tried or are set aside.
+    #[error("all endpoints were tried or are set aside")]
+    AllExcluded,
+}
+
+/// One endpoint and its counters.
+#[derive(Clone, Debug)]
+pub(crate) struct TableEntry {
+    pub(crate) record: EndpointRecord,
+    pub(crate) gauge: Arc<EndpointGauge>,
+}
+
+/// The endpoints of one service. Immutable but for its counters, so that threads share it through
+/// an `Arc`; a change of membership makes a new table by [`PlacementTable::rebuild`].
+#[derive(Debug)]
+pub struct PlacementTable {
+    pub(crate) settings: PlacementSettings,
+    pub(crate) entries: Vec<TableEntry>,
+    /// Held while an endpoint is set aside. Two threads that each set one aside would otherwise
+    /// both count the other as in service and pass the cap.
+    pub(crate) aside_lock: Arc<Mutex<()>>,
+}
+
+impl PlacementTable {
+    /// Makes a table without endpoints.
+    pub fn new(settings: PlacementSettings) -> Self {
+        Self { settings, entries: Vec::new(), aside_lock: Arc::default() }
+    }
+
+    /// Makes the table for a changed membership. Counters go over to the same incarnation only: a
+    /// new process at an old address starts cold and with a clean record.
+    #[must_use]
+    pub fn rebuild(&self, records: &[EndpointRecord], now: Duration) -> Self {
+        let held: HashMap<_, _> = self
+            .entries
+            .iter()
+            .map(|entry| ((entry.record.id, entry.record.incarnation), &entry.gauge))
+            .collect();
+        let entry_of = |record: &EndpointRecord| {
+            let gauge = match held.get(&(record.id, record.incarnation)) {
+                Some(gauge) => Arc::clone(gauge),
+                None => Arc::new(EndpointGauge::new(record.age, now)),
+            };
+            TableEntry { record: *record, gauge }
+        };
+        let table = Self {
+            settings: self.settings,
+            entries: records.iter().map(entry_of).collect(),
+            aside_lock: Arc::clone(&self.aside_lock),
+        };
+        table.release_excess(now);
+        table
+    }
+
+    /// Places a request and counts it as in flight until the call is finished or dropped.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`PlaceError`] if no endpoint may take it.
+    pub fn choose(
+        self: &Arc<Self>,
+        request: &PlaceRequest<'_>,
+        now: Duration,
+        rng: &mut (impl Rng + ?Sized),
+    ) -> Result<PlacedCall, PlaceError> {
+        if self.entries.is_empty() {
+            return Err(PlaceError::NoEndpoint);
+        }
+        if let Some(index) = self.due_probe(request, now) {
+            return Ok(PlacedCall::start(self, index, request.class, true));
+        }
+        let candidates = self.candidates(request, now);
+        match draw::pick(&candidates, &self.settings, rng) {
+            Some(index) => Ok(PlacedCall::start(self, index, request.class, false)),
+            None => self.last_resort(request).ok_or(PlaceError::AllExcluded),
+        }
+    }
+
+    /// Takes note of what an endpoint says of its load, from 0 (idle) to 1 (full). It lowers the
+    /// endpoint's share until it expires, and never raises it.
+    pub fn hint(&self, id: EndpointId, load: f64, now: Duration) {
+        if let Some(entry) = self.entries.iter().find(|entry| entry.record.id == id) {
+            entry.gauge.set_hint(load, now + self.settings.hint_life);
+        }
+    }
+
+    /// Gives the state of each endpoint, for a dump.
+    pub fn states(&self, now: Duration) -> Vec<EndpointState> {
+        self.entries
+            .iter()
+            .map(|entry| {
+                let share = self.share_of(entry, now);
+                EndpointState::of(&entry.record, &entry.gauge, share)
+            })
+            .collect()
+    }
+
+    /// Gives the number of endpoints.
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Tells whether the service has no endpoint.
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
+    /// Gives the slots of an endpoint that may be counted on now: fewer while it is cold, and fewer
+    /// while it says that it is loaded.
+    fn share_of(&self, entry: &TableEntry, now: Duration) -> f64 {
+        let settings = &self.settings;
+        let warmth = entry.gauge.warmth(settings, now);
+        let relief = 1.0 - entry.gauge.live_hint(now) * settings.hint_weight;
+        f64::from(entry.record.slots.max(1)) * warmth * relief
+    }
+
+    fn candidates(&self, request: &PlaceRequest<'_>, now: Duration) -> Vec<draw::Candidate> {
+        self.entries
+            .iter()
+            .enumerate()
+            .filter(|(_, entry)| is_wanted(entry, request) && !entry.gauge.is_aside())
+            .map(|(index, entry)| draw::Candidate {
+                index,
+                distance: entry.record.distance,
+                share: self.share_of(entry, now),
+                in_flight: entry.gauge.in_flight(),
+            })
+            .collect()
+    }
+
+    /// Gives an endpoint whose time aside is over, and claims its probe.
+    fn due_probe(&self, request: &PlaceRequest<'_>, now: Duration) -> Option<usize> {
+        self.entries.iter().position(|entry| {
+            request.may_probe
+                && is_wanted(entry, request)
+                && entry.gauge.is_probe_due(now)
+                && entry.gauge.claim_probe()
+        })
+    }
+
+    /// Gives an endpoint that is set aside, ahead of its time, when no other is left: an early
+    /// probe harms less than an error. The bound of one probe at a time still holds.
+    fn last_resort(self: &Arc<Self>, request: &PlaceRequest<'_>) -> Option<PlacedCall> {
+        let index = self.entries.iter().position(|entry| {
+            is_wanted(entry, request) && entry.gauge.is_aside() && entry.gauge.claim_probe()
+        })?;
+        Some(PlacedCall::start(self, index, request.class, true))
+    }
+
+    pub(crate) fn lock_aside(&self) -> std::sync::MutexGuard<'_, ()> {
+        self.aside_lock.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+fn is_wanted(entry: &TableEntry, request: &PlaceRequest<'_>) -> bool {
+    !request.exclude.contains(&entry.record.id)
+}
--- /dev/null
+++ b/components/decide/src/placing/call.rs
@@ -0,0 +1,74 @@
+//! A placed request, from its start to its end.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::WorkClass;
+use crate::placing::{EndpointId, EndpointRecord, PlacementTable};
+
+/// How a placed request ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CallOutcome {
+    /// The server answered.
+    Success,
+    /// The server failed while it ran the request, or gave no answer in time.
+    Failure,
+    /// The endpoint could not be reached; nothing was sent.
+    Unreachable,
+    /// The guard refused it: the server is loaded, cold or draining, not broken.
+    Refused,
+}
+
+/// A request in flight to an endpoint. Dropping it without [`PlacedCall::finish`], as when its
+/// caller leaves, ends it without a judgement: a count that never went down would keep the endpoint
+/// looking loaded for good.
+#[derive(Debug)]
+pub struct PlacedCall {
+    table: Arc<PlacementTable>,
+    index: usize,
+    class: WorkClass,
+    is_probe: bool,
+}
+
+impl PlacedCall {
+    pub(super) fn start(
+        table: &Arc<PlacementTable>,
+        index: usize,
+        class: WorkClass,
+        is_probe: bool,
+    ) -> Self {
+        table.entries[index].gauge.enter();
+        Self { table: Arc::clone(table), index, class, is_probe }
+    }
+
+    /// Gives the endpoint.
+    pub fn endpoint(&self) -> EndpointId {
+        self.record().id
+    }
+
+    /// Gives the endpoint's record.
+    pub fn record(&self) -> &EndpointRecord {
+        &self.table.entries[self.index].record
+    }
+
+    /// Tells whether the request is the probe of an endpoint that was set aside.
+    pub fn is_probe(&self) -> bool {
+        self.is_probe
+    }
+
+    /// Ends the call. `latency` is best the time that the endpoint's guard reports, without the
+    /// network, so that distance does not count as slowness.
+    pub fn finish(self, outcome: CallOutcome, latency: Duration, now: Duration) {
+        self.table.judge(self.index, self.class, self.is_probe, outcome, latency, now);
+    }
+}
+
+impl Drop for PlacedCall {
+    fn drop(&mut self) {
+        let gauge = &self.table.entries[self.index].gauge;
+        gauge.leave();
+        if self.is_probe {
+            gauge.end_probe();
+        }
+    }
+}
--- /dev/null
+++ b/components/decide/src/placing/gauge.rs
@@ -0,0 +1,214 @@
+//! Counters of one endpoint, shared by all threads of a daemon.
+
+use std::sync::atomic::{AtomicBool, AtomicI64, AtomicU32, AtomicU64, Ordering};
+use std::time::Duration;
+
+use crate::placing::{EndpointId, EndpointRecord, Incarnation, PlacementSettings};
+use crate::{CLASSES, WorkClass, class_index};
+
+/// Steps of a load hint, packed below its expiry.
+const HINT_STEPS: u64 = 255;
+/// Bits that the load takes of a packed hint.
+const HINT_BITS: u32 = 8;
+/// Weight of a new latency in the mean, as a divisor: follows a change within some eight requests.
+const MEAN_WEIGHT: u64 = 8;
+
+/// Counters of one incarnation of an endpoint. All are independent and relaxed: a value that is
+/// late by a few nanoseconds only makes a choice slightly worse.
+#[derive(Debug)]
+pub struct EndpointGauge {
+    in_flight: AtomicU32,
+    failures: AtomicU32,
+    latencies: [LatencyMean; CLASSES],
+    /// Expiry in microseconds above eight bits of load.
+    hint: AtomicU64,
+    /// Start of the warm-up in microseconds, below zero for a server older than this process.
+    warm_from: AtomicI64,
+    /// Microsecond at which a probe is due, zero while in service.
+    aside_until: AtomicU64,
+    strikes: AtomicU32,
+    is_probed: AtomicBool,
+}
+
+impl EndpointGauge {
+    pub(super) fn new(age: Duration, now: Duration) -> Self {
+        Self {
+            in_flight: AtomicU32::new(0),
+            failures: AtomicU32::new(0),
+            latencies: Default::default(),
+            hint: AtomicU64::new(0),
+            warm_from: AtomicI64::new(signed_micros(now) - signed_micros(age)),
+            aside_until: AtomicU64::new(0),
+            strikes: AtomicU32::new(0),
+            is_probed: AtomicBool::new(false),
+        }
+    }
+
+    /// Gives our requests in flight.
+    pub fn in_flight(&self) -> u32 {
+        self.in_flight.load(Ordering::Relaxed)
+    }
+
+    /// Tells whether the endpoint is set aside.
+    pub fn is_aside(&self) -> bool {
+        self.aside_until.load(Ordering::Relaxed) != 0
+    }
+
+    pub(super) fn enter(&self) {
+        self.in_flight.fetch_add(1, Ordering::Relaxed);
+    }
+
+    pub(super) fn leave(&self) {
+        self.in_flight.fetch_sub(1, Ordering::Relaxed);
+    }
+
+    /// Gives the warm-up's progress, from the cold share to one.
+    pub(super) fn warmth(&self, settings: &PlacementSettings, now: Duration) -> f64 {
+        let elapsed = signed_micros(now) - self.warm_from.load(Ordering::Relaxed);
+        let whole = signed_micros(settings.warm_up).max(1);
+        (elapsed as f64 / whole as f64).clamp(settings.cold_share, 1.0)
+    }
+
+    pub(super) fn set_hint(&self, load: f64, expiry: Duration) {
+        // The clamp keeps the cast within eight bits; a NaN becomes zero.
+        let steps = (load.clamp(0.0, 1.0) * HINT_STEPS as f64) as u64;
+        self.hint.store((micros(expiry) << HINT_BITS) | steps, Ordering::Relaxed);
+    }
+
+    /// Gives the load of the last hint, zero once it has expired.
+    pub(super) fn live_hint(&self, now: Duration) -> f64 {
+        let packed = self.hint.load(Ordering::Relaxed);
+        match packed >> HINT_BITS {
+            expiry if micros(now) < expiry => (packed & HINT_STEPS) as f64 / HINT_STEPS as f64,
+            _ => 0.0,
+        }
+    }
+
+    /// Counts failures in a row and gives their number.
+    pub(super) fn add_failures(&self, count: u32) -> u32 {
+        self.failures.fetch_add(count, Ordering::Relaxed).saturating_add(count)
+    }
+
+    pub(super) fn clear_failures(&self) {
+        self.failures.store(0, Ordering::Relaxed);
+    }
+
+    pub(super) fn latency(&self, class: WorkClass) -> &LatencyMean {
+        &self.latencies[class_index(class)]
+    }
+
+    pub(super) fn is_probe_due(&self, now: Duration) -> bool {
+        let until = self.aside_until.load(Ordering::Relaxed);
+        until != 0 && until <= micros(now)
+    }
+
+    /// Claims the one probe, or gives `false` if it is under way.
+    pub(super) fn claim_probe(&self) -> bool {
+        self.is_probed.compare_exchange(false, true, Ordering::AcqRel, Ordering::Relaxed).is_ok()
+    }
+
+    pub(super) fn end_probe(&self) {
+        self.is_probed.store(false, Ordering::Release);
+    }
+
+    /// Sets the endpoint aside, for longer with each strike.
+    pub(super) fn set_aside(&self, settings: &PlacementSettings, now: Duration) {
+        let strikes = self.strikes.fetch_add(1, Ordering::Relaxed).min(31);
+        let time = settings.aside_base.saturating_mul(1 << strikes).min(settings.aside_cap);
+        self.aside_until.store(micros(now + time).max(1), Ordering::Relaxed);
+    }
+
+    /// Puts the next probe off without a strike, as after a refusal, which says that the guard
+    /// works but nothing of the server.
+    pub(super) fn postpone_probe(&self, settings: &PlacementSettings, now: Duration) {
+        self.aside_until.store(micros(now + settings.aside_base).max(1), Ordering::Relaxed);
+    }
+
+    /// Takes the endpoint back into service, cold and with a clean record. Its strikes stay until
+    /// it has warmed up, so that one which fails again at once is set aside for longer.
+    pub(super) fn take_back(&self, now: Duration) {
+        self.clear_failures();
+        self.latencies.iter().for_each(LatencyMean::reset);
+        self.warm_from.store(signed_micros(now), Ordering::Relaxed);
+        self.aside_until.store(0, Ordering::Relaxed);
+    }
+
+    /// Forgets old strikes.
+    pub(super) fn clear_strikes(&self) {
+        self.strikes.store(0, Ordering::Relaxed);
+    }
+
+    pub(super) fn aside_until(&self) -> u64 {
+        self.aside_until.load(Ordering::Relaxed)
+    }
+}
+
+/// A running mean of latencies with the number of samples.
+#[derive(Debug, Default)]
+pub(super) struct LatencyMean {
+    /// Mean in microseconds.
+    mean: AtomicU64,
+    samples: AtomicU32,
+}
+
+impl LatencyMean {
+    /// Adds a latency and gives the number of samples.
+    pub(super) fn add(&self, latency: Duration) -> u32 {
+        let latency = micros(latency);
+        let before = self.samples.fetch_add(1, Ordering::Relaxed);
+        // The first samples weigh evenly, or the very first would count for most of the mean.
+        let weight = u64::from(before).saturating_add(1).min(MEAN_WEIGHT);
+        let mean = |held: u64| Some((held * (weight - 1) + latency) / weight);
+        // The closure always gives a value, so the update cannot fail.
+        let _ = self.mean.fetch_update(Ordering::Relaxed, Ordering::Relaxed, mean);
+        before.saturating_add(1)
+    }
+
+    /// Gives the mean once there are enough samples.
+    pub(super) fn known(&self, least: u32) -> Option<Duration> {
+        (self.samples.load(Ordering::Relaxed) >= least)
+            .then(|| Duration::from_micros(self.mean.load(Ordering::Relaxed)))
+    }
+
+    fn reset(&self) {
+        self.samples.store(0, Ordering::Relaxed);
+    }
+}
+
+/// What a dump shows of an endpoint.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct EndpointState {
+    /// Which endpoint.
+    pub id: EndpointId,
+    /// Which process at it.
+    pub incarnation: Incarnation,
+    /// Our requests in flight.
+    pub in_flight: u32,
+    /// Slots counted on now.
+    pub share: f64,
+    /// Whether it is set aside.
+    pub is_aside: bool,
+    /// Times it was set aside since it last ran well.
+    pub strikes: u32,
+}
+
+impl EndpointState {
+    pub(super) fn of(record: &EndpointRecord, gauge: &EndpointGauge, share: f64) -> Self {
+        Self {
+            id: record.id,
+            incarnation: record.incarnation,
+            in_flight: gauge.in_flight(),
+            share,
+            is_aside: gauge.is_aside(),
+            strikes: gauge.strikes.load(Ordering::Relaxed),
+        }
+    }
+}
+
+fn micros(time: Duration) -> u64 {
+    u64::try_from(time.as_micros()).unwrap_or(u64::MAX)
+}
+
+fn signed_micros(time: Duration) -> i64 {
+    i64::try_from(time.as_micros()).unwrap_or(i64::MAX)
+}
--- /dev/null
+++ b/components/decide/src/placing/settings.rs
@@ -0,0 +1,75 @@
+//! Settings of placing.
+
+use std::time::Duration;
+
+/// Settings of placing, the same for all services of a daemon.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct PlacementSettings {
+    /// Load of a tier, as our requests in flight per share, at which requests begin to spill to
+    /// the next. Default 0.7: above it queues form at some server.
+    pub spill_start: f64,
+    /// Load at which all spill. Default 1.0, all slots taken. Between the two the portion grows
+    /// evenly, since a sharp threshold would swing whole data centres back and forth.
+    pub spill_full: f64,
+    /// Share of a server that has just started, as a fraction. Default 0.1: one slot of twelve.
+    pub cold_share: f64,
+    /// Time in which the share grows to the whole. Default 30 s, for caches and pools to fill.
+    pub warm_up: Duration,
+    /// How long a load hint counts. Default 2 s: older ones describe a load that has moved on.
+    pub hint_life: Duration,
+    /// Portion of a share that a full hint takes away. Default 0.9: a server that wrongly reports
+    /// itself full keeps a tenth, enough to show that it is not.
+    pub hint_weight: f64,
+    /// Load that a refusal stands for, as a hint. Default 0.5.
+    pub refusal_load: f64,
+    /// Failures in a row at which an endpoint is set aside. Default 5: at a normal failure rate of
+    /// 5 %, five in a row are a matter of hours.
+    pub failure_limit: u32,
+    /// Failures that an unreachable endpoint counts for. Default 3, so that two connections
+    /// refused suffice.
+    pub unreachable_weight: u32,
+    /// Mean latency at which an endpoint is set aside, in times the median of its peers. Default 4.
+    pub slow_ratio: f64,
+    /// Least excess over that median. Default 5 ms: below it the ratio is noise.
+    pub slow_excess: Duration,
+    /// Latencies needed for a judgement. Default 8, two seconds of one daemon's traffic.
+    pub slow_samples: u32,
+    /// Largest fraction of endpoints set aside at once. Default a third: the others can take its
+    /// load. One may always be set aside where there are two or more.
+    pub aside_share: f64,
+    /// First time aside; it doubles with each probe that fails. Default 5 s.
+    pub aside_base: Duration,
+    /// Longest time aside. Default 60 s.
+    pub aside_cap: Duration,
+}
+
+impl Default for PlacementSettings {
+    fn default() -> Self {
+        Self {
+            spill_start: 0.7,
+            spill_full: 1.0,
+            cold_share: 0.1,
+            warm_up: Duration::from_secs(30),
+            hint_life: Duration::from_secs(2),
+            hint_weight: 0.9,
+            refusal_load: 0.5,
+            failure_limit: 5,
+            unreachable_weight: 3,
+            slow_ratio: 4.0,
+            slow_excess: Duration::from_millis(5),
+            slow_samples: 8,
+            aside_share: 1.0 / 3.0,
+            aside_base: Duration::from_secs(5),
+            aside_cap: Duration::from_secs(60),
+        }
+    }
+}
+
+impl PlacementSettings {
+    /// Gives how many of `count` endpoints may be set aside at once. At least one stays.
+    pub fn most_aside(&self, count: usize) -> usize {
+        // Both casts are of small non-negative counts.
+        let share = (count as f64 * self.aside_share).floor() as usize;
+        share.max(1).min(count.saturating_sub(1))
+    }
+}
--- /dev/null
+++ b/components/decide/src/quarantine.rs
@@ -0,0 +1,180 @@
+//! Requests that crash their server, held back by fingerprint.
+//!
+//! Made for a single request that crashes each server that runs it, while its caller sends it
+//! again: without a check it takes a service of five servers down in five sends, and all requests
+//! in flight beside it each time.
+//!
+//! A crash makes suspects of all requests in flight, since nothing tells them apart yet. A suspect
+//! runs again only *alone* on its server, as a trial. A server that dies under a trial convicts it:
+//! nothing else was running, so no innocent neighbour can be convicted, however many crashes it was
+//! near. A success after the crash clears it. A convicted request is refused for a set time; then
+//! its next run is a trial again, which harms no neighbour.
+//!
+//! Evidence is a grow-only set with a total order, so tables of two daemons merge to the same table
+//! in any order and any number of times.
+
+use std::collections::{BTreeMap, HashMap};
+use std::time::Duration;
+
+use crate::quarantine::successes::SuccessCache;
+
+pub use crate::quarantine::record::{CrashEvidence, CrashKind, SuspectRecord};
+
+mod record;
+mod successes;
+
+/// Hash of a request: its key, or its method, path and body.
+pub type Fingerprint = u64;
+/// Identifies one crash: a hash of the server and its incarnation.
+pub type OccasionId = u64;
+
+/// Settings of the quarantine.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct QuarantineSettings {
+    /// How long a convicted request is refused. Default 10 min: a resend costs one server at most
+    /// six times an hour, and a repaired service takes the request again soon.
+    pub hold: Duration,
+    /// How long evidence is kept. Default 1 h: a caller's resend of an hour later is still tried
+    /// alone. At least `hold`.
+    pub keep: Duration,
+    /// Requests kept at most. Default 1024, about 200 KB: two crashes a day leave some 24 each.
+    pub capacity: usize,
+}
+
+impl Default for QuarantineSettings {
+    fn default() -> Self {
+        Self { hold: Duration::from_secs(600), keep: Duration::from_secs(3600), capacity: 1024 }
+    }
+}
+
+/// How a request may run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum QuarantineVerdict {
+    /// Run as any other.
+    Clear,
+    /// Run with nothing else on the server.
+    TryAlone,
+    /// Do not run; the time after which it may be tried again.
+    Refused(Duration),
+}
+
+/// A server's death, as the daemon beside it saw it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct CrashReport<'a> {
+    /// Which crash it is.
+    pub occasion: OccasionId,
+    /// When, since the Unix epoch.
+    pub at: Duration,
+    /// Requests in flight on the server.
+    pub in_flight: &'a [Fingerprint],
+    /// Whether the request in flight was a trial.
+    pub is_trial: bool,
+}
+
+/// Suspects and convicted requests. `now` is the time since the Unix epoch here, because evidence
+/// travels between daemons; a clock that is off by a second moves expiry by a second.
+#[derive(Clone, Debug)]
+pub struct QuarantineTable {
+    settings: QuarantineSettings,
+    records: HashMap<Fingerprint, SuspectRecord>,
+    successes: SuccessCache,
+}
+
+impl QuarantineTable {
+    /// Makes an empty table.
+    pub fn new(settings: QuarantineSettings) -> Self {
+        Self { settings, records: HashMap::new(), successes: SuccessCache::default() }
+    }
+
+    /// Decides how a request may run.
+    pub fn judge(&self, fingerprint: Fingerprint, now: Duration) -> QuarantineVerdict {
+        let Some(record) = self.records.get(&fingerprint) else { return QuarantineVerdict::Clear };
+        let since = now.saturating_sub(self.settings.keep);
+        match record.convicted_at(since).map(|at| (at + self.settings.hold).saturating_sub(now)) {
+            Some(left) if !left.is_zero() => QuarantineVerdict::Refused(left),
+            _ if record.is_suspect(since) => QuarantineVerdict::TryAlone,
+            _ => QuarantineVerdict::Clear,
+        }
+    }
+
+    /// Takes note of a crash. Several copies of one request in flight count as that request alone.
+    pub fn record_crash(&mut self, report: &CrashReport<'_>) {
+        let mut fingerprints = report.in_flight.to_vec();
+        fingerprints.sort_unstable();
+        fingerprints.dedup();
+        let kind = match fingerprints.len() {
+            1 if report.is_trial => CrashKind::Trial,
+            1 => CrashKind::Alone,
+            _ => CrashKind::Company,
+        };
+        for fingerprint in fingerprints {
+            let evidence =
+                CrashEvidence { at: report.at, occasion: report.occasion, kind, is_cleared: false };
+            self.merge_record(&SuspectRecord::of_one(fingerprint, evidence));
+        }
+        self.shrink();
+    }
+
+    /// Takes note that a request ran to its end at `now`, which clears it of earlier crashes.
+    pub fn record_success(&mut self, fingerprint: Fingerprint, now: Duration) {
+        self.successes.insert(fingerprint, now);
+        if let Some(record) = self.records.get_mut(&fingerprint) {
+            record.clear_until(now);
+        }
+    }
+
+    /// Merges the records of another daemon. Idempotent, commutative and associative as long as no
+    /// more requests are known than the table holds.
+    pub fn merge(&mut self, records: &[SuspectRecord]) {
+        records.iter().for_each(|record| self.merge_record(record));
+        self.shrink();
+    }
+
+    /// Drops what is older than the settings keep.
+    pub fn expire(&mut self, now: Duration) {
+        let since = now.saturating_sub(self.settings.keep);
+        self.records.retain(|_, record| record.last_crash() >= since);
+    }
+
+    /// Gives all records, by fingerprint, for other daemons and for a dump.
+    pub fn export(&self) -> Vec<SuspectRecord> {
+        let ordered: BTreeMap<_, _> = self.records.iter().collect();
+        ordered.into_values().cloned().collect()
+    }
+
+    /// Gives the number of records held.
+    pub fn len(&self) -> usize {
+        self.records.len()
+    }
+
+    /// Tells whether no record is held.
+    pub fn is_empty(&self) -> bool {
+        self.records.is_empty()
+    }
+
+    fn merge_record(&mut self, other: &SuspectRecord) {
+        let fingerprint = other.fingerprint;
+        let record =
+            self.records.entry(fingerprint).or_insert_with(|| SuspectRecord::new(fingerprint));
+        record.merge(other);
+        // A much used request has often succeeded elsewhere by the time the crash is heard of.
+        // Without this each of its copies would wait for an empty server.
+        if let Some(at) = self.successes.last(fingerprint) {
+            record.clear_until(at);
+        }
+    }
+
+    /// Drops the records with the oldest crashes beyond the capacity.
+    fn shrink(&mut self) {
+        let excess = self.records.len().saturating_sub(self.settings.capacity);
+        if excess == 0 {
+            return;
+        }
+        let mut ages: Vec<_> =
+            self.records.values().map(|record| (record.last_crash(), record.fingerprint)).collect();
+        ages.sort_unstable();
+        for (_, fingerprint) in ages.into_iter().take(excess) {
+            self.records.remove(&fingerprint);
+        }
+    }
+}
--- /dev/null
+++ b/components/decide/src/quarantine/record.rs
@@ -0,0 +1,116 @@
+//! Evidence against one request.
+
+use std::time::Duration;
+
+use crate::quarantine::{Fingerprint, OccasionId};
+
+/// Crashes kept for one request. Two decide; two more keep them through a merge with a daemon that
+/// saw others.
+const MAX_EVIDENCE: usize = 4;
+
+/// What was in flight at a crash, from weak to strong evidence.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum CrashKind {
+    /// Others were in flight too.
+    Company,
+    /// Nothing else was in flight, by chance.
+    Alone,
+    /// Nothing else was in flight, because the request was a suspect and ran as a trial.
+    Trial,
+}
+
+/// One crash with the request in flight.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct CrashEvidence {
+    /// When, since the Unix epoch.
+    pub at: Duration,
+    /// Which crash it was.
+    pub occasion: OccasionId,
+    /// What was in flight beside it.
+    pub kind: CrashKind,
+    /// Whether a later success has cleared the request of it.
+    pub is_cleared: bool,
+}
+
+/// All evidence against one request.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct SuspectRecord {
+    /// The request.
+    pub fingerprint: Fingerprint,
+    /// Its crashes, the newest last, at most four.
+    pub evidence: Vec<CrashEvidence>,
+}
+
+impl SuspectRecord {
+    /// Makes a record without evidence.
+    pub fn new(fingerprint: Fingerprint) -> Self {
+        Self { fingerprint, evidence: Vec::new() }
+    }
+
+    /// Makes a record of one crash.
+    pub fn of_one(fingerprint: Fingerprint, evidence: CrashEvidence) -> Self {
+        Self { fingerprint, evidence: vec![evidence] }
+    }
+
+    /// Merges the evidence of another record of the same request: for each crash the strongest
+    /// kind, cleared if either is, and of all crashes the newest few.
+    pub fn merge(&mut self, other: &Self) {
+        for evidence in &other.evidence {
+            self.merge_evidence(evidence);
+        }
+        self.evidence.sort_unstable();
+        let excess = self.evidence.len().saturating_sub(MAX_EVIDENCE);
+        self.evidence.drain(..excess);
+    }
+
+    /// Clears crashes before `at`. Trials stay: a request that crashed its server alone is no less
+    /// harmful for succeeding now and then.
+    pub fn clear_until(&mut self, at: Duration) {
+        self.evidence
+            .iter_mut()
+            .filter(|evidence| evidence.at < at && evidence.kind != CrashKind::Trial)
+            .for_each(|evidence| evidence.is_cleared = true);
+    }
+
+    /// Gives the time of the newest crash, zero without any.
+    pub fn last_crash(&self) -> Duration {
+        self.evidence.iter().map(|evidence| evidence.at).max().unwrap_or_default()
+    }
+
+    /// Gives the time of the crash that convicted the request, if one since `since` did: a trial,
+    /// or the second crash in which it was alone by chance.
+    pub fn convicted_at(&self, since: Duration) -> Option<Duration> {
+        let mut alone = 0;
+        self.standing(since)
+            .filter(|evidence| match evidence.kind {
+                CrashKind::Trial => true,
+                CrashKind::Alone => {
+                    alone += 1;
+                    alone > 1
+                }
+                CrashKind::Company => false,
+            })
+            .map(|evidence| evidence.at)
+            .last()
+    }
+
+    /// Tells whether any crash since `since` stands against the request.
+    pub fn is_suspect(&self, since: Duration) -> bool {
+        self.standing(since).next().is_some()
+    }
+
+    fn standing(&self, since: Duration) -> impl Iterator<Item = &CrashEvidence> {
+        self.evidence.iter().filter(move |evidence| !evidence.is_cleared && evidence.at >= since)
+    }
+
+    fn merge_evidence(&mut self, other: &CrashEvidence) {
+        match self.evidence.iter_mut().find(|own| own.occasion == other.occasion) {
+            Some(own) => {
+                own.at = own.at.max(other.at);
+                own.kind = own.kind.max(other.kind);
+                own.is_cleared |= other.is_cleared;
+            }
+            None => self.evidence.push(*other),
+        }
+    }
+}
--- /dev/null
+++ b/components/decide/src/quarantine/successes.rs
@@ -0,0 +1,40 @@
+//! Which requests succeeded lately, in fixed memory.
+
+use std::time::Duration;
+
+use crate::quarantine::Fingerprint;
+
+/// Cells of the cache, a power of two. 24 KB; a request that is in flight at a crash by sheer
+/// frequency is among the most frequent, and those keep their cells.
+const CELLS: usize = 1024;
+
+/// A direct-mapped cache from request to its last success. A collision forgets the older one, whose
+/// request is then tried alone once more than needed.
+#[derive(Clone, Debug)]
+pub(super) struct SuccessCache {
+    cells: Box<[(Fingerprint, Duration)]>,
+}
+
+impl Default for SuccessCache {
+    fn default() -> Self {
+        Self { cells: vec![(0, Duration::ZERO); CELLS].into_boxed_slice() }
+    }
+}
+
+impl SuccessCache {
+    /// Remembers a success at `at`.
+    pub(super) fn insert(&mut self, fingerprint: Fingerprint, at: Duration) {
+        self.cells[cell_of(fingerprint)] = (fingerprint, at);
+    }
+
+    /// Gives the last success that is remembered.
+    pub(super) fn last(&self, fingerprint: Fingerprint) -> Option<Duration> {
+        let (held, at) = self.cells[cell_of(fingerprint)];
+        (held == fingerprint && !at.is_zero()).then_some(at)
+    }
+}
+
+fn cell_of(fingerprint: Fingerprint) -> usize {
+    // The remainder is below CELLS, so it fits.
+    (fingerprint % CELLS as u64) as usize
+}
--- /dev/null
+++ b/components/decide/src/retrying.rs
@@ -0,0 +1,197 @@
+//! Whether a failed attempt is tried again.
+//!
+//! Made for the minutes after a failure, when every layer of a nested call sees errors. If each of
+//! seven layers retries twice, one call becomes 3^7 = 2187 at the bottom and keeps the failed
+//! service down. Three bounds prevent it:
+//!
+//! - A budget per service: retries are at most a tenth of recent traffic, plus a small floor.
+//! - One layer at a time: a call carries the retries of the layers above it
+//!   ([`CallContext::retried_above`]), and a layer that serves a retry of another layer makes none
+//!   of its own. A bottom server sees at most 1 + 2 x 7 sends of one call, not 3^7.
+//! - What may have run is only repeated if it is declared repeatable.
+//!
+//! [`CallContext::retried_above`]: crate::deadline::CallContext::retried_above
+
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use rand::Rng;
+use thiserror::Error;
+
+use crate::backoff::BackoffSettings;
+
+/// One retry, in the budget's thousandths.
+const RETRY_COST: u64 = 1000;
+
+/// Whether an attempt ran on a server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RunOutcome {
+    /// No byte can have reached the server, or its guard says it did not pass the request on.
+    NotRun,
+    /// The server ran it and its answer is a failure.
+    Ran,
+    /// It cannot be known.
+    Unknown,
+}
+
+/// Settings of retries.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct RetrySettings {
+    /// Retries a request may have at one layer. Default 2: with a fifth of the servers down, three
+    /// independent placements fail in fewer than 1 % of cases.
+    pub max_retries: u8,
+    /// Thousandths of a retry that each first attempt pays in. Default 100, a tenth of traffic:
+    /// covers the daily failures and adds no more than a tenth to a service in trouble.
+    pub deposit: u64,
+    /// Thousandths of a retry paid in per second without traffic. Default 1000, so that a service
+    /// with a call a minute can still retry.
+    pub floor: u64,
+    /// Thousandths the budget can hold. Default 20 000: the burst when one server of five goes
+    /// with its 12 slots in use.
+    pub cap: u64,
+    /// Delay before a retry.
+    pub backoff: BackoffSettings,
+}
+
+impl Default for RetrySettings {
+    fn default() -> Self {
+        let backoff =
+            BackoffSettings { cap: Duration::from_millis(250), ..BackoffSettings::default() };
+        Self { max_retries: 2, deposit: 100, floor: 1000, cap: 20_000, backoff }
+    }
+}
+
+/// The retries a service may still make. Shared by all threads of a daemon.
+///
+/// In any span of time the retries granted are at most
+/// `cap + deposit x first attempts + floor x seconds`, in thousandths.
+#[derive(Debug)]
+pub struct RetryBudget {
+    settings: RetrySettings,
+    tokens: AtomicU64,
+    /// Milliseconds up to which the floor is paid in.
+    paid_until: AtomicU64,
+}
+
+impl RetryBudget {
+    /// Makes a full budget at `now`.
+    pub fn new(settings: RetrySettings, now: Duration) -> Self {
+        Self {
+            settings,
+            tokens: AtomicU64::new(settings.cap),
+            paid_until: AtomicU64::new(whole_millis(now)),
+        }
+    }
+
+    /// Gives the settings.
+    pub fn settings(&self) -> &RetrySettings {
+        &self.settings
+    }
+
+    /// Pays in for a first attempt. Retries pay nothing in, or they would feed themselves.
+    pub fn record_attempt(&self) {
+        self.pay_in(self.settings.deposit);
+    }
+
+    /// Takes one retry out, or gives `false` if none is left.
+    pub fn take(&self, now: Duration) -> bool {
+        self.pay_floor(now);
+        self.tokens
+            .fetch_update(Ordering::Relaxed, Ordering::Relaxed, |held| held.checked_sub(RETRY_COST))
+            .is_ok()
+    }
+
+    /// Gives the whole retries left.
+    pub fn left(&self) -> u64 {
+        self.tokens.load(Ordering::Relaxed) / RETRY_COST
+    }
+
+    fn pay_in(&self, amount: u64) {
+        let cap = self.settings.cap;
+        let paid = |held: u64| Some(held.saturating_add(amount).min(cap));
+        // The closure always gives a value, so the update cannot fail.
+        let _ = self.tokens.fetch_update(Ordering::Relaxed, Ordering::Relaxed, paid);
+    }
+
+    fn pay_floor(&self, now: Duration) {
+        let now = whole_millis(now);
+        // `fetch_max` gives each millisecond to one thread only, so none is paid in twice.
+        let before = self.paid_until.fetch_max(now, Ordering::Relaxed);
+        // A difference of totals: rounding each short step down would lose the floor whole.
+        let total = |millis: u64| millis.saturating_mul(self.settings.floor) / 1000;
+        self.pay_in(total(now).saturating_sub(total(before)));
+    }
+}
+
+/// A failed attempt, as the layer that sent it sees it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct FailedAttempt {
+    /// Whether it ran.
+    pub outcome: RunOutcome,
+    /// Whether the request may run twice without harm.
+    pub is_repeatable: bool,
+    /// Retries of this layer so far.
+    pub own_retries: u8,
+    /// Retries of layers above, as the request brought them.
+    pub retried_above: u8,
+    /// Time left for the request.
+    pub remaining: Duration,
+    /// Time an attempt usually takes, zero if not known.
+    pub expected: Duration,
+}
+
+/// Why an attempt is not tried again.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+pub enum GiveUpReason {
+    /// It may have run and may not run twice.
+    #[error("the request may have run and is not repeatable")]
+    MayHaveRun,
+    /// A layer above is already retrying.
+    #[error("a layer above is retrying this request")]
+    RetriedAbove,
+    /// This layer has made all its retries.
+    #[error("all retries of this layer are made")]
+    RetriesSpent,
+    /// Another attempt would not finish in time.
+    #[error("too little time is left for another attempt")]
+    DeadlineTooNear,
+    /// The service's budget is empty.
+    #[error("the retry budget of the service is empty")]
+    BudgetSpent,
+}
+
+/// What becomes of a failed attempt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RetryVerdict {
+    /// Try again after this time, at another endpoint.
+    Retry(Duration),
+    /// Answer with the failure.
+    GiveUp(GiveUpReason),
+}
+
+/// Decides on a failed attempt. Takes from the budget only when the verdict is a retry.
+pub fn may_retry(
+    attempt: &FailedAttempt,
+    budget: &RetryBudget,
+    now: Duration,
+    rng: &mut (impl Rng + ?Sized),
+) -> RetryVerdict {
+    let settings = budget.settings();
+    let delay = settings.backoff.delay(u32::from(attempt.own_retries), rng);
+    let ran = attempt.outcome != RunOutcome::NotRun;
+    let needed = delay.saturating_add(attempt.expected);
+    match attempt {
+        _ if ran && !attempt.is_repeatable => RetryVerdict::GiveUp(GiveUpReason::MayHaveRun),
+        _ if attempt.retried_above > 0 => RetryVerdict::GiveUp(GiveUpReason::RetriedAbove),
+        _ if attempt.own_retries >= settings.max_retries => {
+            RetryVerdict::GiveUp(GiveUpReason::RetriesSpent)
+        }
+        _ if needed >= attempt.remaining => RetryVerdict::GiveUp(GiveUpReason::DeadlineTooNear),
+        _ if !budget.take(now) => RetryVerdict::GiveUp(GiveUpReason::BudgetSpent),
+        _ => RetryVerdict::Retry(delay),
+    }
+}
+
+fn whole_millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/components/decide/tests/guard_bounds.rs
@@ -0,0 +1,147 @@
+//! Random sequences against the guard: bounds of slots and queue, and one end for each ticket.
+
+use std::collections::{HashMap, HashSet};
+use std::time::Duration;
+
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use sk_decide::WorkClass;
+use sk_decide::admitting::{
+    Admission, AdmissionGuard, GuardRequest, GuardSettings, Released, Ticket,
+};
+
+const SETTINGS: fn() -> GuardSettings =
+    || GuardSettings { slots: 4, short_queue: 6, long_queue: 3, ..GuardSettings::default() };
+
+#[derive(Clone, Debug)]
+enum Step {
+    Offer { is_long: bool, flow: u64, patience_ms: u64, alone: bool },
+    Finish(usize),
+    Cancel(usize),
+    Expire,
+    Drain,
+}
+
+fn any_step() -> impl Strategy<Value = Step> {
+    let offer = (any::<bool>(), 0..4_u64, 1..400_u64, prop::bool::weighted(0.1));
+    prop_oneof![
+        8 => offer.prop_map(|(is_long, flow, patience_ms, alone)| {
+            Step::Offer { is_long, flow, patience_ms, alone }
+        }),
+        4 => (0..64_usize).prop_map(Step::Finish),
+        2 => (0..64_usize).prop_map(Step::Cancel),
+        2 => Just(Step::Expire),
+        1 => Just(Step::Drain),
+    ]
+}
+
+/// What a naive observer notes of each ticket, kept apart from the guard's own counts.
+#[derive(Default)]
+struct Observer {
+    queued: HashSet<Ticket>,
+    running: HashMap<Ticket, bool>,
+    deadlines: HashMap<Ticket, Duration>,
+    has_drained: bool,
+}
+
+impl Observer {
+    fn note(&mut self, released: Released, now: Duration) {
+        for ticket in released.start {
+            assert!(self.queued.remove(&ticket), "started without being queued");
+            assert!(now <= self.deadlines[&ticket], "started after its deadline");
+            self.running.insert(ticket, false);
+        }
+        for (ticket, _) in released.refused {
+            assert!(self.queued.remove(&ticket), "refused without being queued");
+        }
+    }
+
+    fn nth(&self, index: usize, is_running: bool) -> Option<Ticket> {
+        let mut tickets: Vec<_> = match is_running {
+            true => self.running.keys().copied().collect(),
+            false => self.running.keys().chain(&self.queued).copied().collect(),
+        };
+        tickets.sort_unstable();
+        (!tickets.is_empty()).then(|| tickets[index % tickets.len()])
+    }
+}
+
+fn run_steps(steps: &[(Step, u64)], settings: GuardSettings) {
+    let mut guard = AdmissionGuard::new(settings, Duration::ZERO);
+    let mut rng = StdRng::seed_from_u64(7);
+    let mut seen = Observer::default();
+    let mut now = Duration::from_secs(1);
+    for (step, wait_ms) in steps {
+        now += Duration::from_millis(*wait_ms);
+        match step {
+            Step::Offer { is_long, flow, patience_ms, alone } => {
+                let class = if *is_long { WorkClass::Long } else { WorkClass::Short };
+                let deadline = now + Duration::from_millis(*patience_ms);
+                let request = GuardRequest { class, flow: *flow, deadline, alone: *alone };
+                match guard.offer(&request, now, &mut rng) {
+                    Admission::Run(ticket) => {
+                        assert!(!seen.has_drained);
+                        assert!(!alone || seen.running.is_empty(), "a trial began in company");
+                        seen.running.insert(ticket, *alone);
+                        seen.deadlines.insert(ticket, deadline);
+                    }
+                    Admission::Queued(ticket) => {
+                        assert!(!seen.has_drained);
+                        seen.queued.insert(ticket);
+                        seen.deadlines.insert(ticket, deadline);
+                    }
+                    Admission::Refused(refusal) => {
+                        let most = settings.retry_least + settings.retry_spread;
+                        assert!(refusal.retry_after <= most);
+                    }
+                }
+            }
+            Step::Finish(index) => {
+                if let Some(ticket) = seen.nth(*index, true) {
+                    seen.running.remove(&ticket);
+                    seen.note(guard.finish(ticket, now), now);
+                    assert_eq!(guard.finish(ticket, now), Released::default(), "ended twice");
+                }
+            }
+            Step::Cancel(index) => {
+                if let Some(ticket) = seen.nth(*index, false) {
+                    seen.running.remove(&ticket);
+                    seen.queued.remove(&ticket);
+                    seen.note(guard.cancel(ticket, now), now);
+                }
+            }
+            Step::Expire => seen.note(guard.expire(now), now),
+            Step::Drain => {
+                seen.note(guard.drain(), now);
+                seen.has_drained = true;
+                assert!(seen.queued.is_empty());
+            }
+        }
+        let state = guard.state(now);
+        assert_eq!(state.running.iter().sum::<u32>() as usize, seen.running.len());
+        assert!(seen.running.len() <= settings.slots as usize);
+        assert!(state.queued[0] <= settings.short_queue && state.queued[1] <= settings.long_queue);
+        // One more than the two queues: the trial that waits for an empty server.
+        let bound = settings.short_queue + settings.long_queue + 1;
+        assert!(seen.queued.len() <= bound as usize);
+        let waits = !seen.queued.is_empty();
+        assert!(!waits || !seen.running.is_empty(), "requests wait on an idle server");
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        rng_seed: RngSeed::Fixed(5),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    /// A guard that miscounts leaks slots until the server stands idle, or lets more run than the
+    /// server has slots for. Callers notice refusals by an idle server, or ever slower answers.
+    #[test]
+    fn tickets_end_once(steps in prop::collection::vec((any_step(), 0..60_u64), 1..120)) {
+        run_steps(&steps, SETTINGS());
+    }
+}
