--- a/components/decide/src/admitting/settings.rs
+++ b/components/decide/src/admitting/settings.rs
@@ -19,7 +19,7 @@
     pub long_share: f64,
     /// Time in which a server that has just started gets all its slots. Default 10 s.
     pub warm_up: Duration,
-    /// Fraction of slots held back at its start. Default 0.75: three of twelve run.
+    /// Fraction of slots held back at its start. Default 0.5: six of twelve run.
     pub cold_hold: f64,
     /// Longest wait of a trial for an empty server. Default 200 ms, since the slots that empty
     /// meanwhile stay unused.
@@ -42,7 +42,7 @@
             long_queue: 12,
             long_share: 1.0 / 3.0,
             warm_up: Duration::from_secs(10),
-            cold_hold: 0.75,
+            cold_hold: 0.5,
             trial_wait: Duration::from_millis(200),
             trial_hold: Duration::from_millis(500),
             retry_least: Duration::from_secs(1),
--- a/components/decide/src/fetch_gate.rs
+++ b/components/decide/src/fetch_gate.rs
@@ -2,8 +2,10 @@
 //!
 //! Made for hundreds of daemons that return at once after a failure and all fetch the whole
 //! configuration. Served together each gets a sliver of the link, all time out and all start again,
-//! so that none ever finishes. The gate serves a few to their end and sends the others away with a
-//! delay long enough for those ahead of them.
+//! so that none ever finishes. The gate serves a few to their end and sends the others away, each
+//! with a turn of its own after the turns already given. Drawing from a window that grows with the
+//! number sent away was measured too: it counts those who return in vain a second time, and took
+//! more than twice the ideal time.
 
 use std::time::Duration;
 
@@ -18,20 +20,14 @@
     pub limit: u32,
     /// Time one fetch is taken to last before any was measured. Default 20 ms.
     pub expected: Duration,
-    /// Shortest window for the return of a client sent away. Default 50 ms.
-    pub min_window: Duration,
-    /// Longest window. Default 4 s: within the 11 s in which a change must be in force.
-    pub max_window: Duration,
+    /// Longest time for which a client is sent away. Default 4 s: within the 11 s in which a change
+    /// must be in force. Clients beyond it are spread over its second half and ask again.
+    pub max_wait: Duration,
 }
 
 impl Default for GateSettings {
     fn default() -> Self {
-        Self {
-            limit: 8,
-            expected: Duration::from_millis(20),
-            min_window: Duration::from_millis(50),
-            max_window: Duration::from_secs(4),
-        }
+        Self { limit: 8, expected: Duration::from_millis(20), max_wait: Duration::from_secs(4) }
     }
 }
 
@@ -40,7 +36,7 @@
 pub enum GateVerdict {
     /// Start now; [`FetchGate::leave`] follows when it ends.
     Enter,
-    /// Come back after this time, drawn from a window that grows with the number sent away.
+    /// Come back after this time.
     ComeBack(Duration),
 }
 
@@ -50,15 +46,15 @@
     settings: GateSettings,
     active: u32,
     mean: Duration,
-    sent_away: u32,
-    window_end: Duration,
+    /// Time of the last turn given.
+    last_turn: Duration,
 }
 
 impl FetchGate {
     /// Makes a gate with no fetch under way.
     pub fn new(settings: GateSettings) -> Self {
         let mean = settings.expected;
-        Self { settings, active: 0, mean, sent_away: 0, window_end: Duration::ZERO }
+        Self { settings, active: 0, mean, last_turn: Duration::ZERO }
     }
 
     /// Decides on a fetch that arrives at `now`.
@@ -67,8 +63,7 @@
             self.active += 1;
             return GateVerdict::Enter;
         }
-        let window = self.count_away(now);
-        GateVerdict::ComeBack(draw_between(self.settings.min_window / 2, window, rng))
+        GateVerdict::ComeBack(self.next_turn(now, rng))
     }
 
     /// Takes note that a fetch ended after `took`, with or without success.
@@ -83,18 +78,17 @@
         self.active
     }
 
-    /// Counts a client sent away and gives the window in which all counted ones can be served.
-    fn count_away(&mut self, now: Duration) -> Duration {
-        if now >= self.window_end {
-            self.sent_away = 0;
+    /// Gives the wait until the next turn that is not taken. Turns are given out at nine tenths of
+    /// the rate at which fetches end, since at the full rate chance alone makes many return in
+    /// vain. The jitter of one fetch keeps the returns from falling on the ends of those before.
+    fn next_turn(&mut self, now: Duration, rng: &mut (impl Rng + ?Sized)) -> Duration {
+        let step = self.mean * 10 / (9 * self.settings.limit.max(1));
+        let turn = self.last_turn.max(now) + step;
+        let wait = turn - now;
+        if wait > self.settings.max_wait {
+            return draw_between(self.settings.max_wait / 2, self.settings.max_wait, rng);
         }
-        self.sent_away = self.sent_away.saturating_add(1);
-        let turns = self.sent_away / self.settings.limit + 1;
-        let window = self
-            .mean
-            .saturating_mul(turns)
-            .clamp(self.settings.min_window, self.settings.max_window);
-        self.window_end = self.window_end.max(now + window);
-        window
+        self.last_turn = turn;
+        wait + draw_between(Duration::ZERO, self.mean, rng)
     }
 }
--- a/components/decide/src/placing/outlier.rs
+++ b/components/decide/src/placing/outlier.rs
@@ -92,12 +92,16 @@
         }
     }
 
-    /// Sets an endpoint aside unless the cap is reached.
+    /// Sets an endpoint aside, or lowers its share for a while if the cap is reached. With two of
+    /// five gone and one aside, the other would else take a fifth of the calls, which is more than
+    /// the retry budget covers. All shares low alike leave the division as it was.
     fn try_aside(&self, entry: &TableEntry, now: Duration) {
         let _held = self.lock_aside();
         let aside = self.entries.iter().filter(|entry| entry.gauge.is_aside()).count();
-        if !entry.gauge.is_aside() && aside < self.settings.most_aside(self.entries.len()) {
-            entry.gauge.set_aside(&self.settings, now);
+        match aside < self.settings.most_aside(self.entries.len()) {
+            _ if entry.gauge.is_aside() => {}
+            true => entry.gauge.set_aside(&self.settings, now),
+            false => entry.gauge.set_hint(1.0, now + self.settings.hint_life),
         }
     }
 
--- /dev/null
+++ b/components/decide/tests/quarantine_trials.rs
@@ -0,0 +1,120 @@
+//! A request that crashes its servers, and the innocent requests beside it.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use sk_decide::quarantine::{
+    CrashReport, Fingerprint, QuarantineSettings, QuarantineTable, QuarantineVerdict,
+};
+
+const POISON: Fingerprint = 666;
+
+fn seconds(count: u64) -> Duration {
+    Duration::from_secs(1_000_000 + count)
+}
+
+fn new_table() -> QuarantineTable {
+    QuarantineTable::new(QuarantineSettings::default())
+}
+
+fn crash(table: &mut QuarantineTable, occasion: u64, in_flight: &[Fingerprint], is_trial: bool) {
+    let at = seconds(occasion);
+    table.record_crash(&CrashReport { occasion, at, in_flight, is_trial });
+}
+
+/// Refuses what was near two crashes, as a plain count would.
+#[derive(Default)]
+struct NaiveCount(HashMap<Fingerprint, u32>);
+
+impl NaiveCount {
+    fn crash(&mut self, in_flight: &[Fingerprint]) {
+        in_flight.iter().for_each(|fingerprint| *self.0.entry(*fingerprint).or_default() += 1);
+    }
+
+    fn refuses(&self, fingerprint: Fingerprint) -> bool {
+        self.0.get(&fingerprint).is_some_and(|count| *count >= 2)
+    }
+}
+
+/// One request crashes each server that runs it and its caller sends it again. Without a check it
+/// takes down one server after the other, and callers see the whole service go.
+#[test]
+fn second_crash() {
+    let mut table = new_table();
+    assert_eq!(table.judge(POISON, seconds(0)), QuarantineVerdict::Clear);
+    crash(&mut table, 1, &[POISON, 1, 2], false);
+    assert_eq!(table.judge(POISON, seconds(2)), QuarantineVerdict::TryAlone);
+    crash(&mut table, 3, &[POISON], true);
+    let hold = QuarantineSettings::default().hold;
+    assert_eq!(table.judge(POISON, seconds(3)), QuarantineVerdict::Refused(hold));
+    let later = seconds(3) + hold;
+    assert_eq!(table.judge(POISON, later), QuarantineVerdict::TryAlone);
+    table.expire(later + QuarantineSettings::default().keep);
+    assert!(table.is_empty());
+}
+
+/// Much used requests are in flight at every crash, and rarer ones are sent again by their callers
+/// just when the crashing one is. A rule that counts crashes refuses them all, and callers who did
+/// nothing wrong get no answer for minutes.
+#[test]
+fn innocent_neighbours() {
+    let (mut table, mut naive) = (new_table(), NaiveCount::default());
+    for occasion in 1..6 {
+        let company = [POISON, 1, 2, 100 + occasion, 200 + occasion];
+        crash(&mut table, occasion, &company, false);
+        naive.crash(&company);
+    }
+    for innocent in [1, 2, 101, 203] {
+        let verdict = table.judge(innocent, seconds(6));
+        assert_eq!(verdict, QuarantineVerdict::TryAlone, "held suspect, not refused");
+    }
+    assert!(naive.refuses(1) && naive.refuses(2), "the naive version refuses innocent requests");
+    // The trial of an innocent request succeeds; that of the crashing one convicts it.
+    table.record_success(1, seconds(7));
+    assert_eq!(table.judge(1, seconds(7)), QuarantineVerdict::Clear);
+    crash(&mut table, 8, &[POISON, POISON], true);
+    assert!(matches!(table.judge(POISON, seconds(9)), QuarantineVerdict::Refused(_)));
+    assert_eq!(table.judge(2, seconds(9)), QuarantineVerdict::TryAlone);
+}
+
+/// A frequent request was in flight at a crash elsewhere. Each of its copies would have to wait for
+/// an empty server, unless a success since the crash clears it at once.
+#[test]
+fn frequent_request() {
+    let (mut here, mut there) = (new_table(), new_table());
+    crash(&mut there, 5, &[POISON, 1], false);
+    here.record_success(1, seconds(4));
+    here.merge(&there.export());
+    assert_eq!(here.judge(1, seconds(6)), QuarantineVerdict::TryAlone, "succeeded before only");
+    here.record_success(1, seconds(6));
+    assert_eq!(here.judge(1, seconds(6)), QuarantineVerdict::Clear);
+    there.merge(&here.export());
+    assert_eq!(there.judge(1, seconds(6)), QuarantineVerdict::Clear, "cleared there too");
+    // Data that crashes the server may come later, so a success clears of earlier crashes only.
+    crash(&mut here, 9, &[POISON, 1], false);
+    assert_eq!(here.judge(1, seconds(9)), QuarantineVerdict::TryAlone);
+}
+
+/// Two crashes with nothing else in flight, before the other daemon heard of the first. They
+/// convict without a trial; a single one, say of a server stopped by hand, does not.
+#[test]
+fn alone_twice() {
+    let mut table = new_table();
+    crash(&mut table, 1, &[POISON], false);
+    assert_eq!(table.judge(POISON, seconds(1)), QuarantineVerdict::TryAlone);
+    crash(&mut table, 2, &[POISON], false);
+    assert!(matches!(table.judge(POISON, seconds(2)), QuarantineVerdict::Refused(_)));
+}
+
+/// Crashes in number must not fill the daemon's memory. The oldest are forgotten first.
+#[test]
+fn bounded_table() {
+    let settings = QuarantineSettings { capacity: 8, ..QuarantineSettings::default() };
+    let mut table = QuarantineTable::new(settings);
+    for occasion in 0..100 {
+        crash(&mut table, occasion, &[1000 + occasion, 2000 + occasion], false);
+        assert!(table.len() <= 8);
+    }
+    assert_eq!(table.judge(1099, seconds(100)), QuarantineVerdict::TryAlone);
+    assert_eq!(table.judge(1000, seconds(100)), QuarantineVerdict::Clear);
+}
--- /dev/null
+++ b/components/decide/tests/retry_storm.rs
@@ -0,0 +1,161 @@
+//! Calls sent again while a service is in trouble.
+
+use std::time::Duration;
+
+use expect_test::expect;
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use sk_decide::WorkClass;
+use sk_decide::deadline::CallContext;
+use sk_decide::retrying::{
+    FailedAttempt, GiveUpReason, RetryBudget, RetrySettings, RetryVerdict, RunOutcome, may_retry,
+};
+
+mod model;
+
+use model::{Policy, Scenario, millis, short_load};
+
+/// Two servers of five are gone for three seconds and the others can just not carry the load. Blind
+/// retries and the copies of calls that timed out keep them full after the two are back.
+#[test]
+fn partial_outage() {
+    let mut scenario = Scenario::new(Vec::new());
+    scenario.loads = vec![short_load(0.75 * scenario.capacity(millis(10)), 8)];
+    scenario.outage = Some((2, Duration::from_secs(1), Duration::from_secs(4)));
+    let (guarded, naive) = (scenario.run(Policy::Guarded), scenario.run(Policy::Naive));
+    let good = |report: &model::report::Report| report.of(WorkClass::Short, 1).good_share();
+    assert!(good(&guarded) >= 0.9, "{}", good(&guarded));
+    assert!(good(&naive) < 0.9, "the naive version fails, or the test shows nothing");
+    expect![[r#"
+        guarded
+        short flow 1: sent 35911 good 33191 refused 2720 late 0 p99 25.5 ms
+        sends 37484
+        naive
+        short flow 1: sent 35911 good 6286 refused 1284 late 28341 p99 379.1 ms
+        sends 124317
+    "#]].assert_eq(&format!("guarded\n{guarded}naive\n{naive}"));
+}
+
+fn failed(context: &CallContext, own_retries: u8) -> FailedAttempt {
+    FailedAttempt {
+        outcome: RunOutcome::Ran,
+        is_repeatable: true,
+        own_retries,
+        retried_above: context.retried_above,
+        remaining: context.remaining,
+        expected: Duration::ZERO,
+    }
+}
+
+/// Sends a call down to the last layer, where all fails, and gives the sends that arrive there.
+fn sends_below(context: &CallContext, budgets: &[RetryBudget], rng: &mut StdRng) -> u64 {
+    let Some((budget, below)) = budgets.split_first() else { return 1 };
+    let now = Duration::ZERO;
+    budget.record_attempt();
+    let (mut sends, mut retries) = (0, 0);
+    loop {
+        let next = context.descend(Duration::ZERO, retries).expect("within the hop bound");
+        sends += sends_below(&next, below, rng);
+        match may_retry(&failed(context, retries), budget, now, rng) {
+            RetryVerdict::Retry(_) => retries += 1,
+            RetryVerdict::GiveUp(_) => return sends,
+        }
+    }
+}
+
+/// A service at the bottom of seven layers fails every call. If each layer tries three times more,
+/// one call from outside becomes thousands at the bottom, and the service cannot come back.
+#[test]
+fn nested_storm() {
+    let mut rng = StdRng::seed_from_u64(3);
+    let context = CallContext::fresh(Duration::from_secs(60));
+    let full = RetrySettings { cap: 1_000_000_000, ..RetrySettings::default() };
+    let unbounded: Vec<_> = (0..7).map(|_| RetryBudget::new(full, Duration::ZERO)).collect();
+    let one = sends_below(&context, &unbounded, &mut rng);
+    assert_eq!(one, 1 + 2 * 7, "one layer retries at a time");
+    let budgets: Vec<_> =
+        (0..7).map(|_| RetryBudget::new(RetrySettings::default(), Duration::ZERO)).collect();
+    let calls = 10_000;
+    let sends: u64 = (0..calls).map(|_| sends_below(&context, &budgets, &mut rng)).sum();
+    let naive = 4_u64.pow(7);
+    assert!(sends as f64 / calls as f64 <= 2.0);
+    expect![[r#"
+        sends at the bottom for a call: 15 without budgets, 1.97 with, naive 16384
+    "#]]
+    .assert_eq(&format!(
+        "sends at the bottom for a call: {one} without budgets, {:.2} with, naive {naive}\n",
+        sends as f64 / calls as f64
+    ));
+}
+
+/// What may have run is not sent again, unless it may run twice. A caller would otherwise find a
+/// reservation made two times.
+#[test]
+fn verdict_order() {
+    let budget = RetryBudget::new(RetrySettings::default(), Duration::ZERO);
+    let mut rng = StdRng::seed_from_u64(3);
+    let first = FailedAttempt {
+        is_repeatable: false,
+        ..failed(&CallContext::fresh(Duration::from_secs(1)), 0)
+    };
+    let mut verdict =
+        |attempt: FailedAttempt| match may_retry(&attempt, &budget, Duration::ZERO, &mut rng) {
+            RetryVerdict::Retry(delay) => {
+                assert!(delay <= millis(20));
+                None
+            }
+            RetryVerdict::GiveUp(reason) => Some(reason),
+        };
+    let not_run = FailedAttempt { outcome: RunOutcome::NotRun, ..first };
+    let unknown = FailedAttempt { outcome: RunOutcome::Unknown, ..first };
+    assert_eq!(verdict(first), Some(GiveUpReason::MayHaveRun));
+    assert_eq!(verdict(unknown), Some(GiveUpReason::MayHaveRun));
+    assert_eq!(verdict(not_run), None);
+    assert_eq!(verdict(FailedAttempt { is_repeatable: true, ..unknown }), None);
+    let above = FailedAttempt { retried_above: 1, ..not_run };
+    assert_eq!(verdict(above), Some(GiveUpReason::RetriedAbove));
+    let spent = FailedAttempt { own_retries: 2, ..not_run };
+    assert_eq!(verdict(spent), Some(GiveUpReason::RetriesSpent));
+    let hasty = FailedAttempt { remaining: millis(5), expected: millis(5), ..not_run };
+    assert_eq!(verdict(hasty), Some(GiveUpReason::DeadlineTooNear));
+    while budget.take(Duration::ZERO) {}
+    assert_eq!(verdict(not_run), Some(GiveUpReason::BudgetSpent));
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        rng_seed: RngSeed::Fixed(5),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    /// A budget that grants more than its bound lets a failing service drown in retries. The bound
+    /// is checked over every span of the sequence, not from its start only.
+    #[test]
+    fn budget_bound(steps in prop::collection::vec((any::<bool>(), 0..300_u64), 1..200)) {
+        let settings = RetrySettings { cap: 5000, floor: 700, ..RetrySettings::default() };
+        let budget = RetryBudget::new(settings, Duration::ZERO);
+        let mut now = Duration::ZERO;
+        let mut history = Vec::new();
+        for (is_attempt, wait_ms) in steps {
+            now += millis(wait_ms);
+            let granted = if is_attempt { budget.record_attempt(); false } else { budget.take(now) };
+            history.push((now, is_attempt, granted));
+        }
+        for first in 0..history.len() {
+            let (mut attempts, mut granted) = (0, 0);
+            for (at, is_attempt, is_granted) in &history[first..] {
+                attempts += u64::from(*is_attempt);
+                granted += u64::from(*is_granted);
+                let span = (*at - history[first].0).as_millis() as u64;
+                // The floor's first millisecond counts whole, and is paid in when next asked.
+                let since = if first == 0 { 0 } else { history[first - 1].0.as_millis() as u64 };
+                let idle = history[first].0.as_millis() as u64 - since;
+                let paid = (span + idle + 1) * settings.floor / 1000 + 1;
+                prop_assert!(granted * 1000 <= settings.cap + attempts * settings.deposit + paid);
+            }
+        }
+    }
+}
