Show the naive side of the hot team too

Cause: the golden held the guarded figures only. Change: the naive lines of the same calls are in the golden. Conclusion: the comparison is whole.

--- a/components/decide/tests/skewed_demand.rs
+++ b/components/decide/tests/skewed_demand.rs
@@ -58,13 +58,18 @@
     let hot = short_load(0.1 * scenario.capacity(millis(10)), 4);
     scenario.loads.extend((11..41).map(|flow| Load { flow, team: 2, ..hot }));
     let golden = check_others(&scenario);
-    // The hot team's thirty lines say little more than the first of them.
-    let first: Vec<_> = golden.lines().take(5).collect();
+    let wanted = ["guarded", "naive", "short 1:", "short 2:", "short 3:", "short 11:"];
+    let is_wanted = |line: &&str| wanted.iter().any(|start| line.starts_with(start));
+    let lines: Vec<_> = golden.lines().filter(is_wanted).collect();
     expect![[r#"
         guarded
         short 1: sent 2258 good 2258 refused 0 late 0 p99 19.3ms
         short 2: sent 2411 good 2410 refused 1 late 0 p99 18.7ms
         short 3: sent 2427 good 2427 refused 0 late 0 p99 18.4ms
-        short 11: sent 2439 good 560 refused 1879 late 0 p99 43.0ms"#]]
-    .assert_eq(&first.join("\n"));
+        short 11: sent 2439 good 560 refused 1879 late 0 p99 43.0ms
+        naive
+        short 1: sent 2258 good 27 refused 0 late 2231 p99 399.5ms
+        short 2: sent 2411 good 15 refused 0 late 2396 p99 396.1ms
+        short 3: sent 2427 good 32 refused 0 late 2395 p99 393.8ms
+        short 11: sent 2439 good 22 refused 0 late 2417 p99 396.1ms"#]].assert_eq(&lines.join("\n"));
 }
