--- a/components/decide/tests/guard_bounds.rs
+++ b/components/decide/tests/guard_bounds.rs
@@ -4,7 +4,6 @@
 use std::time::Duration;
 
 use proptest::prelude::*;
-use proptest::test_runner::RngSeed;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 use sk_decide::WorkClass;
@@ -12,6 +11,8 @@
     Admission, AdmissionGuard, FlowKey, GuardRequest, GuardSettings, Released, Ticket,
 };
 
+mod fixed;
+
 const SETTINGS: fn() -> GuardSettings =
     || GuardSettings { slots: 4, short_queue: 6, long_queue: 3, ..GuardSettings::default() };
 
@@ -141,11 +142,7 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig {
-        rng_seed: RngSeed::Fixed(5),
-        failure_persistence: None,
-        ..ProptestConfig::default()
-    })]
+    #![proptest_config(fixed::config())]
 
     /// A guard that miscounts leaks slots until the server stands idle, or lets more run than the
     /// server has slots for. Callers notice refusals by an idle server, or ever slower answers.
--- a/components/decide/tests/quarantine_merge.rs
+++ b/components/decide/tests/quarantine_merge.rs
@@ -3,9 +3,10 @@
 use std::time::Duration;
 
 use proptest::prelude::*;
-use proptest::test_runner::RngSeed;
 use sk_decide::quarantine::{CrashReport, QuarantineSettings, QuarantineTable};
 
+mod fixed;
+
 #[derive(Clone, Debug)]
 enum Happening {
     Crash { occasion: u64, in_flight: Vec<u64>, is_trial: bool },
@@ -53,11 +54,7 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig {
-        rng_seed: RngSeed::Fixed(5),
-        failure_persistence: None,
-        ..ProptestConfig::default()
-    })]
+    #![proptest_config(fixed::config())]
 
     /// Records reach a daemon late, twice and out of order. If the order mattered, one daemon would
     /// refuse a request that another runs.
--- a/components/decide/tests/retry_storm.rs
+++ b/components/decide/tests/retry_storm.rs
@@ -4,7 +4,6 @@
 
 use expect_test::expect;
 use proptest::prelude::*;
-use proptest::test_runner::RngSeed;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 use sk_decide::deadline::CallContext;
@@ -12,6 +11,7 @@
     FailedAttempt, GiveUpReason, RetryBudget, RetrySettings, RetryVerdict, RunOutcome, may_retry,
 };
 
+mod fixed;
 mod model;
 
 use model::{Scenario, millis, short_load};
@@ -99,36 +99,31 @@
         is_repeatable: false,
         ..failed(&CallContext::fresh(Duration::from_secs(1)), 0)
     };
-    let mut verdict =
-        |attempt: FailedAttempt| match may_retry(&attempt, &budget, Duration::ZERO, &mut rng) {
-            RetryVerdict::Retry(delay) => {
-                assert!(delay <= millis(20));
-                None
-            }
-            RetryVerdict::GiveUp(reason) => Some(reason),
-        };
     let not_run = FailedAttempt { outcome: RunOutcome::NotRun, ..first };
     let unknown = FailedAttempt { outcome: RunOutcome::Unknown, ..first };
-    assert_eq!(verdict(first), Some(GiveUpReason::MayHaveRun));
-    assert_eq!(verdict(unknown), Some(GiveUpReason::MayHaveRun));
-    assert_eq!(verdict(not_run), None);
-    assert_eq!(verdict(FailedAttempt { is_repeatable: true, ..unknown }), None);
-    let above = FailedAttempt { retried_above: 1, ..not_run };
-    assert_eq!(verdict(above), Some(GiveUpReason::RetriedAbove));
-    let spent = FailedAttempt { own_retries: 2, ..not_run };
-    assert_eq!(verdict(spent), Some(GiveUpReason::RetriesSpent));
-    let hasty = FailedAttempt { remaining: millis(5), expected: millis(5), ..not_run };
-    assert_eq!(verdict(hasty), Some(GiveUpReason::DeadlineTooNear));
+    let short = FailedAttempt { remaining: millis(5), expected: millis(5), ..not_run };
+    let mut check = |attempt: FailedAttempt, wanted: Option<GiveUpReason>| match may_retry(
+        &attempt,
+        &budget,
+        Duration::ZERO,
+        &mut rng,
+    ) {
+        RetryVerdict::Retry(delay) => assert!(wanted.is_none() && delay <= millis(20)),
+        RetryVerdict::GiveUp(reason) => assert_eq!(Some(reason), wanted),
+    };
+    check(first, Some(GiveUpReason::MayHaveRun));
+    check(unknown, Some(GiveUpReason::MayHaveRun));
+    check(not_run, None);
+    check(FailedAttempt { is_repeatable: true, ..unknown }, None);
+    check(FailedAttempt { retried_above: 1, ..not_run }, Some(GiveUpReason::RetriedAbove));
+    check(FailedAttempt { own_retries: 2, ..not_run }, Some(GiveUpReason::RetriesSpent));
+    check(short, Some(GiveUpReason::DeadlineTooNear));
     while budget.take(Duration::ZERO) {}
-    assert_eq!(verdict(not_run), Some(GiveUpReason::BudgetSpent));
+    check(not_run, Some(GiveUpReason::BudgetSpent));
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig {
-        rng_seed: RngSeed::Fixed(5),
-        failure_persistence: None,
-        ..ProptestConfig::default()
-    })]
+    #![proptest_config(fixed::config())]
 
     /// A budget that grants more than its bound lets a failing service drown in retries. The bound
     /// is checked over every span of the sequence, not from its start only.
--- a/components/decide/tests/saturation.rs
+++ b/components/decide/tests/saturation.rs
@@ -73,7 +73,8 @@
     assert!(in_time(&both.guarded) >= 0.9 && in_time(&both.naive) < 0.9);
     expect![[r#"
         queued in vain 0.009, in time 0.984 of capacity, naive 0.009
-    "#]].assert_eq(&format!(
+    "#]]
+    .assert_eq(&format!(
         "queued in vain {held:.3}, in time {:.3} of capacity, naive {:.3}\n",
         in_time(&both.guarded),
         in_time(&both.naive)
