Check trials for company at every start

Cause: the property test looked at a trial's company only when it ran at once, not when it left the queue. Change: the observer checks each start, and that a trial has no company while the server is kept empty for it. Conclusion: a conviction rests on a server that ran nothing else.

--- a/components/decide/tests/guard_bounds.rs
+++ b/components/decide/tests/guard_bounds.rs
@@ -1,6 +1,6 @@
 //! Random sequences against the guard: bounds of slots and queue, and one end for each ticket.
 
-use std::collections::{HashMap, HashSet};
+use std::collections::{BTreeSet, HashMap};
 use std::time::Duration;
 
 use proptest::prelude::*;
@@ -41,30 +41,33 @@
 /// What a naive observer notes of each ticket, kept apart from the guard's own counts.
 #[derive(Default)]
 struct Observer {
-    queued: HashSet<Ticket>,
-    running: HashMap<Ticket, bool>,
-    deadlines: HashMap<Ticket, Duration>,
+    asked: HashMap<Ticket, GuardRequest>,
+    queued: BTreeSet<Ticket>,
+    running: BTreeSet<Ticket>,
     has_drained: bool,
 }
 
 impl Observer {
+    fn start(&mut self, ticket: Ticket, now: Duration) {
+        let request = &self.asked[&ticket];
+        assert!(now <= request.deadline, "started after its deadline");
+        assert!(!request.alone || self.running.is_empty(), "a trial began in company");
+        assert!(self.running.insert(ticket), "started twice");
+    }
+
     fn note(&mut self, released: Released, now: Duration) {
         for ticket in released.start {
             assert!(self.queued.remove(&ticket), "started without being queued");
-            assert!(now <= self.deadlines[&ticket], "started after its deadline");
-            self.running.insert(ticket, false);
+            self.start(ticket, now);
         }
         for (ticket, _) in released.refused {
             assert!(self.queued.remove(&ticket), "refused without being queued");
         }
     }
 
-    fn nth(&self, index: usize, is_running: bool) -> Option<Ticket> {
-        let mut tickets: Vec<_> = match is_running {
-            true => self.running.keys().copied().collect(),
-            false => self.running.keys().chain(&self.queued).copied().collect(),
-        };
-        tickets.sort_unstable();
+    fn nth(&self, index: usize, with_queued: bool) -> Option<Ticket> {
+        let queued = self.queued.iter().filter(|_| with_queued);
+        let tickets: Vec<_> = self.running.iter().chain(queued).copied().collect();
         (!tickets.is_empty()).then(|| tickets[index % tickets.len()])
     }
 }
@@ -76,43 +79,40 @@
     let mut now = Duration::from_secs(1);
     for (step, wait_ms) in steps {
         now += Duration::from_millis(*wait_ms);
-        match step {
+        match *step {
             Step::Offer { is_long, flow, patience_ms, alone } => {
-                let class = if *is_long { WorkClass::Long } else { WorkClass::Short };
-                let deadline = now + Duration::from_millis(*patience_ms);
-                let request = GuardRequest {
-                    class,
-                    flow: FlowKey { team: *flow / 2, caller: *flow },
-                    deadline,
-                    alone: *alone,
-                };
-                match guard.offer(&request, now, &mut rng) {
+                let class = if is_long { WorkClass::Long } else { WorkClass::Short };
+                let deadline = now + Duration::from_millis(patience_ms);
+                let flow = FlowKey { team: flow / 2, caller: flow };
+                let request = GuardRequest { class, flow, deadline, alone };
+                let admission = guard.offer(&request, now, &mut rng);
+                let is_refused = matches!(admission, Admission::Refused(_));
+                assert!(is_refused || !seen.has_drained, "admitted while draining");
+                match admission {
                     Admission::Run(ticket) => {
-                        assert!(!seen.has_drained);
-                        assert!(!alone || seen.running.is_empty(), "a trial began in company");
-                        seen.running.insert(ticket, *alone);
-                        seen.deadlines.insert(ticket, deadline);
+                        seen.asked.insert(ticket, request);
+                        seen.start(ticket, now);
                     }
                     Admission::Queued(ticket) => {
-                        assert!(!seen.has_drained);
-                        seen.queued.insert(ticket);
-                        seen.deadlines.insert(ticket, deadline);
+                        seen.asked.insert(ticket, request);
+                        assert!(seen.queued.insert(ticket));
                     }
                     Admission::Refused(refusal) => {
-                        let most = settings.retry_least + settings.retry_spread;
-                        assert!(refusal.retry_after <= most);
+                        assert!(
+                            refusal.retry_after <= settings.retry_least + settings.retry_spread
+                        );
                     }
                 }
             }
             Step::Finish(index) => {
-                if let Some(ticket) = seen.nth(*index, true) {
+                if let Some(ticket) = seen.nth(index, false) {
                     seen.running.remove(&ticket);
                     seen.note(guard.finish(ticket, now), now);
                     assert_eq!(guard.finish(ticket, now), Released::default(), "ended twice");
                 }
             }
             Step::Cancel(index) => {
-                if let Some(ticket) = seen.nth(*index, false) {
+                if let Some(ticket) = seen.nth(index, true) {
                     seen.running.remove(&ticket);
                     seen.queued.remove(&ticket);
                     seen.note(guard.cancel(ticket, now), now);
@@ -136,6 +136,8 @@
         let bound = settings.short_queue + settings.long_queue + 1;
         assert!(seen.queued.len() <= bound as usize);
         assert!(guard.next_expiry().is_some() || seen.queued.is_empty(), "nothing ends the wait");
+        let has_trial = seen.running.iter().any(|ticket| guard.is_trial(*ticket));
+        assert!(!has_trial || seen.running.len() == 1, "a trial has company");
         let waits = !seen.queued.is_empty();
         assert!(!waits || !seen.running.is_empty(), "requests wait on an idle server");
     }
