Drop a check that stands twice

Cause: a mutation of it passed all tests, since a start already looks for a trial that runs. Change: only a trial that waits is looked for before the queues. Conclusion: one place decides whether a start is allowed.

--- a/components/decide/src/admitting/release.rs
+++ b/components/decide/src/admitting/release.rs
@@ -131,10 +131,8 @@
     /// Takes out the queued request that starts next, if one may. A trial that waits goes first and
     /// holds the others back, or a busy server would never empty for it.
     fn next_ready(&mut self, now: Duration) -> Option<Ticket> {
-        match self.trial {
-            TrialHold::Running(..) => return None,
-            TrialHold::Waiting(ticket) => return (self.running_count() == 0).then_some(ticket),
-            TrialHold::None => {}
+        if let TrialHold::Waiting(ticket) = self.trial {
+            return (self.running_count() == 0).then_some(ticket);
         }
         let share = self.settings.long_share_of(self.slots(now));
         // Long work below its share goes before short work, which would otherwise take every slot
