--- /dev/null
+++ b/components/decide/src/fetch_gate.rs
@@ -0,0 +1,94 @@
+//! A cap on concurrent fetches at whoever serves them, for reconnect storms.
+//!
+//! Made for hundreds of daemons that return at once after a failure and all fetch the whole
+//! configuration. Served together each gets a sliver of the link, all time out and all start again,
+//! so that none ever finishes. The gate serves a few to their end and sends the others away, each
+//! with a turn of its own after the turns already given. Drawing from a window that grows with the
+//! number sent away was measured too: it counts those who return in vain a second time, and took
+//! more than twice the ideal time.
+
+use std::time::Duration;
+
+use rand::Rng;
+
+use crate::backoff::draw_between;
+
+/// Settings of a fetch gate.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct GateSettings {
+    /// Fetches served at once. Default 8: a few hide each other's latency, more only share a link.
+    pub limit: u32,
+    /// Time one fetch is taken to last before any was measured. Default 20 ms.
+    pub expected: Duration,
+    /// Longest time for which a client is sent away. Default 4 s: within the 11 s in which a change
+    /// must be in force. Clients beyond it are spread over its second half and ask again.
+    pub max_wait: Duration,
+}
+
+impl Default for GateSettings {
+    fn default() -> Self {
+        Self { limit: 8, expected: Duration::from_millis(20), max_wait: Duration::from_secs(4) }
+    }
+}
+
+/// Whether a fetch may start.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum GateVerdict {
+    /// Start now; [`FetchGate::leave`] follows when it ends.
+    Enter,
+    /// Come back after this time.
+    ComeBack(Duration),
+}
+
+/// Caps concurrent fetches and spreads the clients it sends away.
+#[derive(Clone, Debug)]
+pub struct FetchGate {
+    settings: GateSettings,
+    active: u32,
+    mean: Duration,
+    /// Time of the last turn given.
+    last_turn: Duration,
+}
+
+impl FetchGate {
+    /// Makes a gate with no fetch under way.
+    pub fn new(settings: GateSettings) -> Self {
+        let mean = settings.expected;
+        Self { settings, active: 0, mean, last_turn: Duration::ZERO }
+    }
+
+    /// Decides on a fetch that arrives at `now`.
+    pub fn enter(&mut self, now: Duration, rng: &mut (impl Rng + ?Sized)) -> GateVerdict {
+        if self.active < self.settings.limit {
+            self.active += 1;
+            return GateVerdict::Enter;
+        }
+        GateVerdict::ComeBack(self.next_turn(now, rng))
+    }
+
+    /// Takes note that a fetch ended after `took`, with or without success.
+    pub fn leave(&mut self, took: Duration) {
+        self.active = self.active.saturating_sub(1);
+        // Weight one eighth: follows a change of snapshot size within some ten fetches.
+        self.mean = (self.mean * 7 + took) / 8;
+    }
+
+    /// Gives the number of fetches under way.
+    pub fn active_count(&self) -> u32 {
+        self.active
+    }
+
+    /// Gives the wait until the next turn that is not taken. Turns are given out at nine tenths of
+    /// the rate at which fetches end, since at the full rate chance alone makes many return in
+    /// vain. The jitter of one fetch keeps the returns from falling on the ends of those before.
+    fn next_turn(&mut self, now: Duration, rng: &mut (impl Rng + ?Sized)) -> Duration {
+        let step = self.mean * 10 / (9 * self.settings.limit.max(1));
+        let turn = self.last_turn.max(now) + step;
+        let wait = turn - now;
+        if wait > self.settings.max_wait {
+            return draw_between(self.settings.max_wait / 2, self.settings.max_wait, rng);
+        }
+        self.last_turn = turn;
+        wait + draw_between(Duration::ZERO, self.mean, rng)
+    }
+}
