member: overlay, rumors, digests and liveness as pure decisions

Cause: records went to every daemon in whole, nobody was ever found gone, and one greater incarnation under the own name was only logged. Change: the interface that the spread is to call: overlay links, push trees, a rumor queue, digests, a monitor whose verdicts need several observers, tombstones, and answers to records of an earlier process whose clock was ahead. Conclusion: interface only, not yet proved.

--- a/components/member/src/board.rs
+++ b/components/member/src/board.rs
@@ -8,7 +8,7 @@
 use sk_model::ProxyId;
 use tokio::sync::watch;
 
-use crate::{MemberRecord, MemberTable};
+use crate::{MemberMarks, MemberRecord, MemberTable};
 
 /// Records at one moment, cheap to share.
 pub type MemberView = Arc<BTreeMap<ProxyId, Arc<MemberRecord>>>;
@@ -18,6 +18,7 @@
 /// Only control traffic takes the lock; the request path reads a table built from the view.
 pub struct MemberBoard {
     table: Mutex<MemberTable>,
+    marks: Mutex<MemberMarks>,
     view: watch::Sender<MemberView>,
 }
 
@@ -26,7 +27,7 @@
     pub fn new(record: MemberRecord) -> Self {
         let table = MemberTable::new(record);
         let view = watch::Sender::new(Arc::new(table.records().clone()));
-        Self { table: Mutex::new(table), view }
+        Self { table: Mutex::new(table), marks: Mutex::default(), view }
     }
 
     /// Applies a change to the table and publishes the view where `is_changed` says so.
@@ -44,6 +45,18 @@
         outcome
     }
 
+    /// Sets what this daemon alone believes of others, and wakes those who wait on the view.
+    pub fn set_marks(&self, marks: MemberMarks) {
+        *self.marks.lock().unwrap_or_else(PoisonError::into_inner) = marks;
+        // The records are the same: nothing is published but the wish to look again.
+        self.view.send_modify(|_| ());
+    }
+
+    /// Gives what this daemon alone believes of others.
+    pub fn marks(&self) -> MemberMarks {
+        self.marks.lock().unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
     /// Gives the records as of now.
     pub fn view(&self) -> MemberView {
         self.view.borrow().clone()
--- a/components/member/src/record.rs
+++ b/components/member/src/record.rs
@@ -1,6 +1,6 @@
 //! The record that each daemon spreads about itself and its backend server.
 
-use std::net::SocketAddr;
+use std::{cmp::Ordering, net::SocketAddr};
 
 use derive_more::Display;
 use serde::{Deserialize, Serialize};
@@ -30,7 +30,7 @@
 }
 
 /// Whether a backend server takes new work.
-#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum EndpointStatus {
     /// Takes new work.
@@ -42,7 +42,7 @@
 }
 
 /// A backend server beside a daemon.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct EndpointRecord {
     /// Service the server runs.
     pub service: ServiceName,
@@ -90,6 +90,20 @@
         (self.incarnation, self.sequence, status)
     }
 
+    /// Compares two records about one daemon. It is a total order, so that whatever order records
+    /// come in, all daemons end with the same one.
+    ///
+    /// Only two processes that started in the same millisecond under one name can say different
+    /// things at one rank; the order of their words is arbitrary but the same everywhere.
+    pub fn cmp_rank(&self, other: &Self) -> Ordering {
+        let content = |record: &Self| (record.control, record.guard, record.region.clone());
+        let by_rank = self.rank().cmp(&other.rank());
+        by_rank
+            .then_with(|| content(self).cmp(&content(other)))
+            .then_with(|| self.data_centre.cmp(&other.data_centre))
+            .then_with(|| self.endpoints.cmp(&other.endpoints))
+    }
+
     /// Tells whether the daemon is believed reachable for control traffic.
     pub fn is_present(&self) -> bool {
         matches!(self.status, MemberStatus::Alive | MemberStatus::Suspect)
--- /dev/null
+++ b/components/member/src/verdict.rs
@@ -0,0 +1,103 @@
+//! What the words of all observers amount to.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+};
+
+use sk_model::ProxyId;
+
+use crate::{LocalMark, MemberMarks, MemberView, OverlayPlan};
+
+/// Everything a verdict depends on.
+pub(crate) struct VerdictCase<'a> {
+    pub(crate) own: &'a ProxyId,
+    pub(crate) view: &'a MemberView,
+    pub(crate) plan: &'a OverlayPlan,
+    /// Who accuses whom, in words that are about the records that hold now.
+    pub(crate) accusers: BTreeMap<&'a ProxyId, Vec<&'a ProxyId>>,
+    /// This daemon's neighbours, with whether each is silent.
+    pub(crate) neighbours: BTreeMap<&'a ProxyId, bool>,
+    pub(crate) quorum: usize,
+}
+
+impl<'a> VerdictCase<'a> {
+    /// Finds the daemons that can be reached from this one over links that nobody calls silent.
+    pub(crate) fn reached(&self) -> BTreeSet<&'a ProxyId> {
+        let heard = self.neighbours.iter().filter(|(_, is_silent)| !**is_silent);
+        let mut frontier: Vec<&ProxyId> = heard.map(|(proxy, _)| *proxy).collect();
+        let mut reached = BTreeSet::from([self.own]);
+        while let Some(proxy) = frontier.pop() {
+            if reached.insert(proxy) {
+                let next = self.plan.neighbours(proxy);
+                frontier.extend(next.filter(|next| self.is_open(proxy, next)));
+            }
+        }
+        reached
+    }
+
+    fn is_open(&self, first: &ProxyId, second: &ProxyId) -> bool {
+        let is_accused = |proxy: &ProxyId, observer: &ProxyId| {
+            self.accusers.get(proxy).is_some_and(|observers| observers.contains(&observer))
+        };
+        // This daemon's own links are known first hand, and led to the start of the search.
+        let is_own = first == self.own || second == self.own;
+        !is_own && !is_accused(first, second) && !is_accused(second, first)
+    }
+
+    /// Makes the marks: who is suspected, and who cannot be reached.
+    pub(crate) fn marks(&self, reached: &BTreeSet<&ProxyId>) -> MemberMarks {
+        let suspects = self.accusers.keys().copied();
+        let silent = self.neighbours.iter().filter(|(_, is_silent)| **is_silent);
+        let suspects = suspects.chain(silent.map(|(proxy, _)| *proxy));
+        let suspects = suspects.filter(|proxy| *proxy != self.own);
+        let mut marks: BTreeMap<ProxyId, LocalMark> =
+            suspects.map(|proxy| (proxy.clone(), LocalMark::Suspect)).collect();
+        let present = self.view.values().filter(|record| record.is_present());
+        let lost = present.filter(|record| !reached.contains(&record.proxy));
+        marks.extend(lost.map(|record| (record.proxy.clone(), LocalMark::Unreachable)));
+        Arc::new(marks)
+    }
+
+    /// Lists the daemons that count as gone.
+    pub(crate) fn gone(&self, reached: &BTreeSet<&ProxyId>) -> Vec<ProxyId> {
+        let accused = self.accusers.keys().filter(|proxy| **proxy != self.own);
+        accused.filter(|proxy| self.is_gone(proxy, reached)).map(|proxy| (*proxy).clone()).collect()
+    }
+
+    /// Tells whether enough observers agree that a daemon's process ended.
+    ///
+    /// Made for a fleet where single observers err daily (a broken link, a pause, an overloaded
+    /// instance) and where whole data centres are cut off. Removing a daemon that runs takes its
+    /// backend server out of use everywhere, so four things have to come together:
+    ///
+    /// - a quorum of observers that this daemon reaches, because one alone may err;
+    /// - half of the neighbours within reach, because a few instances of one rack err together;
+    /// - a quorum from the same data centre, because silence between data centres is as often a
+    ///   cut, and a cut must not erase the other side;
+    /// - more than half of the data centre within reach, so that the smaller part of a data
+    ///   centre that is split never removes the larger one.
+    ///
+    /// Where one of them lacks, the daemon is at most marked as unreachable.
+    fn is_gone(&self, proxy: &ProxyId, reached: &BTreeSet<&ProxyId>) -> bool {
+        let observers = self.accusers[proxy].iter().filter(|observer| reached.contains(**observer));
+        let observers: BTreeSet<&ProxyId> = observers.copied().collect();
+        let centre = self.centre_of(proxy);
+        let near = observers.iter().filter(|observer| self.centre_of(observer) == centre).count();
+        let members = self.view.values().filter(|record| record.is_present());
+        let members: Vec<_> =
+            members.filter(|record| Some(&*record.data_centre) == centre).collect();
+        let is_within = |member: &ProxyId| member != proxy && reached.contains(member);
+        let within = members.iter().filter(|record| is_within(&record.proxy)).count();
+        let neighbours = self.plan.neighbours(proxy).filter(|next| reached.contains(next)).count();
+        let near_quorum = self.quorum.min(within).max(1);
+        observers.len() >= self.quorum
+            && observers.len() * 2 >= neighbours
+            && near >= near_quorum
+            && within * 2 > members.len()
+    }
+
+    fn centre_of(&self, proxy: &ProxyId) -> Option<&str> {
+        self.view.get(proxy).map(|record| record.data_centre.as_str())
+    }
+}
