--- a/components/daemon/src/daemon.rs
+++ b/components/daemon/src/daemon.rs
@@ -11,12 +11,15 @@
     serve_guard,
 };
 use sk_report::ReportBook;
-use sk_settings::DaemonSettings;
-use sk_spread::{ControlMeter, HeldConfig, SpreadHandle, SpreadOptions, start_spread};
+use sk_settings::{DaemonSettings, SpreadMode};
+use sk_spread::{
+    ControlMeter, HeldConfig, PassMode, SpreadHandle, SpreadOptions, SpreadParts, start_spread,
+};
 use sk_store::{HttpStore, SharedStore};
 use tokio::{net::TcpListener, task::JoinHandle};
 
 use crate::{
+    contacts::StoreContacts,
     error::DaemonError,
     port::DaemonPort,
     source::{BookSink, LedgerSource},
@@ -218,19 +221,27 @@
     let options = SpreadOptions {
         secret: settings.peers.secret.clone(),
         seeds: settings.peers.seeds.clone(),
+        mode: match settings.spread.mode {
+            SpreadMode::Push => PassMode::Push,
+            SpreadMode::Announce => PassMode::Announce,
+        },
+        fan_out: settings.spread.fan_out,
         repair_interval: Duration::from_millis(settings.spread.repair_interval_ms),
         relays: settings.spread.relays,
+        max_fetches: settings.spread.max_fetches,
+        heartbeat: Duration::from_millis(settings.member.heartbeat_ms),
+        suspect_after: Duration::from_millis(settings.member.suspect_ms),
+    };
+    let contacts = StoreContacts::new(parts.store.clone(), &settings.platform.key_prefix);
+    let spread_parts = SpreadParts {
+        held: parts.held.clone(),
+        members: parts.members.clone(),
+        source: Arc::new(LedgerSource { ledger: parts.ledger.clone() }),
+        contacts: Some(Arc::new(contacts)),
+        acks: Arc::new(BookSink { book: parts.book.clone() }),
+        meter: parts.meter.clone(),
     };
-    start_spread(
-        options,
-        listener,
-        parts.held.clone(),
-        parts.members.clone(),
-        Arc::new(LedgerSource { ledger: parts.ledger.clone() }),
-        Arc::new(BookSink { book: parts.book.clone() }),
-        parts.meter.clone(),
-    )
-    .map_err(DaemonError::Spread)
+    start_spread(options, listener, spread_parts).map_err(DaemonError::Spread)
 }
 
 fn forward_context(parts: &DaemonParts) -> ForwardContext {
--- a/components/daemon/src/port.rs
+++ b/components/daemon/src/port.rs
@@ -4,7 +4,7 @@
 
 use async_trait::async_trait;
 use sk_ledger::Ledger;
-use sk_member::{EndpointRecord, EndpointStatus, MemberBoard, MemberRecord};
+use sk_member::{EndpointRecord, EndpointStatus, MemberBoard, MemberRecord, MemberTable};
 use sk_model::{ChangeRecord, ChangeRequest, ConfigSnapshot, TeamName, Version, check_path};
 use sk_ops::{
     HeldView, OperatorPort, OpsError, PeerView, ServerAnnouncement, ServerView, StateDump,
@@ -123,6 +123,8 @@
             slots: announcement.slots,
             status,
         };
+        let readmit = |table: &mut MemberTable| table.readmit_server(&endpoint.server);
+        self.members.update(readmit, |()| false);
         self.servers.announce(LocalServer { endpoint, address, announced: Instant::now() });
         publish_endpoints(&self.servers, &self.members);
         Ok(())
--- a/components/spread/schema/peer.capnp
+++ b/components/spread/schema/peer.capnp
@@ -5,24 +5,68 @@
 interface Gate {
   # What a daemon gives to anyone who connects: nothing but the way to prove the shared secret.
   challenge @0 () -> (nonce :Data);
-  enter @1 (nonce :Data, proof :Data) -> (peer :Peer, proof :Data);
+  enter @1 (nonce :Data, proof :Data, proxy :Text, peer :Peer) -> (proof :Data, proxy :Text, peer :Peer);
+  # Each side gives its name and a way to call it back over the same connection.
 }
 
 interface Peer {
-  exchange @0 (digest :Digest, records :List(Member)) -> (digest :Digest, records :List(Member));
-  # Compares versions and passes on records the other side may lack.
-  push @1 (update :Update, sender :Text) -> (held :UInt64);
-  # Passes on a version; the answer is the version held afterwards.
-  fetch @2 (held :UInt64, heldHash :Text) -> (update :Update);
+  beat @0 (beat :Beat) -> (beat :Beat);
+  # Heartbeat over a link.
+  rumor @1 (records :List(Member), suspicions :List(Suspicion)) -> ();
+  # Passes on records that changed.
+  reconcile @2 (buckets :List(UInt64), beat :Beat) -> (buckets :List(UInt64), records :List(Member), beat :Beat);
+  # Compares buckets of records and gives those of the buckets that differ.
+  push @3 (update :Update, root :Text) -> (held :UInt64);
+  # Passes on a version along the tree of `root`; the answer is the version held afterwards.
+  announce @4 (version :UInt64, rootHash :UInt64, root :Text) -> (held :UInt64);
+  # Names a version that can be fetched here.
+  fetch @5 (request :FetchRequest) -> (answer :FetchAnswer);
   # Asks for the newest version.
-  acknowledge @3 (acks :List(Ack)) -> ();
+  acknowledge @6 (acks :List(Ack)) -> ();
   # Tells a relay what daemons hold.
 }
 
-struct Digest {
-  proxy @0 :Text;
-  version @1 :UInt64;
-  members @2 :Data;
+interface Ticket {
+  # Held by the receiver of a fetch until it has read the answer; its release frees the place.
+}
+
+struct Beat {
+  version @0 :UInt64;
+  rootHash @1 :UInt64;
+  # First bytes of the root's hash.
+  members @2 :UInt64;
+  # Digest of all records.
+  isReady @3 :Bool;
+}
+
+struct FetchRequest {
+  held @0 :UInt64;
+  heldHash @1 :Text;
+  trees @2 :List(TreeHash);
+  # Empty in a first request; given where the answer was `needTrees`.
+  confirm @3 :Bool;
+  # Asks a relay to look at the configuration source first.
+
+  struct TreeHash {
+    team @0 :Text;
+    hash @1 :Text;
+  }
+}
+
+struct FetchAnswer {
+  isFresh @0 :Bool;
+  # The configuration source was read after the request came.
+  isReady @1 :Bool;
+  union {
+    same @2 :Void;
+    # The receiver holds the newest version known here, or a newer one.
+    update @3 :Update;
+    busyMillis @4 :UInt32;
+    # Too many fetches at once: come back after this pause.
+    needTrees @5 :Void;
+    # The base is not kept here: ask again with the hashes of the subtrees.
+  }
+  ticket @6 :Ticket;
 }
 
 struct Member {
@@ -44,6 +88,15 @@
   }
 }
 
+struct Suspicion {
+  proxy @0 :Text;
+  incarnation @1 :UInt64;
+  sequence @2 :UInt64;
+  observer @3 :Text;
+  round @4 :UInt64;
+  isWithdrawn @5 :Bool;
+}
+
 struct Endpoint {
   service @0 :Text;
   server @1 :Text;
@@ -58,6 +111,7 @@
   rootHash @2 :Text;
   change @3 :Data;
   trees @4 :List(Tree);
+  removed @5 :List(Text);
 
   struct Tree {
     team @0 :Text;
@@ -66,6 +120,7 @@
     union {
       whole @3 :Data;
       writes @4 :Data;
+      held @5 :Void;
     }
   }
 }
--- /dev/null
+++ b/components/spread/src/acks.rs
@@ -0,0 +1,131 @@
+//! Acknowledgements: a daemon's own word on what it holds, brought to the relays.
+
+use std::{cell::RefCell, collections::BTreeMap, rc::Rc, time::Duration};
+
+use capnp::Error;
+use futures::future::join_all;
+use sk_model::ProxyAck;
+use tokio::sync::Notify;
+
+use crate::{
+    backoff::{RetryPause, drawn},
+    codec,
+    node::{CALL_TIMEOUT, SpreadNode},
+    peer_capnp::peer,
+    relays::RelayId,
+    state::CallKind,
+};
+
+/// Longest pause before an acknowledgement. A data centre of 87 daemons applies a change within
+/// tens of milliseconds; all their answers in one of them would queue at the relay.
+const ACK_SPREAD: Duration = Duration::from_millis(50);
+/// The same after the relays changed, when every daemon tells the new one what it holds: nobody
+/// waits for it, and a relay that has just taken over has other work.
+const REACK_SPREAD: Duration = Duration::from_secs(1);
+/// First and longest pause after a relay did not take an acknowledgement.
+const FIRST_PAUSE: Duration = Duration::from_millis(500);
+const LONGEST_PAUSE: Duration = Duration::from_secs(5);
+/// Time in which a relay gathers acknowledgements before it gives them on in one piece.
+const BATCH_PAUSE: Duration = Duration::from_millis(100);
+
+/// Acknowledgements that came to this relay and are not given on yet, the last one per daemon.
+#[derive(Default)]
+pub(crate) struct AckBatch {
+    waiting: RefCell<BTreeMap<String, ProxyAck>>,
+    arrived: Notify,
+}
+
+impl AckBatch {
+    pub(crate) fn add(&self, acks: Vec<ProxyAck>) {
+        let mut waiting = self.waiting.borrow_mut();
+        for ack in acks {
+            let is_older = |held: &ProxyAck| ack_rank(held) <= ack_rank(&ack);
+            if waiting.get(&ack.proxy).is_none_or(is_older) {
+                waiting.insert(ack.proxy.clone(), ack);
+            }
+        }
+        self.arrived.notify_one();
+    }
+}
+
+/// Orders acknowledgements of one daemon, which may come out of order over two connections.
+fn ack_rank(ack: &ProxyAck) -> (u64, u64, u64) {
+    (ack.incarnation, ack.version, ack.rejected.as_ref().map_or(0, |rejected| rejected.version))
+}
+
+/// Gives on what has arrived, in batches.
+pub(crate) async fn flush_acks(node: &Rc<SpreadNode>) {
+    loop {
+        node.ack_batch.arrived.notified().await;
+        tokio::time::sleep(BATCH_PAUSE).await;
+        let acks = node.ack_batch.waiting.take();
+        node.acks.note(acks.into_values().collect());
+    }
+}
+
+/// Tells each relay what this daemon holds, until the relay has taken it.
+pub(crate) async fn keep_acks(node: &Rc<SpreadNode>) {
+    let mut status = node.held.subscribe();
+    let mut relays = node.relays.subscribe();
+    let mut told: BTreeMap<RelayId, ProxyAck> = BTreeMap::new();
+    let mut pause = RetryPause::new(FIRST_PAUSE, LONGEST_PAUSE);
+    loop {
+        let current = relays.borrow_and_update().relays.clone();
+        let ack = own_ack(node, &status.borrow_and_update());
+        told.retain(|relay, _| current.contains(relay));
+        if let Some(ack) = &ack {
+            let is_untold = |relay: &&RelayId| told.get(*relay) != Some(ack);
+            let untold: Vec<_> = current.iter().filter(is_untold).cloned().collect();
+            let results = join_all(untold.iter().map(|relay| tell_relay(node, relay, ack))).await;
+            for (relay, result) in untold.into_iter().zip(results) {
+                match result {
+                    Ok(()) => drop(told.insert(relay, ack.clone())),
+                    Err(err) => log::debug!("spread: ack to {} failed: {err}.", relay.proxy),
+                }
+            }
+        }
+        let is_told = current.iter().all(|relay| told.get(relay) == ack.as_ref());
+        let retry = pause.next(rand::random());
+        if is_told {
+            pause.reset();
+        }
+        tokio::select! {
+            changed = status.changed() => match changed {
+                Ok(()) => tokio::time::sleep(drawn(ACK_SPREAD)).await,
+                Err(_) => return,
+            },
+            _ = relays.changed() => tokio::time::sleep(drawn(REACK_SPREAD)).await,
+            () = tokio::time::sleep(retry), if !is_told => (),
+        }
+    }
+}
+
+fn own_ack(node: &SpreadNode, held: &crate::held::HeldStatus) -> Option<ProxyAck> {
+    if held.version == 0 && held.rejected.is_none() {
+        return None;
+    }
+    let own = node.members.own();
+    Some(ProxyAck {
+        proxy: own.proxy.clone(),
+        incarnation: own.incarnation,
+        data_centre: own.data_centre.clone(),
+        version: held.version,
+        since: held.since,
+        source: held.source.clone(),
+        rejected: held.rejected.clone(),
+    })
+}
+
+async fn tell_relay(node: &Rc<SpreadNode>, relay: &RelayId, ack: &ProxyAck) -> Result<(), Error> {
+    if relay.proxy == node.own_name {
+        node.ack_batch.add(vec![ack.clone()]);
+        return Ok(());
+    }
+    let call = async |peer: peer::Client| {
+        let mut request = peer.acknowledge_request();
+        codec::write_ack(ack, request.get().init_acks(1).get(0));
+        node.stats.sent(CallKind::Ack, request.get().into_reader().total_size()?);
+        request.send().promise.await.map(drop)
+    };
+    node.call(&relay.proxy, CALL_TIMEOUT, call).await
+}
--- a/components/spread/src/codec.rs
+++ b/components/spread/src/codec.rs
@@ -1,17 +1,30 @@
 //! Conversion between the generated wire types and the types of the other crates.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
-use capnp::{Error, struct_list};
+use capnp::{Error, primitive_list, struct_list, text_list};
 use serde::{Serialize, de::DeserializeOwned};
-use sk_member::{EndpointRecord, EndpointStatus, MemberRecord, MemberStatus};
+use sk_member::{EndpointRecord, EndpointStatus, MemberRecord, MemberStatus, MemberSuspicion};
 use sk_model::{ProxyAck, RejectedVersion, TreeRef, check_path};
 
 use crate::{
-    peer_capnp::{ack, endpoint, member, update},
-    update::{ConfigUpdate, TreeContent, TreeUpdate},
+    peer_capnp::{ack, endpoint, fetch_request, member, suspicion, update},
+    update::{ConfigUpdate, TreeContent, TreeHashes, TreeUpdate},
 };
 
+/// Most records, acknowledgements or subtrees in one message: five times the fleet designed for.
+/// A longer list is a fault of its sender, and reading it would take the control thread's time.
+const MAX_ITEMS: u32 = 4_096;
+/// Most backend servers beside one daemon; an instance runs a few.
+const MAX_ENDPOINTS: u32 = 64;
+/// Most digest buckets in one message.
+const MAX_BUCKETS: u32 = 1_024;
+/// Longest name, address, hash or service path in bytes. The longest that settings or the model
+/// allow is a path of 200 bytes; kept records of longer ones would let a peer fill the memory.
+const MAX_TEXT_BYTES: usize = 256;
+/// Longest reason of a refusal kept, in bytes. Reasons are for reading; the rest is cut.
+const MAX_REASON_BYTES: usize = 1_024;
+
 pub(crate) fn write_update(
     update: &ConfigUpdate,
     mut builder: update::Builder<'_>,
@@ -20,7 +33,7 @@
     builder.set_base(update.base);
     builder.set_root_hash(&update.root_hash);
     builder.set_change(&to_json(&update.change)?);
-    let mut trees = builder.init_trees(update.trees.len() as u32);
+    let mut trees = builder.reborrow().init_trees(update.trees.len() as u32);
     for (index, (team, tree)) in update.trees.iter().enumerate() {
         let mut builder = trees.reborrow().get(index as u32);
         builder.set_team(team);
@@ -29,32 +42,83 @@
         match &tree.content {
             TreeContent::Whole(tree) => builder.set_whole(&to_json(tree)?),
             TreeContent::Writes(writes) => builder.set_writes(&to_json(writes)?),
+            TreeContent::Held => builder.set_held(()),
         }
     }
+    let mut removed = builder.init_removed(update.removed.len() as u32);
+    for (index, team) in update.removed.iter().enumerate() {
+        removed.set(index as u32, team);
+    }
     Ok(())
 }
 
 pub(crate) fn read_update(reader: update::Reader<'_>) -> Result<ConfigUpdate, Error> {
     let mut trees = BTreeMap::new();
+    check_length(reader.get_trees()?.len(), MAX_ITEMS)?;
     for tree in reader.get_trees()? {
         let content = match tree.which()? {
             update::tree::Whole(body) => TreeContent::Whole(from_json(body?)?),
             update::tree::Writes(body) => TreeContent::Writes(from_json(body?)?),
+            update::tree::Held(()) => TreeContent::Held,
         };
-        let hash = tree.get_hash()?.to_string()?;
+        let hash = read_text(tree.get_hash()?)?;
         let tree_ref = TreeRef { hash, version: tree.get_version() };
-        trees.insert(tree.get_team()?.to_string()?, TreeUpdate { tree_ref, content });
+        trees.insert(read_text(tree.get_team()?)?, TreeUpdate { tree_ref, content });
     }
     Ok(ConfigUpdate {
         version: reader.get_version(),
         base: reader.get_base(),
-        root_hash: reader.get_root_hash()?.to_string()?,
+        root_hash: read_text(reader.get_root_hash()?)?,
         change: from_json(reader.get_change()?)?,
         trees,
+        removed: read_teams(reader.get_removed()?)?,
     })
 }
 
-pub(crate) fn write_member(record: &MemberRecord, mut builder: member::Builder<'_>) {
+fn read_teams(reader: text_list::Reader<'_>) -> Result<BTreeSet<String>, Error> {
+    check_length(reader.len(), MAX_ITEMS)?;
+    reader.iter().map(|team| read_text(team?)).collect()
+}
+
+pub(crate) fn write_hashes(hashes: &TreeHashes, builder: fetch_request::Builder<'_>) {
+    let mut trees = builder.init_trees(hashes.len() as u32);
+    for (index, (team, hash)) in hashes.iter().enumerate() {
+        let mut tree = trees.reborrow().get(index as u32);
+        tree.set_team(team);
+        tree.set_hash(hash);
+    }
+}
+
+pub(crate) fn read_hashes(reader: fetch_request::Reader<'_>) -> Result<TreeHashes, Error> {
+    let trees = reader.get_trees()?;
+    check_length(trees.len(), MAX_ITEMS)?;
+    let read = |tree: fetch_request::tree_hash::Reader<'_>| {
+        Ok((read_text(tree.get_team()?)?, read_text(tree.get_hash()?)?))
+    };
+    trees.iter().map(read).collect()
+}
+
+pub(crate) fn read_buckets(reader: primitive_list::Reader<'_, u64>) -> Result<Vec<u64>, Error> {
+    check_length(reader.len(), MAX_BUCKETS)?;
+    Ok(reader.iter().collect())
+}
+
+pub(crate) fn write_buckets(buckets: &[u64], mut builder: primitive_list::Builder<'_, u64>) {
+    for (index, bucket) in buckets.iter().enumerate() {
+        builder.set(index as u32, *bucket);
+    }
+}
+
+pub(crate) fn write_members<'a>(
+    records: impl Iterator<Item = &'a MemberRecord>,
+    mut builder: struct_list::Builder<'_, member::Owned>,
+) {
+    for (index, record) in records.enumerate() {
+        write_member(record, builder.reborrow().get(index as u32));
+    }
+}
+
+fn write_member(record: &MemberRecord, mut builder: member::Builder<'_>) {
     builder.set_proxy(&record.proxy);
     builder.set_incarnation(record.incarnation);
     builder.set_sequence(record.sequence);
@@ -84,6 +148,7 @@
 pub(crate) fn read_members(
     readers: struct_list::Reader<'_, member::Owned>,
 ) -> Result<Vec<MemberRecord>, Error> {
+    check_length(readers.len(), MAX_ITEMS)?;
     readers.iter().map(read_member).collect()
 }
 
@@ -94,26 +159,59 @@
         member::Status::Leaving => MemberStatus::Leaving,
         member::Status::Gone => MemberStatus::Gone,
     };
+    check_length(reader.get_endpoints()?.len(), MAX_ENDPOINTS)?;
     let endpoints: Result<_, _> = reader.get_endpoints()?.iter().map(read_endpoint).collect();
     Ok(MemberRecord {
-        proxy: reader.get_proxy()?.to_string()?,
+        proxy: read_text(reader.get_proxy()?)?,
         incarnation: reader.get_incarnation(),
         sequence: reader.get_sequence(),
         status,
-        data_centre: reader.get_data_centre()?.to_string()?,
-        region: reader.get_region()?.to_string()?,
+        data_centre: read_text(reader.get_data_centre()?)?,
+        region: read_text(reader.get_region()?)?,
         control: parse_address(reader.get_control()?)?,
         guard: parse_address(reader.get_guard()?)?,
         endpoints: endpoints?,
     })
 }
 
+pub(crate) fn write_words(
+    words: &[&MemberSuspicion],
+    mut builder: struct_list::Builder<'_, suspicion::Owned>,
+) {
+    for (index, word) in words.iter().enumerate() {
+        let mut builder = builder.reborrow().get(index as u32);
+        builder.set_proxy(&word.proxy);
+        builder.set_incarnation(word.incarnation);
+        builder.set_sequence(word.sequence);
+        builder.set_observer(&word.observer);
+        builder.set_round(word.round);
+        builder.set_is_withdrawn(word.is_withdrawn);
+    }
+}
+
+pub(crate) fn read_words(
+    readers: struct_list::Reader<'_, suspicion::Owned>,
+) -> Result<Vec<MemberSuspicion>, Error> {
+    check_length(readers.len(), MAX_ITEMS)?;
+    let read = |word: suspicion::Reader<'_>| {
+        Ok(MemberSuspicion {
+            proxy: read_text(word.get_proxy()?)?,
+            incarnation: word.get_incarnation(),
+            sequence: word.get_sequence(),
+            observer: read_text(word.get_observer()?)?,
+            round: word.get_round(),
+            is_withdrawn: word.get_is_withdrawn(),
+        })
+    };
+    readers.iter().map(read).collect()
+}
+
 fn read_endpoint(reader: endpoint::Reader<'_>) -> Result<EndpointRecord, Error> {
-    let service = reader.get_service()?.to_string()?;
+    let service = read_text(reader.get_service()?)?;
     check_path(&service).map_err(|err| Error::failed(err.to_string()))?;
     Ok(EndpointRecord {
         service,
-        server: reader.get_server()?.to_string()?,
+        server: read_text(reader.get_server()?)?,
         slots: reader.get_slots(),
         status: match reader.get_is_ready() {
             true => EndpointStatus::Ready,
@@ -122,6 +220,13 @@
     })
 }
 
+pub(crate) fn read_acks(
+    readers: struct_list::Reader<'_, ack::Owned>,
+) -> Result<Vec<ProxyAck>, Error> {
+    check_length(readers.len(), MAX_ITEMS)?;
+    readers.iter().map(read_ack).collect()
+}
+
 pub(crate) fn write_ack(ack: &ProxyAck, mut builder: ack::Builder<'_>) {
     builder.set_proxy(&ack.proxy);
     builder.set_incarnation(ack.incarnation);
@@ -135,22 +240,43 @@
     }
 }
 
-pub(crate) fn read_ack(reader: ack::Reader<'_>) -> Result<ProxyAck, Error> {
+fn read_ack(reader: ack::Reader<'_>) -> Result<ProxyAck, Error> {
     let rejected = match reader.get_rejected() {
         0 => None,
-        version => Some(RejectedVersion { version, reason: reader.get_reason()?.to_string()? }),
+        version => Some(RejectedVersion { version, reason: read_reason(reader.get_reason()?)? }),
     };
     Ok(ProxyAck {
-        proxy: reader.get_proxy()?.to_string()?,
+        proxy: read_text(reader.get_proxy()?)?,
         incarnation: reader.get_incarnation(),
-        data_centre: reader.get_data_centre()?.to_string()?,
+        data_centre: read_text(reader.get_data_centre()?)?,
         version: reader.get_version(),
         since: reader.get_since(),
-        source: reader.get_source()?.to_string()?,
+        source: read_text(reader.get_source()?)?,
         rejected,
     })
 }
 
+/// Reads a text that is kept, if it is no longer than any that a sound peer sends.
+pub(crate) fn read_text(text: capnp::text::Reader<'_>) -> Result<String, Error> {
+    if text.len() > MAX_TEXT_BYTES {
+        return Err(Error::failed("text too long".to_owned()));
+    }
+    Ok(text.to_string()?)
+}
+
+fn read_reason(text: capnp::text::Reader<'_>) -> Result<String, Error> {
+    let mut reason = text.to_string()?;
+    reason.truncate(reason.floor_char_boundary(MAX_REASON_BYTES));
+    Ok(reason)
+}
+
+fn check_length(found: u32, most: u32) -> Result<(), Error> {
+    if found > most {
+        return Err(Error::failed("list too long".to_owned()));
+    }
+    Ok(())
+}
+
 fn parse_address(text: capnp::text::Reader<'_>) -> Result<std::net::SocketAddr, Error> {
     text.to_str()?.parse().map_err(|_| Error::failed("malformed address".to_owned()))
 }
--- a/components/spread/src/counted.rs
+++ b/components/spread/src/counted.rs
@@ -10,12 +10,21 @@
     task::{Context, Poll, ready},
 };
 
+use capnp_rpc::rpc_twoparty_capnp::Side;
 use serde::Serialize;
 use tokio::{
     io::{AsyncRead, AsyncWrite, ReadBuf},
     net::TcpStream,
 };
 
+/// Bytes that a caller may send before it has proved the secret. A challenge and a proof take a
+/// few hundred; without the bound a stranger could make a daemon buffer whole messages.
+const MAX_CALLER_BYTES: u64 = 8 * 1_024;
+/// The same for the side that was called. It proves itself with its last answer, and its first
+/// calls may follow in the same packet, before that answer has been looked at.
+const MAX_CALLEE_BYTES: u64 = 256 * 1_024;
+const UNBOUNDED: u64 = u64::MAX;
+
 /// Control bytes since the start of the process, TCP payload only.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize)]
 pub struct ControlBytes {
@@ -42,15 +51,51 @@
     }
 }
 
-/// A stream whose bytes are counted.
+/// Bytes that one connection may still receive.
+#[derive(Debug)]
+pub(crate) struct ByteAllowance(AtomicU64);
+
+impl ByteAllowance {
+    /// Makes the allowance of a connection whose peer has proved nothing.
+    pub(crate) fn unproven(side: Side) -> Arc<Self> {
+        Arc::new(Self(AtomicU64::new(match side {
+            Side::Server => MAX_CALLER_BYTES,
+            Side::Client => MAX_CALLEE_BYTES,
+        })))
+    }
+
+    /// Lifts the bound, once the peer has proved the secret.
+    pub(crate) fn lift(&self) {
+        self.0.store(UNBOUNDED, Ordering::Relaxed);
+    }
+
+    fn spend(&self, count: u64) -> io::Result<()> {
+        let left = self.0.load(Ordering::Relaxed);
+        match left {
+            UNBOUNDED => Ok(()),
+            left if left < count => Err(io::ErrorKind::PermissionDenied.into()),
+            left => {
+                self.0.store(left - count, Ordering::Relaxed);
+                Ok(())
+            }
+        }
+    }
+}
+
+/// A stream whose bytes are counted, and bounded until its peer is proven.
 pub(crate) struct CountedStream {
     stream: TcpStream,
     meter: Arc<ControlMeter>,
+    allowance: Arc<ByteAllowance>,
 }
 
 impl CountedStream {
-    pub(crate) fn new(stream: TcpStream, meter: Arc<ControlMeter>) -> Self {
-        Self { stream, meter }
+    pub(crate) fn new(
+        stream: TcpStream,
+        meter: Arc<ControlMeter>,
+        allowance: Arc<ByteAllowance>,
+    ) -> Self {
+        Self { stream, meter, allowance }
     }
 }
 
@@ -64,7 +109,7 @@
         ready!(Pin::new(&mut self.stream).poll_read(cx, buf))?;
         let count = (buf.filled().len() - before) as u64;
         self.meter.received.fetch_add(count, Ordering::Relaxed);
-        Poll::Ready(Ok(()))
+        Poll::Ready(self.allowance.spend(count))
     }
 }
 
--- a/components/spread/src/driver.rs
+++ b/components/spread/src/driver.rs
@@ -1,68 +1,86 @@
-//! The control thread: who is asked for what, and when.
+//! Starting and stopping the control thread.
 
 use std::{
-    cell::RefCell,
-    collections::{BTreeSet, HashMap},
-    future::Future,
-    net::SocketAddr,
+    cell::{Cell, RefCell},
     rc::Rc,
     sync::Arc,
-    time::{Duration, SystemTime, UNIX_EPOCH},
+    time::Duration,
 };
 
-use capnp::Error;
-use rand::seq::IndexedRandom;
-use sk_member::{MemberBoard, MemberRecord, choose_relays};
-use sk_model::{ConfigSnapshot, ProxyAck, ProxyId, UnixMillis};
-use tokio::{net::TcpListener, sync::mpsc, task::LocalSet};
+use sk_member::{LivenessMonitor, MemberBoard, MonitorOptions};
+use tokio::{
+    net::TcpListener,
+    sync::{Semaphore, mpsc, oneshot, watch},
+    task::LocalSet,
+};
 
 use crate::{
-    codec,
+    acks::{flush_acks, keep_acks},
     counted::ControlMeter,
-    held::{HeldConfig, HeldStatus, OfferOutcome},
-    link::{connect_peer, serve_peer},
-    peer_capnp::{digest, peer},
-    source::{AckSink, ConfigSource},
-    update::{apply_update, make_update},
+    fetch::{FetchWant, fetch_wanted},
+    held::HeldConfig,
+    join::{JoinStage, join_fleet, keep_contacts},
+    links::{LinkBoard, keep_links, pass_own_record, watch_neighbours},
+    node::{ConfirmOutcome, SpreadNode},
+    options::SpreadOptions,
+    pass::{PassOrder, pass_versions},
+    relays::keep_relays,
+    repair::repair_forever,
+    session::serve_session,
+    source::{AckSink, ConfigSource, ContactBook},
+    start::settle_start,
+    state::{SpreadState, SpreadStats},
+    watch::{confirm_source, watch_source},
 };
 
-/// Time until a call to a peer counts as failed.
-const CALL_TIMEOUT: Duration = Duration::from_secs(3);
-/// Longest wait of one watch at the configuration source.
-const WATCH_TIMEOUT: Duration = Duration::from_secs(20);
-/// Pause after the configuration source failed, before jitter.
-const SOURCE_RETRY: Duration = Duration::from_millis(500);
-/// Time between looks at whether this daemon is a relay.
-const RELAY_CHECK: Duration = Duration::from_millis(250);
-
-/// How the spread behaves.
-#[derive(Clone, Debug)]
-pub struct SpreadOptions {
-    /// Secret shared by the fleet's daemons.
-    pub secret: String,
-    /// Control addresses tried while no other daemon is known.
-    pub seeds: Vec<SocketAddr>,
-    /// Mean time between comparisons with a random peer.
-    pub repair_interval: Duration,
-    /// Daemons per data centre that watch the configuration source.
-    pub relays: usize,
-}
-
-/// What the control thread and its servers share.
-pub(crate) struct SpreadShared {
-    pub(crate) options: SpreadOptions,
-    pub(crate) held: Arc<HeldConfig>,
-    pub(crate) members: Arc<MemberBoard>,
-    pub(crate) acks: Arc<dyn AckSink>,
-    pub(crate) meter: Arc<ControlMeter>,
-    source: Arc<dyn ConfigSource>,
-    wants: mpsc::UnboundedSender<ProxyId>,
+/// Pause after the listener failed; out of file descriptors, usually, and without the pause the
+/// loop would spin.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(200);
+/// Fetches that wait to be made; a later one is left to the next comparison.
+const MAX_WANTS: usize = 32;
+
+/// What the spread needs of the rest of the daemon.
+pub struct SpreadParts {
+    /// The configuration held.
+    pub held: Arc<HeldConfig>,
+    /// The members known.
+    pub members: Arc<MemberBoard>,
+    /// Where configurations come from.
+    pub source: Arc<dyn ConfigSource>,
+    /// Where contacts are kept; without it only seeds are tried.
+    pub contacts: Option<Arc<dyn ContactBook>>,
+    /// Takes acknowledgements at a relay.
+    pub acks: Arc<dyn AckSink>,
+    /// Counts control bytes.
+    pub meter: Arc<ControlMeter>,
 }
 
 /// The running spread.
 pub struct SpreadHandle {
-    stop: Option<tokio::sync::oneshot::Sender<()>>,
+    stop: Option<oneshot::Sender<()>>,
     thread: Option<std::thread::JoinHandle<()>>,
+    reader: StateReader,
+}
+
+/// Reads the state of a running spread, for the state dump.
+#[derive(Clone)]
+pub struct StateReader {
+    stats: Arc<SpreadStats>,
+    held: Arc<HeldConfig>,
+}
+
+impl StateReader {
+    /// Gives the state as of now.
+    pub fn state(&self) -> SpreadState {
+        self.stats.state(self.held.is_ready())
+    }
+}
+
+/// Ends of the queues between the parts.
+struct QueueEnds {
+    passes: mpsc::UnboundedReceiver<PassOrder>,
+    wants: mpsc::Receiver<FetchWant>,
+    confirms: mpsc::UnboundedReceiver<oneshot::Sender<ConfirmOutcome>>,
 }
 
 /// Starts the control thread.
@@ -73,29 +91,32 @@
 pub fn start_spread(
     options: SpreadOptions,
     listener: std::net::TcpListener,
-    held: Arc<HeldConfig>,
-    members: Arc<MemberBoard>,
-    source: Arc<dyn ConfigSource>,
-    acks: Arc<dyn AckSink>,
-    meter: Arc<ControlMeter>,
+    parts: SpreadParts,
 ) -> std::io::Result<SpreadHandle> {
     listener.set_nonblocking(true)?;
-    let (wants, wanted) = mpsc::unbounded_channel();
-    let (stop, stopped) = tokio::sync::oneshot::channel();
-    let shared = Arc::new(SpreadShared { options, held, members, acks, meter, source, wants });
+    let (stop, stopped) = oneshot::channel();
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    let stats = Arc::new(SpreadStats::default());
+    let reader = StateReader { stats: stats.clone(), held: parts.held.clone() };
     let run = move || {
         let tasks = LocalSet::new();
-        tasks.spawn_local(run_driver(shared, listener, wanted));
-        runtime.block_on(tasks.run_until(async move {
-            let _ = stopped.await;
-        }));
+        tasks.block_on(&runtime, async move {
+            tokio::select! {
+                () = run_node(options, listener, parts, stats) => (),
+                _ = stopped => (),
+            }
+        });
     };
     let thread = std::thread::Builder::new().name("spread".to_owned()).spawn(run)?;
-    Ok(SpreadHandle { stop: Some(stop), thread: Some(thread) })
+    Ok(SpreadHandle { stop: Some(stop), thread: Some(thread), reader })
 }
 
 impl SpreadHandle {
+    /// Gives a reader of the state.
+    pub fn reader(&self) -> StateReader {
+        self.reader.clone()
+    }
+
     /// Ends the control thread and waits for it.
     pub fn stop(&mut self) {
         drop(self.stop.take());
@@ -113,318 +134,81 @@
     }
 }
 
-impl SpreadShared {
-    pub(crate) fn write_digest(&self, mut builder: digest::Builder<'_>) {
-        builder.set_proxy(&self.members.own().proxy);
-        builder.set_version(self.held.current().version());
-    }
-
-    /// Asks the control thread to fetch the newest version from a peer.
-    pub(crate) fn want_fetch(&self, proxy: ProxyId) {
-        // The receiver lives as long as the control thread; at shutdown nothing is wanted.
-        let _ = self.wants.send(proxy);
-    }
-
-    pub(crate) fn offer(&self, snapshot: ConfigSnapshot, source: &str) -> OfferOutcome {
-        let version = snapshot.version();
-        let outcome = self.held.offer(snapshot, source, unix_now());
-        match &outcome {
-            OfferOutcome::Applied => log::info!("spread: version {version} from {source}."),
-            OfferOutcome::NotNewer => (),
-            OfferOutcome::Rejected(rejected) => {
-                log::warn!("spread: version {version} refused: {}.", rejected.reason);
-            }
-        }
-        outcome
-    }
-
-    fn is_relay(&self) -> bool {
-        let own = self.members.own();
-        self.relays_of(&own.data_centre).contains(&own.proxy)
-    }
-
-    fn relays_of(&self, data_centre: &str) -> Vec<ProxyId> {
-        let view = self.members.view();
-        let records = view.values().map(|record| &**record);
-        choose_relays(records, data_centre, self.options.relays)
-    }
-
-    fn others(&self) -> Vec<Arc<MemberRecord>> {
-        let own = self.members.own();
-        let view = self.members.view();
-        let is_other = |record: &&Arc<MemberRecord>| record.proxy != own.proxy;
-        view.values().filter(is_other).filter(|record| record.is_present()).cloned().collect()
-    }
-}
-
-/// Connections kept open to peers, used by the control thread only.
-struct SpreadDriver {
-    shared: Arc<SpreadShared>,
-    peers: RefCell<HashMap<SocketAddr, peer::Client>>,
-}
-
-async fn run_driver(
-    shared: Arc<SpreadShared>,
+async fn run_node(
+    options: SpreadOptions,
     listener: std::net::TcpListener,
-    wanted: mpsc::UnboundedReceiver<ProxyId>,
+    parts: SpreadParts,
+    stats: Arc<SpreadStats>,
 ) {
     let listener = match TcpListener::from_std(listener) {
         Ok(listener) => listener,
         Err(err) => return log::error!("spread: cannot listen: {err}."),
     };
-    let driver = Rc::new(SpreadDriver { shared, peers: RefCell::default() });
+    let (node, ends) = make_node(options, parts, stats);
+    let stage = watch::Sender::new(JoinStage::Trying);
     tokio::join!(
-        accept_peers(&driver.shared, listener),
-        repair_forever(&driver),
-        watch_source(&driver.shared),
-        pass_versions(&driver),
-        pass_records(&driver),
-        fetch_wanted(&driver, wanted),
+        accept_peers(&node, listener),
+        join_fleet(&node, &stage),
+        settle_start(&node, stage.subscribe()),
+        keep_contacts(&node),
+        keep_relays(&node),
+        keep_links(&node),
+        watch_neighbours(&node),
+        pass_own_record(&node),
+        watch_source(&node),
+        confirm_source(&node, ends.confirms),
+        pass_versions(&node, ends.passes),
+        fetch_wanted(&node, ends.wants),
+        repair_forever(&node),
+        keep_acks(&node),
+        flush_acks(&node),
     );
 }
 
-async fn accept_peers(shared: &Arc<SpreadShared>, listener: TcpListener) {
-    loop {
-        match listener.accept().await {
-            Ok((stream, _)) => serve_peer(shared, stream),
-            // Out of file descriptors, usually: without the pause this loop would spin.
-            Err(err) => {
-                log::warn!("spread: cannot accept: {err}.");
-                tokio::time::sleep(SOURCE_RETRY).await;
-            }
-        }
-    }
-}
-
-async fn repair_forever(driver: &Rc<SpreadDriver>) {
-    loop {
-        let address = driver.pick_address();
-        if let Some(address) = address
-            && let Err(err) = driver.exchange(address).await
-        {
-            log::debug!("spread: exchange with {address} failed: {err}.");
-        }
-        tokio::time::sleep(driver.repair_pause()).await;
-    }
+fn make_node(
+    options: SpreadOptions,
+    parts: SpreadParts,
+    stats: Arc<SpreadStats>,
+) -> (Rc<SpreadNode>, QueueEnds) {
+    let (passes, pass_end) = mpsc::unbounded_channel();
+    let (wants, want_end) = mpsc::channel(MAX_WANTS);
+    let (confirms, confirm_end) = mpsc::unbounded_channel();
+    let own = parts.members.own();
+    let monitor = MonitorOptions { suspect: options.suspect_after, ..MonitorOptions::default() };
+    let monitor = LivenessMonitor::new(own.proxy.clone(), own.incarnation, monitor);
+    let node = SpreadNode {
+        own_name: own.proxy.clone(),
+        held: parts.held,
+        members: parts.members,
+        source: parts.source,
+        contacts: parts.contacts,
+        acks: parts.acks,
+        ack_batch: Default::default(),
+        meter: parts.meter,
+        stats,
+        pool: Default::default(),
+        unproven: Cell::new(0),
+        relays: watch::Sender::default(),
+        links: RefCell::new(LinkBoard::new(monitor)),
+        places: Arc::new(Semaphore::new(options.max_fetches)),
+        passes,
+        wants,
+        confirms,
+        expected: Cell::new(0),
+        options,
+    };
+    let ends = QueueEnds { passes: pass_end, wants: want_end, confirms: confirm_end };
+    (Rc::new(node), ends)
 }
 
-async fn watch_source(shared: &Arc<SpreadShared>) {
-    // Every daemon asks once at its start: it must not serve before it holds what it held.
-    load_first(shared).await;
+async fn accept_peers(node: &Rc<SpreadNode>, listener: TcpListener) {
     loop {
-        if !shared.is_relay() {
-            tokio::time::sleep(RELAY_CHECK).await;
-            continue;
-        }
-        match shared.source.wait_newer(&shared.held.current(), WATCH_TIMEOUT).await {
-            Ok(Some(snapshot)) => drop(shared.offer(snapshot, "platform")),
-            Ok(None) => (),
+        match listener.accept().await {
+            Ok((stream, _)) => serve_session(node, stream),
             Err(err) => {
-                log::warn!("spread: {err}.");
-                tokio::time::sleep(jittered(SOURCE_RETRY)).await;
-            }
-        }
-    }
-}
-
-async fn load_first(shared: &Arc<SpreadShared>) {
-    loop {
-        match shared.source.load(&shared.held.current()).await {
-            Ok(snapshot) => return drop(shared.offer(snapshot, "platform")),
-            Err(err) => log::warn!("spread: {err}."),
-        }
-        tokio::time::sleep(jittered(SOURCE_RETRY)).await;
-        if shared.held.current().version() > 0 {
-            return;
-        }
-    }
-}
-
-async fn pass_versions(driver: &Rc<SpreadDriver>) {
-    let mut status = driver.shared.held.subscribe();
-    let mut last = driver.shared.held.current();
-    while status.changed().await.is_ok() {
-        let held = status.borrow_and_update().clone();
-        let newest = driver.shared.held.current();
-        let acks = driver.acknowledge(&held);
-        let pushes = driver.push(&last, &newest);
-        tokio::join!(acks, pushes);
-        last = newest;
-    }
-}
-
-async fn pass_records(driver: &Rc<SpreadDriver>) {
-    let mut views = driver.shared.members.subscribe();
-    let mut sequence = driver.shared.members.own().sequence;
-    while views.changed().await.is_ok() {
-        let own = driver.shared.members.own();
-        if own.sequence != sequence {
-            sequence = own.sequence;
-            let others = driver.shared.others();
-            let calls = others.iter().map(|other| driver.exchange(other.control));
-            futures::future::join_all(calls).await;
-        }
-    }
-}
-
-async fn fetch_wanted(driver: &Rc<SpreadDriver>, mut wanted: mpsc::UnboundedReceiver<ProxyId>) {
-    while let Some(first) = wanted.recv().await {
-        let mut proxies = BTreeSet::from([first]);
-        while let Ok(next) = wanted.try_recv() {
-            proxies.insert(next);
-        }
-        for proxy in proxies {
-            if let Err(err) = driver.fetch(&proxy).await {
-                log::debug!("spread: fetch from {proxy} failed: {err}.");
-            }
-        }
-    }
-}
-
-impl SpreadDriver {
-    fn pick_address(&self) -> Option<SocketAddr> {
-        let mut rng = rand::rng();
-        match self.shared.others().choose(&mut rng) {
-            Some(record) => Some(record.control),
-            None => self.shared.options.seeds.choose(&mut rng).copied(),
-        }
-    }
-
-    fn repair_pause(&self) -> Duration {
-        // Until another daemon is known, nothing can be served from it: ask more often.
-        let is_alone = self.shared.others().is_empty();
-        let mean = self.shared.options.repair_interval;
-        jittered(if is_alone { mean.min(Duration::from_millis(100)) } else { mean })
-    }
-
-    async fn peer(&self, address: SocketAddr) -> Result<peer::Client, Error> {
-        let known = self.peers.borrow().get(&address).cloned();
-        if let Some(peer) = known {
-            return Ok(peer);
-        }
-        let peer = connect_peer(&self.shared, address).await?;
-        self.peers.borrow_mut().insert(address, peer.clone());
-        Ok(peer)
-    }
-
-    /// Makes a call to a peer; a failed one drops the connection, so that the next one is fresh.
-    async fn call<T, F: Future<Output = Result<T, Error>>>(
-        &self,
-        address: SocketAddr,
-        call: impl FnOnce(peer::Client) -> F,
-    ) -> Result<T, Error> {
-        let attempt = async { call(self.peer(address).await?).await };
-        let result = match tokio::time::timeout(CALL_TIMEOUT, attempt).await {
-            Ok(result) => result,
-            Err(_) => Err(Error::overloaded("call timed out".to_owned())),
-        };
-        if result.is_err() {
-            self.peers.borrow_mut().remove(&address);
-        }
-        result
-    }
-
-    async fn exchange(&self, address: SocketAddr) -> Result<(), Error> {
-        self.call(address, async |peer| {
-            let view = self.shared.members.view();
-            let mut request = peer.exchange_request();
-            self.shared.write_digest(request.get().init_digest());
-            let mut records = request.get().init_records(view.len() as u32);
-            for (index, record) in view.values().enumerate() {
-                codec::write_member(record, records.reborrow().get(index as u32));
-            }
-            let response = request.send().promise.await?;
-            let response = response.get()?;
-            self.shared.merge_records(codec::read_members(response.get_records()?)?);
-            let digest = response.get_digest()?;
-            if digest.get_version() > self.shared.held.current().version() {
-                self.shared.want_fetch(digest.get_proxy()?.to_string()?);
-            }
-            Ok(())
-        })
-        .await
-    }
-
-    async fn fetch(&self, proxy: &str) -> Result<(), Error> {
-        let view = self.shared.members.view();
-        let Some(record) = view.get(proxy) else { return Ok(()) };
-        self.call(record.control, async |peer| {
-            let base = self.shared.held.current();
-            let mut request = peer.fetch_request();
-            request.get().set_held(base.version());
-            request.get().set_held_hash(base.root.hash());
-            let response = request.send().promise.await?;
-            let update = codec::read_update(response.get()?.get_update()?)?;
-            let base = if update.base == 0 { Arc::default() } else { base };
-            match apply_update(&base, update) {
-                Ok(snapshot) => drop(self.shared.offer(snapshot, proxy)),
-                Err(err) => log::warn!("spread: cannot apply a fetch from {proxy}: {err}."),
-            }
-            Ok(())
-        })
-        .await
-    }
-
-    /// Passes a version on: a relay passes to all of its data centre.
-    async fn push(&self, base: &ConfigSnapshot, newest: &ConfigSnapshot) {
-        if !self.shared.is_relay() || newest.version() <= base.version() {
-            return;
-        }
-        let update = &make_update(base, newest);
-        let own = self.shared.members.own();
-        let others = self.shared.others();
-        let near = others.iter().filter(|record| record.data_centre == own.data_centre);
-        let calls = near.map(async |record| {
-            let result = self.call(record.control, async |peer| {
-                let mut request = peer.push_request();
-                request.get().set_sender(&own.proxy);
-                codec::write_update(update, request.get().init_update())?;
-                request.send().promise.await.map(drop)
-            });
-            if let Err(err) = result.await {
-                log::debug!("spread: push to {} failed: {err}.", record.proxy);
+                log::warn!("spread: cannot accept: {err}.");
+                tokio::time::sleep(ACCEPT_PAUSE).await;
             }
-        });
-        futures::future::join_all(calls).await;
-    }
-
-    async fn acknowledge(&self, held: &HeldStatus) {
-        let own = self.shared.members.own();
-        let ack = &ProxyAck {
-            proxy: own.proxy.clone(),
-            incarnation: own.incarnation,
-            data_centre: own.data_centre.clone(),
-            version: held.version,
-            since: held.since,
-            source: held.source.clone(),
-            rejected: held.rejected.clone(),
-        };
-        let relays = self.shared.relays_of(&own.data_centre);
-        if relays.contains(&own.proxy) {
-            self.shared.acks.note(vec![ack.clone()]);
         }
-        let view = self.shared.members.view();
-        let records = relays.iter().filter(|relay| **relay != own.proxy);
-        let records = records.filter_map(|relay| view.get(relay));
-        let calls = records.map(async |record| {
-            let result = self.call(record.control, async |peer| {
-                let mut request = peer.acknowledge_request();
-                codec::write_ack(ack, request.get().init_acks(1).get(0));
-                request.send().promise.await.map(drop)
-            });
-            if let Err(err) = result.await {
-                log::debug!("spread: ack to {} failed: {err}.", record.proxy);
-            }
-        });
-        futures::future::join_all(calls).await;
     }
 }
-
-fn jittered(mean: Duration) -> Duration {
-    mean.mul_f64(rand::random_range(0.5..1.5))
-}
-
-fn unix_now() -> UnixMillis {
-    let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-    now.as_millis() as UnixMillis
-}
--- /dev/null
+++ b/components/spread/src/fetch.rs
@@ -0,0 +1,209 @@
+//! Fetching a version that a peer is known to hold.
+
+use std::{rc::Rc, time::Duration};
+
+use capnp::Error;
+use rand::seq::IndexedRandom;
+use sk_model::{ConfigSnapshot, ProxyId, Version};
+use tokio::sync::mpsc;
+
+use crate::{
+    backoff::{RetryPause, drawn, jittered},
+    codec,
+    held::OfferOutcome,
+    node::{CALL_TIMEOUT, RootMark, SpreadNode},
+    pass::VersionOrigin,
+    peer_capnp::{fetch_answer, peer},
+    state::CallKind,
+    update::{TreeHashes, apply_update, tree_hashes},
+};
+
+/// Tries of one fetch before it is left to the next comparison with a peer.
+const MAX_TRIES: usize = 6;
+/// First and longest pause after a failed try. The cap keeps all tries within a few seconds.
+const FIRST_PAUSE: Duration = Duration::from_millis(100);
+const LONGEST_PAUSE: Duration = Duration::from_secs(1);
+/// How long a version that a heartbeat shows is left to the tree, on average. Without it every
+/// push would be fetched as well by whoever's heartbeat came first.
+const TREE_GRACE: Duration = Duration::from_millis(500);
+/// Longest pause that a peer may ask for; a faulty one must not put a daemon to sleep.
+const MAX_BUSY_PAUSE: Duration = Duration::from_secs(2);
+
+/// A version to fetch, and from whom.
+pub(crate) struct FetchWant {
+    pub(crate) version: Version,
+    pub(crate) mark: RootMark,
+    pub(crate) from: ProxyId,
+    pub(crate) origin: VersionOrigin,
+}
+
+/// What a fetch gave.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct FetchReply {
+    /// The peer looked at the configuration source after it was asked.
+    pub(crate) is_fresh: bool,
+    /// The peer itself is ready.
+    pub(crate) is_ready: bool,
+    pub(crate) outcome: FetchOutcome,
+}
+
+/// What became of a fetch.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum FetchOutcome {
+    /// What the peer holds is held here, or something newer.
+    Held,
+    /// What the peer holds fails validation here.
+    Refused,
+    /// The peer serves too many fetches.
+    Busy(Duration),
+    /// The peer needs the hashes of the subtrees.
+    NeedsTrees,
+}
+
+impl SpreadNode {
+    /// Asks for a version. Where too many wait already it is left to the next comparison.
+    pub(crate) fn want(&self, want: FetchWant) {
+        if self.lacks(want.version, want.mark) {
+            let _ = self.wants.try_send(want);
+        }
+    }
+
+    /// Notes a version that a peer holds according to a heartbeat or a comparison, and fetches it
+    /// if the tree does not bring it.
+    pub(crate) fn note_version(self: &Rc<Self>, from: &str, version: Version, mark: RootMark) {
+        let newest = self.held.newest();
+        if version == newest.version() && mark != crate::node::root_mark(&newest.root.hash()) {
+            return self.report_diverged(version, from);
+        }
+        if !self.lacks(version, mark) || self.expected.get() >= version {
+            return;
+        }
+        self.expected.set(version);
+        let want = FetchWant { version, mark, from: from.to_owned(), origin: VersionOrigin::Found };
+        let node = self.clone();
+        tokio::task::spawn_local(async move {
+            tokio::time::sleep(jittered(TREE_GRACE)).await;
+            node.expected.set(0);
+            node.want(want);
+        });
+    }
+
+    fn lacks(&self, version: Version, mark: RootMark) -> bool {
+        version > self.held.newest().version() && !self.held.is_refused(version, mark)
+    }
+
+    /// Fetches what a peer holds beyond what is held here. With `confirm` the peer looks at the
+    /// configuration source first, if it is a relay.
+    pub(crate) async fn fetch(
+        self: &Rc<Self>,
+        from: &str,
+        confirm: bool,
+        origin: &VersionOrigin,
+    ) -> Result<FetchReply, Error> {
+        let base = self.held.newest();
+        let reply = self.fetch_once(from, confirm, &base, &TreeHashes::new(), origin).await?;
+        if reply.outcome != FetchOutcome::NeedsTrees {
+            return Ok(reply);
+        }
+        let again = self.fetch_once(from, false, &base, &tree_hashes(&base), origin).await?;
+        Ok(FetchReply { is_fresh: reply.is_fresh, ..again })
+    }
+
+    async fn fetch_once(
+        self: &Rc<Self>,
+        from: &str,
+        confirm: bool,
+        base: &ConfigSnapshot,
+        hashes: &TreeHashes,
+        origin: &VersionOrigin,
+    ) -> Result<FetchReply, Error> {
+        let call = async |peer: peer::Client| {
+            let mut request = peer.fetch_request();
+            let mut params = request.get().init_request();
+            params.set_held(base.version());
+            params.set_held_hash(base.root.hash());
+            params.set_confirm(confirm);
+            codec::write_hashes(hashes, params);
+            self.stats.sent(CallKind::Fetch, request.get().into_reader().total_size()?);
+            let response = request.send().promise.await?;
+            let answer = response.get()?.get_answer()?;
+            self.stats.received(CallKind::Fetch, answer.total_size()?);
+            let outcome = self.take_answer(answer, base, from, origin)?;
+            Ok(FetchReply {
+                is_fresh: answer.get_is_fresh(),
+                is_ready: answer.get_is_ready(),
+                outcome,
+            })
+        };
+        self.call(from, CALL_TIMEOUT, call).await
+    }
+
+    fn take_answer(
+        &self,
+        answer: fetch_answer::Reader<'_>,
+        base: &ConfigSnapshot,
+        from: &str,
+        origin: &VersionOrigin,
+    ) -> Result<FetchOutcome, Error> {
+        let update = match answer.which()? {
+            fetch_answer::Same(()) => return Ok(FetchOutcome::Held),
+            fetch_answer::NeedTrees(()) => return Ok(FetchOutcome::NeedsTrees),
+            fetch_answer::BusyMillis(pause) => {
+                let pause = Duration::from_millis(pause.into()).min(MAX_BUSY_PAUSE);
+                return Ok(FetchOutcome::Busy(pause));
+            }
+            fetch_answer::Update(update) => codec::read_update(update?)?,
+        };
+        let snapshot = apply_update(base, update).map_err(|err| {
+            log::warn!("spread: cannot apply a fetch from {from}: {err}.");
+            Error::failed(err.to_string())
+        })?;
+        match self.offer(snapshot, from, origin.clone()) {
+            OfferOutcome::Rejected(_) => Ok(FetchOutcome::Refused),
+            _ => Ok(FetchOutcome::Held),
+        }
+    }
+}
+
+/// Fetches wanted versions, one at a time.
+pub(crate) async fn fetch_wanted(node: &Rc<SpreadNode>, mut wants: mpsc::Receiver<FetchWant>) {
+    while let Some(want) = wants.recv().await {
+        fetch_version(node, want).await;
+    }
+}
+
+/// Tries until the version is held: first where it was seen, then at other daemons near, as the
+/// first one may have died since.
+async fn fetch_version(node: &Rc<SpreadNode>, want: FetchWant) {
+    let mut pause = RetryPause::new(FIRST_PAUSE, LONGEST_PAUSE);
+    let mut from = want.from;
+    for _ in 0..MAX_TRIES {
+        if !node.lacks(want.version, want.mark) {
+            return;
+        }
+        match node.fetch(&from, false, &want.origin).await.map(|reply| reply.outcome) {
+            Ok(FetchOutcome::Refused) => return,
+            Ok(FetchOutcome::Busy(busy)) => tokio::time::sleep(busy + drawn(busy)).await,
+            Ok(_) if !node.lacks(want.version, want.mark) => return,
+            Ok(_) => tokio::time::sleep(pause.next(rand::random())).await,
+            Err(err) => {
+                log::debug!("spread: fetch from {from} failed: {err}.");
+                tokio::time::sleep(pause.next(rand::random())).await;
+            }
+        }
+        from = node.pick_near().unwrap_or(from);
+    }
+}
+
+impl SpreadNode {
+    /// Draws another daemon of this data centre, or of any where it is alone there.
+    fn pick_near(&self) -> Option<ProxyId> {
+        let data_centre = &self.members.own().data_centre;
+        let others = self.others();
+        let near: Vec<_> =
+            others.iter().filter(|record| record.data_centre == *data_centre).collect();
+        let mut rng = rand::rng();
+        let chosen = near.choose(&mut rng).copied().or_else(|| others.choose(&mut rng));
+        chosen.map(|record| record.proxy.clone())
+    }
+}
--- /dev/null
+++ b/components/spread/src/gate.rs
@@ -0,0 +1,95 @@
+//! What a daemon gives to anyone who connects.
+
+use std::{
+    cell::RefCell,
+    rc::{Rc, Weak},
+    sync::Arc,
+};
+
+use capnp::Error;
+use tokio::sync::oneshot;
+
+use crate::{
+    auth::{Nonce, ProofSide, is_proof, make_nonce, make_proof},
+    codec,
+    counted::ByteAllowance,
+    node::SpreadNode,
+    peer_capnp::gate,
+    server::PeerServer,
+    session::{PeerSession, SessionLink},
+};
+
+/// The connection that a gate stands in, and whom to tell that its peer is proven.
+struct GateLink {
+    link: SessionLink,
+    allowance: Arc<ByteAllowance>,
+    proven: oneshot::Sender<()>,
+}
+
+/// The capability that anyone who connects gets: it gives the peer interface against a proof.
+pub(crate) struct GateServer {
+    node: Weak<SpreadNode>,
+    // Used once: a proof for it cannot be replayed in the same session either.
+    nonce: RefCell<Option<Nonce>>,
+    link: RefCell<Option<GateLink>>,
+}
+
+impl GateServer {
+    pub(crate) fn new(node: &Rc<SpreadNode>) -> Self {
+        Self { node: Rc::downgrade(node), nonce: RefCell::default(), link: RefCell::default() }
+    }
+
+    /// Ties the gate to its connection and gives what resolves when the peer is proven.
+    pub(crate) fn attach(
+        &self,
+        link: SessionLink,
+        allowance: Arc<ByteAllowance>,
+    ) -> oneshot::Receiver<()> {
+        let (proven, is_proven) = oneshot::channel();
+        self.link.replace(Some(GateLink { link, allowance, proven }));
+        is_proven
+    }
+}
+
+impl gate::Server for GateServer {
+    async fn challenge(
+        self: Rc<Self>,
+        _: gate::ChallengeParams,
+        mut results: gate::ChallengeResults,
+    ) -> Result<(), Error> {
+        let nonce = make_nonce();
+        self.nonce.replace(Some(nonce));
+        results.get().set_nonce(&nonce);
+        Ok(())
+    }
+
+    async fn enter(
+        self: Rc<Self>,
+        params: gate::EnterParams,
+        mut results: gate::EnterResults,
+    ) -> Result<(), Error> {
+        let node = self.node.upgrade().ok_or_else(|| Error::disconnected("stopped".to_owned()))?;
+        let params = params.get()?;
+        let secret = node.options.secret.as_bytes();
+        let callee = self.nonce.take().ok_or_else(|| Error::failed("no challenge".to_owned()))?;
+        let caller = params.get_nonce()?;
+        let proxy = codec::read_text(params.get_proxy()?)?;
+        if !is_proof(secret, ProofSide::Caller, caller, &callee, params.get_proof()?) {
+            log::warn!("spread: refused a peer without the secret.");
+            return Err(Error::failed("proof does not match".to_owned()));
+        }
+        let gate_link = self.link.take().ok_or_else(|| Error::failed("entered".to_owned()))?;
+        gate_link.allowance.lift();
+        // Its receiver is gone only where the time for the proof has just run out.
+        let _ = gate_link.proven.send(());
+        let session = PeerSession::new(proxy, params.get_peer()?, gate_link.link);
+        let server = PeerServer::new(&node);
+        server.open(&session);
+        node.pool.add(session);
+        let mut results = results.get();
+        results.set_proof(&make_proof(secret, ProofSide::Callee, caller, &callee));
+        results.set_proxy(&node.own_name);
+        results.set_peer(capnp_rpc::new_client(server));
+        Ok(())
+    }
+}
--- a/components/spread/src/held.rs
+++ b/components/spread/src/held.rs
@@ -2,13 +2,15 @@
 
 use std::{
     collections::VecDeque,
-    sync::{Arc, Mutex, PoisonError},
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
 };
 
 use arc_swap::ArcSwap;
 use sk_model::{ConfigSnapshot, ProxyId, RejectedVersion, UnixMillis, Version, validate_trees};
 use tokio::sync::watch;
 
+use crate::node::{RootMark, root_mark};
+
 /// Earlier snapshots kept as bases for deltas. Subtrees are shared, so each costs one root.
 const KEPT_BASES: usize = 16;
 
@@ -28,19 +30,36 @@
 /// What became of an offered snapshot.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum OfferOutcome {
-    /// It is in force now.
+    /// It is the newest now, and in force as soon as the daemon is ready.
     Applied,
     /// The held one is as new or newer.
     NotNewer,
+    /// Another content under the version held. One of the two was never accepted.
+    Diverged,
     /// It fails validation and nothing of it is in force.
     Rejected(RejectedVersion),
 }
 
+/// Snapshots by age, and the one that waits for readiness.
+#[derive(Default)]
+struct HeldState {
+    bases: VecDeque<Arc<ConfigSnapshot>>,
+    newest: Arc<ConfigSnapshot>,
+    source: ProxyId,
+    /// The version refused last.
+    refused: Option<(Version, RootMark)>,
+}
+
 /// The configuration in force, swapped whole, and never for an older one.
+///
+/// Until the daemon is ready nothing is in force. A process that returns would otherwise serve
+/// whatever a peer gave it first, which may be older than what its predecessor served; callers
+/// would see routes move back.
 pub struct HeldConfig {
     current: ArcSwap<ConfigSnapshot>,
-    bases: Mutex<VecDeque<Arc<ConfigSnapshot>>>,
+    state: Mutex<HeldState>,
     status: watch::Sender<HeldStatus>,
+    ready: watch::Sender<bool>,
 }
 
 impl Default for HeldConfig {
@@ -48,23 +67,29 @@
         let status = HeldStatus { version: 0, since: 0, source: ProxyId::new(), rejected: None };
         Self {
             current: ArcSwap::default(),
-            bases: Mutex::default(),
+            state: Mutex::default(),
             status: watch::Sender::new(status),
+            ready: watch::Sender::new(false),
         }
     }
 }
 
 impl HeldConfig {
-    /// Makes one that holds the empty configuration.
+    /// Makes one that holds the empty configuration and is not ready.
     pub fn new() -> Self {
         Self::default()
     }
 
-    /// Gives the configuration in force.
+    /// Gives the configuration in force: the empty one until the daemon is ready.
     pub fn current(&self) -> Arc<ConfigSnapshot> {
         self.current.load_full()
     }
 
+    /// Gives the newest valid configuration known, in force or waiting for readiness.
+    pub fn newest(&self) -> Arc<ConfigSnapshot> {
+        self.state().newest.clone()
+    }
+
     /// Gives the status as of now.
     pub fn status(&self) -> HeldStatus {
         self.status.borrow().clone()
@@ -75,38 +100,99 @@
         self.status.subscribe()
     }
 
+    /// Tells whether this process may serve: it holds at least the highest version that the
+    /// platform or the peers it reached know.
+    pub fn is_ready(&self) -> bool {
+        *self.ready.borrow()
+    }
+
+    /// Gives a receiver that wakes when the daemon becomes ready. It never becomes unready.
+    pub fn ready(&self) -> watch::Receiver<bool> {
+        self.ready.subscribe()
+    }
+
+    /// Puts the newest configuration in force; from now on each newer one is at once.
+    pub fn set_ready(&self, now: UnixMillis) {
+        let state = self.state();
+        if self.is_ready() {
+            return;
+        }
+        if state.newest.version() > 0 {
+            self.put_in_force(&state, now);
+        }
+        self.ready.send_replace(true);
+    }
+
     /// Gives an earlier configuration by version, where it is still kept.
     pub fn base(&self, version: Version) -> Option<Arc<ConfigSnapshot>> {
-        let bases = self.bases.lock().unwrap_or_else(PoisonError::into_inner);
-        bases.iter().find(|base| base.version() == version).cloned()
+        self.state().bases.iter().find(|base| base.version() == version).cloned()
     }
 
-    /// Puts a snapshot in force if it is newer and valid, whole or not at all.
+    /// Takes a snapshot if it is newer and valid, whole or not at all.
     pub fn offer(&self, snapshot: ConfigSnapshot, source: &str, now: UnixMillis) -> OfferOutcome {
         // The lock makes the comparison and the swap one step: of two snapshots offered at once
         // by different peers, the older one must not land last.
-        let mut bases = self.bases.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut state = self.state();
         let version = snapshot.version();
-        if version <= self.current.load().version() {
+        if version == state.newest.version() && snapshot.root != state.newest.root {
+            return OfferOutcome::Diverged;
+        }
+        if version <= state.newest.version() {
             return OfferOutcome::NotNewer;
         }
         if let Some(reason) = find_fault(&snapshot) {
-            let rejected = RejectedVersion { version, reason };
-            self.status.send_modify(|status| status.rejected = Some(rejected.clone()));
-            return OfferOutcome::Rejected(rejected);
+            return OfferOutcome::Rejected(self.refuse(&mut state, &snapshot, reason));
         }
         let snapshot = Arc::new(snapshot);
-        bases.push_back(snapshot.clone());
-        if bases.len() > KEPT_BASES {
-            bases.pop_front();
+        state.bases.push_back(snapshot.clone());
+        if state.bases.len() > KEPT_BASES {
+            state.bases.pop_front();
         }
-        self.current.store(snapshot);
-        let keep = |rejected: &RejectedVersion| rejected.version > version;
+        state.newest = snapshot;
+        state.source = source.to_owned();
+        if self.is_ready() {
+            self.put_in_force(&state, now);
+        }
+        OfferOutcome::Applied
+    }
+
+    /// Tells whether this very version was refused before. Peers that have not met its fault yet
+    /// go on offering it; fetching it each time would cost the whole version again and again.
+    pub(crate) fn is_refused(&self, version: Version, mark: RootMark) -> bool {
+        self.state().refused == Some((version, mark))
+    }
+
+    fn refuse(
+        &self,
+        state: &mut HeldState,
+        snapshot: &ConfigSnapshot,
+        reason: String,
+    ) -> RejectedVersion {
+        let version = snapshot.version();
+        let rejected = RejectedVersion { version, reason };
+        state.refused = Some((version, root_mark(&snapshot.root.hash())));
+        self.status.send_if_modified(|status| {
+            // Of two refused versions the report names the newer one, in whichever order they came.
+            let is_newer = status.rejected.as_ref().is_none_or(|held| held.version < version);
+            if is_newer {
+                status.rejected = Some(rejected.clone());
+            }
+            is_newer
+        });
+        rejected
+    }
+
+    fn put_in_force(&self, state: &HeldState, now: UnixMillis) {
+        let version = state.newest.version();
+        self.current.store(state.newest.clone());
         self.status.send_modify(|status| {
-            let rejected = status.rejected.take().filter(keep);
-            *status = HeldStatus { version, since: now, source: source.to_owned(), rejected };
+            let rejected = status.rejected.take().filter(|rejected| rejected.version > version);
+            *status = HeldStatus { version, since: now, source: state.source.clone(), rejected };
         });
-        OfferOutcome::Applied
+    }
+
+    fn state(&self) -> MutexGuard<'_, HeldState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
--- a/components/spread/src/lib.rs
+++ b/components/spread/src/lib.rs
@@ -1,24 +1,47 @@
 //! Passing configuration and membership between daemons.
 //!
 //! Control traffic runs over capnp-rpc on a thread of its own; the request path never waits for it.
+//! `docs/design/spreading.md` tells how versions and records travel and why.
 
+mod acks;
 mod auth;
+mod backoff;
 mod codec;
 mod counted;
 mod driver;
+mod fetch;
+mod gate;
 mod held;
-mod link;
+mod join;
+mod links;
+mod node;
+mod options;
+mod pass;
+mod pool;
+mod relays;
+mod repair;
 mod server;
+mod session;
 mod source;
+mod start;
+mod state;
 mod update;
+mod watch;
 
 #[allow(missing_docs, clippy::all, clippy::pedantic, clippy::unimplemented)]
 #[rustfmt::skip]
 #[path = "generated/peer_capnp.rs"]
 mod peer_capnp;
 
+pub use backoff::RetryPause;
 pub use counted::{ControlBytes, ControlMeter};
-pub use driver::{SpreadHandle, SpreadOptions, start_spread};
+pub use driver::{SpreadHandle, SpreadParts, StateReader, start_spread};
 pub use held::{HeldConfig, HeldStatus, OfferOutcome};
-pub use source::{AckSink, ConfigSource, SourceError};
-pub use update::{ConfigUpdate, TreeContent, TreeUpdate, UpdateFault, apply_update, make_update};
+pub use options::{PassMode, SpreadOptions};
+pub use pass::{PassPlan, PassStyle, VersionOrigin, plan_pass};
+pub use source::{AckSink, ConfigSource, ContactBook, ContactMap, SourceError};
+pub use state::{CallKind, KindBytes, SpreadState};
+pub use update::{
+    ConfigUpdate, TreeContent, TreeHashes, TreeUpdate, UpdateFault, apply_update, make_tree_update,
+    make_update, tree_hashes,
+};
--- /dev/null
+++ b/components/spread/src/links.rs
@@ -0,0 +1,401 @@
+//! Links to the neighbours: heartbeats, and records passed on as they change.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    hash::{DefaultHasher, Hash, Hasher},
+    rc::Rc,
+    sync::Arc,
+    time::Duration,
+};
+
+use capnp::{Error, ErrorKind};
+use sk_member::{
+    LivenessMonitor, MemberRecord, MemberRumor, MemberSuspicion, MemberView, MergeOutcome,
+    MonitorEvent, OverlayPlan, RumorQueue,
+};
+use sk_model::ProxyId;
+use tokio::{sync::Notify, time::Instant};
+
+use crate::{
+    backoff::jittered,
+    codec,
+    node::{CALL_TIMEOUT, SpreadNode, root_mark},
+    peer_capnp::{beat, peer},
+    state::CallKind,
+};
+
+/// Pause before links are planned again after members changed. A herd restart changes them
+/// hundreds of times a second, and a plan for 780 daemons takes milliseconds.
+const PLAN_PAUSE: Duration = Duration::from_millis(250);
+/// Time between looks at what the monitor has to decide.
+const TICK_PAUSE: Duration = Duration::from_millis(200);
+/// Pause in which news gather before they are sent. A hop then takes about as long, and the six
+/// to eight hops of a large fleet stay far below the 3 s in which a change is to be known.
+const RUMOR_PAUSE: Duration = Duration::from_millis(25);
+/// News in one message; about 16 kB.
+const MAX_RUMORS: usize = 64;
+/// Heartbeats in a row that show another digest before records are compared. News under way make
+/// digests differ for a moment; comparing at once would send the same records twice.
+const MAX_MISMATCHES: u32 = 2;
+/// Time between looks for records that may be forgotten.
+const EXPIRE_PAUSE: Duration = Duration::from_secs(5);
+
+/// One link of this daemon.
+struct LinkState {
+    /// Wakes the link's task for news, or because the link was removed.
+    news: Notify,
+    /// Whether this side opens the connection and sends the heartbeats.
+    is_chosen: bool,
+}
+
+/// The links and what is decided over them.
+pub(crate) struct LinkBoard {
+    rumors: RumorQueue,
+    monitor: LivenessMonitor,
+    links: BTreeMap<ProxyId, Rc<LinkState>>,
+    start: Instant,
+}
+
+impl LinkBoard {
+    pub(crate) fn new(monitor: LivenessMonitor) -> Self {
+        Self { rumors: RumorQueue::new(), monitor, links: BTreeMap::new(), start: Instant::now() }
+    }
+
+    fn now(&self) -> Duration {
+        self.start.elapsed()
+    }
+
+    fn push(&mut self, rumor: &MemberRumor, from: Option<&ProxyId>) {
+        self.rumors.push(rumor, from);
+        for (proxy, link) in &self.links {
+            if self.rumors.pending(proxy) > 0 {
+                link.news.notify_one();
+            }
+        }
+    }
+}
+
+impl SpreadNode {
+    pub(crate) fn link_names(&self) -> BTreeSet<ProxyId> {
+        self.links.borrow().links.keys().cloned().collect()
+    }
+
+    /// Notes that the connection to a peer ended without this side's wish.
+    pub(crate) fn note_lost(&self, proxy: &str) {
+        let mut board = self.links.borrow_mut();
+        let now = board.now();
+        board.monitor.lost(proxy, now);
+    }
+
+    fn note_heard(&self, proxy: &str) {
+        let mut board = self.links.borrow_mut();
+        let now = board.now();
+        board.monitor.heard(proxy, now);
+    }
+
+    pub(crate) fn write_beat(&self, mut builder: beat::Builder<'_>) {
+        let newest = self.held.newest();
+        builder.set_version(newest.version());
+        builder.set_root_hash(root_mark(&newest.root.hash()));
+        builder.set_members(self.member_mark());
+        builder.set_is_ready(self.held.is_ready());
+    }
+
+    /// Notes what a peer's heartbeat says, and tells whether its records are the same.
+    pub(crate) fn take_beat(self: &Rc<Self>, proxy: &str, beat: beat::Reader<'_>) -> bool {
+        self.note_heard(proxy);
+        self.note_version(proxy, beat.get_version(), beat.get_root_hash());
+        beat.get_members() == self.member_mark()
+    }
+
+    fn member_mark(&self) -> u64 {
+        let digest = self.members.update(|table| table.digest().clone(), |_| false);
+        let fold = |mark: u64, bucket: &u64| mark.rotate_left(7).wrapping_add(*bucket);
+        digest.buckets().iter().fold(0, fold)
+    }
+
+    /// Merges news from a peer and passes on what was new.
+    pub(crate) fn merge_news(
+        &self,
+        records: Vec<MemberRecord>,
+        words: Vec<MemberSuspicion>,
+        from: &ProxyId,
+    ) {
+        for record in self.merge_records(records) {
+            self.links.borrow_mut().push(&MemberRumor::Record(record), Some(from));
+        }
+        for word in words {
+            let is_about_own = word.proxy == self.own_name;
+            if is_about_own {
+                self.members.update(|table| table.refute(&word), |is_refuted| *is_refuted);
+            }
+            let mut board = self.links.borrow_mut();
+            let now = board.now();
+            if board.monitor.note(word.clone(), now) {
+                board.push(&MemberRumor::Suspicion(word), Some(from));
+            }
+        }
+    }
+
+    /// Merges records and gives those that were new. The own record, raised to answer one, is
+    /// passed on by `pass_own_record`.
+    fn merge_records(&self, records: Vec<MemberRecord>) -> Vec<Arc<MemberRecord>> {
+        let own = &self.own_name;
+        let merge = |table: &mut sk_member::MemberTable| {
+            let mut newer = Vec::new();
+            let mut is_refuted = false;
+            for record in records {
+                let proxy = record.proxy.clone();
+                match table.merge(record) {
+                    MergeOutcome::Newer if proxy != *own => {
+                        newer.extend(table.records().get(&proxy).cloned());
+                    }
+                    MergeOutcome::Refuted => is_refuted = true,
+                    _ => (),
+                }
+            }
+            (newer, is_refuted)
+        };
+        self.members.update(merge, |(newer, is_refuted)| !newer.is_empty() || *is_refuted).0
+    }
+
+    /// Compares records with a peer over an open connection and evens them out both ways.
+    pub(crate) async fn reconcile(
+        self: &Rc<Self>,
+        proxy: &ProxyId,
+        peer: peer::Client,
+    ) -> Result<(), Error> {
+        let digest = self.members.update(|table| table.digest().clone(), |_| false);
+        let mut request = peer.reconcile_request();
+        let buckets = digest.buckets();
+        codec::write_buckets(buckets, request.get().init_buckets(buckets.len() as u32));
+        self.write_beat(request.get().init_beat());
+        self.stats.sent(CallKind::Reconcile, request.get().into_reader().total_size()?);
+        let response = request.send().promise.await?;
+        let response = response.get()?;
+        self.stats.received(CallKind::Reconcile, response.total_size()?);
+        let theirs = codec::read_buckets(response.get_buckets()?)?;
+        let theirs = sk_member::MemberDigest::from_buckets(theirs);
+        let received = codec::read_members(response.get_records()?)?;
+        let is_known: BTreeSet<_> =
+            received.iter().map(|record| (record.proxy.clone(), record.rank())).collect();
+        self.merge_news(received, Vec::new(), proxy);
+        self.take_beat(proxy, response.get_beat()?);
+        let differing = digest.differing(&theirs);
+        let mut lacking = self.members.update(|table| table.records_in(&differing), |_| false);
+        lacking.retain(|record| !is_known.contains(&(record.proxy.clone(), record.rank())));
+        if lacking.is_empty() {
+            return Ok(());
+        }
+        let rumors = lacking.into_iter().map(MemberRumor::Record).collect();
+        self.send_rumors(peer, rumors).await
+    }
+
+    async fn send_rumors(&self, peer: peer::Client, rumors: Vec<MemberRumor>) -> Result<(), Error> {
+        let mut records = Vec::new();
+        let mut words = Vec::new();
+        for rumor in &rumors {
+            match rumor {
+                MemberRumor::Record(record) => records.push(&**record),
+                MemberRumor::Suspicion(word) => words.push(word),
+            }
+        }
+        let mut request = peer.rumor_request();
+        let builder = request.get().init_records(records.len() as u32);
+        codec::write_members(records.into_iter(), builder);
+        codec::write_words(&words, request.get().init_suspicions(words.len() as u32));
+        self.stats.sent(CallKind::Rumor, request.get().into_reader().total_size()?);
+        request.send().promise.await.map(drop)
+    }
+}
+
+/// Plans the links again whenever members come or go.
+pub(crate) async fn keep_links(node: &Rc<SpreadNode>) {
+    let mut views = node.members.subscribe();
+    let mut planned = None;
+    loop {
+        let view = views.borrow_and_update().clone();
+        let mark = Some(presence_mark(&view));
+        if planned != mark {
+            planned = mark;
+            plan_links(node, &view);
+        }
+        if views.changed().await.is_err() {
+            return;
+        }
+        tokio::time::sleep(PLAN_PAUSE).await;
+    }
+}
+
+/// Tells apart views whose plans may differ.
+fn presence_mark(view: &MemberView) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    for record in view.values().filter(|record| record.is_present()) {
+        (&record.proxy, &record.data_centre, &record.region).hash(&mut hasher);
+    }
+    hasher.finish()
+}
+
+fn plan_links(node: &Rc<SpreadNode>, view: &MemberView) {
+    let plan = OverlayPlan::new(view);
+    let chosen: BTreeSet<ProxyId> = plan.chosen(&node.own_name).into_iter().collect();
+    let neighbours: BTreeSet<ProxyId> = plan.neighbours(&node.own_name).cloned().collect();
+    let mut board = node.links.borrow_mut();
+    let now = board.now();
+    board.monitor.set_neighbours(neighbours.iter().cloned(), now);
+    let is_kept = |proxy: &ProxyId, link: &LinkState| {
+        neighbours.contains(proxy) && link.is_chosen == chosen.contains(proxy)
+    };
+    let links = std::mem::take(&mut board.links);
+    for (proxy, link) in links {
+        if is_kept(&proxy, &link) {
+            board.links.insert(proxy, link);
+        } else {
+            board.rumors.remove_link(&proxy);
+            link.news.notify_one();
+        }
+    }
+    for proxy in neighbours {
+        if !board.links.contains_key(&proxy) {
+            board.rumors.add_link(proxy.clone());
+            let is_chosen = chosen.contains(&proxy);
+            let link = Rc::new(LinkState { news: Notify::new(), is_chosen });
+            board.links.insert(proxy.clone(), link.clone());
+            tokio::task::spawn_local(run_link(node.clone(), proxy, link));
+        }
+    }
+    node.stats.set_links(board.links.keys().cloned().collect());
+}
+
+async fn run_link(node: Rc<SpreadNode>, proxy: ProxyId, link: Rc<LinkState>) {
+    let is_current = || {
+        let board = node.links.borrow();
+        board.links.get(&proxy).is_some_and(|held| Rc::ptr_eq(held, &link))
+    };
+    // What was learnt before the link began is in nobody's queue for it.
+    let mut needs_repair = link.is_chosen;
+    let mut mismatches = 0;
+    let mut next_beat = Instant::now();
+    while is_current() {
+        if link.is_chosen && Instant::now() >= next_beat {
+            next_beat = Instant::now() + jittered(node.options.heartbeat);
+            match send_beat(&node, &proxy).await {
+                Ok(true) => mismatches = 0,
+                Ok(false) => mismatches += 1,
+                Err(err) => note_failed(&node, &proxy, &err),
+            }
+        }
+        send_pending(&node, &proxy).await;
+        needs_repair |= node.links.borrow_mut().rumors.take_repair(&proxy);
+        if needs_repair || mismatches >= MAX_MISMATCHES {
+            let call = async |peer| node.reconcile(&proxy, peer).await;
+            needs_repair = node.call(&proxy, CALL_TIMEOUT, call).await.is_err();
+            mismatches = 0;
+        }
+        // A link that the other side drives, and that has nothing to repair, waits for news only.
+        let is_idle = !link.is_chosen && !needs_repair;
+        let due = Instant::now() + node.options.heartbeat;
+        tokio::select! {
+            () = link.news.notified() => tokio::time::sleep(RUMOR_PAUSE).await,
+            () = tokio::time::sleep_until(next_beat), if link.is_chosen => (),
+            () = tokio::time::sleep_until(due), if !link.is_chosen && !is_idle => (),
+        }
+    }
+}
+
+/// Sends a heartbeat and tells whether the peer's records are the same.
+async fn send_beat(node: &Rc<SpreadNode>, proxy: &str) -> Result<bool, Error> {
+    let call = async |peer: peer::Client| {
+        let mut request = peer.beat_request();
+        node.write_beat(request.get().init_beat());
+        node.stats.sent(CallKind::Beat, request.get().into_reader().total_size()?);
+        let response = request.send().promise.await?;
+        let response = response.get()?;
+        node.stats.received(CallKind::Beat, response.total_size()?);
+        Ok(node.take_beat(proxy, response.get_beat()?))
+    };
+    node.call(proxy, CALL_TIMEOUT, call).await
+}
+
+/// A refused or reset connection says at once that the process ended; of a call that took too
+/// long, the monitor learns by the silence.
+fn note_failed(node: &SpreadNode, proxy: &str, err: &Error) {
+    log::debug!("spread: heartbeat to {proxy} failed: {err}.");
+    if err.kind == ErrorKind::Disconnected {
+        node.note_lost(proxy);
+    }
+}
+
+async fn send_pending(node: &Rc<SpreadNode>, proxy: &ProxyId) {
+    loop {
+        let rumors = node.links.borrow_mut().rumors.take(proxy, MAX_RUMORS);
+        if rumors.is_empty() {
+            return;
+        }
+        let call = async |peer| node.send_rumors(peer, rumors).await;
+        if let Err(err) = node.call(proxy, CALL_TIMEOUT, call).await {
+            log::debug!("spread: news to {proxy} failed: {err}.");
+            return node.links.borrow_mut().rumors.mark_failed(proxy);
+        }
+    }
+}
+
+/// Passes the own record on as soon as it changes.
+pub(crate) async fn pass_own_record(node: &Rc<SpreadNode>) {
+    let mut views = node.members.subscribe();
+    let mut known = node.members.own();
+    loop {
+        let own = node.members.own();
+        if !Arc::ptr_eq(&own, &known) {
+            known = own.clone();
+            node.links.borrow_mut().push(&MemberRumor::Record(own), None);
+        }
+        if views.changed().await.is_err() {
+            return;
+        }
+    }
+}
+
+/// Lets the monitor decide, and does what it asks.
+pub(crate) async fn watch_neighbours(node: &Rc<SpreadNode>) {
+    let mut last_expiry = Instant::now();
+    loop {
+        tokio::time::sleep(TICK_PAUSE).await;
+        let view = node.view();
+        let events = {
+            let mut board = node.links.borrow_mut();
+            let now = board.now();
+            board.monitor.tick(&view, now)
+        };
+        events.into_iter().for_each(|event| obey(node, event));
+        if last_expiry.elapsed() > EXPIRE_PAUSE {
+            last_expiry = Instant::now();
+            let now = node.links.borrow().now();
+            node.members.update(|table| table.expire(now), |dropped| *dropped > 0);
+            node.pool.sweep(node);
+        }
+    }
+}
+
+fn obey(node: &SpreadNode, event: MonitorEvent) {
+    match event {
+        MonitorEvent::Spread(word) => {
+            node.links.borrow_mut().push(&MemberRumor::Suspicion(word), None);
+        }
+        MonitorEvent::Gone { proxy, incarnation, sequence } => {
+            let declare = |table: &mut sk_member::MemberTable| {
+                let is_gone = table.declare_gone(&proxy, incarnation, sequence);
+                table.records().get(&proxy).filter(|_| is_gone).cloned()
+            };
+            if let Some(record) = node.members.update(declare, Option::is_some) {
+                log::info!("spread: {proxy} is gone.");
+                node.links.borrow_mut().push(&MemberRumor::Record(record), None);
+            }
+        }
+        MonitorEvent::Marked(marks) => node.members.set_marks(marks),
+        MonitorEvent::Paused(pause) => {
+            log::warn!("spread: this process was paused for {} ms.", pause.as_millis());
+            node.members.update(|table| table.withdraw_endpoints(), |is_changed| *is_changed);
+        }
+    }
+}
--- /dev/null
+++ b/components/spread/src/options.rs
@@ -0,0 +1,52 @@
+//! How the spread behaves.
+
+use std::{net::SocketAddr, time::Duration};
+
+/// What a daemon does with a new version.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum PassMode {
+    /// Sends the change along the tree: least convergence time.
+    #[default]
+    Push,
+    /// Sends the version's number and hash; peers fetch what they lack: fewest control bytes.
+    Announce,
+}
+
+/// How the spread behaves.
+#[derive(Clone, Debug)]
+pub struct SpreadOptions {
+    /// Secret shared by the fleet's daemons.
+    pub secret: String,
+    /// Control addresses tried for joining.
+    pub seeds: Vec<SocketAddr>,
+    /// Whether changes are pushed or announced.
+    pub mode: PassMode,
+    /// Daemons each daemon passes a version to.
+    pub fan_out: usize,
+    /// Mean time between comparisons with a random member.
+    pub repair_interval: Duration,
+    /// Daemons per data centre that watch the configuration source.
+    pub relays: usize,
+    /// Fetches that a daemon serves at once.
+    pub max_fetches: usize,
+    /// Time between heartbeats over a link.
+    pub heartbeat: Duration,
+    /// Time without a heartbeat until a neighbour is suspected.
+    pub suspect_after: Duration,
+}
+
+impl Default for SpreadOptions {
+    fn default() -> Self {
+        Self {
+            secret: String::new(),
+            seeds: Vec::new(),
+            mode: PassMode::Push,
+            fan_out: 6,
+            repair_interval: Duration::from_secs(2),
+            relays: 2,
+            max_fetches: 4,
+            heartbeat: Duration::from_millis(500),
+            suspect_after: Duration::from_secs(2),
+        }
+    }
+}
--- /dev/null
+++ b/components/spread/src/pass.rs
@@ -0,0 +1,186 @@
+//! Passing a version on along the tree of the data centre.
+
+use std::{rc::Rc, sync::Arc, time::Duration};
+
+use capnp::Error;
+use futures::future::{LocalBoxFuture, join_all};
+use sk_member::PushTree;
+use sk_model::{ConfigSnapshot, ProxyId};
+use tokio::sync::mpsc;
+
+use crate::{
+    codec,
+    node::{SpreadNode, root_mark},
+    options::PassMode,
+    state::CallKind,
+    update::{ConfigUpdate, make_update},
+};
+
+/// Time until a child that does not answer counts as failed and its children are served in its
+/// place. A sound one answers in milliseconds; the whole tree must fit into seconds although a
+/// daemon of each layer is paused.
+const PASS_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// How long the second relay leaves the tree to the first one, the third one twice as long. A tree
+/// of a data centre takes tens of milliseconds; after that only those are left whom a dead
+/// daemon cut off, and to all others an announcement is a few bytes in vain.
+const BACKUP_DELAY: Duration = Duration::from_millis(300);
+
+/// How a daemon came by a version.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum VersionOrigin {
+    /// It watches the configuration source and saw it there.
+    Source,
+    /// It was pushed along the tree of `root`.
+    Pushed {
+        /// The daemon at which the tree begins.
+        root: ProxyId,
+    },
+    /// It was announced along the tree of `root`, and fetched.
+    Announced {
+        /// The daemon at which the tree begins.
+        root: ProxyId,
+    },
+    /// It was found by comparison with a peer, or at the start.
+    Found,
+}
+
+/// What is sent to the children in the tree.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PassStyle {
+    /// The change itself.
+    Push,
+    /// The version's number and hash only.
+    Announce,
+}
+
+/// How a new version is passed on.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct PassPlan {
+    /// What is sent.
+    pub style: PassStyle,
+    /// The daemon at which the tree begins.
+    pub root: ProxyId,
+    /// Pause before.
+    pub delay: Duration,
+}
+
+/// Decides how `own` passes a new version on; `rank` is its place among the relays.
+///
+/// Made for a change that all relays of a data centre of 87 daemons see in the same millisecond.
+/// If each pushed it, every daemon would receive the change once per relay; so the first relay
+/// pushes, and the others announce a little later, which costs little and reaches whom a
+/// first relay that died in mid-push has missed. A version found by comparison is usually missing
+/// here alone: pushing it would send the whole data centre what it holds already.
+pub fn plan_pass(
+    origin: &VersionOrigin,
+    own: &ProxyId,
+    rank: Option<usize>,
+    mode: PassMode,
+) -> PassPlan {
+    let at_once = |style: PassStyle, root: &ProxyId| PassPlan {
+        style,
+        root: root.clone(),
+        delay: Duration::ZERO,
+    };
+    match origin {
+        VersionOrigin::Source if rank.unwrap_or_default() > 0 => PassPlan {
+            delay: BACKUP_DELAY * rank.unwrap_or_default() as u32,
+            ..at_once(PassStyle::Announce, own)
+        },
+        VersionOrigin::Source if mode == PassMode::Push => at_once(PassStyle::Push, own),
+        VersionOrigin::Pushed { root } => at_once(PassStyle::Push, root),
+        VersionOrigin::Announced { root } => at_once(PassStyle::Announce, root),
+        VersionOrigin::Source | VersionOrigin::Found => at_once(PassStyle::Announce, own),
+    }
+}
+
+/// A version that is to be passed on.
+pub(crate) struct PassOrder {
+    pub(crate) base: Arc<ConfigSnapshot>,
+    pub(crate) newest: Arc<ConfigSnapshot>,
+    pub(crate) origin: VersionOrigin,
+}
+
+/// What all calls of one pass share.
+struct PassRun {
+    node: Rc<SpreadNode>,
+    tree: PushTree,
+    plan: PassPlan,
+    update: ConfigUpdate,
+}
+
+/// Passes versions on, each in a task of its own: a paused child must not hold up the next one.
+pub(crate) async fn pass_versions(
+    node: &Rc<SpreadNode>,
+    mut orders: mpsc::UnboundedReceiver<PassOrder>,
+) {
+    while let Some(order) = orders.recv().await {
+        tokio::task::spawn_local(pass_version(node.clone(), order));
+    }
+}
+
+async fn pass_version(node: Rc<SpreadNode>, order: PassOrder) {
+    let rank = node.relays.borrow().rank;
+    let plan = plan_pass(&order.origin, &node.own_name, rank, node.options.mode);
+    tokio::time::sleep(plan.delay).await;
+    // The version passed meanwhile carries this one.
+    if node.held.newest().version() > order.newest.version() && !plan.delay.is_zero() {
+        return;
+    }
+    let view = node.view();
+    let data_centre = &node.members.own().data_centre;
+    let tree = PushTree::new(&view, data_centre, &plan.root, node.options.fan_out);
+    let update = match plan.style {
+        PassStyle::Push => make_update(&order.base, &order.newest),
+        PassStyle::Announce => make_update(&order.newest, &order.newest),
+    };
+    let children = tree.children(&node.own_name);
+    let run = PassRun { node, tree, plan, update };
+    join_all(children.into_iter().map(|child| run.serve(child))).await;
+}
+
+impl PassRun {
+    /// Serves a child, and in its place its children where it fails. Without that, a daemon that
+    /// dies in mid-push leaves its whole subtree to the slower repair.
+    fn serve(&self, child: ProxyId) -> LocalBoxFuture<'_, ()> {
+        Box::pin(async move {
+            let result = match self.plan.style {
+                PassStyle::Push => self.push(&child).await,
+                PassStyle::Announce => self.announce(&child).await,
+            };
+            if let Err(err) = result {
+                log::debug!(
+                    "spread: cannot pass version {} to {child}: {err}.",
+                    self.update.version
+                );
+                let adopted = self.tree.children(&child);
+                join_all(adopted.into_iter().map(|child| self.serve(child))).await;
+            }
+        })
+    }
+
+    async fn push(&self, child: &str) -> Result<(), Error> {
+        let node = &self.node;
+        let call = async |peer: crate::peer_capnp::peer::Client| {
+            let mut request = peer.push_request();
+            request.get().set_root(&self.plan.root);
+            codec::write_update(&self.update, request.get().init_update())?;
+            node.stats.sent(CallKind::Push, request.get().into_reader().total_size()?);
+            request.send().promise.await.map(drop)
+        };
+        node.call(child, PASS_TIMEOUT, call).await
+    }
+
+    async fn announce(&self, child: &str) -> Result<(), Error> {
+        let node = &self.node;
+        let call = async |peer: crate::peer_capnp::peer::Client| {
+            let mut request = peer.announce_request();
+            request.get().set_version(self.update.version);
+            request.get().set_root_hash(root_mark(&self.update.root_hash));
+            request.get().set_root(&self.plan.root);
+            node.stats.sent(CallKind::Announce, request.get().into_reader().total_size()?);
+            request.send().promise.await.map(drop)
+        };
+        node.call(child, PASS_TIMEOUT, call).await
+    }
+}
--- /dev/null
+++ b/components/spread/src/pool.rs
@@ -0,0 +1,64 @@
+//! The open connections, by peer.
+
+use std::{cell::RefCell, collections::BTreeMap, rc::Rc, time::Duration};
+
+use sk_model::ProxyId;
+
+use crate::{node::SpreadNode, session::PeerSession};
+
+/// Time without a call after which a connection that is no link is closed. Longer than the pause
+/// between changes made in one go, so that a tree's connections serve all of them; short enough
+/// that comparisons with random members do not pile up connections to the whole fleet.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(15);
+/// Connections kept at most; beyond it the longest unused one is closed. Links, tree and acks of a
+/// daemon take about 20; a relay's data centre about 90; a seed in a herd restart hundreds.
+const MAX_SESSIONS: usize = 256;
+
+/// Connections kept open to peers, whichever side opened them.
+#[derive(Default)]
+pub(crate) struct PeerPool {
+    sessions: RefCell<Vec<Rc<PeerSession>>>,
+    by_proxy: RefCell<BTreeMap<ProxyId, Rc<PeerSession>>>,
+}
+
+impl PeerPool {
+    /// Gives the open connection to a peer.
+    pub(crate) fn get(&self, proxy: &str) -> Option<Rc<PeerSession>> {
+        let found = self.by_proxy.borrow().get(proxy).cloned();
+        found.filter(|session| !session.is_closed())
+    }
+
+    pub(crate) fn add(&self, session: Rc<PeerSession>) {
+        self.by_proxy.borrow_mut().insert(session.proxy.clone(), session.clone());
+        let mut sessions = self.sessions.borrow_mut();
+        sessions.push(session);
+        if sessions.len() > MAX_SESSIONS
+            && let Some(oldest) = sessions.iter().max_by_key(|session| session.idle())
+        {
+            oldest.close();
+        }
+    }
+
+    /// Closes connections that are unused, forgets those that ended and reports lost peers.
+    pub(crate) fn sweep(&self, node: &SpreadNode) {
+        let links = node.link_names();
+        let mut sessions = self.sessions.borrow_mut();
+        for session in sessions.iter() {
+            let is_unused = session.idle() > IDLE_TIMEOUT && !links.contains(&session.proxy);
+            if is_unused && !session.is_closed() {
+                session.close();
+            }
+        }
+        sessions.retain(|session| !session.is_closed());
+        node.stats.set_sessions(sessions.len());
+        drop(sessions);
+        let mut lost = Vec::new();
+        self.by_proxy.borrow_mut().retain(|proxy, session| {
+            if session.is_lost() {
+                lost.push(proxy.clone());
+            }
+            !session.is_closed()
+        });
+        lost.iter().for_each(|proxy| node.note_lost(proxy));
+    }
+}
--- /dev/null
+++ b/components/spread/src/relays.rs
@@ -0,0 +1,59 @@
+//! Which daemons of the data centre watch the configuration source.
+
+use std::{rc::Rc, time::Duration};
+
+use sk_member::{Incarnation, choose_relays};
+use sk_model::ProxyId;
+
+use crate::node::SpreadNode;
+
+/// Pause before the relays are chosen again after members changed: a herd restart changes them
+/// hundreds of times a second, and each choice weighs the whole data centre.
+const CHOICE_PAUSE: Duration = Duration::from_millis(100);
+
+/// One chosen daemon. Its process is part of it: a relay that restarts under its old name has lost
+/// the acknowledgements that it had not kept yet, and must be told again.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct RelayId {
+    pub(crate) proxy: ProxyId,
+    pub(crate) incarnation: Incarnation,
+}
+
+/// The relays of this daemon's data centre, first choice first.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub(crate) struct RelayView {
+    pub(crate) relays: Vec<RelayId>,
+    /// Place of this daemon among them.
+    pub(crate) rank: Option<usize>,
+}
+
+pub(crate) fn view_relays(node: &SpreadNode) -> RelayView {
+    let view = node.view();
+    let own = node.members.own();
+    let records = view.values().map(|record| &**record);
+    let chosen = choose_relays(records, &own.data_centre, node.options.relays);
+    let rank = chosen.iter().position(|relay| *relay == own.proxy);
+    let name = |proxy: ProxyId| {
+        let incarnation = view.get(&proxy).map_or(0, |record| record.incarnation);
+        RelayId { proxy, incarnation }
+    };
+    RelayView { relays: chosen.into_iter().map(name).collect(), rank }
+}
+
+/// Chooses the relays again whenever members change.
+pub(crate) async fn keep_relays(node: &Rc<SpreadNode>) {
+    let mut views = node.members.subscribe();
+    loop {
+        let relays = view_relays(node);
+        node.stats.set_relays(relays.clone());
+        node.relays.send_if_modified(|held| {
+            let is_changed = *held != relays;
+            *held = relays;
+            is_changed
+        });
+        if views.changed().await.is_err() {
+            return;
+        }
+        tokio::time::sleep(CHOICE_PAUSE).await;
+    }
+}
--- a/components/spread/src/server.rs
+++ b/components/spread/src/server.rs
@@ -1,87 +1,111 @@
 //! What a daemon answers to its peers.
 
-use std::{cell::RefCell, rc::Rc, sync::Arc};
+use std::{
+    cell::{OnceCell, RefCell},
+    rc::{Rc, Weak},
+    time::Duration,
+};
 
 use capnp::Error;
-use sk_member::MergeOutcome;
+use sk_member::MemberDigest;
+use sk_model::ConfigSnapshot;
+use tokio::sync::OwnedSemaphorePermit;
 
 use crate::{
-    auth::{Nonce, ProofSide, is_proof, make_nonce, make_proof},
+    backoff::jittered,
     codec,
-    driver::SpreadShared,
-    held::OfferOutcome,
-    peer_capnp::{gate, peer},
-    update::{apply_update, make_update},
+    fetch::FetchWant,
+    node::{ConfirmOutcome, SpreadNode, root_mark},
+    pass::VersionOrigin,
+    peer_capnp::{fetch_answer, fetch_request, peer, ticket},
+    session::PeerSession,
+    state::CallKind,
+    update::{ConfigUpdate, apply_update, make_tree_update, make_update},
 };
 
-/// The capability that anyone who connects gets: it gives the peer interface against a proof.
-pub(crate) struct GateServer {
-    shared: Arc<SpreadShared>,
-    // Used once: a proof for it cannot be replayed in the same session either.
-    nonce: RefCell<Option<Nonce>>,
+/// Longest time a fetch holds its place. A receiver that is paused in mid-read would otherwise
+/// keep it, and a few of them would keep all.
+const PLACE_TIMEOUT: Duration = Duration::from_secs(3);
+/// Mean pause that a refused fetch is told to wait.
+const BUSY_PAUSE: Duration = Duration::from_millis(100);
+
+/// Answers one proven peer.
+pub(crate) struct PeerServer {
+    node: Weak<SpreadNode>,
+    session: OnceCell<Rc<PeerSession>>,
 }
 
-impl GateServer {
-    pub(crate) fn new(shared: Arc<SpreadShared>) -> Self {
-        Self { shared, nonce: RefCell::default() }
+impl PeerServer {
+    pub(crate) fn new(node: &Rc<SpreadNode>) -> Self {
+        Self { node: Rc::downgrade(node), session: OnceCell::new() }
+    }
+
+    /// Opens the server to its peer, once that has proved the secret.
+    pub(crate) fn open(&self, session: &Rc<PeerSession>) {
+        // Set twice only where one session were opened twice, which changes nothing.
+        let _ = self.session.set(session.clone());
+    }
+
+    /// Gives the node and the session. Until the peer is proven every call fails: the side that
+    /// opened a connection hands this server out before it knows who is at the other end.
+    fn enter(&self) -> Result<(Rc<SpreadNode>, &Rc<PeerSession>), Error> {
+        let session = self.session.get();
+        let session = session.ok_or_else(|| Error::failed("peer is not proven".to_owned()))?;
+        let node = self.node.upgrade();
+        let node = node.ok_or_else(|| Error::disconnected("daemon stops".to_owned()))?;
+        session.touch();
+        Ok((node, session))
     }
 }
 
-impl gate::Server for GateServer {
-    async fn challenge(
+impl peer::Server for PeerServer {
+    async fn beat(
         self: Rc<Self>,
-        _: gate::ChallengeParams,
-        mut results: gate::ChallengeResults,
+        params: peer::BeatParams,
+        mut results: peer::BeatResults,
     ) -> Result<(), Error> {
-        let nonce = make_nonce();
-        self.nonce.replace(Some(nonce));
-        results.get().set_nonce(&nonce);
+        let (node, session) = self.enter()?;
+        node.take_beat(&session.proxy, params.get()?.get_beat()?);
+        node.write_beat(results.get().init_beat());
         Ok(())
     }
 
-    async fn enter(
+    async fn rumor(
         self: Rc<Self>,
-        params: gate::EnterParams,
-        mut results: gate::EnterResults,
+        params: peer::RumorParams,
+        _: peer::RumorResults,
     ) -> Result<(), Error> {
+        let (node, session) = self.enter()?;
         let params = params.get()?;
-        let secret = self.shared.options.secret.as_bytes();
-        let callee = self.nonce.take().ok_or_else(|| Error::failed("no challenge".to_owned()))?;
-        let caller = params.get_nonce()?;
-        if !is_proof(secret, ProofSide::Caller, caller, &callee, params.get_proof()?) {
-            log::warn!("spread: refused a peer without the secret.");
-            return Err(Error::failed("proof does not match".to_owned()));
-        }
-        let mut results = results.get();
-        results.set_proof(&make_proof(secret, ProofSide::Callee, caller, &callee));
-        results.set_peer(capnp_rpc::new_client(PeerServer { shared: self.shared.clone() }));
+        node.stats.received(CallKind::Rumor, params.total_size()?);
+        let records = codec::read_members(params.get_records()?)?;
+        let words = codec::read_words(params.get_suspicions()?)?;
+        node.merge_news(records, words, &session.proxy);
         Ok(())
     }
-}
 
-struct PeerServer {
-    shared: Arc<SpreadShared>,
-}
-
-impl peer::Server for PeerServer {
-    async fn exchange(
+    async fn reconcile(
         self: Rc<Self>,
-        params: peer::ExchangeParams,
-        mut results: peer::ExchangeResults,
+        params: peer::ReconcileParams,
+        mut results: peer::ReconcileResults,
     ) -> Result<(), Error> {
+        let (node, session) = self.enter()?;
         let params = params.get()?;
-        self.shared.merge_records(codec::read_members(params.get_records()?)?);
-        let digest = params.get_digest()?;
-        if digest.get_version() > self.shared.held.current().version() {
-            self.shared.want_fetch(digest.get_proxy()?.to_string()?);
-        }
-        let view = self.shared.members.view();
+        node.stats.received(CallKind::Reconcile, params.total_size()?);
+        let theirs = MemberDigest::from_buckets(codec::read_buckets(params.get_buckets()?)?);
+        node.take_beat(&session.proxy, params.get_beat()?);
+        let compare = |table: &mut sk_member::MemberTable| {
+            let digest = table.digest().clone();
+            let records = table.records_in(&digest.differing(&theirs));
+            (digest, records)
+        };
+        let (digest, records) = node.members.update(compare, |_| false);
         let mut results = results.get();
-        self.shared.write_digest(results.reborrow().init_digest());
-        let mut records = results.init_records(view.len() as u32);
-        for (index, record) in view.values().enumerate() {
-            codec::write_member(record, records.reborrow().get(index as u32));
-        }
+        let buckets = digest.buckets();
+        codec::write_buckets(buckets, results.reborrow().init_buckets(buckets.len() as u32));
+        let builder = results.reborrow().init_records(records.len() as u32);
+        codec::write_members(records.iter().map(|record| &**record), builder);
+        node.write_beat(results.init_beat());
         Ok(())
     }
 
@@ -90,23 +114,32 @@
         params: peer::PushParams,
         mut results: peer::PushResults,
     ) -> Result<(), Error> {
+        let (node, session) = self.enter()?;
         let params = params.get()?;
+        node.stats.received(CallKind::Push, params.total_size()?);
         let update = codec::read_update(params.get_update()?)?;
-        let source = params.get_sender()?.to_string()?;
-        let held = &self.shared.held;
-        let base = held.base(update.base).unwrap_or_default();
-        if update.version > held.current().version() {
-            match apply_update(&base, update) {
-                Ok(snapshot) => self.shared.offer(snapshot, &source),
-                // The base is not held here: the whole is fetched from the sender instead.
-                Err(err) => {
-                    log::debug!("spread: cannot apply a push from {source}: {err}.");
-                    self.shared.want_fetch(source);
-                    OfferOutcome::NotNewer
-                }
-            };
-        }
-        results.get().set_held(held.current().version());
+        let root = codec::read_text(params.get_root()?)?;
+        take_push(&node, update, VersionOrigin::Pushed { root }, &session.proxy);
+        results.get().set_held(node.held.newest().version());
+        Ok(())
+    }
+
+    async fn announce(
+        self: Rc<Self>,
+        params: peer::AnnounceParams,
+        mut results: peer::AnnounceResults,
+    ) -> Result<(), Error> {
+        let (node, session) = self.enter()?;
+        let params = params.get()?;
+        node.stats.received(CallKind::Announce, params.total_size()?);
+        let root = codec::read_text(params.get_root()?)?;
+        node.want(FetchWant {
+            version: params.get_version(),
+            mark: params.get_root_hash(),
+            from: session.proxy.clone(),
+            origin: VersionOrigin::Announced { root },
+        });
+        results.get().set_held(node.held.newest().version());
         Ok(())
     }
 
@@ -115,12 +148,15 @@
         params: peer::FetchParams,
         mut results: peer::FetchResults,
     ) -> Result<(), Error> {
-        let params = params.get()?;
-        let base = self.shared.held.base(params.get_held());
-        let hash = params.get_held_hash()?.to_str()?;
-        let base = base.filter(|base| base.root.hash() == hash).unwrap_or_default();
-        let update = make_update(&base, &self.shared.held.current());
-        codec::write_update(&update, results.get().init_update())
+        let (node, _) = self.enter()?;
+        let request = params.get()?.get_request()?;
+        let is_relay = node.relays.borrow().rank.is_some();
+        let is_fresh =
+            request.get_confirm() && is_relay && node.confirm().await == ConfirmOutcome::Held;
+        let mut answer = results.get().init_answer();
+        answer.set_is_fresh(is_fresh);
+        answer.set_is_ready(node.held.is_ready());
+        answer_fetch(&node, request, answer)
     }
 
     async fn acknowledge(
@@ -128,22 +164,90 @@
         params: peer::AcknowledgeParams,
         _: peer::AcknowledgeResults,
     ) -> Result<(), Error> {
-        let acks: Result<_, _> = params.get()?.get_acks()?.iter().map(codec::read_ack).collect();
-        self.shared.acks.note(acks?);
+        let (node, _) = self.enter()?;
+        let params = params.get()?;
+        node.stats.received(CallKind::Ack, params.total_size()?);
+        node.ack_batch.add(codec::read_acks(params.get_acks()?)?);
         Ok(())
     }
 }
 
-impl SpreadShared {
-    pub(crate) fn merge_records(&self, records: Vec<sk_member::MemberRecord>) {
-        let merge = |table: &mut sk_member::MemberTable| {
-            let outcomes = records.into_iter().map(|record| table.merge(record));
-            outcomes.filter(|outcome| is_change(*outcome)).count()
-        };
-        self.members.update(merge, |changed| *changed > 0);
+fn take_push(node: &Rc<SpreadNode>, update: ConfigUpdate, origin: VersionOrigin, from: &str) {
+    let (version, mark) = (update.version, root_mark(&update.root_hash));
+    let newest = node.held.newest();
+    if version <= newest.version() || node.held.is_refused(version, mark) {
+        return;
+    }
+    match apply_update(&newest, update) {
+        Ok(snapshot) => drop(node.offer(snapshot, from, origin)),
+        // The base is not held here, usually after a pause: the difference is fetched instead.
+        Err(err) => {
+            log::debug!("spread: cannot apply a push from {from}: {err}.");
+            node.want(FetchWant { version, mark, from: from.to_owned(), origin });
+        }
     }
 }
 
-fn is_change(outcome: MergeOutcome) -> bool {
-    matches!(outcome, MergeOutcome::Newer | MergeOutcome::Refuted)
+fn answer_fetch(
+    node: &Rc<SpreadNode>,
+    request: fetch_request::Reader<'_>,
+    mut answer: fetch_answer::Builder<'_>,
+) -> Result<(), Error> {
+    let newest = node.held.newest();
+    if request.get_held() >= newest.version() {
+        answer.set_same(());
+        return Ok(());
+    }
+    let Some(update) = make_answer(node, request, &newest)? else {
+        answer.set_need_trees(());
+        return Ok(());
+    };
+    let Ok(place) = node.places.clone().try_acquire_owned() else {
+        node.stats.count_refused();
+        answer.set_busy_millis(jittered(BUSY_PAUSE).as_millis() as u32);
+        return Ok(());
+    };
+    node.stats.count_served();
+    answer.set_ticket(capnp_rpc::new_client(TicketServer::new(place)));
+    codec::write_update(&update, answer.reborrow().init_update())?;
+    node.stats.sent(CallKind::Fetch, answer.into_reader().total_size()?);
+    Ok(())
+}
+
+/// Makes the smallest update that the receiver can apply: a delta where its base is kept here,
+/// else the subtrees that it lacks. None where it has to name those it holds first.
+fn make_answer(
+    node: &SpreadNode,
+    request: fetch_request::Reader<'_>,
+    newest: &ConfigSnapshot,
+) -> Result<Option<ConfigUpdate>, Error> {
+    let hash = request.get_held_hash()?.to_str()?;
+    let base = node.held.base(request.get_held()).filter(|base| base.root.hash() == hash);
+    Ok(match base {
+        Some(base) => Some(make_update(&base, newest)),
+        None if request.get_held() == 0 => Some(make_update(&ConfigSnapshot::default(), newest)),
+        None if request.get_trees()?.is_empty() => None,
+        None => Some(make_tree_update(&codec::read_hashes(request)?, newest)),
+    })
+}
+
+/// Holds the place of a fetch until the receiver has read the answer and drops it.
+struct TicketServer {
+    _place: Rc<RefCell<Option<OwnedSemaphorePermit>>>,
 }
+
+impl TicketServer {
+    fn new(place: OwnedSemaphorePermit) -> Self {
+        let place = Rc::new(RefCell::new(Some(place)));
+        let held = Rc::downgrade(&place);
+        tokio::task::spawn_local(async move {
+            tokio::time::sleep(PLACE_TIMEOUT).await;
+            if let Some(place) = held.upgrade() {
+                place.take();
+            }
+        });
+        Self { _place: place }
+    }
+}
+
+impl ticket::Server for TicketServer {}
--- /dev/null
+++ b/components/spread/src/session.rs
@@ -0,0 +1,225 @@
+//! Connections to peers, each proved from both sides and used in both directions.
+
+use std::{
+    cell::{Cell, RefCell},
+    net::SocketAddr,
+    rc::Rc,
+    sync::Arc,
+    time::Duration,
+};
+
+use capnp::{Error, message::ReaderOptions};
+use capnp_rpc::{RpcSystem, rpc_twoparty_capnp::Side, twoparty::VatNetwork};
+use sk_model::ProxyId;
+use tokio::{net::TcpStream, sync::Notify, time::Instant};
+use tokio_util::compat::{TokioAsyncReadCompatExt, TokioAsyncWriteCompatExt};
+
+use crate::{
+    auth::{ProofSide, is_proof, make_nonce, make_proof},
+    codec,
+    counted::{ByteAllowance, CountedStream},
+    gate::GateServer,
+    node::SpreadNode,
+    peer_capnp::{gate, peer},
+    server::PeerServer,
+};
+
+/// Time until a peer that does not accept counts as unreachable.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+/// Time a connection may take to prove the secret. A proof takes two round trips; a stranger that
+/// connects and says nothing would otherwise hold a file descriptor for ever.
+const PROOF_TIMEOUT: Duration = Duration::from_secs(3);
+/// Connections at once that have proved nothing yet. A herd restart brings a seed hundreds in a
+/// second, each for a few milliseconds; refused ones come back after a jittered pause.
+const MAX_UNPROVEN: usize = 128;
+/// Time that an orderly end of a connection may take before it is dropped.
+const CLOSE_TIMEOUT: Duration = Duration::from_millis(500);
+/// Largest message from a peer in words of 8 bytes: 8 MB, the whole configuration of a fleet with
+/// several subtrees at the platform's bound of a megabyte. A larger one ends its connection.
+const MAX_MESSAGE_WORDS: usize = 1 << 20;
+/// Deepest nesting of a message; the schema needs five.
+const MAX_NESTING: i32 = 16;
+
+/// An open connection to a proven peer.
+pub(crate) struct PeerSession {
+    pub(crate) proxy: ProxyId,
+    pub(crate) client: peer::Client,
+    used: Cell<Instant>,
+    link: SessionLink,
+}
+
+/// What ends a connection.
+pub(crate) type SessionLink = Rc<SessionSignal>;
+
+/// Carries the wish to close to the task that runs the connection, and back that it has ended.
+#[derive(Default)]
+pub(crate) struct SessionSignal {
+    close: Notify,
+    is_closed: Cell<bool>,
+    is_lost: Cell<bool>,
+}
+
+impl SessionSignal {
+    pub(crate) fn close(&self) {
+        self.is_closed.set(true);
+        self.close.notify_one();
+    }
+}
+
+impl PeerSession {
+    pub(crate) fn new(proxy: ProxyId, client: peer::Client, link: SessionLink) -> Rc<Self> {
+        Rc::new(Self { proxy, client, used: Cell::new(Instant::now()), link })
+    }
+
+    pub(crate) fn touch(&self) {
+        self.used.set(Instant::now());
+    }
+
+    pub(crate) fn idle(&self) -> Duration {
+        self.used.get().elapsed()
+    }
+
+    pub(crate) fn is_closed(&self) -> bool {
+        self.link.is_closed.get()
+    }
+
+    /// Tells whether the connection ended without this side's wish.
+    pub(crate) fn is_lost(&self) -> bool {
+        self.link.is_lost.get()
+    }
+
+    pub(crate) fn close(&self) {
+        self.link.close();
+    }
+}
+
+/// Connects to a peer, proves the secret both ways and gives the session.
+pub(crate) async fn open_session(
+    node: &Rc<SpreadNode>,
+    address: SocketAddr,
+) -> Result<Rc<PeerSession>, Error> {
+    let connect = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
+    let stream = connect.map_err(|_| Error::overloaded("connect timed out".to_owned()))??;
+    let (gate, link, allowance) = run_session::<gate::Client>(node, stream, Side::Client, None)?;
+    let proved = tokio::time::timeout(PROOF_TIMEOUT, prove(node, gate, &link)).await;
+    let session = match proved {
+        Ok(Ok(session)) => session,
+        Ok(Err(err)) => {
+            link.close();
+            return Err(err);
+        }
+        Err(_) => {
+            link.close();
+            return Err(Error::overloaded("proof timed out".to_owned()));
+        }
+    };
+    allowance.lift();
+    node.pool.add(session.clone());
+    Ok(session)
+}
+
+async fn prove(
+    node: &Rc<SpreadNode>,
+    gate: gate::Client,
+    link: &SessionLink,
+) -> Result<Rc<PeerSession>, Error> {
+    let secret = node.options.secret.as_bytes();
+    let challenge = gate.challenge_request().send().promise.await?;
+    let callee = challenge.get()?.get_nonce()?;
+    let caller = make_nonce();
+    let back = Rc::new(PeerServer::new(node));
+    let mut request = gate.enter_request();
+    let mut params = request.get();
+    params.set_nonce(&caller);
+    params.set_proof(&make_proof(secret, ProofSide::Caller, &caller, callee));
+    params.set_proxy(&node.own_name);
+    params.set_peer(capnp_rpc::new_client_from_rc(back.clone()));
+    let response = request.send().promise.await?;
+    let response = response.get()?;
+    // Without this check, whoever took over a peer's address could feed configuration to us.
+    if !is_proof(secret, ProofSide::Callee, &caller, callee, response.get_proof()?) {
+        return Err(Error::failed("peer does not know the secret".to_owned()));
+    }
+    let proxy = codec::read_text(response.get_proxy()?)?;
+    let session = PeerSession::new(proxy, response.get_peer()?, link.clone());
+    back.open(&session);
+    Ok(session)
+}
+
+/// Serves one connection that a peer opened.
+pub(crate) fn serve_session(node: &Rc<SpreadNode>, stream: TcpStream) {
+    if node.unproven.get() >= MAX_UNPROVEN {
+        log::warn!("spread: refused a connection, {MAX_UNPROVEN} have proved nothing yet.");
+        return;
+    }
+    let server = Rc::new(GateServer::new(node));
+    let gate: gate::Client = capnp_rpc::new_client_from_rc(server.clone());
+    let (_, link, allowance) =
+        match run_session::<gate::Client>(node, stream, Side::Server, Some(gate)) {
+            Ok(parts) => parts,
+            Err(err) => return log::debug!("spread: a session could not start: {err}."),
+        };
+    let proven = server.attach(link.clone(), allowance);
+    node.unproven.set(node.unproven.get() + 1);
+    let node = node.clone();
+    tokio::task::spawn_local(async move {
+        let is_proven = tokio::time::timeout(PROOF_TIMEOUT, proven).await;
+        node.unproven.set(node.unproven.get() - 1);
+        if !matches!(is_proven, Ok(Ok(()))) {
+            link.close();
+        }
+    });
+}
+
+type SessionParts<T> = (T, SessionLink, Arc<ByteAllowance>);
+
+fn run_session<T: capnp::capability::FromClientHook>(
+    node: &Rc<SpreadNode>,
+    stream: TcpStream,
+    side: Side,
+    gate: Option<gate::Client>,
+) -> Result<SessionParts<T>, Error> {
+    stream.set_nodelay(true)?;
+    let allowance = ByteAllowance::unproven(side);
+    let stream = CountedStream::new(stream, node.meter.clone(), allowance.clone());
+    let (reader, writer) = tokio::io::split(stream);
+    let options = ReaderOptions {
+        traversal_limit_in_words: Some(MAX_MESSAGE_WORDS),
+        nesting_limit: MAX_NESTING,
+    };
+    let network = VatNetwork::new(reader.compat(), writer.compat_write(), side, options);
+    let mut system = RpcSystem::new(Box::new(network), gate.map(|gate| gate.client));
+    let bootstrap = system.bootstrap(match side {
+        Side::Client => Side::Server,
+        Side::Server => Side::Client,
+    });
+    let link = SessionLink::default();
+    tokio::task::spawn_local(end_session(node.clone(), system, link.clone()));
+    Ok((bootstrap, link, allowance))
+}
+
+/// Runs a connection until it ends or is to be closed.
+async fn end_session(node: Rc<SpreadNode>, mut system: RpcSystem<Side>, link: SessionLink) {
+    let disconnector = RefCell::new(Some(system.get_disconnector()));
+    let result = tokio::select! {
+        result = &mut system => {
+            link.is_lost.set(true);
+            result
+        }
+        () = link.close.notified() => {
+            let closing = async {
+                if let Some(disconnector) = disconnector.take() {
+                    // The connection ends either way; a fault of its end changes nothing.
+                    let _ = disconnector.await;
+                }
+            };
+            let both = async { tokio::join!(&mut system, closing).0 };
+            tokio::time::timeout(CLOSE_TIMEOUT, both).await.unwrap_or(Ok(()))
+        }
+    };
+    if let Err(err) = result {
+        log::debug!("spread: a session ended: {err}.");
+    }
+    link.is_closed.set(true);
+    node.pool.sweep(&node);
+}
--- a/components/spread/src/source.rs
+++ b/components/spread/src/source.rs
@@ -1,12 +1,15 @@
 //! What the spread needs of the rest of the daemon.
 
-use std::time::Duration;
+use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
 
 use async_trait::async_trait;
-use sk_model::{ConfigSnapshot, ProxyAck};
+use sk_model::{ConfigSnapshot, DataCentre, ProxyAck};
 use thiserror::Error;
 
-/// The configuration source gave nothing.
+/// Control addresses by data centre, as kept in the platform.
+pub type ContactMap = BTreeMap<DataCentre, Vec<SocketAddr>>;
+
+/// The configuration source or the contact book gave nothing.
 #[derive(Clone, Debug, PartialEq, Eq, Error)]
 #[error("configuration source: {reason}")]
 pub struct SourceError {
@@ -36,6 +39,30 @@
     ) -> Result<Option<ConfigSnapshot>, SourceError>;
 }
 
+/// Where daemons leave addresses for those that start with no other way to find the fleet.
+#[async_trait]
+pub trait ContactBook: Send + Sync {
+    /// Reads the addresses of all data centres.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`SourceError`] when the platform is away.
+    async fn read(&self) -> Result<ContactMap, SourceError>;
+
+    /// Replaces the addresses of one data centre. Must fail where another daemon has written
+    /// since `seen` was read: the loser then reads that one's addresses and meets it.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`SourceError`] when the platform is away or another daemon wrote in between.
+    async fn write(
+        &self,
+        data_centre: &str,
+        seen: Option<&[SocketAddr]>,
+        addresses: &[SocketAddr],
+    ) -> Result<(), SourceError>;
+}
+
 /// Takes proxies' acknowledgements at a relay.
 pub trait AckSink: Send + Sync {
     /// Notes acknowledgements; noting one twice changes nothing.
--- a/components/spread/src/update.rs
+++ b/components/spread/src/update.rs
@@ -1,13 +1,18 @@
 //! A version as what changed since a base.
 
-use std::{collections::BTreeMap, sync::Arc};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+};
 
 use sk_model::{
-    ChangeRecord, ConfigSnapshot, ContentHash, SettingWrites, SnapshotRoot, TeamName, TeamTree,
-    TreeRef, Version,
+    ChangeRecord, ConfigSnapshot, ContentHash, SettingWrites, TeamName, TeamTree, TreeRef, Version,
 };
 use thiserror::Error;
 
+/// Hash of each subtree that a daemon holds.
+pub type TreeHashes = BTreeMap<TeamName, ContentHash>;
+
 /// The content of one subtree in an update.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum TreeContent {
@@ -15,6 +20,8 @@
     Whole(TeamTree),
     /// Writes on top of the base's subtree.
     Writes(SettingWrites),
+    /// The receiver holds this subtree already, by its hash.
+    Held,
 }
 
 /// One subtree that changed.
@@ -39,6 +46,8 @@
     pub change: Option<ChangeRecord>,
     /// Subtrees that differ from the base.
     pub trees: BTreeMap<TeamName, TreeUpdate>,
+    /// Subtrees of the base that the version no longer has.
+    pub removed: BTreeSet<TeamName>,
 }
 
 /// Why an update cannot be applied.
@@ -62,6 +71,7 @@
 pub fn make_update(base: &ConfigSnapshot, newest: &ConfigSnapshot) -> ConfigUpdate {
     let is_changed =
         |(team, tree_ref): &(&TeamName, &TreeRef)| base.root.trees.get(*team) != Some(*tree_ref);
+    let is_removed = |team: &&TeamName| !newest.root.trees.contains_key(*team);
     let update = |(team, tree_ref): (&TeamName, &TreeRef)| {
         let tree = newest.trees.get(team).cloned().unwrap_or_default();
         let content = tree_content(base.trees.get(team), &tree);
@@ -73,7 +83,26 @@
         root_hash: newest.root.hash(),
         change: newest.root.change.clone(),
         trees: newest.root.trees.iter().filter(is_changed).map(update).collect(),
+        removed: base.root.trees.keys().filter(is_removed).cloned().collect(),
+    }
+}
+
+/// Makes the update for a receiver whose base is not kept here but who named the subtrees it
+/// holds: those that match are left out, the others are whole.
+pub fn make_tree_update(held: &TreeHashes, newest: &ConfigSnapshot) -> ConfigUpdate {
+    let mut update = make_update(&ConfigSnapshot::default(), newest);
+    for (team, tree) in &mut update.trees {
+        if held.get(team) == Some(&tree.tree_ref.hash) {
+            tree.content = TreeContent::Held;
+        }
     }
+    update
+}
+
+/// Gives the hashes of a configuration's subtrees.
+pub fn tree_hashes(snapshot: &ConfigSnapshot) -> TreeHashes {
+    let hash = |(team, tree_ref): (&TeamName, &TreeRef)| (team.clone(), tree_ref.hash.clone());
+    snapshot.root.trees.iter().map(hash).collect()
 }
 
 fn tree_content(base: Option<&Arc<TeamTree>>, tree: &TeamTree) -> TreeContent {
@@ -95,36 +124,39 @@
     }
 }
 
-/// Applies an update to its base and verifies the result against the hashes.
+/// Applies an update to what is held and verifies the result against the hashes.
+///
+/// `held` is the base where the update names one; else only its subtrees are used.
 ///
 /// # Errors
 ///
 /// Returns an [`UpdateFault`] when the base is another one or a hash does not match.
 pub fn apply_update(
-    base: &ConfigSnapshot,
+    held: &ConfigSnapshot,
     update: ConfigUpdate,
 ) -> Result<ConfigSnapshot, UpdateFault> {
-    if update.base != base.version() {
+    if update.base != 0 && update.base != held.version() {
         return Err(UpdateFault::MissingBase { base: update.base });
     }
-    let mut snapshot = ConfigSnapshot {
-        root: SnapshotRoot {
-            version: update.version,
-            trees: base.root.trees.clone(),
-            change: update.change,
-        },
-        trees: base.trees.clone(),
-    };
+    let mut snapshot = if update.base == 0 { ConfigSnapshot::default() } else { held.clone() };
+    snapshot.root.version = update.version;
+    snapshot.root.change = update.change;
+    for team in &update.removed {
+        snapshot.root.trees.remove(team);
+        snapshot.trees.remove(team);
+    }
     for (team, tree_update) in update.trees {
+        let base = held.trees.get(&team).cloned().unwrap_or_default();
         let tree = match tree_update.content {
-            TreeContent::Whole(tree) => tree,
-            TreeContent::Writes(writes) => {
-                base.trees.get(&team).cloned().unwrap_or_default().with_writes(&writes)
-            }
+            TreeContent::Whole(tree) => Arc::new(tree),
+            TreeContent::Writes(writes) => Arc::new(base.with_writes(&writes)),
+            TreeContent::Held => base,
         };
         snapshot.root.trees.insert(team.clone(), tree_update.tree_ref);
-        snapshot.trees.insert(team, Arc::new(tree));
+        snapshot.trees.insert(team, tree);
     }
+    // A sender with another history under the same version numbers, or a fault in transit, shows
+    // here and nowhere later: nothing of such an update may come into force.
     match snapshot.root.hash() == update.root_hash && snapshot.is_intact() {
         true => Ok(snapshot),
         false => Err(UpdateFault::HashMismatch { version: update.version }),
--- /dev/null
+++ b/components/spread/src/watch.rs
@@ -0,0 +1,109 @@
+//! Watching the configuration source.
+
+use std::{rc::Rc, sync::Arc, time::Duration};
+
+use sk_model::ConfigSnapshot;
+use tokio::sync::{mpsc, oneshot};
+
+use crate::{
+    backoff::{RetryPause, drawn},
+    held::OfferOutcome,
+    node::{ConfirmOutcome, PLATFORM, SpreadNode},
+    pass::VersionOrigin,
+};
+
+/// Longest wait of one watch at the configuration source.
+const WATCH_TIMEOUT: Duration = Duration::from_secs(20);
+/// First pause after the source failed, and the longest one. With 18 relays the cap means nine
+/// calls a second at a source that is away, and a delay of at most four seconds once it is back.
+const FIRST_PAUSE: Duration = Duration::from_millis(250);
+const LONGEST_PAUSE: Duration = Duration::from_secs(4);
+/// Longest wait of a look at the source for others that want one too. In a herd restart it bounds
+/// the reads of one relay to some tens a second, however many daemons ask.
+const GATHER_PAUSE: Duration = Duration::from_millis(40);
+
+type ConfirmRequest = oneshot::Sender<ConfirmOutcome>;
+
+/// Watches the source for as long as this daemon is a relay.
+pub(crate) async fn watch_source(node: &Rc<SpreadNode>) {
+    let mut relays = node.relays.subscribe();
+    let mut pause = RetryPause::new(FIRST_PAUSE, LONGEST_PAUSE);
+    let mut seen = Arc::default();
+    // Before that, reads at the start are the business of `start`.
+    let mut ready = node.held.ready();
+    let _ = ready.wait_for(|is_ready| *is_ready).await;
+    loop {
+        if relays.wait_for(|view| view.rank.is_some()).await.is_err() {
+            return;
+        }
+        tokio::select! {
+            () = watch_once(node, &mut seen, &mut pause) => (),
+            // A watch that is no longer needed counts against the platform's rates.
+            _ = relays.wait_for(|view| view.rank.is_none()) => (),
+        }
+    }
+}
+
+async fn watch_once(node: &SpreadNode, seen: &mut Arc<ConfigSnapshot>, pause: &mut RetryPause) {
+    let newest = node.held.newest();
+    // A refused version was seen but is not held: waiting for one newer than the held one would
+    // give the refused one again at once, over and over.
+    let after = if seen.version() > newest.version() { seen.clone() } else { newest };
+    match node.source.wait_newer(&after, WATCH_TIMEOUT).await {
+        Ok(snapshot) => {
+            node.stats.note_source(None);
+            pause.reset();
+            if let Some(snapshot) = snapshot {
+                *seen = Arc::new(snapshot.clone());
+                node.offer(snapshot, PLATFORM, VersionOrigin::Source);
+            }
+        }
+        Err(err) => {
+            log::warn!("spread: {err}.");
+            node.stats.note_source(Some(err.reason));
+            tokio::time::sleep(pause.next(rand::random())).await;
+        }
+    }
+}
+
+/// Reads the source for those who must know that they hold the newest version.
+///
+/// Made for a herd restart, in which hundreds of daemons ask one relay within a second. Each read
+/// serves all who asked before it began, so that the platform sees one read at a time per
+/// relay; one that began earlier would not do, as it may have missed a version accepted since.
+pub(crate) async fn confirm_source(
+    node: &Rc<SpreadNode>,
+    mut requests: mpsc::UnboundedReceiver<ConfirmRequest>,
+) {
+    while let Some(first) = requests.recv().await {
+        let mut waiting = vec![first];
+        tokio::time::sleep(drawn(GATHER_PAUSE)).await;
+        while let Ok(next) = requests.try_recv() {
+            waiting.push(next);
+        }
+        let outcome = read_source(node).await;
+        for request in waiting {
+            let _ = request.send(outcome);
+        }
+    }
+}
+
+async fn read_source(node: &SpreadNode) -> ConfirmOutcome {
+    node.stats.count_read();
+    let outcome = match node.source.load(&node.held.newest()).await {
+        Err(err) => {
+            log::warn!("spread: {err}.");
+            node.stats.note_source(Some(err.reason));
+            return ConfirmOutcome::Away;
+        }
+        Ok(snapshot) => node.offer(snapshot, PLATFORM, VersionOrigin::Source),
+    };
+    node.stats.note_source(None);
+    match outcome {
+        OfferOutcome::Rejected(_) => ConfirmOutcome::Refused,
+        _ => {
+            node.set_ready("as the configuration source has it");
+            ConfirmOutcome::Held
+        }
+    }
+}
