spread: prove passing, restarts, cuts and refusals; fewer bytes

Updates and delivery orders by proptest beside a naive version, which fails in the same run.

Found by the tests: the called side sent a needless bootstrap; a stranger's first read could exceed its allowance; daemons read the platform for others before they were ready themselves.

--- a/components/spread/schema/peer.capnp
+++ b/components/spread/schema/peer.capnp
@@ -41,7 +41,7 @@
 
 struct FetchRequest {
   held @0 :UInt64;
-  heldHash @1 :Text;
+  heldMark @1 :UInt64;
   trees @2 :List(TreeHash);
   # Empty in a first request; given where the answer was `needTrees`.
   confirm @3 :Bool;
--- a/components/spread/src/counted.rs
+++ b/components/spread/src/counted.rs
@@ -69,15 +69,15 @@
         self.0.store(UNBOUNDED, Ordering::Relaxed);
     }
 
-    fn spend(&self, count: u64) -> io::Result<()> {
-        let left = self.0.load(Ordering::Relaxed);
-        match left {
-            UNBOUNDED => Ok(()),
-            left if left < count => Err(io::ErrorKind::PermissionDenied.into()),
-            left => {
-                self.0.store(left - count, Ordering::Relaxed);
-                Ok(())
-            }
+    /// Gives how many bytes may still come.
+    fn left(&self) -> u64 {
+        self.0.load(Ordering::Relaxed)
+    }
+
+    fn spend(&self, count: u64) {
+        let left = self.left();
+        if left != UNBOUNDED {
+            self.0.store(left.saturating_sub(count), Ordering::Relaxed);
         }
     }
 }
@@ -105,11 +105,19 @@
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        let before = buf.filled().len();
-        ready!(Pin::new(&mut self.stream).poll_read(cx, buf))?;
-        let count = (buf.filled().len() - before) as u64;
-        self.meter.received.fetch_add(count, Ordering::Relaxed);
-        Poll::Ready(self.allowance.spend(count))
+        let stream = &mut *self;
+        let left = usize::try_from(stream.allowance.left()).unwrap_or(usize::MAX);
+        if left == 0 {
+            return Poll::Ready(Err(io::ErrorKind::PermissionDenied.into()));
+        }
+        let most = left.min(buf.remaining());
+        let mut part = ReadBuf::new(buf.initialize_unfilled_to(most));
+        ready!(Pin::new(&mut stream.stream).poll_read(cx, &mut part))?;
+        let count = part.filled().len();
+        buf.advance(count);
+        stream.meter.received.fetch_add(count as u64, Ordering::Relaxed);
+        stream.allowance.spend(count as u64);
+        Poll::Ready(Ok(()))
     }
 }
 
--- a/components/spread/src/fetch.rs
+++ b/components/spread/src/fetch.rs
@@ -11,7 +11,7 @@
     backoff::{RetryPause, drawn, jittered},
     codec,
     held::OfferOutcome,
-    node::{CALL_TIMEOUT, RootMark, SpreadNode},
+    node::{CALL_TIMEOUT, RootMark, SpreadNode, root_mark},
     pass::VersionOrigin,
     peer_capnp::{fetch_answer, peer},
     state::CallKind,
@@ -72,7 +72,7 @@
     /// if the tree does not bring it.
     pub(crate) fn note_version(self: &Rc<Self>, from: &str, version: Version, mark: RootMark) {
         let newest = self.held.newest();
-        if version == newest.version() && mark != crate::node::root_mark(&newest.root.hash()) {
+        if version == newest.version() && mark != root_mark(&newest.root.hash()) {
             return self.report_diverged(version, from);
         }
         if !self.lacks(version, mark) || self.expected.get() >= version {
@@ -121,7 +121,7 @@
             let mut request = peer.fetch_request();
             let mut params = request.get().init_request();
             params.set_held(base.version());
-            params.set_held_hash(base.root.hash());
+            params.set_held_mark(root_mark(&base.root.hash()));
             params.set_confirm(confirm);
             codec::write_hashes(hashes, params);
             self.stats.sent(CallKind::Fetch, request.get().into_reader().total_size()?);
--- a/components/spread/src/lib.rs
+++ b/components/spread/src/lib.rs
@@ -14,6 +14,8 @@
 mod held;
 mod join;
 mod links;
+mod neighbours;
+mod news;
 mod node;
 mod options;
 mod pass;
--- a/components/spread/src/links.rs
+++ b/components/spread/src/links.rs
@@ -4,21 +4,19 @@
     collections::{BTreeMap, BTreeSet},
     hash::{DefaultHasher, Hash, Hasher},
     rc::Rc,
-    sync::Arc,
     time::Duration,
 };
 
 use capnp::{Error, ErrorKind};
 use sk_member::{
-    LivenessMonitor, MemberRecord, MemberRumor, MemberSuspicion, MemberView, MergeOutcome,
-    MonitorEvent, OverlayPlan, RumorQueue,
+    LivenessMonitor, MemberRumor, MemberSuspicion, MemberView, MonitorEvent, OverlayPlan,
+    RumorQueue,
 };
 use sk_model::ProxyId;
 use tokio::{sync::Notify, time::Instant};
 
 use crate::{
     backoff::jittered,
-    codec,
     node::{CALL_TIMEOUT, SpreadNode, root_mark},
     peer_capnp::{beat, peer},
     state::CallKind,
@@ -27,8 +25,6 @@
 /// Pause before links are planned again after members changed. A herd restart changes them
 /// hundreds of times a second, and a plan for 780 daemons takes milliseconds.
 const PLAN_PAUSE: Duration = Duration::from_millis(250);
-/// Time between looks at what the monitor has to decide.
-const TICK_PAUSE: Duration = Duration::from_millis(200);
 /// Pause in which news gather before they are sent. A hop then takes about as long, and the six
 /// to eight hops of a large fleet stay far below the 3 s in which a change is to be known.
 const RUMOR_PAUSE: Duration = Duration::from_millis(25);
@@ -37,8 +33,6 @@
 /// Heartbeats in a row that show another digest before records are compared. News under way make
 /// digests differ for a moment; comparing at once would send the same records twice.
 const MAX_MISMATCHES: u32 = 2;
-/// Time between looks for records that may be forgotten.
-const EXPIRE_PAUSE: Duration = Duration::from_secs(5);
 
 /// One link of this daemon.
 struct LinkState {
@@ -61,11 +55,27 @@
         Self { rumors: RumorQueue::new(), monitor, links: BTreeMap::new(), start: Instant::now() }
     }
 
-    fn now(&self) -> Duration {
+    /// Gives the time on the monitor's clock.
+    pub(crate) fn now(&self) -> Duration {
         self.start.elapsed()
     }
 
-    fn push(&mut self, rumor: &MemberRumor, from: Option<&ProxyId>) {
+    /// Lets the monitor decide what is due.
+    pub(crate) fn tick(&mut self, view: &MemberView) -> Vec<MonitorEvent> {
+        let now = self.now();
+        self.monitor.tick(view, now)
+    }
+
+    /// Notes an observer's word and passes it on if it was new.
+    pub(crate) fn note_word(&mut self, word: MemberSuspicion, from: &ProxyId) {
+        let now = self.now();
+        if self.monitor.note(word.clone(), now) {
+            self.push(&MemberRumor::Suspicion(word), Some(from));
+        }
+    }
+
+    /// Queues news for every link but the one they came by.
+    pub(crate) fn push(&mut self, rumor: &MemberRumor, from: Option<&ProxyId>) {
         self.rumors.push(rumor, from);
         for (proxy, link) in &self.links {
             if self.rumors.pending(proxy) > 0 {
@@ -113,100 +123,6 @@
         let fold = |mark: u64, bucket: &u64| mark.rotate_left(7).wrapping_add(*bucket);
         digest.buckets().iter().fold(0, fold)
     }
-
-    /// Merges news from a peer and passes on what was new.
-    pub(crate) fn merge_news(
-        &self,
-        records: Vec<MemberRecord>,
-        words: Vec<MemberSuspicion>,
-        from: &ProxyId,
-    ) {
-        for record in self.merge_records(records) {
-            self.links.borrow_mut().push(&MemberRumor::Record(record), Some(from));
-        }
-        for word in words {
-            let is_about_own = word.proxy == self.own_name;
-            if is_about_own {
-                self.members.update(|table| table.refute(&word), |is_refuted| *is_refuted);
-            }
-            let mut board = self.links.borrow_mut();
-            let now = board.now();
-            if board.monitor.note(word.clone(), now) {
-                board.push(&MemberRumor::Suspicion(word), Some(from));
-            }
-        }
-    }
-
-    /// Merges records and gives those that were new. The own record, raised to answer one, is
-    /// passed on by `pass_own_record`.
-    fn merge_records(&self, records: Vec<MemberRecord>) -> Vec<Arc<MemberRecord>> {
-        let own = &self.own_name;
-        let merge = |table: &mut sk_member::MemberTable| {
-            let mut newer = Vec::new();
-            let mut is_refuted = false;
-            for record in records {
-                let proxy = record.proxy.clone();
-                match table.merge(record) {
-                    MergeOutcome::Newer if proxy != *own => {
-                        newer.extend(table.records().get(&proxy).cloned());
-                    }
-                    MergeOutcome::Refuted => is_refuted = true,
-                    _ => (),
-                }
-            }
-            (newer, is_refuted)
-        };
-        self.members.update(merge, |(newer, is_refuted)| !newer.is_empty() || *is_refuted).0
-    }
-
-    /// Compares records with a peer over an open connection and evens them out both ways.
-    pub(crate) async fn reconcile(
-        self: &Rc<Self>,
-        proxy: &ProxyId,
-        peer: peer::Client,
-    ) -> Result<(), Error> {
-        let digest = self.members.update(|table| table.digest().clone(), |_| false);
-        let mut request = peer.reconcile_request();
-        let buckets = digest.buckets();
-        codec::write_buckets(buckets, request.get().init_buckets(buckets.len() as u32));
-        self.write_beat(request.get().init_beat());
-        self.stats.sent(CallKind::Reconcile, request.get().into_reader().total_size()?);
-        let response = request.send().promise.await?;
-        let response = response.get()?;
-        self.stats.received(CallKind::Reconcile, response.total_size()?);
-        let theirs = codec::read_buckets(response.get_buckets()?)?;
-        let theirs = sk_member::MemberDigest::from_buckets(theirs);
-        let received = codec::read_members(response.get_records()?)?;
-        let is_known: BTreeSet<_> =
-            received.iter().map(|record| (record.proxy.clone(), record.rank())).collect();
-        self.merge_news(received, Vec::new(), proxy);
-        self.take_beat(proxy, response.get_beat()?);
-        let differing = digest.differing(&theirs);
-        let mut lacking = self.members.update(|table| table.records_in(&differing), |_| false);
-        lacking.retain(|record| !is_known.contains(&(record.proxy.clone(), record.rank())));
-        if lacking.is_empty() {
-            return Ok(());
-        }
-        let rumors = lacking.into_iter().map(MemberRumor::Record).collect();
-        self.send_rumors(peer, rumors).await
-    }
-
-    async fn send_rumors(&self, peer: peer::Client, rumors: Vec<MemberRumor>) -> Result<(), Error> {
-        let mut records = Vec::new();
-        let mut words = Vec::new();
-        for rumor in &rumors {
-            match rumor {
-                MemberRumor::Record(record) => records.push(&**record),
-                MemberRumor::Suspicion(word) => words.push(word),
-            }
-        }
-        let mut request = peer.rumor_request();
-        let builder = request.get().init_records(records.len() as u32);
-        codec::write_members(records.into_iter(), builder);
-        codec::write_words(&words, request.get().init_suspicions(words.len() as u32));
-        self.stats.sent(CallKind::Rumor, request.get().into_reader().total_size()?);
-        request.send().promise.await.map(drop)
-    }
 }
 
 /// Plans the links again whenever members come or go.
@@ -339,63 +255,3 @@
         }
     }
 }
-
-/// Passes the own record on as soon as it changes.
-pub(crate) async fn pass_own_record(node: &Rc<SpreadNode>) {
-    let mut views = node.members.subscribe();
-    let mut known = node.members.own();
-    loop {
-        let own = node.members.own();
-        if !Arc::ptr_eq(&own, &known) {
-            known = own.clone();
-            node.links.borrow_mut().push(&MemberRumor::Record(own), None);
-        }
-        if views.changed().await.is_err() {
-            return;
-        }
-    }
-}
-
-/// Lets the monitor decide, and does what it asks.
-pub(crate) async fn watch_neighbours(node: &Rc<SpreadNode>) {
-    let mut last_expiry = Instant::now();
-    loop {
-        tokio::time::sleep(TICK_PAUSE).await;
-        let view = node.view();
-        let events = {
-            let mut board = node.links.borrow_mut();
-            let now = board.now();
-            board.monitor.tick(&view, now)
-        };
-        events.into_iter().for_each(|event| obey(node, event));
-        if last_expiry.elapsed() > EXPIRE_PAUSE {
-            last_expiry = Instant::now();
-            let now = node.links.borrow().now();
-            node.members.update(|table| table.expire(now), |dropped| *dropped > 0);
-            node.pool.sweep(node);
-        }
-    }
-}
-
-fn obey(node: &SpreadNode, event: MonitorEvent) {
-    match event {
-        MonitorEvent::Spread(word) => {
-            node.links.borrow_mut().push(&MemberRumor::Suspicion(word), None);
-        }
-        MonitorEvent::Gone { proxy, incarnation, sequence } => {
-            let declare = |table: &mut sk_member::MemberTable| {
-                let is_gone = table.declare_gone(&proxy, incarnation, sequence);
-                table.records().get(&proxy).filter(|_| is_gone).cloned()
-            };
-            if let Some(record) = node.members.update(declare, Option::is_some) {
-                log::info!("spread: {proxy} is gone.");
-                node.links.borrow_mut().push(&MemberRumor::Record(record), None);
-            }
-        }
-        MonitorEvent::Marked(marks) => node.members.set_marks(marks),
-        MonitorEvent::Paused(pause) => {
-            log::warn!("spread: this process was paused for {} ms.", pause.as_millis());
-            node.members.update(|table| table.withdraw_endpoints(), |is_changed| *is_changed);
-        }
-    }
-}
--- /dev/null
+++ b/components/spread/src/neighbours.rs
@@ -0,0 +1,53 @@
+//! Carrying out what the liveness monitor decides.
+
+use std::{rc::Rc, time::Duration};
+
+use sk_member::{MemberRumor, MemberTable, MonitorEvent};
+use tokio::time::Instant;
+
+use crate::node::SpreadNode;
+
+/// Time between looks at what the monitor has to decide.
+const TICK_PAUSE: Duration = Duration::from_millis(200);
+/// Time between looks for records that may be forgotten.
+const EXPIRE_PAUSE: Duration = Duration::from_secs(5);
+
+/// Lets the monitor decide, and does what it asks.
+pub(crate) async fn watch_neighbours(node: &Rc<SpreadNode>) {
+    let mut last_expiry = Instant::now();
+    loop {
+        tokio::time::sleep(TICK_PAUSE).await;
+        let view = node.view();
+        let events = node.links.borrow_mut().tick(&view);
+        events.into_iter().for_each(|event| obey(node, event));
+        if last_expiry.elapsed() > EXPIRE_PAUSE {
+            last_expiry = Instant::now();
+            let now = node.links.borrow().now();
+            node.members.update(|table| table.expire(now), |dropped| *dropped > 0);
+            node.pool.sweep(node);
+        }
+    }
+}
+
+fn obey(node: &SpreadNode, event: MonitorEvent) {
+    match event {
+        MonitorEvent::Spread(word) => {
+            node.links.borrow_mut().push(&MemberRumor::Suspicion(word), None);
+        }
+        MonitorEvent::Gone { proxy, incarnation, sequence } => {
+            let declare = |table: &mut MemberTable| {
+                let is_gone = table.declare_gone(&proxy, incarnation, sequence);
+                table.records().get(&proxy).filter(|_| is_gone).cloned()
+            };
+            if let Some(record) = node.members.update(declare, Option::is_some) {
+                log::info!("spread: {proxy} is gone.");
+                node.links.borrow_mut().push(&MemberRumor::Record(record), None);
+            }
+        }
+        MonitorEvent::Marked(marks) => node.members.set_marks(marks),
+        MonitorEvent::Paused(pause) => {
+            log::warn!("spread: this process was paused for {} ms.", pause.as_millis());
+            node.members.update(|table| table.withdraw_endpoints(), |is_changed| *is_changed);
+        }
+    }
+}
--- /dev/null
+++ b/components/spread/src/news.rs
@@ -0,0 +1,123 @@
+//! Records and observers' words on their way between daemons.
+
+use std::{collections::BTreeSet, rc::Rc, sync::Arc};
+
+use capnp::Error;
+use sk_member::{
+    MemberDigest, MemberRecord, MemberRumor, MemberSuspicion, MemberTable, MergeOutcome,
+};
+use sk_model::ProxyId;
+
+use crate::{codec, node::SpreadNode, peer_capnp::peer, state::CallKind};
+
+impl SpreadNode {
+    /// Merges news from a peer and passes on what was new.
+    pub(crate) fn merge_news(
+        &self,
+        records: Vec<MemberRecord>,
+        words: Vec<MemberSuspicion>,
+        from: &ProxyId,
+    ) {
+        for record in self.merge_records(records) {
+            self.links.borrow_mut().push(&MemberRumor::Record(record), Some(from));
+        }
+        for word in words {
+            let is_about_own = word.proxy == self.own_name;
+            if is_about_own {
+                self.members.update(|table| table.refute(&word), |is_refuted| *is_refuted);
+            }
+            self.links.borrow_mut().note_word(word, from);
+        }
+    }
+
+    /// Merges records and gives those that were new. The own record, raised to answer one, is
+    /// passed on by `pass_own_record`.
+    fn merge_records(&self, records: Vec<MemberRecord>) -> Vec<Arc<MemberRecord>> {
+        let own = &self.own_name;
+        let merge = |table: &mut MemberTable| {
+            let mut newer = Vec::new();
+            let mut is_refuted = false;
+            for record in records {
+                let proxy = record.proxy.clone();
+                match table.merge(record) {
+                    MergeOutcome::Newer if proxy != *own => {
+                        newer.extend(table.records().get(&proxy).cloned());
+                    }
+                    MergeOutcome::Refuted => is_refuted = true,
+                    _ => (),
+                }
+            }
+            (newer, is_refuted)
+        };
+        self.members.update(merge, |(newer, is_refuted)| !newer.is_empty() || *is_refuted).0
+    }
+
+    /// Compares records with a peer over an open connection and evens them out both ways.
+    pub(crate) async fn reconcile(
+        self: &Rc<Self>,
+        proxy: &ProxyId,
+        peer: peer::Client,
+    ) -> Result<(), Error> {
+        let digest = self.members.update(|table| table.digest().clone(), |_| false);
+        let mut request = peer.reconcile_request();
+        let buckets = digest.buckets();
+        codec::write_buckets(buckets, request.get().init_buckets(buckets.len() as u32));
+        self.write_beat(request.get().init_beat());
+        self.stats.sent(CallKind::Reconcile, request.get().into_reader().total_size()?);
+        let response = request.send().promise.await?;
+        let response = response.get()?;
+        self.stats.received(CallKind::Reconcile, response.total_size()?);
+        let theirs = codec::read_buckets(response.get_buckets()?)?;
+        let theirs = MemberDigest::from_buckets(theirs);
+        let received = codec::read_members(response.get_records()?)?;
+        let is_known: BTreeSet<_> =
+            received.iter().map(|record| (record.proxy.clone(), record.rank())).collect();
+        self.merge_news(received, Vec::new(), proxy);
+        self.take_beat(proxy, response.get_beat()?);
+        let differing = digest.differing(&theirs);
+        let mut lacking = self.members.update(|table| table.records_in(&differing), |_| false);
+        lacking.retain(|record| !is_known.contains(&(record.proxy.clone(), record.rank())));
+        if lacking.is_empty() {
+            return Ok(());
+        }
+        let rumors = lacking.into_iter().map(MemberRumor::Record).collect();
+        self.send_rumors(peer, rumors).await
+    }
+
+    pub(crate) async fn send_rumors(
+        &self,
+        peer: peer::Client,
+        rumors: Vec<MemberRumor>,
+    ) -> Result<(), Error> {
+        let mut records = Vec::new();
+        let mut words = Vec::new();
+        for rumor in &rumors {
+            match rumor {
+                MemberRumor::Record(record) => records.push(&**record),
+                MemberRumor::Suspicion(word) => words.push(word),
+            }
+        }
+        let mut request = peer.rumor_request();
+        let builder = request.get().init_records(records.len() as u32);
+        codec::write_members(records.into_iter(), builder);
+        codec::write_words(&words, request.get().init_suspicions(words.len() as u32));
+        self.stats.sent(CallKind::Rumor, request.get().into_reader().total_size()?);
+        request.send().promise.await.map(drop)
+    }
+}
+
+/// Passes the own record on as soon as it changes.
+pub(crate) async fn pass_own_record(node: &Rc<SpreadNode>) {
+    let mut views = node.members.subscribe();
+    let mut known = node.members.own();
+    loop {
+        let own = node.members.own();
+        if !Arc::ptr_eq(&own, &known) {
+            known = own.clone();
+            node.links.borrow_mut().push(&MemberRumor::Record(own), None);
+        }
+        if views.changed().await.is_err() {
+            return;
+        }
+    }
+}
--- a/components/spread/src/relays.rs
+++ b/components/spread/src/relays.rs
@@ -4,6 +4,7 @@
 
 use sk_member::{Incarnation, choose_relays};
 use sk_model::ProxyId;
+use tokio::time::Instant;
 
 use crate::node::SpreadNode;
 
@@ -20,11 +21,19 @@
 }
 
 /// The relays of this daemon's data centre, first choice first.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug)]
 pub(crate) struct RelayView {
     pub(crate) relays: Vec<RelayId>,
     /// Place of this daemon among them.
     pub(crate) rank: Option<usize>,
+    /// Since when they are the same.
+    pub(crate) since: Instant,
+}
+
+impl Default for RelayView {
+    fn default() -> Self {
+        Self { relays: Vec::new(), rank: None, since: Instant::now() }
+    }
 }
 
 pub(crate) fn view_relays(node: &SpreadNode) -> RelayView {
@@ -37,7 +46,7 @@
         let incarnation = view.get(&proxy).map_or(0, |record| record.incarnation);
         RelayId { proxy, incarnation }
     };
-    RelayView { relays: chosen.into_iter().map(name).collect(), rank }
+    RelayView { relays: chosen.into_iter().map(name).collect(), rank, since: Instant::now() }
 }
 
 /// Chooses the relays again whenever members change.
@@ -47,8 +56,10 @@
         let relays = view_relays(node);
         node.stats.set_relays(relays.clone());
         node.relays.send_if_modified(|held| {
-            let is_changed = *held != relays;
-            *held = relays;
+            let is_changed = held.relays != relays.relays;
+            if is_changed {
+                *held = relays;
+            }
             is_changed
         });
         if views.changed().await.is_err() {
--- a/components/spread/src/server.rs
+++ b/components/spread/src/server.rs
@@ -26,6 +26,9 @@
 /// Longest time a fetch holds its place. A receiver that is paused in mid-read would otherwise
 /// keep it, and a few of them would keep all.
 const PLACE_TIMEOUT: Duration = Duration::from_secs(3);
+/// Answers up to this size, 16 kB, fit into the socket's buffer and free their place at once; the
+/// ticket would cost more bytes than it saves memory.
+const SMALL_WORDS: u64 = 2_048;
 /// Mean pause that a refused fetch is told to wait.
 const BUSY_PAUSE: Duration = Duration::from_millis(100);
 
@@ -150,7 +153,9 @@
     ) -> Result<(), Error> {
         let (node, _) = self.enter()?;
         let request = params.get()?.get_request()?;
-        let is_relay = node.relays.borrow().rank.is_some();
+        // In a herd restart each daemon is a relay by its own first view. One that is not ready
+        // has not read the platform itself yet, and would read it for whoever asks.
+        let is_relay = node.held.is_ready() && node.relays.borrow().rank.is_some();
         let is_fresh =
             request.get_confirm() && is_relay && node.confirm().await == ConfirmOutcome::Held;
         let mut answer = results.get().init_answer();
@@ -208,9 +213,12 @@
         return Ok(());
     };
     node.stats.count_served();
-    answer.set_ticket(capnp_rpc::new_client(TicketServer::new(place)));
     codec::write_update(&update, answer.reborrow().init_update())?;
-    node.stats.sent(CallKind::Fetch, answer.into_reader().total_size()?);
+    let size = answer.reborrow().into_reader().total_size()?;
+    if size.word_count > SMALL_WORDS {
+        answer.set_ticket(capnp_rpc::new_client(TicketServer::new(place)));
+    }
+    node.stats.sent(CallKind::Fetch, size);
     Ok(())
 }
 
@@ -221,8 +229,9 @@
     request: fetch_request::Reader<'_>,
     newest: &ConfigSnapshot,
 ) -> Result<Option<ConfigUpdate>, Error> {
-    let hash = request.get_held_hash()?.to_str()?;
-    let base = node.held.base(request.get_held()).filter(|base| base.root.hash() == hash);
+    let mark = request.get_held_mark();
+    let base = node.held.base(request.get_held());
+    let base = base.filter(|base| root_mark(&base.root.hash()) == mark);
     Ok(match base {
         Some(base) => Some(make_update(&base, newest)),
         None if request.get_held() == 0 => Some(make_update(&ConfigSnapshot::default(), newest)),
--- a/components/spread/src/session.rs
+++ b/components/spread/src/session.rs
@@ -100,7 +100,9 @@
 ) -> Result<Rc<PeerSession>, Error> {
     let connect = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
     let stream = connect.map_err(|_| Error::overloaded("connect timed out".to_owned()))??;
-    let (gate, link, allowance) = run_session::<gate::Client>(node, stream, Side::Client, None)?;
+    let (mut system, link, allowance) = make_session(node, stream, Side::Client, None)?;
+    let gate: gate::Client = system.bootstrap(Side::Server);
+    tokio::task::spawn_local(run_session(node.clone(), system, link.clone()));
     let proved = tokio::time::timeout(PROOF_TIMEOUT, prove(node, gate, &link)).await;
     let session = match proved {
         Ok(Ok(session)) => session,
@@ -154,11 +156,11 @@
     }
     let server = Rc::new(GateServer::new(node));
     let gate: gate::Client = capnp_rpc::new_client_from_rc(server.clone());
-    let (_, link, allowance) =
-        match run_session::<gate::Client>(node, stream, Side::Server, Some(gate)) {
-            Ok(parts) => parts,
-            Err(err) => return log::debug!("spread: a session could not start: {err}."),
-        };
+    let (system, link, allowance) = match make_session(node, stream, Side::Server, Some(gate)) {
+        Ok(parts) => parts,
+        Err(err) => return log::debug!("spread: a session could not start: {err}."),
+    };
+    tokio::task::spawn_local(run_session(node.clone(), system, link.clone()));
     let proven = server.attach(link.clone(), allowance);
     node.unproven.set(node.unproven.get() + 1);
     let node = node.clone();
@@ -171,14 +173,14 @@
     });
 }
 
-type SessionParts<T> = (T, SessionLink, Arc<ByteAllowance>);
+type SessionParts = (RpcSystem<Side>, SessionLink, Arc<ByteAllowance>);
 
-fn run_session<T: capnp::capability::FromClientHook>(
+fn make_session(
     node: &Rc<SpreadNode>,
     stream: TcpStream,
     side: Side,
     gate: Option<gate::Client>,
-) -> Result<SessionParts<T>, Error> {
+) -> Result<SessionParts, Error> {
     stream.set_nodelay(true)?;
     let allowance = ByteAllowance::unproven(side);
     let stream = CountedStream::new(stream, node.meter.clone(), allowance.clone());
@@ -188,18 +190,12 @@
         nesting_limit: MAX_NESTING,
     };
     let network = VatNetwork::new(reader.compat(), writer.compat_write(), side, options);
-    let mut system = RpcSystem::new(Box::new(network), gate.map(|gate| gate.client));
-    let bootstrap = system.bootstrap(match side {
-        Side::Client => Side::Server,
-        Side::Server => Side::Client,
-    });
-    let link = SessionLink::default();
-    tokio::task::spawn_local(end_session(node.clone(), system, link.clone()));
-    Ok((bootstrap, link, allowance))
+    let system = RpcSystem::new(Box::new(network), gate.map(|gate| gate.client));
+    Ok((system, SessionLink::default(), allowance))
 }
 
 /// Runs a connection until it ends or is to be closed.
-async fn end_session(node: Rc<SpreadNode>, mut system: RpcSystem<Side>, link: SessionLink) {
+async fn run_session(node: Rc<SpreadNode>, mut system: RpcSystem<Side>, link: SessionLink) {
     let disconnector = RefCell::new(Some(system.get_disconnector()));
     let result = tokio::select! {
         result = &mut system => {
--- a/components/spread/src/start.rs
+++ b/components/spread/src/start.rs
@@ -19,6 +19,9 @@
 /// are spread over it, so that the first ones read the platform and all later ones get it
 /// from them; a daemon whose peers are all away is late by at most this time.
 const START_WINDOW: Duration = Duration::from_secs(3);
+/// Time for which the relays must have stayed the same before a starting daemon takes itself for
+/// one and reads the platform. In a herd restart each daemon is a relay by its own first view.
+const RELAY_SETTLED: Duration = Duration::from_millis(250);
 /// First and longest pause between rounds of asking.
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
 const LONGEST_PAUSE: Duration = Duration::from_secs(1);
@@ -41,7 +44,8 @@
         if stage == JoinStage::Met && ask_relays(node).await {
             return node.set_ready("as a relay confirmed");
         }
-        if stage == JoinStage::Alone || Instant::now() >= window_end {
+        let is_due = Instant::now() >= window_end || is_settled_relay(node);
+        if stage == JoinStage::Alone || is_due {
             match node.confirm().await {
                 ConfirmOutcome::Held => return,
                 // A process before this one cannot have held a version that fails validation;
@@ -60,6 +64,11 @@
     }
 }
 
+fn is_settled_relay(node: &SpreadNode) -> bool {
+    let relays = node.relays.borrow();
+    relays.rank.is_some() && relays.since.elapsed() >= RELAY_SETTLED
+}
+
 /// Asks the data centre's relays to look at the platform, and tells whether one did and what it
 /// holds is held here.
 async fn ask_relays(node: &Rc<SpreadNode>) -> bool {
--- a/components/spread/src/watch.rs
+++ b/components/spread/src/watch.rs
@@ -6,7 +6,7 @@
 use tokio::sync::{mpsc, oneshot};
 
 use crate::{
-    backoff::{RetryPause, drawn},
+    backoff::RetryPause,
     held::OfferOutcome,
     node::{ConfirmOutcome, PLATFORM, SpreadNode},
     pass::VersionOrigin,
@@ -18,9 +18,9 @@
 /// calls a second at a source that is away, and a delay of at most four seconds once it is back.
 const FIRST_PAUSE: Duration = Duration::from_millis(250);
 const LONGEST_PAUSE: Duration = Duration::from_secs(4);
-/// Longest wait of a look at the source for others that want one too. In a herd restart it bounds
-/// the reads of one relay to some tens a second, however many daemons ask.
-const GATHER_PAUSE: Duration = Duration::from_millis(40);
+/// Wait of a look at the source for others that want one too. In a herd restart it bounds the
+/// reads of one relay to ten a second, however many daemons ask; a lone start is late by it.
+const GATHER_PAUSE: Duration = Duration::from_millis(100);
 
 type ConfirmRequest = oneshot::Sender<ConfirmOutcome>;
 
@@ -77,7 +77,7 @@
 ) {
     while let Some(first) = requests.recv().await {
         let mut waiting = vec![first];
-        tokio::time::sleep(drawn(GATHER_PAUSE)).await;
+        tokio::time::sleep(GATHER_PAUSE).await;
         while let Ok(next) = requests.try_recv() {
             waiting.push(next);
         }
--- /dev/null
+++ b/components/spread/tests/control_bytes.rs
@@ -0,0 +1,61 @@
+//! What control traffic costs a daemon, idle and per change.
+
+mod common;
+
+use std::time::{Duration, Instant};
+
+use common::{TestDaemon, TestFleet, all_hold, numbered, wait_for};
+use sk_spread::PassMode;
+
+/// Most that a daemon may spend on control, in bytes a second in both directions.
+const BUDGET: u64 = 20_000;
+const WINDOW: Duration = Duration::from_secs(4);
+const CHANGES: u64 = 10;
+
+fn total_bytes(daemons: &[TestDaemon]) -> u64 {
+    let bytes = daemons.iter().map(|daemon| daemon.meter.bytes());
+    bytes.map(|bytes| bytes.sent + bytes.received).sum()
+}
+
+/// Gives bytes a daemon and second while nothing happens.
+fn idle_rate(daemons: &[TestDaemon]) -> u64 {
+    let (before, begin) = (total_bytes(daemons), Instant::now());
+    // The window is what is measured; there is no condition to wait for.
+    std::thread::sleep(WINDOW);
+    let bytes = (total_bytes(daemons) - before) as f64;
+    (bytes / begin.elapsed().as_secs_f64()) as u64 / daemons.len() as u64
+}
+
+fn measure(mode: PassMode) {
+    let mut fleet = TestFleet::new();
+    fleet.options.mode = mode;
+    let daemons = fleet.start_all(&["lj1", "lj2"], 10);
+    fleet.platform.accept(numbered(1));
+    wait_for("the first version", || all_hold(&daemons, 1));
+    let idle = idle_rate(&daemons);
+    let (before, begin) = (total_bytes(&daemons), Instant::now());
+    for version in 2..2 + CHANGES {
+        fleet.platform.accept(numbered(version));
+        wait_for("the version", || all_hold(&daemons, version));
+    }
+    // Announcements of the second relays and acknowledgements still follow.
+    std::thread::sleep(Duration::from_secs(1));
+    let idle_part = idle as f64 * begin.elapsed().as_secs_f64();
+    let changes = (total_bytes(&daemons) - before) as f64 / daemons.len() as f64 - idle_part;
+    let per_change = changes / CHANGES as f64;
+    println!("{mode:?}: idle {idle} bytes/s a daemon, {per_change:.0} bytes a daemon and change");
+    for daemon in daemons.iter().take(1) {
+        println!("{:?}", daemon.handle.reader().state());
+    }
+    assert!(idle < BUDGET / 2, "idle takes {idle} bytes/s of {BUDGET}");
+}
+
+#[test]
+fn push_within_budget() {
+    measure(PassMode::Push);
+}
+
+#[test]
+fn announce_within_budget() {
+    measure(PassMode::Announce);
+}
--- /dev/null
+++ b/components/spread/tests/crossing_updates.rs
@@ -0,0 +1,88 @@
+//! Versions that follow each other faster than they spread, and data centres that are cut off.
+
+mod common;
+
+use std::sync::{
+    Arc,
+    atomic::{AtomicBool, Ordering},
+};
+
+use common::{FakePlatform, TestFleet, all_hold, make_snapshot, numbered, wait_for};
+use sk_spread::{PassMode, SpreadOptions};
+
+/// Operators change settings several times within a second, and the versions overtake each other
+/// in the tree. No proxy may go back for a moment, and all must end on the newest.
+#[test]
+fn never_back() {
+    let fleet = TestFleet::new();
+    let daemons = fleet.start_all(&["lj1", "lj2"], 6);
+    let is_over = AtomicBool::new(false);
+    std::thread::scope(|scope| {
+        let (daemons, is_over) = (&daemons, &is_over);
+        let watcher = scope.spawn(move || {
+            let mut seen = vec![0; daemons.len()];
+            while !is_over.load(Ordering::SeqCst) {
+                for (seen, daemon) in seen.iter_mut().zip(daemons) {
+                    let current = daemon.held.current();
+                    assert!(current.version() >= *seen, "{} went back", daemon.name);
+                    *seen = current.version();
+                    if *seen > 0 {
+                        assert_eq!(*current, numbered(*seen), "{} holds a mixture", daemon.name);
+                    }
+                }
+                std::thread::yield_now();
+            }
+        });
+        for version in 1..=30 {
+            fleet.platform.accept(numbered(version));
+            std::thread::sleep(std::time::Duration::from_millis(version % 7));
+        }
+        wait_for("the newest everywhere", || all_hold(daemons, 30));
+        is_over.store(true, Ordering::SeqCst);
+        watcher.join().expect("no daemon went back");
+    });
+}
+
+/// A data centre loses its way to the platform, but not to the others. Its relays wait in vain for
+/// a change that all others have in force; the daemon that hears of it first must pass it on.
+#[test]
+fn cut_data_centre() {
+    let fleet = TestFleet::new();
+    let near = fleet.start_all(&["lj1"], 4);
+    let cut = FakePlatform::new();
+    cut.set_down(true);
+    let options = SpreadOptions { seeds: vec![near[0].address], ..fleet.options.clone() };
+    let start =
+        |index| fleet.start_with(&format!("lj2-{index}"), "lj2", options.clone(), Arc::clone(&cut));
+    let far: Vec<_> = (0..6).map(start).collect();
+    wait_for("all to meet", || {
+        far.iter().all(|daemon| daemon.present() == 10 && daemon.held.is_ready())
+    });
+    for version in 1..=3 {
+        fleet.platform.accept(numbered(version));
+        let took = wait_for("the version behind the cut", || all_hold(&far, version));
+        println!("behind the cut after {took:?}");
+        assert!(took.as_secs() < 11, "took {took:?}");
+    }
+}
+
+/// A whole data centre asks one daemon for a large version at once. Serving all of them together
+/// would take that daemon's memory; refused ones must come back and get it all the same.
+#[test]
+fn capped_fetches() {
+    let mut fleet = TestFleet::new();
+    fleet.options.mode = PassMode::Announce;
+    fleet.options.fan_out = 12;
+    fleet.options.max_fetches = 1;
+    let daemons = fleet.start_all(&["lj1"], 13);
+    let text = "x".repeat(60_000);
+    let names: Vec<String> = (0..10).map(|index| format!("v{index}")).collect();
+    let values: Vec<_> = names.iter().map(|name| ("board", name.as_str(), text.as_str())).collect();
+    fleet.platform.accept(make_snapshot(1, &values));
+    let took = wait_for("the large version everywhere", || all_hold(&daemons, 1));
+    let states = || daemons.iter().map(|daemon| daemon.handle.reader().state());
+    let refused: u64 = states().map(|state| state.fetches_refused).sum();
+    println!("{refused} fetches refused, everywhere after {took:?}");
+    assert!(refused > 0);
+    assert!(took.as_secs() < 11, "took {took:?}");
+}
--- /dev/null
+++ b/components/spread/tests/source_outage.rs
@@ -0,0 +1,68 @@
+//! The platform away, and daemons that start meanwhile.
+
+mod common;
+
+use common::{FakePlatform, TestFleet, all_hold, numbered, wait_for};
+use sk_spread::SpreadOptions;
+
+/// The platform goes away for a while. Daemons go on with what they hold, one that restarts gets
+/// it from its peers, and a change accepted after the return is in force everywhere.
+#[test]
+fn outage_and_return() {
+    let fleet = TestFleet::new();
+    let mut daemons = fleet.start_all(&["lj1", "lj2"], 4);
+    fleet.platform.accept(numbered(3));
+    wait_for("the version everywhere", || all_hold(&daemons, 3));
+    fleet.platform.set_down(true);
+    let seeds = [daemons[0].address, daemons[5].address];
+    let gone = daemons.remove(3);
+    let name = gone.name.clone();
+    drop(gone);
+    let late = fleet.start(&name, "lj1", &seeds);
+    wait_for("the restarted daemon", || late.held.is_ready());
+    assert_eq!(late.version(), 3);
+    daemons.push(late);
+    assert!(all_hold(&daemons, 3));
+    fleet.platform.set_down(false);
+    fleet.platform.accept(numbered(4));
+    let took = wait_for("the next version", || all_hold(&daemons, 4));
+    assert!(took.as_secs() < 11, "took {took:?}");
+}
+
+/// Everything restarts while the platform is away: nobody reachable knows a version. Serving the
+/// empty configuration would refuse every caller as "no route"; instead the daemons say
+/// that they are not ready, and hold the version as soon as the platform is back.
+#[test]
+fn nobody_knows() {
+    let fleet = TestFleet::new();
+    fleet.platform.accept(numbered(7));
+    fleet.platform.set_down(true);
+    let first = fleet.start("lj1-00", "lj1", &[]);
+    let second = fleet.start("lj1-01", "lj1", &[first.address]);
+    let daemons = [first, second];
+    wait_for("them to meet", || daemons.iter().all(|daemon| daemon.present() == 2));
+    wait_for("the platform to be asked in vain", || {
+        daemons.iter().all(|daemon| daemon.handle.reader().state().source_fault.is_some())
+    });
+    assert!(daemons.iter().all(|daemon| !daemon.held.is_ready() && daemon.version() == 0));
+    fleet.platform.set_down(false);
+    wait_for("the version", || all_hold(&daemons, 7));
+}
+
+/// A daemon's own way to the platform is cut while its peers' are not. Without the peers it would
+/// never become ready, or would serve something older than it served before.
+#[test]
+fn own_way_cut() {
+    let fleet = TestFleet::new();
+    let daemons = fleet.start_all(&["lj1"], 4);
+    fleet.platform.accept(numbered(2));
+    wait_for("the version everywhere", || all_hold(&daemons, 2));
+    let cut = FakePlatform::new();
+    cut.set_down(true);
+    let options = SpreadOptions { seeds: vec![daemons[0].address], ..fleet.options.clone() };
+    let late = fleet.start_with("lj1-cut", "lj1", options, cut);
+    wait_for("readiness", || late.held.is_ready());
+    assert_eq!(late.version(), 2);
+    fleet.platform.accept(numbered(3));
+    wait_for("the next version", || late.version() == 3);
+}
--- /dev/null
+++ b/components/spread/tests/update_whole.rs
@@ -0,0 +1,144 @@
+//! Updates against the whole configuration, and deliveries in any order.
+
+mod common;
+
+use std::sync::Arc;
+
+use common::make_snapshot;
+use proptest::{prelude::*, test_runner::TestRunner};
+use sk_model::{ConfigSnapshot, Version};
+use sk_spread::{
+    ConfigUpdate, HeldConfig, OfferOutcome, TreeContent, apply_update, make_tree_update,
+    make_update, tree_hashes,
+};
+
+const TEAMS: [&str; 3] = ["board", "records", "shop"];
+const NAMES: [&str; 3] = ["a", "b", "c"];
+
+type Values = Vec<(usize, usize, u8)>;
+
+fn snapshot_of(version: Version, values: &Values) -> ConfigSnapshot {
+    let texts: Vec<String> = values.iter().map(|(_, _, text)| text.to_string()).collect();
+    let named = values.iter().zip(&texts);
+    let named = named.map(|((team, name, _), text)| (TEAMS[*team], NAMES[*name], text.as_str()));
+    make_snapshot(version, &named.collect::<Vec<_>>())
+}
+
+fn values() -> impl Strategy<Value = Values> {
+    prop::collection::vec((0..TEAMS.len(), 0..NAMES.len(), 0..4_u8), 0..8)
+}
+
+/// Versions of one history, the first one empty.
+fn history() -> impl Strategy<Value = Vec<Arc<ConfigSnapshot>>> {
+    prop::collection::vec(values(), 2..8).prop_map(|versions| {
+        let whole = |(index, values): (usize, &Values)| snapshot_of(index as Version + 1, values);
+        let versions = versions.iter().enumerate().map(whole);
+        [ConfigSnapshot::default()].into_iter().chain(versions).map(Arc::new).collect()
+    })
+}
+
+proptest! {
+    #[test]
+    fn delta_gives_whole(history in history(), from in any::<prop::sample::Index>()) {
+        let newest = history.last().expect("a version");
+        let base = from.get(&history);
+        prop_assert_eq!(&apply_update(base, make_update(base, newest)).expect("applies"), &**newest);
+        let whole = make_update(&ConfigSnapshot::default(), newest);
+        prop_assert_eq!(&apply_update(base, whole).expect("applies"), &**newest);
+        let trees = make_tree_update(&tree_hashes(base), newest);
+        prop_assert_eq!(&apply_update(base, trees).expect("applies"), &**newest);
+    }
+
+    #[test]
+    fn other_base_is_refused(history in history(), from in any::<prop::sample::Index>()) {
+        let newest = history.last().expect("a version");
+        let base = from.get(&history);
+        for held in &history {
+            if let Ok(snapshot) = apply_update(held, make_update(base, newest)) {
+                prop_assert_eq!(&snapshot, &**newest);
+            }
+        }
+    }
+}
+
+/// Puts in force whatever arrives, on whatever is held.
+fn apply_naively(held: &ConfigSnapshot, update: &ConfigUpdate) -> ConfigSnapshot {
+    let mut snapshot = held.clone();
+    snapshot.root.version = update.version;
+    for (team, tree) in &update.trees {
+        let base = held.trees.get(team).cloned().unwrap_or_default();
+        let content = match &tree.content {
+            TreeContent::Whole(tree) => Arc::new(tree.clone()),
+            TreeContent::Writes(writes) => Arc::new(base.with_writes(writes)),
+            TreeContent::Held => base,
+        };
+        snapshot.root.trees.insert(team.clone(), tree.tree_ref.clone());
+        snapshot.trees.insert(team.clone(), content);
+    }
+    snapshot
+}
+
+/// Tells whether what is held moved back, or is no version that was ever accepted.
+fn is_broken(history: &[Arc<ConfigSnapshot>], before: Version, held: &ConfigSnapshot) -> bool {
+    let accepted = &history[held.version() as usize];
+    held.version() < before || held.trees != accepted.trees
+}
+
+/// Updates overtake each other on their way, arrive twice or not at all. A proxy that put in force
+/// what arrives would go back to old routes, or hold a mixture of two versions; a caller would
+/// see a route that nobody accepted.
+#[test]
+fn any_delivery_order() {
+    let naive_faults = std::cell::Cell::new(0);
+    let mut runner = TestRunner::deterministic();
+    let deliveries =
+        prop::collection::vec(any::<(prop::sample::Index, prop::sample::Index)>(), 1..24);
+    runner
+        .run(&(history(), deliveries), |(history, deliveries)| {
+            let held = HeldConfig::new();
+            held.set_ready(0);
+            let mut naive = ConfigSnapshot::default();
+            let mut is_naive_broken = false;
+            for (first, second) in deliveries {
+                let (first, second) = (first.index(history.len()), second.index(history.len()));
+                let (base, newest) = (&history[first.min(second)], &history[first.max(second)]);
+                let update = make_update(base, newest);
+                let before = naive.version();
+                naive = apply_naively(&naive, &update);
+                is_naive_broken |= is_broken(&history, before, &naive);
+                let current = held.current();
+                if let Ok(snapshot) = apply_update(&current, update) {
+                    held.offer(snapshot, "peer", 0);
+                }
+                prop_assert!(!is_broken(&history, current.version(), &held.current()));
+            }
+            naive_faults.set(naive_faults.get() + usize::from(is_naive_broken));
+            Ok(())
+        })
+        .expect("no delivery breaks what is held");
+    assert!(naive_faults.get() > 0, "the naive version must fail on the same deliveries");
+}
+
+/// A process that has just started is given an old version by one peer and the newest by another.
+/// Serving the first would take its callers back to routes that its predecessor had left.
+#[test]
+fn nothing_before_ready() {
+    let held = HeldConfig::new();
+    assert_eq!(held.offer(common::numbered(4), "late peer", 1), OfferOutcome::Applied);
+    assert_eq!((held.current().version(), held.newest().version()), (0, 4));
+    assert_eq!(held.offer(common::numbered(6), "peer", 2), OfferOutcome::Applied);
+    held.set_ready(3);
+    let status = held.status();
+    assert_eq!((status.version, status.since, status.source.as_str()), (6, 3, "peer"));
+    assert_eq!(held.offer(common::numbered(5), "late peer", 4), OfferOutcome::NotNewer);
+}
+
+#[test]
+fn other_content_is_diverged() {
+    let held = HeldConfig::new();
+    held.set_ready(0);
+    held.offer(common::numbered(2), "peer", 1);
+    let other = make_snapshot(2, &[("board", "a", "other")]);
+    assert_eq!(held.offer(other, "stranger", 2), OfferOutcome::Diverged);
+    assert_eq!(*held.current(), common::numbered(2));
+}
