--- a/components/daemon/src/lib.rs
+++ b/components/daemon/src/lib.rs
@@ -4,6 +4,7 @@
 mod daemon;
 mod error;
 mod port;
+mod reach;
 mod records;
 mod source;
 mod tasks;
