--- a/components/daemon/src/daemon.rs
+++ b/components/daemon/src/daemon.rs
@@ -2,12 +2,13 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use hyper_util::{client::legacy::Client, rt::TokioExecutor};
+use sk_decide::{admitting, pacing::PacerSettings};
 use sk_ledger::{Ledger, LedgerSettings};
 use sk_member::{MemberBoard, MemberRecord, MemberStatus};
 use sk_ops::{OpsHandle, start_ops};
 use sk_proxy::{
-    ForwardContext, GuardContext, LocalServers, ServeHandle, SharedTable, serve_forward,
+    ForwardContext, GuardContext, GuardToken, LocalServers, PeerClient, ProxyCounters,
+    QuarantineBoard, ServeHandle, ServerLimits, SharedTable, TablePlace, serve_forward,
     serve_guard,
 };
 use sk_report::ReportBook;
@@ -23,7 +24,8 @@
     tasks,
 };
 
-/// Time given to the news that this daemon leaves, before it stops accepting.
+/// Time given to the news that this daemon leaves, before it refuses new requests: for the news to
+/// reach the others, and for callers to be told with an answer that the next goes elsewhere.
 const LEAVE_NOTICE: Duration = Duration::from_millis(300);
 
 /// Where a daemon listens.
@@ -68,6 +70,8 @@
     table: SharedTable,
     book: Arc<ReportBook>,
     meter: Arc<ControlMeter>,
+    quarantine: Arc<QuarantineBoard>,
+    counters: Arc<ProxyCounters>,
 }
 
 /// Starts a daemon from checked settings.
@@ -87,8 +91,10 @@
     let ops = start_ops(settings.listen.ops, Arc::new(make_port(settings, &parts, addresses)))?;
     let addresses = DaemonAddresses { ops: ops.address(), ..addresses };
     let spread = run_spread(settings, &parts, listeners.control)?;
-    let forward = serve_forward(listeners.proxy, Arc::new(forward_context(&parts)));
-    let guard = serve_guard(listeners.guard, Arc::new(guard_context(&parts)));
+    let guard_context = Arc::new(guard_context(settings, &parts));
+    let forward_context = forward_context(settings, &parts, guard_context.clone());
+    let forward = serve_forward(listeners.proxy, Arc::new(forward_context));
+    let guard = serve_guard(listeners.guard, guard_context);
     let drain = Duration::from_millis(settings.guard.drain_ms);
     let ttl = Duration::from_millis(settings.guard.announce_ttl_ms);
     let tasks = vec![
@@ -96,6 +102,7 @@
             parts.table.clone(),
             parts.held.clone(),
             parts.members.clone(),
+            table_place(settings),
         )),
         tokio::spawn(tasks::expire_servers(parts.servers.clone(), parts.members.clone(), ttl)),
         tokio::spawn(tasks::flush_reports(parts.book.clone(), parts.store.clone())),
@@ -121,12 +128,20 @@
 
     /// Stops gracefully: tells the others, accepts no more, finishes requests in flight within
     /// the set bound, and tells whether all of them ended.
+    ///
+    /// The guard ends first: the local server's work in flight may still call other services,
+    /// which goes by this daemon's own listener for callers.
     pub async fn stop(mut self) -> bool {
         log::info!("daemon: leaving.");
         self.members.update(|table| table.set_status(MemberStatus::Leaving), |changed| *changed);
+        self.forward.leave();
+        self.guard.leave();
         tokio::time::sleep(LEAVE_NOTICE).await;
-        let (forward, guard) =
-            tokio::join!(self.forward.stop(self.drain), self.guard.stop(self.drain));
+        let end = tokio::time::Instant::now() + self.drain;
+        self.forward.refuse_new();
+        let guard = self.guard.stop(self.drain).await;
+        let left = end.saturating_duration_since(tokio::time::Instant::now());
+        let forward = self.forward.stop(left).await;
         self.ops.stop().await;
         self.tasks.iter().for_each(JoinHandle::abort);
         // The control thread is joined, which must not block a worker of this runtime.
@@ -171,10 +186,12 @@
         store,
         held: Arc::default(),
         members: Arc::new(MemberBoard::new(own_record(settings, addresses))),
-        servers: Arc::default(),
+        servers: Arc::new(LocalServers::new(server_limits(settings))),
         table: SharedTable::default(),
         book: Arc::new(ReportBook::new(&key_prefix)),
         meter: Arc::default(),
+        quarantine: Arc::default(),
+        counters: Arc::default(),
     }
 }
 
@@ -233,12 +250,48 @@
     .map_err(DaemonError::Spread)
 }
 
-fn forward_context(parts: &DaemonParts) -> ForwardContext {
-    let client = Client::builder(TokioExecutor::new()).build_http();
-    ForwardContext { table: parts.table.clone(), client }
+fn table_place(settings: &DaemonSettings) -> TablePlace {
+    let instance = &settings.instance;
+    TablePlace {
+        proxy: instance.name.clone(),
+        data_centre: instance.data_centre.clone(),
+        region: instance.region.clone(),
+    }
+}
+
+fn server_limits(settings: &DaemonSettings) -> ServerLimits {
+    // The settings' bound of 1024 fits.
+    let queue = settings.guard.queue as u32;
+    ServerLimits {
+        guard: admitting::GuardSettings {
+            short_queue: queue,
+            long_queue: queue / 2,
+            ..admitting::GuardSettings::default()
+        },
+        pacer: PacerSettings { limit: settings.guard.connections, ..PacerSettings::default() },
+    }
+}
+
+fn forward_context(
+    settings: &DaemonSettings,
+    parts: &DaemonParts,
+    guard: Arc<GuardContext>,
+) -> ForwardContext {
+    ForwardContext {
+        table: parts.table.clone(),
+        peers: PeerClient::new(guard.token.clone()),
+        guard,
+        counters: parts.counters.clone(),
+        max_body_bytes: settings.guard.max_body_bytes,
+    }
 }
 
-fn guard_context(parts: &DaemonParts) -> GuardContext {
-    let client = Client::builder(TokioExecutor::new()).build_http();
-    GuardContext { servers: parts.servers.clone(), client }
+fn guard_context(settings: &DaemonSettings, parts: &DaemonParts) -> GuardContext {
+    GuardContext {
+        servers: parts.servers.clone(),
+        token: GuardToken::new(&settings.peers.secret),
+        quarantine: parts.quarantine.clone(),
+        claims: None,
+        counters: parts.counters.clone(),
+    }
 }
--- a/components/daemon/src/tasks.rs
+++ b/components/daemon/src/tasks.rs
@@ -7,7 +7,7 @@
 
 use sk_member::MemberBoard;
 use sk_model::UnixMillis;
-use sk_proxy::{LocalServers, RouteTable, SharedTable};
+use sk_proxy::{LocalServers, RouteTable, SharedTable, TablePlace, process_now};
 use sk_report::ReportBook;
 use sk_spread::HeldConfig;
 use sk_store::SharedStore;
@@ -29,6 +29,7 @@
     table: SharedTable,
     held: Arc<HeldConfig>,
     members: Arc<MemberBoard>,
+    place: TablePlace,
 ) {
     let mut versions = held.subscribe();
     let mut views = members.subscribe();
@@ -36,7 +37,9 @@
         versions.mark_unchanged();
         let view = views.borrow_and_update().clone();
         let records = view.values().map(|record| &**record);
-        table.store(Arc::new(RouteTable::build(&held.current(), records)));
+        let before = table.load_full();
+        let next = RouteTable::build(&before, &held.current(), records, &place, process_now());
+        table.store(Arc::new(next));
         let is_open = tokio::select! {
             changed = versions.changed() => changed.is_ok(),
             changed = views.changed() => changed.is_ok(),
--- a/components/decide/tests/skewed_demand.rs
+++ b/components/decide/tests/skewed_demand.rs
@@ -71,5 +71,6 @@
         short 1: sent 2258 good 27 refused 0 late 2231 p99 399.5ms
         short 2: sent 2411 good 15 refused 0 late 2396 p99 396.1ms
         short 3: sent 2427 good 32 refused 0 late 2395 p99 393.8ms
-        short 11: sent 2439 good 22 refused 0 late 2417 p99 396.1ms"#]].assert_eq(&lines.join("\n"));
+        short 11: sent 2439 good 22 refused 0 late 2417 p99 396.1ms"#]]
+    .assert_eq(&lines.join("\n"));
 }
--- /dev/null
+++ b/components/proxy/src/attempt.rs
@@ -0,0 +1,274 @@
+//! Attempts to have a request answered, one after the other.
+
+use std::{sync::Arc, time::Duration};
+
+use http::{Request, Response, StatusCode};
+use http_body_util::BodyExt;
+use sk_decide::{
+    deadline::{CallContext, DescendError},
+    placing::{CallOutcome, EndpointId, PlaceRequest, PlacedCall},
+    retrying::{FailedAttempt, RetryVerdict, RunOutcome, may_retry},
+};
+use tokio::time::Instant;
+
+use crate::{
+    answer::{lost_answer, own_answer, refuse},
+    body::{CheckedBody, ProxyBody},
+    call::GuardCall,
+    clock::process_now,
+    entry::EntryRequest,
+    forward::{ForwardContext, count_own},
+    guard::{RAN_HEADER, pass},
+    outcome::{RefusalKind, RequestOutcome},
+    passed::PassedBody,
+    table::{TableEndpoint, TableService},
+};
+
+/// Shortest time for which a late answer is held against an endpoint. Less says more of the caller,
+/// who gave the endpoint no chance.
+const FAIR_WAIT: Duration = Duration::from_millis(100);
+
+/// What has been tried for a request.
+#[derive(Default)]
+pub(crate) struct AttemptLog {
+    tried: Vec<EndpointId>,
+    retries: u8,
+    /// Whether an attempt that ended may have run.
+    pub(crate) may_have_run: bool,
+    /// The attempt under way.
+    pub(crate) running: Option<RunningAttempt>,
+}
+
+/// An attempt that was sent and has no answer yet.
+pub(crate) struct RunningAttempt {
+    placed: PlacedCall,
+    began: Instant,
+}
+
+impl RunningAttempt {
+    /// Ends an attempt that got no answer in time.
+    pub(crate) fn end_late(self, outcome: CallOutcome) {
+        let took = self.began.elapsed();
+        if took >= FAIR_WAIT {
+            self.placed.finish(outcome, took, process_now());
+        }
+    }
+}
+
+/// An attempt without an answer that the caller wants.
+struct AttemptFailure {
+    response: Response<ProxyBody>,
+    outcome: RunOutcome,
+    /// Whether another endpoint may do better.
+    is_local: bool,
+}
+
+enum AttemptEnd {
+    Answered(Response<ProxyBody>),
+    Failed(AttemptFailure),
+}
+
+/// Tries endpoints until one answers or trying on would do harm.
+pub(crate) async fn answer_request(
+    context: &ForwardContext,
+    service: &TableService,
+    request: &mut EntryRequest,
+    log: &mut AttemptLog,
+    deadline: Instant,
+) -> Response<ProxyBody> {
+    service.budget.record_attempt();
+    let mut last = None;
+    loop {
+        let Some(placed) = place(service, request, log) else {
+            return last.unwrap_or_else(|| count_own(context, refuse(RefusalKind::NoEndpoint)));
+        };
+        let call = match request.call.descend(request.began.elapsed(), log.retries) {
+            Ok(call) => call,
+            Err(err) => return last.unwrap_or_else(|| count_own(context, refuse_descent(err))),
+        };
+        let (Some(endpoint), Some(body)) =
+            (service.endpoints.get(&placed.endpoint()), request.body.take())
+        else {
+            return last.unwrap_or_else(|| count_own(context, refuse(RefusalKind::NoEndpoint)));
+        };
+        log.tried.push(placed.endpoint());
+        log.running = Some(RunningAttempt { placed, began: Instant::now() });
+        let message = attempt_message(request, body, service, endpoint, &call);
+        let response = send(context, endpoint, message).await;
+        let failure = match judge(context, request, log, response, deadline) {
+            AttemptEnd::Answered(response) => return response,
+            AttemptEnd::Failed(failure) => failure,
+        };
+        let wait = match retry_wait(context, service, request, log, &failure) {
+            Some(wait) => wait,
+            None => return failure.response,
+        };
+        context.counters.count_retry();
+        log.retries += 1;
+        last = Some(failure.response);
+        tokio::time::sleep(wait).await;
+    }
+}
+
+fn place(service: &TableService, request: &EntryRequest, log: &AttemptLog) -> Option<PlacedCall> {
+    let may_probe = request.traits.is_repeatable && request.body.is_whole();
+    let wanted = PlaceRequest { class: request.traits.class, exclude: &log.tried, may_probe };
+    service.placement.choose(&wanted, process_now(), &mut rand::rng()).ok()
+}
+
+fn refuse_descent(err: DescendError) -> Response<ProxyBody> {
+    match err {
+        DescendError::HopLimit(hops) => {
+            log::warn!("proxy: a call has taken {hops} hops, which suggests a loop of routes.");
+            refuse(RefusalKind::HopLimit)
+        }
+        DescendError::Expired(_) => refuse(RefusalKind::DeadlineTooNear),
+    }
+}
+
+struct AttemptMessage {
+    request: Request<ProxyBody>,
+    call: GuardCall,
+}
+
+fn attempt_message(
+    request: &EntryRequest,
+    body: ProxyBody,
+    service: &TableService,
+    endpoint: &TableEndpoint,
+    context: &CallContext,
+) -> AttemptMessage {
+    let (name, server) = (service.name.clone(), endpoint.server.clone());
+    let call = GuardCall::new(name, server, context, &request.traits);
+    AttemptMessage { request: request.head().map(|()| body), call }
+}
+
+/// Sends an attempt and gives the guard's answer, or one of our own that tells what is known.
+async fn send(
+    context: &ForwardContext,
+    endpoint: &TableEndpoint,
+    message: AttemptMessage,
+) -> Response<ProxyBody> {
+    let AttemptMessage { mut request, call } = message;
+    if endpoint.is_own {
+        return pass(Arc::clone(&context.guard), request, call).await;
+    }
+    call.write(request.headers_mut());
+    match context.peers.send(request, &endpoint.guard).await {
+        Ok(response) => {
+            let version = response.version();
+            response.map(|body| CheckedBody::new(body, version).boxed_unsync())
+        }
+        Err(err) if err.is_connect() => {
+            log::info!("proxy: {} cannot be reached.", endpoint.proxy);
+            count_own(context, refuse(RefusalKind::Unreachable))
+        }
+        Err(err) => {
+            log::info!("proxy: lost an answer of {}: {err}.", endpoint.proxy);
+            let kind = RefusalKind::AnswerLost;
+            count_own(context, lost_answer(kind, RequestOutcome::Unknown))
+        }
+    }
+}
+
+/// Reads what an attempt ended in, and lets the endpoint's record know.
+fn judge(
+    context: &ForwardContext,
+    request: &EntryRequest,
+    log: &mut AttemptLog,
+    response: Response<ProxyBody>,
+    deadline: Instant,
+) -> AttemptEnd {
+    let Some(running) = log.running.take() else {
+        return AttemptEnd::Answered(response);
+    };
+    // An answer without the header comes from a layer below the guard, which may have passed it on.
+    let outcome = RequestOutcome::read(response.headers()).unwrap_or(RequestOutcome::Unknown);
+    let kind = RefusalKind::read(response.headers());
+    let end = call_outcome(&response, outcome, kind);
+    let latency = latency_of(&response).unwrap_or_else(|| running.began.elapsed());
+    let is_wanted = outcome == RequestOutcome::Ran
+        && !(is_trouble(response.status()) && request.traits.is_repeatable);
+    if is_wanted || kind == Some(RefusalKind::AlreadyRan) {
+        let (placed, counters) = (running.placed, context.counters.clone());
+        let body = |body| PassedBody::placed(body, placed, end, latency, deadline, counters);
+        return AttemptEnd::Answered(response.map(|inner| body(inner).boxed_unsync()));
+    }
+    if let Some(end) = end {
+        running.placed.finish(end, latency, process_now());
+    }
+    log.may_have_run |= outcome != RequestOutcome::NotRun;
+    let is_local = kind.is_none_or(RefusalKind::is_local);
+    let response = match request.body.has_overrun() {
+        true => own_answer(StatusCode::PAYLOAD_TOO_LARGE, outcome, RefusalKind::TooLarge),
+        false => response,
+    };
+    AttemptEnd::Failed(AttemptFailure { response, outcome: outcome.to_run(), is_local })
+}
+
+/// Gives the time that the guard measured, so that distance does not count as slowness.
+fn latency_of(response: &Response<ProxyBody>) -> Option<Duration> {
+    let micros = response.headers().get(RAN_HEADER)?.to_str().ok()?.parse().ok()?;
+    Some(Duration::from_micros(micros))
+}
+
+/// Tells what an answer says of the endpoint, or nothing where it speaks of the request alone.
+fn call_outcome(
+    response: &Response<ProxyBody>,
+    outcome: RequestOutcome,
+    kind: Option<RefusalKind>,
+) -> Option<CallOutcome> {
+    match (kind, outcome) {
+        (None, RequestOutcome::Ran) => Some(match response.status() {
+            // A server that sheds load is loaded, not broken.
+            StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS => CallOutcome::Refused,
+            status if status.is_server_error() => CallOutcome::Failure,
+            _ => CallOutcome::Success,
+        }),
+        (Some(RefusalKind::Draining | RefusalKind::ServerGone), _) => Some(CallOutcome::Leaving),
+        (Some(RefusalKind::Unreachable | RefusalKind::ServerUnreachable), _) => {
+            Some(CallOutcome::Unreachable)
+        }
+        (Some(kind), RequestOutcome::NotRun) if !kind.is_local() => None,
+        (Some(RefusalKind::AlreadyRan | RefusalKind::AlreadyClaimed), _) => None,
+        (_, RequestOutcome::NotRun) => Some(CallOutcome::Refused),
+        _ => Some(CallOutcome::Failure),
+    }
+}
+
+/// Tells whether a server's answer means that it could not do the work now.
+fn is_trouble(status: StatusCode) -> bool {
+    matches!(
+        status,
+        StatusCode::BAD_GATEWAY | StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT
+    )
+}
+
+/// Gives the wait before the next attempt, if there may be one.
+fn retry_wait(
+    context: &ForwardContext,
+    service: &TableService,
+    request: &EntryRequest,
+    log: &AttemptLog,
+    failure: &AttemptFailure,
+) -> Option<Duration> {
+    if !failure.is_local || !request.body.is_whole() {
+        return None;
+    }
+    let attempt = FailedAttempt {
+        outcome: failure.outcome,
+        is_repeatable: request.traits.is_repeatable,
+        own_retries: log.retries,
+        retried_above: request.call.retried_above,
+        remaining: request.left(),
+        expected: Duration::ZERO,
+    };
+    match may_retry(&attempt, &service.budget, process_now(), &mut rand::rng()) {
+        RetryVerdict::Retry(wait) => Some(wait),
+        RetryVerdict::GiveUp(reason) => {
+            context.counters.count_denied();
+            log::debug!("proxy: no retry for {}: {reason}.", service.name);
+            None
+        }
+    }
+}
--- /dev/null
+++ b/components/proxy/src/call.rs
@@ -0,0 +1,140 @@
+//! What the daemon of entry tells a guard about a request.
+
+use std::{sync::Arc, time::Duration};
+
+use hmac::{Hmac, KeyInit, Mac};
+use http::{HeaderMap, HeaderName, HeaderValue};
+use serde::{Deserialize, Serialize};
+use sha2::Sha256;
+use sk_decide::{
+    admitting::{CallerKey, FlowKey, TeamKey},
+    deadline::CallContext,
+    quarantine::Fingerprint,
+};
+use sk_model::WorkClass;
+use subtle::ConstantTimeEq;
+
+const CALL_HEADER: &str = "x-sapphirekeel-call";
+const TOKEN_HEADER: &str = "x-sapphirekeel-token";
+/// What the token is made over, so that no other use of the secret gives the same bytes.
+const TOKEN_PURPOSE: &[u8] = b"sapphirekeel guard listener";
+
+/// A request for the backend server beside a guard.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(crate) struct GuardCall {
+    /// Service.
+    pub(crate) service: Arc<str>,
+    /// The server's process that was chosen. Another one at the same place refuses the request: it
+    /// was placed by what its predecessor could take.
+    pub(crate) server: Arc<str>,
+    /// Microseconds left.
+    remaining_us: u64,
+    hops: u8,
+    retried: u8,
+    /// Class of the work.
+    pub(crate) class: WorkClass,
+    /// Whether it may run twice without harm.
+    pub(crate) is_repeatable: bool,
+    /// What a crash is remembered by.
+    pub(crate) fingerprint: Fingerprint,
+    team: TeamKey,
+    caller: CallerKey,
+}
+
+/// Who a request is counted against.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct CallSource {
+    pub(crate) team: TeamKey,
+    pub(crate) caller: CallerKey,
+}
+
+/// What does not change between the attempts of one request.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct CallTraits {
+    pub(crate) class: WorkClass,
+    pub(crate) is_repeatable: bool,
+    pub(crate) fingerprint: Fingerprint,
+    pub(crate) source: CallSource,
+}
+
+impl GuardCall {
+    /// Describes one attempt.
+    pub(crate) fn new(
+        service: Arc<str>,
+        server: Arc<str>,
+        context: &CallContext,
+        traits: &CallTraits,
+    ) -> Self {
+        Self {
+            service,
+            server,
+            remaining_us: u64::try_from(context.remaining.as_micros()).unwrap_or(u64::MAX),
+            hops: context.hops,
+            retried: context.retried_above,
+            class: traits.class,
+            is_repeatable: traits.is_repeatable,
+            fingerprint: traits.fingerprint,
+            team: traits.source.team,
+            caller: traits.source.caller,
+        }
+    }
+
+    /// Gives the context of the call at its arrival.
+    pub(crate) fn context(&self) -> CallContext {
+        CallContext {
+            remaining: Duration::from_micros(self.remaining_us),
+            hops: self.hops,
+            retried_above: self.retried,
+        }
+    }
+
+    /// Gives whom the request is counted against.
+    pub(crate) fn flow(&self) -> FlowKey {
+        FlowKey { team: self.team, caller: self.caller }
+    }
+
+    /// Writes the call into a request's head.
+    pub(crate) fn write(&self, headers: &mut HeaderMap) {
+        let text = serde_json::to_vec(self).expect("a call of plain fields can be written");
+        let value = HeaderValue::from_bytes(&text).expect("paths and numbers make a header");
+        headers.insert(HeaderName::from_static(CALL_HEADER), value);
+    }
+
+    /// Reads the call from a request's head.
+    pub(crate) fn read(headers: &HeaderMap) -> Option<Self> {
+        serde_json::from_slice(headers.get(CALL_HEADER)?.as_bytes()).ok()
+    }
+}
+
+/// What shows a guard that a request comes from a daemon of its fleet.
+///
+/// Anyone else who reaches the guard's listener could pass by routes, fairness and the check for
+/// repeats. The token is as safe as the network between instances, like all control traffic.
+#[derive(Clone, Debug)]
+pub struct GuardToken(HeaderValue);
+
+impl GuardToken {
+    /// Makes the token of a fleet from the secret that its daemons share.
+    ///
+    /// # Panics
+    ///
+    /// Never: a MAC takes keys of any length and its hexadecimal form is a header's value.
+    pub fn new(secret: &str) -> Self {
+        let mut mac = Hmac::<Sha256>::new_from_slice(secret.as_bytes()).expect("any key length");
+        mac.update(TOKEN_PURPOSE);
+        let text: String =
+            mac.finalize().into_bytes().iter().map(|byte| format!("{byte:02x}")).collect();
+        Self(HeaderValue::from_str(&text).expect("hexadecimal digits"))
+    }
+
+    /// Writes the token into a request's head.
+    pub(crate) fn write(&self, headers: &mut HeaderMap) {
+        headers.insert(HeaderName::from_static(TOKEN_HEADER), self.0.clone());
+    }
+
+    /// Compares the token of a request in constant time.
+    pub(crate) fn is_in(&self, headers: &HeaderMap) -> bool {
+        let found = headers.get(TOKEN_HEADER).map_or(&b""[..], HeaderValue::as_bytes);
+        self.0.as_bytes().ct_eq(found).into()
+    }
+}
--- /dev/null
+++ b/components/proxy/src/counters.rs
@@ -0,0 +1,107 @@
+//! Counts of the request path, for the state dump and for metrics.
+
+use std::{
+    collections::BTreeMap,
+    sync::atomic::{AtomicU64, Ordering},
+};
+
+use serde::{Deserialize, Serialize};
+
+use crate::outcome::{RefusalKind, RequestOutcome};
+
+/// Counts of one daemon since its start. Relaxed atomics: a dump may be a request behind.
+#[derive(Debug)]
+pub struct ProxyCounters {
+    in_flight: AtomicU64,
+    outcomes: [AtomicU64; 3],
+    refusals: Vec<AtomicU64>,
+    retries: AtomicU64,
+    retries_denied: AtomicU64,
+    cut_answers: AtomicU64,
+}
+
+impl Default for ProxyCounters {
+    fn default() -> Self {
+        Self {
+            in_flight: AtomicU64::new(0),
+            outcomes: Default::default(),
+            refusals: RefusalKind::ALL.iter().map(|_| AtomicU64::new(0)).collect(),
+            retries: AtomicU64::new(0),
+            retries_denied: AtomicU64::new(0),
+            cut_answers: AtomicU64::new(0),
+        }
+    }
+}
+
+/// What a dump shows of the counts.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CounterView {
+    /// Callers' requests in this daemon now.
+    pub in_flight: u64,
+    /// Callers' requests that a server answered.
+    pub ran: u64,
+    /// Callers' requests that did not run.
+    pub not_run: u64,
+    /// Callers' requests of which it is not known whether they ran.
+    pub unknown: u64,
+    /// Answers of this daemon's own by reason, as entry and as guard; absent ones are zero.
+    pub refused: BTreeMap<String, u64>,
+    /// Attempts after the first.
+    pub retries: u64,
+    /// Failed attempts that were not tried again though they might have been.
+    pub retries_denied: u64,
+    /// Answers that ended in an error after their head.
+    pub cut_answers: u64,
+}
+
+impl ProxyCounters {
+    /// Gives the counts.
+    pub fn view(&self) -> CounterView {
+        let counted = RefusalKind::ALL.iter().zip(&self.refusals);
+        let refused = counted
+            .map(|(kind, count)| (kind.as_str().to_owned(), load(count)))
+            .filter(|(_, count)| *count > 0);
+        CounterView {
+            in_flight: load(&self.in_flight),
+            ran: load(&self.outcomes[RequestOutcome::Ran as usize]),
+            not_run: load(&self.outcomes[RequestOutcome::NotRun as usize]),
+            unknown: load(&self.outcomes[RequestOutcome::Unknown as usize]),
+            refused: refused.collect(),
+            retries: load(&self.retries),
+            retries_denied: load(&self.retries_denied),
+            cut_answers: load(&self.cut_answers),
+        }
+    }
+
+    pub(crate) fn enter(&self) {
+        self.in_flight.fetch_add(1, Ordering::Relaxed);
+    }
+
+    pub(crate) fn leave(&self) {
+        self.in_flight.fetch_sub(1, Ordering::Relaxed);
+    }
+
+    pub(crate) fn count_outcome(&self, outcome: RequestOutcome) {
+        self.outcomes[outcome as usize].fetch_add(1, Ordering::Relaxed);
+    }
+
+    pub(crate) fn count_refusal(&self, kind: RefusalKind) {
+        self.refusals[kind as usize].fetch_add(1, Ordering::Relaxed);
+    }
+
+    pub(crate) fn count_retry(&self) {
+        self.retries.fetch_add(1, Ordering::Relaxed);
+    }
+
+    pub(crate) fn count_denied(&self) {
+        self.retries_denied.fetch_add(1, Ordering::Relaxed);
+    }
+
+    pub(crate) fn count_cut(&self) {
+        self.cut_answers.fetch_add(1, Ordering::Relaxed);
+    }
+}
+
+fn load(count: &AtomicU64) -> u64 {
+    count.load(Ordering::Relaxed)
+}
--- a/components/proxy/src/forward.rs
+++ b/components/proxy/src/forward.rs
@@ -1,17 +1,25 @@
 //! From a caller to the daemon beside a backend server.
 
-use std::sync::Arc;
+use std::{net::IpAddr, sync::Arc};
 
-use http::{HeaderValue, Request, Response, StatusCode, Uri, header};
+use http::{Request, Response, StatusCode};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
-use hyper_util::client::legacy::{Client, connect::HttpConnector};
-use rand::seq::IndexedRandom;
+use sk_decide::placing::CallOutcome;
+use tokio::time::timeout_at;
 
 use crate::{
-    body::{ProxyBody, own_answer},
-    outcome::{RequestOutcome, SERVICE_HEADER},
-    table::SharedTable,
+    answer::{lost_answer, own_answer, refuse},
+    attempt::{AttemptLog, answer_request},
+    body::ProxyBody,
+    counters::ProxyCounters,
+    entry::{CallOrigin, EntryRequest, check_carried, host_of},
+    guard::{GuardContext, RAN_HEADER},
+    headers::{is_nested, read_context},
+    outcome::{RefusalKind, RequestOutcome},
+    passed::{EntryCount, PassedBody},
+    peers::PeerClient,
+    table::{RouteMatch, RouteTable, SharedTable},
 };
 
 /// What forwarding needs.
@@ -19,46 +27,107 @@
     /// The table in force.
     pub table: SharedTable,
     /// Connections to other daemons' guards.
-    pub client: Client<HttpConnector, Incoming>,
+    pub peers: PeerClient,
+    /// The guard of this very daemon.
+    pub guard: Arc<GuardContext>,
+    /// Counts.
+    pub counters: Arc<ProxyCounters>,
+    /// Largest body of a request, in bytes.
+    pub max_body_bytes: u64,
 }
 
-/// Forwards one request and streams its answer back.
+/// Forwards one request of a caller at an address and streams its answer back.
 pub async fn forward(
     context: Arc<ForwardContext>,
-    mut request: Request<Incoming>,
+    request: Request<Incoming>,
+    caller: IpAddr,
 ) -> Response<ProxyBody> {
+    let count = EntryCount::new(context.counters.clone());
+    let mut response = forward_routed(&context, request, caller).await;
+    response.headers_mut().remove(RAN_HEADER);
+    let outcome = RequestOutcome::read(response.headers()).unwrap_or(RequestOutcome::Unknown);
+    context.counters.count_outcome(outcome);
+    response.map(|body| PassedBody::counted(body, count).boxed_unsync())
+}
+
+async fn forward_routed(
+    context: &ForwardContext,
+    request: Request<Incoming>,
+    caller: IpAddr,
+) -> Response<ProxyBody> {
+    if let Err(response) = check_carried(&request) {
+        return count_own(context, *response);
+    }
     let table = context.table.load_full();
-    let host = request.headers().get(header::HOST).and_then(|host| host.to_str().ok());
-    let Some(route) = table.find(host, request.uri().path()) else {
-        let text = if table.version() == 0 { "no configuration yet" } else { "no route" };
-        let status = match table.version() {
-            0 => StatusCode::SERVICE_UNAVAILABLE,
-            _ => StatusCode::NOT_FOUND,
-        };
-        return own_answer(status, RequestOutcome::NotRun, text);
-    };
-    let Some(endpoint) = route.service.endpoints.choose(&mut rand::rng()) else {
-        let status = StatusCode::SERVICE_UNAVAILABLE;
-        return own_answer(status, RequestOutcome::NotRun, "no backend server takes work");
+    let host = host_of(&request);
+    let Some(route) = table.find(host.as_deref(), request.uri().path()) else {
+        return refuse_unrouted(context, &table);
     };
-    let path = request.uri().path_and_query().map_or("/", |path| path.as_str());
-    let uri = format!("http://{}{path}", endpoint.guard);
-    let (Ok(uri), Ok(service)) = (uri.parse::<Uri>(), HeaderValue::from_str(&route.service.name))
-    else {
-        return own_answer(StatusCode::BAD_REQUEST, RequestOutcome::NotRun, "malformed target");
+    let deadline = std::time::Duration::from_millis(route.setting.deadline_ms);
+    let call = read_context(request.headers(), deadline);
+    let origin = origin_of(context, &request, caller);
+    let limit = context.max_body_bytes;
+    match EntryRequest::read(request, host.as_deref(), &route, call, origin, limit).await {
+        Ok(request) => forward_read(context, &route, request).await,
+        Err(response) => count_own(context, *response),
+    }
+}
+
+/// Answers a request by its deadline, whatever becomes of the attempts.
+///
+/// A guard that was stopped or cut off answers nothing. Its caller must hear in time that the end
+/// of the request is unknown, and nobody may run it elsewhere meanwhile.
+async fn forward_read(
+    context: &ForwardContext,
+    route: &RouteMatch<'_>,
+    mut request: EntryRequest,
+) -> Response<ProxyBody> {
+    let deadline = request.began + request.call.remaining;
+    let mut log = AttemptLog::default();
+    let answer = answer_request(context, route.service, &mut request, &mut log, deadline);
+    let mut response = match timeout_at(deadline, answer).await {
+        Ok(response) => response,
+        Err(_) => time_out(context, &mut log),
     };
-    *request.uri_mut() = uri;
-    request.headers_mut().insert(SERVICE_HEADER, service);
-    match context.client.request(request).await {
-        Ok(response) => response.map(BodyExt::boxed),
-        Err(err) if err.is_connect() => {
-            log::info!("proxy: {} cannot be reached.", endpoint.proxy);
-            let status = StatusCode::SERVICE_UNAVAILABLE;
-            own_answer(status, RequestOutcome::NotRun, "backend server cannot be reached")
-        }
-        Err(err) => {
-            log::info!("proxy: lost the answer of {}: {err}.", endpoint.proxy);
-            own_answer(StatusCode::BAD_GATEWAY, RequestOutcome::Unknown, "answer was lost")
+    // An attempt before may have run even if the last one did not.
+    if log.may_have_run && RequestOutcome::read(response.headers()) == Some(RequestOutcome::NotRun)
+    {
+        RequestOutcome::Unknown.write(response.headers_mut());
+    }
+    response
+}
+
+fn time_out(context: &ForwardContext, log: &mut AttemptLog) -> Response<ProxyBody> {
+    let response = match log.running.take() {
+        Some(running) => {
+            running.end_late(CallOutcome::Failure);
+            lost_answer(RefusalKind::DeadlinePassed, RequestOutcome::Unknown)
         }
+        None => refuse(RefusalKind::DeadlineTooNear),
+    };
+    count_own(context, response)
+}
+
+fn refuse_unrouted(context: &ForwardContext, table: &RouteTable) -> Response<ProxyBody> {
+    let response = match table.version() {
+        0 => refuse(RefusalKind::NoConfiguration),
+        _ => own_answer(StatusCode::NOT_FOUND, RequestOutcome::NotRun, RefusalKind::NoRoute),
+    };
+    count_own(context, response)
+}
+
+fn origin_of(context: &ForwardContext, request: &Request<Incoming>, caller: IpAddr) -> CallOrigin {
+    let service = is_nested(request.headers()).then(|| context.guard.servers.first_service());
+    service.flatten().map_or(CallOrigin::Outside(caller), CallOrigin::Nested)
+}
+
+/// Counts an answer that this daemon made as entry.
+pub(crate) fn count_own(
+    context: &ForwardContext,
+    response: Response<ProxyBody>,
+) -> Response<ProxyBody> {
+    if let Some(kind) = RefusalKind::read(response.headers()) {
+        context.counters.count_refusal(kind);
     }
+    response
 }
--- /dev/null
+++ b/components/proxy/src/gate.rs
@@ -0,0 +1,234 @@
+//! Admission to the local backend server, for tasks that wait.
+
+use std::{
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
+
+use sk_decide::{
+    admitting::{
+        Admission, AdmissionGuard, GuardRequest, GuardSettings, GuardState, Refusal, RefusalReason,
+        Released, Ticket,
+    },
+    quarantine::Fingerprint,
+};
+use slotmap::SecondaryMap;
+use tokio::sync::{Notify, oneshot};
+
+use crate::clock::process_now;
+
+type WaitSender = oneshot::Sender<Result<(), RefusalReason>>;
+type WaitReceiver = oneshot::Receiver<Result<(), RefusalReason>>;
+
+/// A request that the server has, or had when its connection broke.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct ServerFlight {
+    pub(crate) fingerprint: Fingerprint,
+    pub(crate) is_trial: bool,
+}
+
+struct GateState {
+    guard: AdmissionGuard,
+    waiting: SecondaryMap<Ticket, WaitSender>,
+    /// Requests of which the server has been sent at least a part.
+    sent: SecondaryMap<Ticket, Fingerprint>,
+    /// Requests whose connection broke, until it is clear whether the server died.
+    broken: Vec<ServerFlight>,
+    has_ticker: bool,
+}
+
+/// Admits requests to one process of a backend server.
+pub(crate) struct AdmissionGate {
+    state: Mutex<GateState>,
+    queued: Notify,
+}
+
+/// An admitted request. Its slot is free again when this is dropped, whatever the reason: a slot
+/// that a departed caller kept would be lost until the daemon's end.
+pub(crate) struct AdmitPermit {
+    gate: Arc<AdmissionGate>,
+    ticket: Ticket,
+    is_ended: bool,
+}
+
+impl AdmissionGate {
+    /// Makes the gate of a server that started at `started_at`.
+    pub(crate) fn new(settings: GuardSettings, started_at: Duration) -> Self {
+        let state = GateState {
+            guard: AdmissionGuard::new(settings, started_at),
+            waiting: SecondaryMap::new(),
+            sent: SecondaryMap::new(),
+            broken: Vec::new(),
+            has_ticker: false,
+        };
+        Self { state: Mutex::new(state), queued: Notify::new() }
+    }
+
+    /// Admits a request, at once or when its turn comes.
+    ///
+    /// # Errors
+    ///
+    /// Returns the final [`Refusal`]; the request did not run.
+    pub(crate) async fn admit(
+        self: &Arc<Self>,
+        request: &GuardRequest,
+    ) -> Result<AdmitPermit, Refusal> {
+        let (permit, turn) = self.offer(request)?;
+        let Some(turn) = turn else { return Ok(permit) };
+        match turn.await {
+            Ok(Ok(())) => Ok(permit),
+            Ok(Err(reason)) => Err(self.refuse(reason)),
+            // The gate keeps the sender for as long as the ticket is queued.
+            Err(_) => Err(self.refuse(RefusalReason::Draining)),
+        }
+    }
+
+    /// Refuses all new and queued requests from now on; those that run go on.
+    pub(crate) fn drain(&self) {
+        let mut state = self.lock();
+        let released = state.guard.drain();
+        state.deliver(released);
+    }
+
+    /// Gives the counts.
+    pub(crate) fn state(&self) -> GuardState {
+        self.lock().guard.state(process_now())
+    }
+
+    /// Takes the requests whose connection broke since the last call, and those the server has.
+    pub(crate) fn take_flights(&self) -> Vec<ServerFlight> {
+        let mut state = self.lock();
+        let mut flights = std::mem::take(&mut state.broken);
+        let running = state.sent.iter().map(|(ticket, fingerprint)| ServerFlight {
+            fingerprint: *fingerprint,
+            is_trial: state.guard.is_trial(ticket),
+        });
+        flights.extend(running);
+        flights
+    }
+
+    /// Forgets broken connections, once it is clear that the server lives.
+    pub(crate) fn forget_broken(&self) {
+        self.lock().broken.clear();
+    }
+
+    /// Counts the broken connections that are not yet explained.
+    pub(crate) fn broken_count(&self) -> usize {
+        self.lock().broken.len()
+    }
+
+    fn offer(
+        self: &Arc<Self>,
+        request: &GuardRequest,
+    ) -> Result<(AdmitPermit, Option<WaitReceiver>), Refusal> {
+        let mut state = self.lock();
+        let admission = state.guard.offer(request, process_now(), &mut rand::rng());
+        match admission {
+            Admission::Refused(refusal) => Err(refusal),
+            Admission::Run(ticket) => Ok((self.permit(ticket), None)),
+            Admission::Queued(ticket) => {
+                let (sender, receiver) = oneshot::channel();
+                state.waiting.insert(ticket, sender);
+                let is_first = !std::mem::replace(&mut state.has_ticker, true);
+                drop(state);
+                match is_first {
+                    true => drop(tokio::spawn(tick(self.clone()))),
+                    false => self.queued.notify_one(),
+                }
+                Ok((self.permit(ticket), Some(receiver)))
+            }
+        }
+    }
+
+    fn permit(self: &Arc<Self>, ticket: Ticket) -> AdmitPermit {
+        AdmitPermit { gate: self.clone(), ticket, is_ended: false }
+    }
+
+    fn refuse(&self, reason: RefusalReason) -> Refusal {
+        self.lock().guard.refuse(reason, process_now(), &mut rand::rng())
+    }
+
+    fn lock(&self) -> MutexGuard<'_, GateState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl GateState {
+    fn deliver(&mut self, released: Released) {
+        for ticket in released.start {
+            if let Some(sender) = self.waiting.remove(ticket) {
+                // Nobody waits any more: the permit's own end gives the slot back.
+                let _ = sender.send(Ok(()));
+            }
+        }
+        for (ticket, reason) in released.refused {
+            if let Some(sender) = self.waiting.remove(ticket) {
+                let _ = sender.send(Err(reason));
+            }
+        }
+    }
+
+    fn end(&mut self, ticket: Ticket, is_complete: bool) {
+        self.sent.remove(ticket);
+        self.waiting.remove(ticket);
+        let released = match is_complete {
+            true => self.guard.finish(ticket, process_now()),
+            false => self.guard.cancel(ticket, process_now()),
+        };
+        self.deliver(released);
+    }
+}
+
+impl AdmitPermit {
+    /// Takes note that the server is being sent the request.
+    pub(crate) fn note_sent(&self, fingerprint: Fingerprint) {
+        self.gate.lock().sent.insert(self.ticket, fingerprint);
+    }
+
+    /// Takes note that nothing was sent after all.
+    pub(crate) fn note_unsent(&self) {
+        self.gate.lock().sent.remove(self.ticket);
+    }
+
+    /// Takes note that the connection broke while the server had the request.
+    pub(crate) fn note_broken(&self) {
+        let mut state = self.gate.lock();
+        if let Some(fingerprint) = state.sent.remove(self.ticket) {
+            let is_trial = state.guard.is_trial(self.ticket);
+            state.broken.push(ServerFlight { fingerprint, is_trial });
+        }
+    }
+
+    /// Ends a request whose answer is complete, which counts as a service time.
+    pub(crate) fn finish(mut self) {
+        self.is_ended = true;
+        self.gate.lock().end(self.ticket, true);
+    }
+}
+
+impl Drop for AdmitPermit {
+    fn drop(&mut self) {
+        if !self.is_ended {
+            self.gate.lock().end(self.ticket, false);
+        }
+    }
+}
+
+/// Refuses queued requests when they have waited too long, until none is queued.
+async fn tick(gate: Arc<AdmissionGate>) {
+    loop {
+        let next = {
+            let mut state = gate.lock();
+            let released = state.guard.expire(process_now());
+            state.deliver(released);
+            let next = state.guard.next_expiry();
+            state.has_ticker = next.is_some();
+            next
+        };
+        let Some(next) = next else { return };
+        tokio::select! {
+            () = tokio::time::sleep(next.saturating_sub(process_now())) => (),
+            () = gate.queued.notified() => (),
+        }
+    }
+}
--- a/components/proxy/src/guard.rs
+++ b/components/proxy/src/guard.rs
@@ -1,58 +1,321 @@
 //! From another daemon to the local backend server, which only this daemon sends to.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
-use http::{Request, Response, StatusCode, Uri};
+use http::{HeaderMap, Request, Response, StatusCode, header};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
-use hyper_util::client::legacy::{Client, connect::HttpConnector};
-use sk_member::EndpointStatus;
+use sk_decide::{
+    admitting::{GuardRequest, Refusal},
+    deadline::CallContext,
+    quarantine::QuarantineVerdict,
+};
+use tokio::time::Instant;
 
 use crate::{
-    body::{ProxyBody, own_answer},
-    local::LocalServers,
-    outcome::{RequestOutcome, SERVICE_HEADER},
+    answer::{OwnAnswer, lost_answer, own_answer, refuse, refuse_until},
+    body::{CheckedBody, ProxyBody},
+    call::{GuardCall, GuardToken},
+    claim::{ClaimGate, ClaimHold, ClaimKey, ClaimOutcome, ClaimVerdict},
+    clock::process_now,
+    counters::ProxyCounters,
+    gate::AdmitPermit,
+    headers::{strip_hop_headers, strip_own_headers, write_context},
+    local::{GuardedServer, LocalServers},
+    outcome::{EARLIER_STATUS_HEADER, RefusalKind, RequestOutcome},
+    quarantine::{QuarantineBoard, examine},
+    served::{ServedBody, ServerExchange, is_unframed},
 };
 
+/// Header by which a caller says that a request must not run twice.
+pub(crate) const KEY_HEADER: &str = "idempotency-key";
+/// Header with the microseconds from admission to the head of the answer, between daemons.
+pub(crate) const RAN_HEADER: &str = "x-sapphirekeel-ran-us";
+
 /// What the guard needs.
 pub struct GuardContext {
     /// Backend servers beside this daemon.
     pub servers: Arc<LocalServers>,
-    /// Connections to them.
-    pub client: Client<HttpConnector, Incoming>,
+    /// What daemons of the fleet show.
+    pub token: GuardToken,
+    /// Requests that crash servers.
+    pub quarantine: Arc<QuarantineBoard>,
+    /// Where keyed requests are claimed. Without one they are refused as not run, since nothing
+    /// could tell a second copy from the first.
+    pub claims: Option<Arc<dyn ClaimGate>>,
+    /// Counts.
+    pub counters: Arc<ProxyCounters>,
+}
+
+/// How far a request has come, for the answer at its deadline.
+enum PassStage {
+    /// The server has been sent nothing.
+    Waiting,
+    /// The server may have it, by this permit.
+    Sent,
+}
+
+/// Takes one request from another daemon.
+pub async fn guard(context: Arc<GuardContext>, request: Request<Incoming>) -> Response<ProxyBody> {
+    let call = match GuardCall::read(request.headers()) {
+        _ if !context.token.is_in(request.headers()) => {
+            let kind = RefusalKind::Unauthorized;
+            context.counters.count_refusal(kind);
+            return own_answer(StatusCode::FORBIDDEN, RequestOutcome::NotRun, kind);
+        }
+        None => {
+            let kind = RefusalKind::Malformed;
+            return own_answer(StatusCode::BAD_REQUEST, RequestOutcome::NotRun, kind);
+        }
+        Some(call) => call,
+    };
+    let version = request.version();
+    let request = request.map(|body| CheckedBody::new(body, version).boxed_unsync());
+    pass(context, request, call).await
 }
 
 /// Passes one request to the local backend server, or refuses it as not run.
-pub async fn guard(
+///
+/// Also the way of a request whose endpoint is beside the very daemon that it entered by.
+pub(crate) async fn pass(
     context: Arc<GuardContext>,
-    mut request: Request<Incoming>,
+    mut request: Request<ProxyBody>,
+    call: GuardCall,
+) -> Response<ProxyBody> {
+    strip_hop_headers(request.headers_mut());
+    strip_own_headers(request.headers_mut());
+    let deadline = Instant::now() + call.context().remaining;
+    let mut stage = PassStage::Waiting;
+    let passed = pass_admitted(&context, request, &call, deadline, &mut stage);
+    let response = match tokio::time::timeout_at(deadline, passed).await {
+        Ok(response) => response,
+        // Dropping the exchange has closed its connection, which tells the server to give up, and
+        // a late answer has no way left to any caller.
+        Err(_) => match stage {
+            PassStage::Waiting => refuse(RefusalKind::DeadlineTooNear),
+            PassStage::Sent => lost_answer(RefusalKind::DeadlinePassed, RequestOutcome::Unknown),
+        },
+    };
+    if let Some(kind) = RefusalKind::read(response.headers()) {
+        context.counters.count_refusal(kind);
+    }
+    response
+}
+
+async fn pass_admitted(
+    context: &Arc<GuardContext>,
+    request: Request<ProxyBody>,
+    call: &GuardCall,
+    deadline: Instant,
+    stage: &mut PassStage,
 ) -> Response<ProxyBody> {
-    let service = request.headers_mut().remove(SERVICE_HEADER);
-    let service = service.as_ref().and_then(|service| service.to_str().ok()).unwrap_or("");
-    let server = context.servers.find(service);
-    let refusal = match &server {
-        None => Some("no such backend server here"),
-        Some(server) if server.endpoint.status == EndpointStatus::Draining => Some("draining"),
-        Some(_) => None,
+    let server = context.servers.guarded(&call.service);
+    let Some(server) = server.filter(|server| *server.id == *call.server) else {
+        return refuse_until(RefusalKind::ServerGone, Duration::ZERO);
     };
-    let (Some(server), None) = (server, refusal) else {
-        let text = refusal.unwrap_or("refused");
-        return own_answer(StatusCode::SERVICE_UNAVAILABLE, RequestOutcome::NotRun, text);
+    let alone = match context.quarantine.judge(call.fingerprint) {
+        QuarantineVerdict::Refused(left) => return refuse_until(RefusalKind::Quarantined, left),
+        verdict => verdict == QuarantineVerdict::TryAlone,
     };
-    let path = request.uri().path_and_query().map_or("/", |path| path.as_str());
-    let Ok(uri) = format!("http://{}{path}", server.address).parse::<Uri>() else {
-        return own_answer(StatusCode::BAD_REQUEST, RequestOutcome::NotRun, "malformed target");
+    let offer = guard_request(call, deadline, alone);
+    let permit = match server.gate.admit(&offer).await {
+        Ok(permit) => permit,
+        Err(Refusal { reason, retry_after }) => return refuse_until(reason.into(), retry_after),
     };
-    *request.uri_mut() = uri;
-    match context.client.request(request).await {
-        Ok(response) => response.map(BodyExt::boxed),
-        Err(err) if err.is_connect() => {
-            let status = StatusCode::SERVICE_UNAVAILABLE;
-            own_answer(status, RequestOutcome::NotRun, "backend server does not accept")
+    let key = claim_key(&request, call);
+    let hold = match claim(context, key, deadline).await {
+        Ok(hold) => hold,
+        Err(response) => return *response,
+    };
+    let admitted = AdmittedRequest { permit, hold, admitted_at: Instant::now(), deadline };
+    send(context, &server, request, call, admitted, stage).await
+}
+
+fn guard_request(call: &GuardCall, deadline: Instant, alone: bool) -> GuardRequest {
+    let left = deadline.saturating_duration_since(Instant::now());
+    GuardRequest { class: call.class, flow: call.flow(), deadline: process_now() + left, alone }
+}
+
+/// Names a request that may run once only and brings a key.
+fn claim_key(request: &Request<ProxyBody>, call: &GuardCall) -> Option<ClaimKey> {
+    let key = request.headers().get(KEY_HEADER).filter(|_| !call.is_repeatable)?;
+    let key = String::from_utf8_lossy(key.as_bytes()).into_owned();
+    Some(ClaimKey { service: call.service.clone(), key })
+}
+
+async fn claim(
+    context: &GuardContext,
+    key: Option<ClaimKey>,
+    deadline: Instant,
+) -> Result<Option<ClaimHold>, OwnAnswer> {
+    let Some(key) = key else { return Ok(None) };
+    let unavailable = || Box::new(refuse(RefusalKind::ClaimsUnavailable));
+    let Some(gate) = &context.claims else { return Err(unavailable()) };
+    let verdict = match ClaimHold::claim(gate.clone(), key, deadline.into_std()).await {
+        Ok(hold) => return Ok(Some(hold)),
+        Err(verdict) => verdict,
+    };
+    Err(match verdict {
+        ClaimVerdict::AlreadyRan { status } => {
+            let mut response = lost_answer(RefusalKind::AlreadyRan, RequestOutcome::Ran);
+            response.headers_mut().insert(EARLIER_STATUS_HEADER, status.into());
+            Box::new(response)
+        }
+        ClaimVerdict::AlreadyClaimed => {
+            Box::new(lost_answer(RefusalKind::AlreadyClaimed, RequestOutcome::Unknown))
+        }
+        _ => unavailable(),
+    })
+}
+
+/// A request that may be sent now, with all that must be given back when it ends.
+struct AdmittedRequest {
+    permit: AdmitPermit,
+    hold: Option<ClaimHold>,
+    admitted_at: Instant,
+    deadline: Instant,
+}
+
+async fn send(
+    context: &Arc<GuardContext>,
+    server: &Arc<GuardedServer>,
+    request: Request<ProxyBody>,
+    call: &GuardCall,
+    mut admitted: AdmittedRequest,
+    stage: &mut PassStage,
+) -> Response<ProxyBody> {
+    let mut request = to_server(request, server, &left_of(call, admitted.deadline));
+    loop {
+        let mut sender = match server.pool.acquire().await {
+            Ok(sender) => sender,
+            Err(err) => {
+                log::info!("guard: {}: {err}.", server.id);
+                return not_run(admitted, RefusalKind::ServerUnreachable).await;
+            }
+        };
+        // A process that was paused wakes here with a request whose caller was told long ago that
+        // its end is unknown. It could still run, but nobody waits for it.
+        if admitted.deadline <= Instant::now() {
+            return not_run(admitted, RefusalKind::DeadlineTooNear).await;
+        }
+        admitted.note_sent(call, stage);
+        match sender.try_send_request(request).await {
+            Ok(response) => {
+                let exchange = ServerExchange {
+                    context: context.clone(),
+                    server: server.clone(),
+                    fingerprint: call.fingerprint,
+                    sender,
+                    permit: admitted.permit,
+                };
+                let times = (admitted.admitted_at, admitted.deadline);
+                return answer(response, exchange, admitted.hold, times);
+            }
+            Err(mut err) => match err.take_message() {
+                // The connection had closed while idle and took no byte of the request.
+                Some(unsent) => {
+                    request = unsent;
+                    admitted.note_unsent(stage);
+                }
+                None => {
+                    let err = err.into_error();
+                    log::info!("guard: {} lost an answer: {err}.", server.id);
+                    return lost(context, server, &admitted.permit, &err);
+                }
+            },
         }
-        Err(err) => {
-            log::info!("proxy: the local server's answer was lost: {err}.");
-            own_answer(StatusCode::BAD_GATEWAY, RequestOutcome::Unknown, "answer was lost")
+    }
+}
+
+impl AdmittedRequest {
+    fn note_sent(&mut self, call: &GuardCall, stage: &mut PassStage) {
+        *stage = PassStage::Sent;
+        self.permit.note_sent(call.fingerprint);
+        self.set_claim(ClaimOutcome::Unknown);
+    }
+
+    fn note_unsent(&mut self, stage: &mut PassStage) {
+        *stage = PassStage::Waiting;
+        self.permit.note_unsent();
+        self.set_claim(ClaimOutcome::NotRun);
+    }
+
+    fn set_claim(&mut self, outcome: ClaimOutcome) {
+        if let Some(hold) = &mut self.hold {
+            hold.set(outcome);
         }
     }
 }
+
+/// Ends an admitted request that was not sent.
+async fn not_run(admitted: AdmittedRequest, kind: RefusalKind) -> Response<ProxyBody> {
+    drop(admitted.permit);
+    if let Some(hold) = admitted.hold {
+        hold.give_back().await;
+    }
+    refuse(kind)
+}
+
+/// Ends a request whose connection broke before the head of an answer.
+fn lost(
+    context: &Arc<GuardContext>,
+    server: &Arc<GuardedServer>,
+    permit: &AdmitPermit,
+    err: &hyper::Error,
+) -> Response<ProxyBody> {
+    // A body that failed is the caller's doing and says nothing of the server.
+    if !err.is_user() {
+        permit.note_broken();
+        examine(context.quarantine.clone(), context.servers.clone(), server.clone());
+    }
+    lost_answer(RefusalKind::AnswerLost, RequestOutcome::Unknown)
+}
+
+fn answer(
+    mut response: Response<Incoming>,
+    exchange: ServerExchange,
+    hold: Option<ClaimHold>,
+    (admitted_at, deadline): (Instant, Instant),
+) -> Response<ProxyBody> {
+    if let Some(mut hold) = hold {
+        hold.set(ClaimOutcome::Ran { status: response.status().as_u16() });
+    }
+    if is_unframed(&response) {
+        log::warn!("guard: {} gives answers without a length.", exchange.server.id);
+        return lost_answer(RefusalKind::AnswerUnframed, RequestOutcome::Ran);
+    }
+    let headers = response.headers_mut();
+    strip_answer(headers);
+    RequestOutcome::Ran.write(headers);
+    let took = u64::try_from(admitted_at.elapsed().as_micros()).unwrap_or(u64::MAX);
+    headers.insert(RAN_HEADER, took.into());
+    response.map(|body| ServedBody::new(body, exchange, deadline).boxed_unsync())
+}
+
+fn strip_answer(headers: &mut HeaderMap) {
+    strip_hop_headers(headers);
+    strip_own_headers(headers);
+}
+
+fn left_of(call: &GuardCall, deadline: Instant) -> CallContext {
+    let remaining = deadline.saturating_duration_since(Instant::now());
+    CallContext { remaining, ..call.context() }
+}
+
+/// Makes the request that the server gets: its path alone as target, the caller's host, and what
+/// nested calls are to carry.
+fn to_server(
+    mut request: Request<ProxyBody>,
+    server: &GuardedServer,
+    context: &CallContext,
+) -> Request<ProxyBody> {
+    let path = request.uri().path_and_query().cloned();
+    *request.uri_mut() = path.map_or_else(http::Uri::default, http::Uri::from);
+    *request.version_mut() = http::Version::HTTP_11;
+    let headers = request.headers_mut();
+    write_context(headers, context);
+    if !headers.contains_key(header::HOST) {
+        headers.insert(header::HOST, server.host.clone());
+    }
+    request
+}
--- /dev/null
+++ b/components/proxy/src/headers.rs
@@ -0,0 +1,112 @@
+//! Headers that concern one hop only, and those of the system's own.
+
+use std::time::Duration;
+
+use http::{HeaderMap, HeaderName, HeaderValue, header};
+use sk_decide::deadline::CallContext;
+
+/// Header with the milliseconds that are left of a call. A service copies it into nested calls.
+pub const DEADLINE_HEADER: &str = "x-sapphirekeel-deadline-ms";
+/// Header with the hops a call has taken. A service copies it into nested calls.
+pub const HOPS_HEADER: &str = "x-sapphirekeel-hops";
+/// Header with the retries of the layers above. A service copies it into nested calls.
+pub const RETRIED_HEADER: &str = "x-sapphirekeel-retried";
+
+const OWN_PREFIX: &str = "x-sapphirekeel-";
+/// Headers that RFC 9110, section 7.6.1, keeps to one hop, and the older ones of the same kind.
+const HOP_HEADERS: [HeaderName; 8] = [
+    header::CONNECTION,
+    HeaderName::from_static("keep-alive"),
+    HeaderName::from_static("proxy-connection"),
+    header::PROXY_AUTHENTICATE,
+    header::PROXY_AUTHORIZATION,
+    header::TE,
+    header::TRAILER,
+    header::UPGRADE,
+];
+
+/// Removes what concerns the last hop only, which the next one would misread: a `Connection`
+/// header, for one, makes a request malformed in HTTP/2.
+pub(crate) fn strip_hop_headers(headers: &mut HeaderMap) {
+    if headers.contains_key(header::CONNECTION) {
+        for name in named_headers(headers) {
+            headers.remove(name);
+        }
+    }
+    for name in &HOP_HEADERS {
+        headers.remove(name);
+    }
+    // A body that came in chunks is framed anew. Its sender's length, if it gave one too, is not
+    // to be trusted: two readers that trust different ones take different requests from a stream.
+    if headers.remove(header::TRANSFER_ENCODING).is_some() {
+        headers.remove(header::CONTENT_LENGTH);
+    }
+    // Each hop of ours reads the body at once, so nobody waits for the interim answer.
+    headers.remove(header::EXPECT);
+}
+
+/// Gives the headers that `Connection` names. `Host` and the length stay even if named: without
+/// them the request would be another one.
+fn named_headers(headers: &HeaderMap) -> Vec<HeaderName> {
+    let values = headers.get_all(header::CONNECTION).iter();
+    values
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .filter_map(|name| HeaderName::from_bytes(name.trim().as_bytes()).ok())
+        .filter(|name| {
+            *name != header::HOST
+                && *name != header::CONTENT_LENGTH
+                && *name != header::TRANSFER_ENCODING
+        })
+        .collect()
+}
+
+/// Joins cookies into one header, as RFC 9113, section 8.2.3, asks of whoever passes a request on
+/// from HTTP/2 to HTTP/1.1: servers there read the first one only.
+pub(crate) fn join_cookies(headers: &mut HeaderMap) {
+    if headers.get_all(header::COOKIE).iter().nth(1).is_some() {
+        let crumbs: Vec<&[u8]> =
+            headers.get_all(header::COOKIE).iter().map(HeaderValue::as_bytes).collect();
+        if let Ok(cookie) = HeaderValue::from_bytes(&crumbs.join(&b"; "[..])) {
+            headers.insert(header::COOKIE, cookie);
+        }
+    }
+}
+
+/// Removes the system's own headers, which only its daemons may set.
+pub(crate) fn strip_own_headers(headers: &mut HeaderMap) {
+    let is_own = |name: &&HeaderName| name.as_str().starts_with(OWN_PREFIX);
+    if headers.keys().any(|name| is_own(&name)) {
+        let names: Vec<HeaderName> = headers.keys().filter(is_own).cloned().collect();
+        for name in names {
+            headers.remove(name);
+        }
+    }
+}
+
+/// Reads what a call carries, bounded by the deadline of its route.
+///
+/// These headers may come from anyone: they can only bring the deadline nearer and the hop bound
+/// closer, so a false one harms its sender alone.
+pub(crate) fn read_context(headers: &HeaderMap, deadline: Duration) -> CallContext {
+    let number = |name| headers.get(name).and_then(|value| value.to_str().ok()?.parse().ok());
+    let remaining = number(DEADLINE_HEADER).map_or(deadline, Duration::from_millis);
+    let small = |name| number(name).map_or(0, |count: u64| u8::try_from(count).unwrap_or(u8::MAX));
+    let (hops, retried_above) = (small(HOPS_HEADER), small(RETRIED_HEADER));
+    CallContext { remaining, hops, retried_above }.bounded_by(deadline)
+}
+
+/// Tells whether a call is nested: made by a service for a call that came through a daemon.
+pub(crate) fn is_nested(headers: &HeaderMap) -> bool {
+    headers.get(HOPS_HEADER).is_some_and(|hops| hops.as_bytes() != b"0")
+}
+
+/// Writes what a backend server's nested calls are to carry.
+pub(crate) fn write_context(headers: &mut HeaderMap, call: &CallContext) {
+    let millis = u64::try_from(call.remaining.as_millis()).unwrap_or(u64::MAX);
+    headers.insert(HeaderName::from_static(DEADLINE_HEADER), HeaderValue::from(millis));
+    let hops = HeaderValue::from(u16::from(call.hops));
+    headers.insert(HeaderName::from_static(HOPS_HEADER), hops);
+    let retried = HeaderValue::from(u16::from(call.retried_above));
+    headers.insert(HeaderName::from_static(RETRIED_HEADER), retried);
+}
--- a/components/proxy/src/lib.rs
+++ b/components/proxy/src/lib.rs
@@ -1,17 +1,49 @@
 //! The request path: routing, forwarding and the guard of the local backend server.
+//!
+//! A caller's request enters any daemon, which chooses a backend server and sends through the
+//! daemon beside it. That one alone sends to the server and so knows what it is running. The
+//! design note is `docs/design/requests.md`.
 
+mod answer;
+mod attempt;
 mod body;
+mod call;
+mod claim;
+mod clock;
+mod counters;
+mod entry;
 mod forward;
+mod gate;
 mod guard;
+mod headers;
 mod local;
 mod outcome;
+mod passed;
+mod peers;
+mod pool;
+mod quarantine;
 mod serve;
+mod served;
 mod table;
+mod upload;
 
-pub use body::ProxyBody;
+pub use body::{BodyError, ProxyBody};
+pub use call::GuardToken;
+pub use claim::{AttemptId, ClaimGate, ClaimKey, ClaimOutcome, ClaimVerdict};
+pub use clock::process_now;
+pub use counters::{CounterView, ProxyCounters};
 pub use forward::{ForwardContext, forward};
 pub use guard::{GuardContext, guard};
-pub use local::{LocalServer, LocalServers};
-pub use outcome::{OUTCOME_HEADER, RequestOutcome, SERVICE_HEADER};
+pub use headers::{DEADLINE_HEADER, HOPS_HEADER, RETRIED_HEADER};
+pub use local::{LocalServer, LocalServers, ServerLimits};
+pub use outcome::{
+    EARLIER_STATUS_HEADER, OUTCOME_HEADER, REASON_HEADER, RETRY_AFTER_MS_HEADER, RefusalKind,
+    RequestOutcome,
+};
+pub use peers::PeerClient;
+pub use quarantine::QuarantineBoard;
 pub use serve::{ServeHandle, serve_forward, serve_guard};
-pub use table::{RouteMatch, RouteTable, ServiceKey, SharedTable, TableEndpoint, TableService};
+pub use sk_decide::quarantine::SuspectRecord;
+pub use table::{
+    RouteMatch, RouteTable, ServiceKey, SharedTable, TableEndpoint, TablePlace, TableService,
+};
--- a/components/proxy/src/local.rs
+++ b/components/proxy/src/local.rs
@@ -3,14 +3,24 @@
 use std::{
     collections::BTreeMap,
     net::SocketAddr,
-    sync::{Arc, Mutex, PoisonError},
+    sync::{
+        Arc, Mutex, PoisonError,
+        atomic::{AtomicBool, Ordering},
+    },
     time::{Duration, Instant},
 };
 
 use arc_swap::ArcSwap;
+use http::HeaderValue;
+use sk_decide::{
+    admitting::{GuardSettings, GuardState},
+    pacing::PacerSettings,
+};
 use sk_member::{EndpointRecord, EndpointStatus, ServerId};
 use sk_model::ServiceName;
 
+use crate::{clock::process_now, gate::AdmissionGate, pool::ServerPool};
+
 /// A backend server beside this daemon.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct LocalServer {
@@ -22,19 +32,54 @@
     pub announced: Instant,
 }
 
-type ServerMap = BTreeMap<ServiceName, LocalServer>;
+/// Bounds for the backend servers beside a daemon.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct ServerLimits {
+    /// Admission; the slots are those that each server announces.
+    pub guard: GuardSettings,
+    /// Connections.
+    pub pacer: PacerSettings,
+}
+
+/// What the guard holds for one process of a server.
+///
+/// A new process gets a new one, so that it inherits neither queue nor connections, and an old
+/// one's requests end against the old one.
+pub(crate) struct GuardedServer {
+    pub(crate) id: ServerId,
+    pub(crate) gate: Arc<AdmissionGate>,
+    pub(crate) pool: Arc<ServerPool>,
+    /// Host for requests that bring none.
+    pub(crate) host: HeaderValue,
+    /// Whether someone is already finding out whether the server died.
+    pub(crate) is_examined: AtomicBool,
+}
+
+#[derive(Clone)]
+struct ServerEntry {
+    server: LocalServer,
+    guarded: Arc<GuardedServer>,
+}
+
+type ServerMap = BTreeMap<ServiceName, ServerEntry>;
 
 /// All backend servers beside this daemon, by service.
 #[derive(Default)]
 pub struct LocalServers {
+    limits: ServerLimits,
     current: ArcSwap<ServerMap>,
     lock: Mutex<()>,
 }
 
 impl LocalServers {
+    /// Makes an empty list.
+    pub fn new(limits: ServerLimits) -> Self {
+        Self { limits, ..Self::default() }
+    }
+
     /// Finds the server of a service.
     pub fn find(&self, service: &str) -> Option<LocalServer> {
-        self.current.load().get(service).cloned()
+        self.current.load().get(service).map(|entry| entry.server.clone())
     }
 
     /// Takes an announcement.
@@ -43,30 +88,96 @@
     /// announcement that was under way when it began to drain must not bring work back.
     pub fn announce(&self, mut server: LocalServer) {
         self.change(|servers| {
-            let held = servers.get(&server.endpoint.service);
-            let is_same = |held: &&LocalServer| held.endpoint.server == server.endpoint.server;
-            if held.filter(is_same).is_some_and(|held| is_draining(&held.endpoint)) {
-                server.endpoint.status = EndpointStatus::Draining;
+            let service = server.endpoint.service.clone();
+            let held = servers.remove(&service);
+            let is_same = |held: &ServerEntry| held.server.is_process(&server);
+            let guarded = match held {
+                Some(held) if is_same(&held) => {
+                    if is_draining(&held.server) {
+                        server.endpoint.status = EndpointStatus::Draining;
+                    }
+                    held.guarded
+                }
+                held => {
+                    held.iter().for_each(|held| retire(&held.guarded));
+                    self.guard_new(&server)
+                }
+            };
+            if is_draining(&server) {
+                retire(&guarded);
             }
-            servers.insert(server.endpoint.service.clone(), server);
+            servers.insert(service, ServerEntry { server, guarded });
         });
     }
 
-    /// Removes servers that have not announced themselves for `ttl`.
+    /// Removes servers that have not announced themselves for `ttl`, and closes connections that
+    /// have been idle for long.
     pub fn expire(&self, now: Instant, ttl: Duration) {
-        self.change(|servers| {
-            servers.retain(|_, server| now.duration_since(server.announced) < ttl);
-        });
+        let held = self.current.load_full();
+        held.values().for_each(|entry| entry.guarded.pool.close_idle(now));
+        let is_old =
+            |entry: &ServerEntry| now.saturating_duration_since(entry.server.announced) >= ttl;
+        if held.values().any(is_old) {
+            self.retain(|entry| !is_old(entry));
+        }
     }
 
     /// Lists the servers as the other daemons learn of them.
     pub fn endpoints(&self) -> Vec<EndpointRecord> {
-        self.current.load().values().map(|server| server.endpoint.clone()).collect()
+        self.current.load().values().map(|entry| entry.server.endpoint.clone()).collect()
     }
 
     /// Tells whether a server with this id is known.
     pub fn has_server(&self, id: &ServerId) -> bool {
-        self.current.load().values().any(|server| server.endpoint.server == *id)
+        self.current.load().values().any(|entry| entry.guarded.id == *id)
+    }
+
+    /// Gives the counts of each server's guard, by service.
+    pub fn guard_states(&self) -> BTreeMap<ServiceName, GuardState> {
+        let current = self.current.load();
+        let state = |(service, entry): (&ServiceName, &ServerEntry)| {
+            (service.clone(), entry.guarded.gate.state())
+        };
+        current.iter().map(state).collect()
+    }
+
+    /// Gives the guard of a service's server.
+    pub(crate) fn guarded(&self, service: &str) -> Option<Arc<GuardedServer>> {
+        self.current.load().get(service).map(|entry| entry.guarded.clone())
+    }
+
+    /// Gives the name of a service that runs beside this daemon, the first one if there are more.
+    pub(crate) fn first_service(&self) -> Option<ServiceName> {
+        self.current.load().keys().next().cloned()
+    }
+
+    /// Removes a server that has died. If it announces itself again, it was not dead.
+    pub(crate) fn remove(&self, id: &ServerId) {
+        self.retain(|entry| entry.guarded.id != *id);
+    }
+
+    fn retain(&self, is_kept: impl Fn(&ServerEntry) -> bool) {
+        self.change(|servers| {
+            servers.retain(|_, entry| {
+                let is_kept = is_kept(entry);
+                if !is_kept {
+                    retire(&entry.guarded);
+                }
+                is_kept
+            });
+        });
+    }
+
+    fn guard_new(&self, server: &LocalServer) -> Arc<GuardedServer> {
+        let settings = GuardSettings { slots: server.endpoint.slots, ..self.limits.guard };
+        Arc::new(GuardedServer {
+            id: server.endpoint.server.clone(),
+            gate: Arc::new(AdmissionGate::new(settings, process_now())),
+            pool: Arc::new(ServerPool::new(server.address, self.limits.pacer)),
+            host: HeaderValue::from_str(&server.address.to_string())
+                .expect("an address makes a header"),
+            is_examined: AtomicBool::new(false),
+        })
     }
 
     fn change(&self, change: impl FnOnce(&mut ServerMap)) {
@@ -77,6 +188,30 @@
     }
 }
 
-fn is_draining(endpoint: &EndpointRecord) -> bool {
-    endpoint.status == EndpointStatus::Draining
+impl LocalServer {
+    fn is_process(&self, other: &Self) -> bool {
+        self.endpoint.server == other.endpoint.server && self.address == other.address
+    }
+}
+
+impl GuardedServer {
+    /// Claims the examination of whether the server died.
+    pub(crate) fn begin_examination(&self) -> bool {
+        !self.is_examined.swap(true, Ordering::AcqRel)
+    }
+
+    /// Ends the examination, so that a later break is examined anew.
+    pub(crate) fn end_examination(&self) {
+        self.is_examined.store(false, Ordering::Release);
+    }
+}
+
+/// Lets a server finish what it has and take no more.
+fn retire(guarded: &GuardedServer) {
+    guarded.gate.drain();
+    guarded.pool.close();
+}
+
+fn is_draining(server: &LocalServer) -> bool {
+    server.endpoint.status == EndpointStatus::Draining
 }
--- a/components/proxy/src/outcome.rs
+++ b/components/proxy/src/outcome.rs
@@ -1,11 +1,18 @@
-//! What every answer of ours says about whether the request ran.
+//! What every answer of ours says about whether the request ran, and why it was refused.
 
 use derive_more::Display;
+use http::{HeaderMap, HeaderName, HeaderValue};
+use sk_decide::{admitting::RefusalReason, retrying::RunOutcome};
 
-/// Header that carries a [`RequestOutcome`] on answers made by a daemon.
+/// Header that carries a [`RequestOutcome`] on every answer.
 pub const OUTCOME_HEADER: &str = "x-sapphirekeel-outcome";
-/// Header that names the service of a request between daemons.
-pub const SERVICE_HEADER: &str = "x-sapphirekeel-service";
+/// Header that carries a [`RefusalKind`] on answers made by a daemon.
+pub const REASON_HEADER: &str = "x-sapphirekeel-reason";
+/// Header with the status that an earlier copy of a request was answered with.
+pub const EARLIER_STATUS_HEADER: &str = "x-sapphirekeel-earlier-status";
+/// Header with the time until a refused caller may return, in milliseconds: finer than the
+/// standard `Retry-After`, so that returns can be spread within a second.
+pub const RETRY_AFTER_MS_HEADER: &str = "x-sapphirekeel-retry-after-ms";
 
 /// Whether a request ran, as far as the daemon that answers can know.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
@@ -16,7 +23,152 @@
     /// A backend server answered it.
     #[display("ran")]
     Ran,
-    /// It reached a backend server whose answer did not come back.
+    /// It may have reached a backend server whose answer did not come back.
     #[display("unknown")]
     Unknown,
 }
+
+impl RequestOutcome {
+    /// Gives the header's value.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::NotRun => "not-run",
+            Self::Ran => "ran",
+            Self::Unknown => "unknown",
+        }
+    }
+
+    /// Reads the header of an answer.
+    pub fn read(headers: &HeaderMap) -> Option<Self> {
+        match headers.get(OUTCOME_HEADER)?.as_bytes() {
+            b"not-run" => Some(Self::NotRun),
+            b"ran" => Some(Self::Ran),
+            b"unknown" => Some(Self::Unknown),
+            _ => None,
+        }
+    }
+
+    /// Writes the header of an answer.
+    pub(crate) fn write(self, headers: &mut HeaderMap) {
+        let name = HeaderName::from_static(OUTCOME_HEADER);
+        headers.insert(name, HeaderValue::from_static(self.as_str()));
+    }
+
+    pub(crate) fn to_run(self) -> RunOutcome {
+        match self {
+            Self::NotRun => RunOutcome::NotRun,
+            Self::Ran => RunOutcome::Ran,
+            Self::Unknown => RunOutcome::Unknown,
+        }
+    }
+}
+
+macro_rules! refusal_kinds {
+    ($($(#[$doc:meta])* $kind:ident = $text:literal,)*) => {
+        /// Why a daemon answers a request itself.
+        #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+        pub enum RefusalKind {
+            $($(#[$doc])* $kind,)*
+        }
+
+        impl RefusalKind {
+            /// All kinds, in the order of their discriminants.
+            pub const ALL: &'static [Self] = &[$(Self::$kind,)*];
+
+            /// Gives the header's value.
+            pub fn as_str(self) -> &'static str {
+                match self {
+                    $(Self::$kind => $text,)*
+                }
+            }
+        }
+    };
+}
+
+refusal_kinds! {
+    /// The daemon holds no configuration yet.
+    NoConfiguration = "no-configuration",
+    /// No route matches.
+    NoRoute = "no-route",
+    /// The service has no endpoint that takes work.
+    NoEndpoint = "no-endpoint",
+    /// The request uses a protocol version or method that is not carried.
+    NotCarried = "not-carried",
+    /// The head or target cannot be read or passed on.
+    Malformed = "malformed",
+    /// The body is larger than the settings allow.
+    TooLarge = "too-large",
+    /// The call has taken too many hops.
+    HopLimit = "hop-limit",
+    /// The guard of the endpoint cannot be reached.
+    Unreachable = "unreachable",
+    /// The sender at the guard is no daemon of this fleet.
+    Unauthorized = "unauthorized",
+    /// The backend server that was meant is no longer beside the guard.
+    ServerGone = "server-gone",
+    /// The backend server takes no connection.
+    ServerUnreachable = "server-unreachable",
+    /// The guard's queue is full.
+    QueueFull = "queue-full",
+    /// The request could not finish in time.
+    DeadlineTooNear = "deadline-too-near",
+    /// Its team or caller holds its share of the queue.
+    ShareExceeded = "share-exceeded",
+    /// The backend server or the daemon is leaving.
+    Draining = "draining",
+    /// The queue is full because the server has just started.
+    ColdStart = "cold-start",
+    /// The request must run alone and cannot now.
+    TrialUnderWay = "trial-under-way",
+    /// The request crashed servers and is held back.
+    Quarantined = "quarantined",
+    /// Whether a keyed request ran before cannot be found out now.
+    ClaimsUnavailable = "claims-unavailable",
+    /// An earlier copy of the keyed request ran.
+    AlreadyRan = "already-ran",
+    /// An earlier copy of the keyed request may be running or have run.
+    AlreadyClaimed = "already-claimed",
+    /// The deadline passed while the request ran.
+    DeadlinePassed = "deadline-passed",
+    /// The answer did not come back.
+    AnswerLost = "answer-lost",
+    /// The answer has no length or end mark, so that a cut one would look complete.
+    AnswerUnframed = "answer-unframed",
+}
+
+impl RefusalKind {
+    /// Reads the header of an answer.
+    pub fn read(headers: &HeaderMap) -> Option<Self> {
+        let text = headers.get(REASON_HEADER)?.as_bytes();
+        Self::ALL.iter().copied().find(|kind| kind.as_str().as_bytes() == text)
+    }
+
+    /// Tells whether another endpoint may decide otherwise. A quarantined request or a claimed key
+    /// is refused everywhere, so that trying elsewhere only costs the retry budget.
+    pub(crate) fn is_local(self) -> bool {
+        !matches!(
+            self,
+            Self::Quarantined
+                | Self::ClaimsUnavailable
+                | Self::AlreadyRan
+                | Self::AlreadyClaimed
+                | Self::DeadlineTooNear
+                | Self::HopLimit
+                | Self::Malformed
+                | Self::TooLarge
+        )
+    }
+}
+
+impl From<RefusalReason> for RefusalKind {
+    fn from(reason: RefusalReason) -> Self {
+        match reason {
+            RefusalReason::QueueFull => Self::QueueFull,
+            RefusalReason::DeadlineTooNear => Self::DeadlineTooNear,
+            RefusalReason::ShareExceeded => Self::ShareExceeded,
+            RefusalReason::Draining => Self::Draining,
+            RefusalReason::ColdStart => Self::ColdStart,
+            RefusalReason::TrialUnderWay => Self::TrialUnderWay,
+        }
+    }
+}
--- /dev/null
+++ b/components/proxy/src/pool.rs
@@ -0,0 +1,189 @@
+//! Connections to the local backend server.
+
+use std::{
+    net::SocketAddr,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::{Duration, Instant},
+};
+
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper_util::rt::TokioIo;
+use sk_decide::pacing::{ConnectPacer, ConnectVerdict, PacerSettings};
+use thiserror::Error;
+use tokio::{net::TcpStream, sync::Notify};
+
+use crate::{body::ProxyBody, clock::process_now};
+
+/// Time for a connection to open. The server is on the same instance: it answers in a fraction of
+/// a millisecond or is not there.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+/// Idle time after which a connection is closed. Servers commonly close theirs after 5 s; a request
+/// sent at that very moment would be lost with an outcome that nobody knows.
+const IDLE_LIMIT: Duration = Duration::from_secs(4);
+/// Largest head of an answer, in bytes.
+const MAX_HEAD_BYTES: usize = 64 * 1024;
+
+/// Why no connection was had. Nothing was sent.
+#[derive(Debug, Error)]
+pub(crate) enum ConnectError {
+    /// The server does not accept.
+    #[error("server does not accept: {0}")]
+    Refused(#[from] std::io::Error),
+    /// The server does not accept in time.
+    #[error("server does not accept in time")]
+    Timeout,
+    /// The connection failed before use.
+    #[error("connection failed: {0}")]
+    Handshake(#[from] hyper::Error),
+}
+
+/// A connection that takes one request at a time.
+pub(crate) type ServerSender = SendRequest<ProxyBody>;
+
+struct IdleConnection {
+    sender: ServerSender,
+    since: Instant,
+}
+
+struct PoolState {
+    idle: Vec<IdleConnection>,
+    pacer: ConnectPacer,
+    is_closed: bool,
+}
+
+/// Connections to one process of the local backend server.
+///
+/// A connection returns here only after its answer was read to the end. One that a caller left is
+/// dropped and so closed: bytes of the old answer still in it would go to the next caller.
+pub(crate) struct ServerPool {
+    address: SocketAddr,
+    state: Mutex<PoolState>,
+    returned: Notify,
+}
+
+impl ServerPool {
+    /// Makes a pool without connections.
+    pub(crate) fn new(address: SocketAddr, settings: PacerSettings) -> Self {
+        let pacer = ConnectPacer::new(settings);
+        let state = PoolState { idle: Vec::new(), pacer, is_closed: false };
+        Self { address, state: Mutex::new(state), returned: Notify::new() }
+    }
+
+    /// Gives an idle connection or opens one, paced and within the server's limit.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`ConnectError`] if the server takes no connection.
+    pub(crate) async fn acquire(self: &Arc<Self>) -> Result<ServerSender, ConnectError> {
+        loop {
+            let verdict = {
+                let mut state = self.lock();
+                if let Some(sender) = state.take_idle() {
+                    return Ok(sender);
+                }
+                state.pacer.ask(process_now())
+            };
+            match verdict {
+                ConnectVerdict::Open => return self.open().await,
+                ConnectVerdict::Full => self.returned.notified().await,
+                ConnectVerdict::Wait(wait) => tokio::select! {
+                    () = tokio::time::sleep(wait) => (),
+                    () = self.returned.notified() => (),
+                },
+            }
+        }
+    }
+
+    /// Takes a connection back whose answer was read to its end.
+    pub(crate) fn release(self: &Arc<Self>, mut sender: ServerSender) {
+        let pool = self.clone();
+        // The connection's own task sees the end of the answer a moment later than its reader.
+        tokio::spawn(async move {
+            if sender.ready().await.is_ok() {
+                pool.put_idle(sender);
+            }
+        });
+    }
+
+    /// Closes connections that have been idle for long.
+    pub(crate) fn close_idle(&self, now: Instant) {
+        let is_old =
+            |idle: &IdleConnection| now.saturating_duration_since(idle.since) >= IDLE_LIMIT;
+        self.lock().idle.retain(|idle| !is_old(idle));
+    }
+
+    /// Closes idle connections and keeps none from now on. Those in use finish.
+    pub(crate) fn close(&self) {
+        let mut state = self.lock();
+        state.is_closed = true;
+        state.idle.clear();
+    }
+
+    /// Gives the number of connections that are open.
+    pub(crate) fn open_count(&self) -> u32 {
+        self.lock().pacer.open_count()
+    }
+
+    /// Tells whether the server accepts a connection, which is closed at once.
+    pub(crate) async fn is_accepting(&self) -> bool {
+        let connect = TcpStream::connect(self.address);
+        matches!(tokio::time::timeout(CONNECT_TIMEOUT, connect).await, Ok(Ok(_)))
+    }
+
+    async fn open(self: &Arc<Self>) -> Result<ServerSender, ConnectError> {
+        // Counts the connection out however this ends, also when the caller leaves meanwhile.
+        let open = OpenConnection { pool: self.clone() };
+        let connect = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(self.address));
+        let stream = connect.await.map_err(|_| ConnectError::Timeout)??;
+        // A small request must not wait for the acknowledgement of the one before.
+        stream.set_nodelay(true)?;
+        let (sender, connection) = http1::Builder::new()
+            .max_buf_size(MAX_HEAD_BYTES)
+            .handshake(TokioIo::new(stream))
+            .await?;
+        tokio::spawn(async move {
+            if let Err(err) = connection.await {
+                log::debug!("guard: a connection to the server ended: {err}.");
+            }
+            drop(open);
+        });
+        Ok(sender)
+    }
+
+    fn put_idle(&self, sender: ServerSender) {
+        let mut state = self.lock();
+        if !state.is_closed {
+            state.idle.push(IdleConnection { sender, since: Instant::now() });
+            drop(state);
+            self.returned.notify_one();
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, PoolState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl PoolState {
+    /// Gives the connection used last, so that those not needed grow old and close.
+    fn take_idle(&mut self) -> Option<ServerSender> {
+        while let Some(idle) = self.idle.pop() {
+            if idle.sender.is_ready() && idle.since.elapsed() < IDLE_LIMIT {
+                return Some(idle.sender);
+            }
+        }
+        None
+    }
+}
+
+/// A connection that counts against the server's limit.
+struct OpenConnection {
+    pool: Arc<ServerPool>,
+}
+
+impl Drop for OpenConnection {
+    fn drop(&mut self) {
+        self.pool.lock().pacer.closed();
+        self.pool.returned.notify_one();
+    }
+}
--- /dev/null
+++ b/components/proxy/src/quarantine.rs
@@ -0,0 +1,149 @@
+//! Requests held back because they crashed servers, as all daemons know them.
+
+use std::{
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicBool, AtomicU64, Ordering},
+    },
+    time::Duration,
+};
+
+use sk_decide::quarantine::{
+    CrashReport, Fingerprint, QuarantineSettings, QuarantineTable, QuarantineVerdict, SuspectRecord,
+};
+
+use crate::{
+    clock::{stable_hash, unix_time},
+    gate::ServerFlight,
+    local::{GuardedServer, LocalServers},
+};
+
+/// Time after the first broken connection in which the others of a dead server break too. They are
+/// on the same instance, so it takes well under a millisecond; the rest is for a busy machine.
+const EXAMINE_DELAY: Duration = Duration::from_millis(20);
+/// Broken connections that tell a server's end even if another accepts in its place already.
+const MANY_BROKEN: usize = 2;
+
+/// Suspects and convicted requests of the whole fleet, as far as this daemon has heard.
+pub struct QuarantineBoard {
+    table: Mutex<QuarantineTable>,
+    /// Whether any request is held, so that the common request takes no lock.
+    has_records: AtomicBool,
+    /// Counts changes, so that a sender knows when there is news.
+    revision: AtomicU64,
+}
+
+impl Default for QuarantineBoard {
+    fn default() -> Self {
+        Self::new(QuarantineSettings::default())
+    }
+}
+
+impl QuarantineBoard {
+    /// Makes an empty board.
+    pub fn new(settings: QuarantineSettings) -> Self {
+        Self {
+            table: Mutex::new(QuarantineTable::new(settings)),
+            has_records: AtomicBool::new(false),
+            revision: AtomicU64::new(0),
+        }
+    }
+
+    /// Gives all entries, for other daemons and for a dump.
+    pub fn entries(&self) -> Vec<SuspectRecord> {
+        self.lock().export()
+    }
+
+    /// Gives the entries that changed since the last call, to be sent to other daemons.
+    pub fn take_changed(&self) -> Vec<SuspectRecord> {
+        self.lock().take_changed()
+    }
+
+    /// Merges the entries of another daemon, in any order and any number of times.
+    pub fn merge(&self, entries: &[SuspectRecord]) {
+        self.change(|table| table.merge(entries));
+    }
+
+    /// Gives a number that grows with each change, also by [`QuarantineBoard::merge`].
+    pub fn revision(&self) -> u64 {
+        self.revision.load(Ordering::Acquire)
+    }
+
+    /// Gives the number of requests held.
+    pub fn len(&self) -> usize {
+        self.lock().len()
+    }
+
+    /// Tells whether no request is held.
+    pub fn is_empty(&self) -> bool {
+        !self.has_records.load(Ordering::Acquire)
+    }
+
+    /// Decides how a request may run.
+    pub(crate) fn judge(&self, fingerprint: Fingerprint) -> QuarantineVerdict {
+        match self.is_empty() {
+            true => QuarantineVerdict::Clear,
+            false => self.lock().judge(fingerprint, unix_time()),
+        }
+    }
+
+    /// Takes note that a request ran to its end. Skipped while another thread has the table: a
+    /// missed success costs a suspect one more trial, a wait would cost every request.
+    pub(crate) fn note_success(&self, fingerprint: Fingerprint) {
+        if let Ok(mut table) = self.table.try_lock() {
+            table.record_success(fingerprint, unix_time());
+        }
+    }
+
+    /// Takes note of a server's death with the requests it had.
+    pub(crate) fn note_crash(&self, server: &str, flights: &[ServerFlight]) {
+        let in_flight: Vec<Fingerprint> = flights.iter().map(|flight| flight.fingerprint).collect();
+        let report = CrashReport {
+            occasion: stable_hash(&[server.as_bytes()]),
+            at: unix_time(),
+            in_flight: &in_flight,
+            is_trial: flights.iter().all(|flight| flight.is_trial),
+        };
+        self.change(|table| table.record_crash(&report));
+    }
+
+    fn change(&self, change: impl FnOnce(&mut QuarantineTable)) {
+        let mut table = self.lock();
+        table.expire(unix_time());
+        change(&mut table);
+        self.has_records.store(!table.is_empty(), Ordering::Release);
+        self.revision.fetch_add(1, Ordering::AcqRel);
+    }
+
+    fn lock(&self) -> MutexGuard<'_, QuarantineTable> {
+        self.table.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Finds out, after a connection to a server broke, whether the server died, and if so holds the
+/// requests it had as suspects.
+///
+/// One broken connection alone may be the server's own choice, as when a handler fails. A server
+/// that died accepts no connection, and all its connections break at once.
+pub(crate) fn examine(
+    board: Arc<QuarantineBoard>,
+    servers: Arc<LocalServers>,
+    server: Arc<GuardedServer>,
+) {
+    if !server.begin_examination() {
+        return;
+    }
+    tokio::spawn(async move {
+        tokio::time::sleep(EXAMINE_DELAY).await;
+        let all_broke = server.gate.broken_count() >= MANY_BROKEN && server.pool.open_count() == 0;
+        if all_broke || !server.pool.is_accepting().await {
+            let flights = server.gate.take_flights();
+            log::warn!("guard: server {} died with {} requests.", server.id, flights.len());
+            board.note_crash(&server.id, &flights);
+            servers.remove(&server.id);
+        } else {
+            server.gate.forget_broken();
+        }
+        server.end_examination();
+    });
+}
--- a/components/proxy/src/serve.rs
+++ b/components/proxy/src/serve.rs
@@ -1,33 +1,100 @@
 //! Listeners of the request path.
 
-use std::{convert::Infallible, future::Future, sync::Arc, time::Duration};
+use std::{
+    convert::Infallible,
+    future::Future,
+    net::IpAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicU8, Ordering},
+    },
+    time::Duration,
+};
 
-use http::{Request, Response};
+use http::{HeaderValue, Request, Response, Version, header};
 use hyper::{body::Incoming, service::service_fn};
 use hyper_util::{
-    rt::{TokioExecutor, TokioIo},
+    rt::{TokioExecutor, TokioIo, TokioTimer},
     server::{conn::auto, graceful::GracefulShutdown},
 };
 use tokio::{net::TcpListener, sync::watch, task::JoinHandle};
 
 use crate::{
+    answer::refuse_until,
     body::ProxyBody,
     forward::{ForwardContext, forward},
     guard::{GuardContext, guard},
+    headers::is_nested,
+    outcome::RefusalKind,
 };
 
 /// Pause after a failed accept, which usually means that no file descriptor is left.
 const ACCEPT_RETRY: Duration = Duration::from_millis(50);
+/// Time for a caller to send a whole head. Without a bound, connections that send a byte now and
+/// then would hold all file descriptors.
+const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
+/// Largest head of a caller's request; a larger one is answered with 431.
+const ENTRY_HEAD_BYTES: u32 = 32 * 1024;
+/// Largest head at the guard: a caller's and what the daemon of entry adds.
+const GUARD_HEAD_BYTES: u32 = 64 * 1024;
+/// Requests at once on one connection of a caller.
+const ENTRY_STREAMS: u32 = 256;
+/// Requests at once from one daemon: all slots and queue places of a server several times over, so
+/// that the guard's refusal, not a wait for a stream, is what a daemon gets.
+const GUARD_STREAMS: u32 = 1024;
+/// Bytes in flight of one request's body.
+const STREAM_WINDOW: u32 = 256 * 1024;
+/// Bytes in flight of all bodies on one connection.
+const CONNECTION_WINDOW: u32 = 2 * 1024 * 1024;
+
+/// How far a listener has come on its way out; zero before the first of these.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[repr(u8)]
+enum DrainStage {
+    /// Takes all, and asks callers to go elsewhere with the next.
+    Leaving = 1,
+    /// Takes only what belongs to work in flight.
+    Refusing = 2,
+}
+
+/// The stage of one listener, read by each of its requests.
+#[derive(Debug, Default)]
+struct DrainSwitch(AtomicU8);
+
+impl DrainSwitch {
+    fn set(&self, stage: DrainStage) {
+        self.0.fetch_max(stage as u8, Ordering::AcqRel);
+    }
+
+    fn has_reached(&self, stage: DrainStage) -> bool {
+        self.0.load(Ordering::Acquire) >= stage as u8
+    }
+}
 
 /// A running listener.
 pub struct ServeHandle {
+    switch: Arc<DrainSwitch>,
     stop: watch::Sender<bool>,
     task: JoinHandle<()>,
 }
 
 impl ServeHandle {
+    /// Goes on taking requests but asks callers to send the next ones elsewhere: answers over
+    /// HTTP/1.1 say `Connection: close`. Without this step a caller's next request could meet the
+    /// end of its connection.
+    pub fn leave(&self) {
+        self.switch.set(DrainStage::Leaving);
+    }
+
+    /// Refuses new requests as not run. Those that services make for work in flight are still
+    /// taken, or the work could not be finished.
+    pub fn refuse_new(&self) {
+        self.switch.set(DrainStage::Refusing);
+    }
+
     /// Accepts no more, waits up to `bound` for requests in flight, and tells whether all ended.
     pub async fn stop(self, bound: Duration) -> bool {
+        self.refuse_new();
         self.stop.send_replace(true);
         tokio::time::timeout(bound, self.task).await.is_ok()
     }
@@ -35,27 +102,54 @@
 
 /// Serves callers.
 pub fn serve_forward(listener: TcpListener, context: Arc<ForwardContext>) -> ServeHandle {
-    serve(listener, move |request| forward(context.clone(), request))
+    let server = build_server(ENTRY_HEAD_BYTES, ENTRY_STREAMS);
+    serve(listener, server, move |request, caller| forward(context.clone(), request, caller))
 }
 
 /// Serves other daemons on behalf of the local backend server.
 pub fn serve_guard(listener: TcpListener, context: Arc<GuardContext>) -> ServeHandle {
-    serve(listener, move |request| guard(context.clone(), request))
+    let server = build_server(GUARD_HEAD_BYTES, GUARD_STREAMS).http2_only();
+    serve(listener, server, move |request, _| guard(context.clone(), request))
+}
+
+type ServerBuilder = auto::Builder<TokioExecutor>;
+
+fn build_server(head_bytes: u32, streams: u32) -> ServerBuilder {
+    let mut server = auto::Builder::new(TokioExecutor::new());
+    server
+        .http1()
+        .timer(TokioTimer::new())
+        .header_read_timeout(HEAD_TIMEOUT)
+        .max_buf_size(head_bytes as usize);
+    server
+        .http2()
+        .timer(TokioTimer::new())
+        .max_header_list_size(head_bytes)
+        .max_concurrent_streams(streams)
+        .initial_stream_window_size(STREAM_WINDOW)
+        .initial_connection_window_size(CONNECTION_WINDOW);
+    server
 }
 
-fn serve<H, F>(listener: TcpListener, handle: H) -> ServeHandle
+fn serve<H, F>(listener: TcpListener, server: ServerBuilder, handle: H) -> ServeHandle
 where
-    H: Fn(Request<Incoming>) -> F + Clone + Send + 'static,
+    H: Fn(Request<Incoming>, IpAddr) -> F + Clone + Send + 'static,
     F: Future<Output = Response<ProxyBody>> + Send + 'static,
 {
     let stop = watch::Sender::new(false);
-    let task = tokio::spawn(accept_forever(listener, handle, stop.subscribe()));
-    ServeHandle { stop, task }
+    let switch = Arc::new(DrainSwitch::default());
+    let accept = accept_forever(listener, server, handle, switch.clone(), stop.subscribe());
+    ServeHandle { switch, stop, task: tokio::spawn(accept) }
 }
 
-async fn accept_forever<H, F>(listener: TcpListener, handle: H, mut stopped: watch::Receiver<bool>)
-where
-    H: Fn(Request<Incoming>) -> F + Clone + Send + 'static,
+async fn accept_forever<H, F>(
+    listener: TcpListener,
+    server: ServerBuilder,
+    handle: H,
+    switch: Arc<DrainSwitch>,
+    mut stopped: watch::Receiver<bool>,
+) where
+    H: Fn(Request<Incoming>, IpAddr) -> F + Clone + Send + 'static,
     F: Future<Output = Response<ProxyBody>> + Send + 'static,
 {
     let graceful = GracefulShutdown::new();
@@ -64,8 +158,8 @@
             accepted = listener.accept() => accepted,
             _ = stopped.wait_for(|stop| *stop) => break,
         };
-        let stream = match accepted {
-            Ok((stream, _)) => stream,
+        let (stream, caller) = match accepted {
+            Ok((stream, caller)) => (stream, caller.ip()),
             Err(err) => {
                 log::warn!("proxy: cannot accept: {err}.");
                 tokio::time::sleep(ACCEPT_RETRY).await;
@@ -74,12 +168,11 @@
         };
         // Small answers must not wait for the peer's delayed acknowledgement.
         let _ = stream.set_nodelay(true);
-        let handle = handle.clone();
+        let (handle, switch) = (handle.clone(), switch.clone());
         let service = service_fn(move |request| {
-            let answer = handle(request);
+            let answer = answer(&handle, &switch, request, caller);
             async move { Ok::<_, Infallible>(answer.await) }
         });
-        let server = auto::Builder::new(TokioExecutor::new());
         let connection = server.serve_connection(TokioIo::new(stream), service).into_owned();
         let connection = graceful.watch(connection);
         tokio::spawn(async move {
@@ -88,5 +181,32 @@
             }
         });
     }
+    drop(listener);
     graceful.shutdown().await;
 }
+
+fn answer<H, F>(
+    handle: &H,
+    switch: &Arc<DrainSwitch>,
+    request: Request<Incoming>,
+    caller: IpAddr,
+) -> impl Future<Output = Response<ProxyBody>> + Send + use<H, F>
+where
+    H: Fn(Request<Incoming>, IpAddr) -> F,
+    F: Future<Output = Response<ProxyBody>> + Send + 'static,
+{
+    let is_http1 = request.version() == Version::HTTP_11;
+    let is_refused = switch.has_reached(DrainStage::Refusing) && !is_nested(request.headers());
+    let answer = (!is_refused).then(|| handle(request, caller));
+    let switch = switch.clone();
+    async move {
+        let mut response = match answer {
+            Some(answer) => answer.await,
+            None => refuse_until(RefusalKind::Draining, Duration::ZERO),
+        };
+        if is_http1 && switch.has_reached(DrainStage::Leaving) {
+            response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+        }
+        response
+    }
+}
--- a/components/proxy/src/table.rs
+++ b/components/proxy/src/table.rs
@@ -1,12 +1,35 @@
 //! The immutable table that requests are routed by.
 
-use std::{collections::BTreeMap, net::SocketAddr, sync::Arc};
+use std::{
+    collections::{BTreeMap, HashMap},
+    sync::Arc,
+    time::Duration,
+};
 
 use arc_swap::ArcSwap;
-use sk_member::{EndpointStatus, MemberRecord, MemberStatus};
-use sk_model::{ConfigSnapshot, ProxyId, RouteSetting, ServiceName, SettingBody, Version};
+use http::uri::Authority;
+use sk_decide::{
+    admitting::TeamKey,
+    placing::{
+        EndpointDistance, EndpointId, EndpointRecord as PlacedRecord, PlacementSettings,
+        PlacementTable,
+    },
+    retrying::{RetryBudget, RetrySettings},
+};
+use sk_member::{EndpointRecord, EndpointStatus, MemberRecord, MemberStatus};
+use sk_model::{
+    ConfigSnapshot, DataCentre, ProxyId, RouteSetting, ServiceName, SettingBody, Version, team_of,
+};
 use slotmap::{SlotMap, new_key_type};
 
+use crate::clock::stable_hash;
+
+/// Time after the start of this daemon in which servers it hears of count as warm. Most of them
+/// have run for long; taking all for cold would send each the same trickle.
+const FIRST_NEWS: Duration = Duration::from_secs(10);
+/// Age of such a server, above any warm-up.
+const WARM_AGE: Duration = Duration::from_secs(3600);
+
 new_key_type! {
     /// Key of a service in one table.
     pub struct ServiceKey;
@@ -15,31 +38,47 @@
 /// The table in force, swapped whole.
 pub type SharedTable = Arc<ArcSwap<RouteTable>>;
 
+/// Which daemon a table is for.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct TablePlace {
+    /// The daemon.
+    pub proxy: ProxyId,
+    /// Its data centre.
+    pub data_centre: DataCentre,
+    /// Its region.
+    pub region: String,
+}
+
 /// A daemon whose backend server takes new work for a service.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct TableEndpoint {
     /// The daemon beside the server.
     pub proxy: ProxyId,
-    /// Data centre of the instance.
-    pub data_centre: String,
+    /// The server's process.
+    pub server: Arc<str>,
     /// Where the daemon takes requests for the server.
-    pub guard: SocketAddr,
-    /// Requests the server works on at once.
-    pub slots: u32,
+    pub guard: Authority,
+    /// Whether it is the daemon that the table is for.
+    pub is_own: bool,
 }
 
 /// A service with its endpoints.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct TableService {
     /// Name of the service.
-    pub name: ServiceName,
+    pub name: Arc<str>,
     /// Endpoints that take new work.
-    pub endpoints: Vec<TableEndpoint>,
+    pub endpoints: HashMap<EndpointId, TableEndpoint>,
+    /// How requests are placed among them.
+    pub(crate) placement: Arc<PlacementTable>,
+    /// Retries the service may still be sent.
+    pub(crate) budget: Arc<RetryBudget>,
 }
 
 #[derive(Clone, Debug)]
 struct TableRoute {
     setting: RouteSetting,
+    team: TeamKey,
     service: ServiceKey,
 }
 
@@ -58,27 +97,34 @@
 pub struct RouteMatch<'a> {
     /// The route's setting.
     pub setting: &'a RouteSetting,
+    /// The team that declared the route.
+    pub(crate) team: TeamKey,
     /// The service with its endpoints.
     pub service: &'a TableService,
 }
 
 impl RouteTable {
-    /// Builds the table of a configuration and of the members as they are believed to be.
+    /// Builds the table of a configuration and of the members as they are believed to be, at `now`.
+    ///
+    /// What requests have shown of a server goes over from the table before to the same process of
+    /// it only.
     pub fn build<'a>(
+        before: &Self,
         snapshot: &ConfigSnapshot,
         members: impl Iterator<Item = &'a MemberRecord>,
+        place: &TablePlace,
+        now: Duration,
     ) -> Self {
+        let mut found = find_endpoints(members);
         let mut services = SlotMap::with_key();
         let mut keys = BTreeMap::new();
         for (path, body) in snapshot.settings() {
             if matches!(body, SettingBody::Service(_)) {
-                let service = TableService { name: path.clone(), endpoints: Vec::new() };
+                let endpoints = found.remove(path.as_str()).unwrap_or_default();
+                let service = build_service(before, path, &endpoints, place, now);
                 keys.insert(path, services.insert(service));
             }
         }
-        for record in members.filter(|record| record.status == MemberStatus::Alive) {
-            add_endpoints(&mut services, &keys, record);
-        }
         let routes = collect_routes(snapshot, &keys);
         Self { version: snapshot.version(), services, routes }
     }
@@ -101,26 +147,121 @@
         };
         let route = self.routes.iter().find(is_match)?;
         let service = self.services.get(route.service)?;
-        Some(RouteMatch { setting: &route.setting, service })
+        Some(RouteMatch { setting: &route.setting, team: route.team, service })
     }
 }
 
-fn add_endpoints(
-    services: &mut SlotMap<ServiceKey, TableService>,
-    keys: &BTreeMap<&ServiceName, ServiceKey>,
-    record: &MemberRecord,
-) {
-    for endpoint in &record.endpoints {
-        let service = keys.get(&endpoint.service).and_then(|key| services.get_mut(*key));
-        if let Some(service) = service.filter(|_| endpoint.status == EndpointStatus::Ready) {
-            service.endpoints.push(TableEndpoint {
-                proxy: record.proxy.clone(),
-                data_centre: record.data_centre.clone(),
-                guard: record.guard,
-                slots: endpoint.slots,
-            });
+impl TableService {
+    /// Gives the whole retries that the service may still be sent.
+    pub fn retries_left(&self) -> u64 {
+        self.budget.left()
+    }
+
+    /// Gives the state of each endpoint, by its daemon.
+    pub fn endpoint_states(
+        &self,
+        now: Duration,
+    ) -> BTreeMap<ProxyId, sk_decide::placing::EndpointState> {
+        let states = self.placement.states(now).into_iter();
+        let named = |state: sk_decide::placing::EndpointState| {
+            Some((self.endpoints.get(&state.id)?.proxy.clone(), state))
+        };
+        states.filter_map(named).collect()
+    }
+}
+
+type FoundEndpoints<'a> = BTreeMap<&'a str, Vec<(&'a MemberRecord, &'a EndpointRecord)>>;
+
+/// Gathers the endpoints that take work, by service.
+///
+/// A suspected daemon counts only for a service that has no other: it is likely gone, but a request
+/// that would fail without it loses nothing by the try.
+fn find_endpoints<'a>(members: impl Iterator<Item = &'a MemberRecord>) -> FoundEndpoints<'a> {
+    let mut alive = FoundEndpoints::new();
+    let mut suspect = FoundEndpoints::new();
+    for record in members {
+        let found = match record.status {
+            MemberStatus::Alive => &mut alive,
+            MemberStatus::Suspect => &mut suspect,
+            MemberStatus::Leaving | MemberStatus::Gone => continue,
+        };
+        for endpoint in &record.endpoints {
+            if endpoint.status == EndpointStatus::Ready {
+                found.entry(endpoint.service.as_str()).or_default().push((record, endpoint));
+            }
         }
     }
+    for (service, endpoints) in suspect {
+        alive.entry(service).or_insert(endpoints);
+    }
+    alive
+}
+
+fn build_service(
+    before: &RouteTable,
+    name: &ServiceName,
+    found: &[(&MemberRecord, &EndpointRecord)],
+    place: &TablePlace,
+    now: Duration,
+) -> TableService {
+    let held = before.services.values().find(|service| *service.name == **name);
+    let endpoints: HashMap<EndpointId, TableEndpoint> = found
+        .iter()
+        .filter_map(|(member, endpoint)| make_endpoint(member, endpoint, place))
+        .collect();
+    let records: Vec<PlacedRecord> =
+        found.iter().map(|(member, endpoint)| place_record(member, endpoint, place, now)).collect();
+    let placement = match held {
+        Some(held) => held.placement.rebuild(&records, now),
+        None => PlacementTable::new(PlacementSettings::default()).rebuild(&records, now),
+    };
+    let budget = match held {
+        Some(held) => held.budget.clone(),
+        None => Arc::new(RetryBudget::new(RetrySettings::default(), now)),
+    };
+    let name = held.map_or_else(|| Arc::from(name.as_str()), |held| held.name.clone());
+    TableService { name, endpoints, placement: Arc::new(placement), budget }
+}
+
+fn make_endpoint(
+    member: &MemberRecord,
+    endpoint: &EndpointRecord,
+    place: &TablePlace,
+) -> Option<(EndpointId, TableEndpoint)> {
+    let endpoint = TableEndpoint {
+        proxy: member.proxy.clone(),
+        server: Arc::from(endpoint.server.as_str()),
+        guard: member.guard.to_string().parse().ok()?,
+        is_own: member.proxy == place.proxy,
+    };
+    Some((endpoint_id(member), endpoint))
+}
+
+fn place_record(
+    member: &MemberRecord,
+    endpoint: &EndpointRecord,
+    place: &TablePlace,
+    now: Duration,
+) -> PlacedRecord {
+    let distance = match member {
+        _ if member.data_centre == place.data_centre => EndpointDistance::SameCentre,
+        _ if member.region == place.region => EndpointDistance::SameRegion,
+        _ => EndpointDistance::OtherRegion,
+    };
+    // The daemon's process is a part: a guard that leaves says so for good, and the next daemon
+    // beside the same server must not be taken for it.
+    let daemon = member.incarnation.to_le_bytes();
+    PlacedRecord {
+        id: endpoint_id(member),
+        incarnation: stable_hash(&[endpoint.server.as_bytes(), &daemon]),
+        slots: endpoint.slots,
+        distance,
+        age: if now < FIRST_NEWS { WARM_AGE } else { Duration::ZERO },
+    }
+}
+
+fn endpoint_id(member: &MemberRecord) -> EndpointId {
+    stable_hash(&[member.proxy.as_bytes()])
 }
 
 fn collect_routes(
@@ -128,13 +269,14 @@
     keys: &BTreeMap<&ServiceName, ServiceKey>,
 ) -> Vec<TableRoute> {
     let mut routes = Vec::new();
-    for (_, body) in snapshot.settings() {
+    for (path, body) in snapshot.settings() {
         // Validation refuses a route without its service; skipping it keeps the table sound even
         // if that ever failed.
         if let SettingBody::Route(setting) = body
             && let Some(service) = keys.get(&setting.service)
         {
-            routes.push(TableRoute { setting: setting.clone(), service: *service });
+            let team = stable_hash(&[team_of(path).as_bytes()]);
+            routes.push(TableRoute { setting: setting.clone(), team, service: *service });
         }
     }
     routes.sort_by_key(|route| {
--- /dev/null
+++ b/components/proxy/src/upload.rs
@@ -0,0 +1,129 @@
+//! The body of a caller's request, and whether it can be sent again.
+
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Duration,
+};
+
+use bytes::{Bytes, BytesMut};
+use http::{Request, header};
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use hyper::body::{Body, Incoming};
+
+use crate::body::{BodyError, CheckedBody, PrefixedBody, ProxyBody, whole_body};
+
+/// Bytes of a body that are kept so that it can be sent again. Covers nearly all queries and
+/// confirmations; at a thousand requests in flight it is 64 MB at the very worst, and documents
+/// are streamed instead.
+pub(crate) const REPLAY_BYTES: usize = 64 * 1024;
+
+/// The body of a request, by whether it is at hand.
+pub(crate) enum UploadBody {
+    /// All of it is here and can be sent any number of times.
+    Whole(Bytes),
+    /// It is larger than is kept, and can be sent once.
+    Stream {
+        /// The first part of it.
+        prefix: Bytes,
+        /// All of it, until it is sent.
+        body: Option<ProxyBody>,
+        /// Set when it turns out to be larger than the settings allow.
+        overrun: Arc<AtomicBool>,
+    },
+}
+
+/// Why a body could not be taken.
+#[derive(Debug)]
+pub(crate) enum UploadError {
+    /// It is larger than the settings allow.
+    TooLarge,
+    /// The caller's connection failed, or it did not end in time.
+    Lost,
+}
+
+impl UploadBody {
+    /// Reads a body, or its first part if it is large.
+    pub(crate) async fn read(
+        request: Request<Incoming>,
+        limit: u64,
+        wait: Duration,
+    ) -> (http::request::Parts, Result<Self, UploadError>) {
+        let (parts, body) = request.into_parts();
+        let body = CheckedBody::new(body, parts.version);
+        if body.size_hint().lower() > limit {
+            return (parts, Err(UploadError::TooLarge));
+        }
+        if body.is_end_stream() {
+            return (parts, Ok(Self::Whole(Bytes::new())));
+        }
+        let read = tokio::time::timeout(wait, read_first(body, limit)).await;
+        (parts, read.unwrap_or(Err(UploadError::Lost)))
+    }
+
+    /// Gives the body for an attempt, or nothing if it was sent and cannot be again.
+    pub(crate) fn take(&mut self) -> Option<ProxyBody> {
+        match self {
+            Self::Whole(bytes) => Some(whole_body(bytes.clone())),
+            Self::Stream { body, .. } => body.take(),
+        }
+    }
+
+    /// Gives the bytes that a fingerprint is made over.
+    pub(crate) fn sample(&self) -> &[u8] {
+        match self {
+            Self::Whole(bytes) | Self::Stream { prefix: bytes, .. } => bytes,
+        }
+    }
+
+    /// Tells whether a body that is being sent has passed the allowed size.
+    pub(crate) fn has_overrun(&self) -> bool {
+        matches!(self, Self::Stream { overrun, .. } if overrun.load(Ordering::Acquire))
+    }
+
+    /// Tells whether the body can be sent again.
+    pub(crate) fn is_whole(&self) -> bool {
+        matches!(self, Self::Whole(_))
+    }
+
+    /// Sets the length of a body whose sender gave it in chunks, now that it is known.
+    pub(crate) fn set_length(&self, headers: &mut http::HeaderMap) {
+        if let Self::Whole(bytes) = self
+            && !bytes.is_empty()
+        {
+            headers.insert(header::CONTENT_LENGTH, bytes.len().into());
+        }
+    }
+}
+
+async fn read_first(body: CheckedBody, limit: u64) -> Result<UploadBody, UploadError> {
+    let limit = usize::try_from(limit).unwrap_or(usize::MAX);
+    let mut rest = Limited::new(body, limit);
+    let mut read = BytesMut::new();
+    while read.len() <= REPLAY_BYTES {
+        match rest.frame().await {
+            None => return Ok(UploadBody::Whole(read.freeze())),
+            Some(Ok(frame)) => {
+                if let Ok(data) = frame.into_data() {
+                    read.extend_from_slice(&data);
+                }
+            }
+            Some(Err(err)) if err.is::<LengthLimitError>() => return Err(UploadError::TooLarge),
+            Some(Err(_)) => return Err(UploadError::Lost),
+        }
+    }
+    let prefix = read.freeze();
+    let overrun = Arc::new(AtomicBool::new(false));
+    let noted = overrun.clone();
+    let rest = rest.map_err(move |err| match err.downcast::<BodyError>() {
+        Ok(err) => *err,
+        Err(_) => {
+            noted.store(true, Ordering::Release);
+            BodyError::TooLarge
+        }
+    });
+    let body = PrefixedBody::new(prefix.clone(), rest).boxed_unsync();
+    Ok(UploadBody::Stream { prefix, body: Some(body), overrun })
+}
--- a/components/settings/src/check.rs
+++ b/components/settings/src/check.rs
@@ -66,6 +66,14 @@
     )?;
     let guard = &settings.guard;
     checker.range("guard.queue", guard.queue as u64, 0..=1024, "0 to 1024")?;
+    let connections = u64::from(guard.connections);
+    checker.range("guard.connections", connections, 1..=10_000, "1 to 10000")?;
+    checker.range(
+        "guard.max_body_bytes",
+        guard.max_body_bytes,
+        1024..=1 << 30,
+        "1024 to 1073741824",
+    )?;
     checker.range("guard.drain_ms", guard.drain_ms, 0..=600_000, "0 to 600000")?;
     checker.range("guard.announce_ttl_ms", guard.announce_ttl_ms, 200..=60_000, "200 to 60000")
 }
--- a/components/settings/src/daemon_settings.rs
+++ b/components/settings/src/daemon_settings.rs
@@ -161,8 +161,14 @@
 #[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct GuardSettings {
-    /// Requests that may wait for a slot, 0 to 1024. Longer queues only add waiting. Default 24.
+    /// Short requests that may wait for a slot, 0 to 1024; long ones get half as many places.
+    /// Longer queues only add waiting. Default 24.
     pub queue: usize,
+    /// Connections to the backend server at once, 1 to 10000; more are reset by it. Default 100.
+    pub connections: u32,
+    /// Largest body of a request in bytes, 1024 to 1073741824; larger ones get status 413.
+    /// Default 16777216.
+    pub max_body_bytes: u64,
     /// Milliseconds a graceful shutdown waits for requests in flight, 0 to 600000. Default 30000.
     pub drain_ms: u64,
     /// Milliseconds without an announcement until the server counts as gone, 200 to 60000.
@@ -172,7 +178,13 @@
 
 impl Default for GuardSettings {
     fn default() -> Self {
-        Self { queue: 24, drain_ms: 30_000, announce_ttl_ms: 3_000 }
+        Self {
+            queue: 24,
+            connections: 100,
+            max_body_bytes: 16 * 1024 * 1024,
+            drain_ms: 30_000,
+            announce_ttl_ms: 3_000,
+        }
     }
 }
 
