--- a/components/daemon/src/daemon.rs
+++ b/components/daemon/src/daemon.rs
@@ -20,6 +20,7 @@
 use crate::{
     error::DaemonError,
     port::DaemonPort,
+    reach::{ReachClock, watch_reach},
     source::{BookSink, LedgerSource},
     tasks,
 };
@@ -72,6 +73,7 @@
     meter: Arc<ControlMeter>,
     quarantine: Arc<QuarantineBoard>,
     counters: Arc<ProxyCounters>,
+    reach: Arc<ReachClock>,
 }
 
 /// Starts a daemon from checked settings.
@@ -105,6 +107,7 @@
             table_place(settings),
         )),
         tokio::spawn(tasks::expire_servers(parts.servers.clone(), parts.members.clone(), ttl)),
+        tokio::spawn(watch_reach(parts.reach.clone(), parts.members.clone())),
         tokio::spawn(tasks::flush_reports(parts.book.clone(), parts.store.clone())),
     ];
     log::info!("daemon: {} runs at {}.", settings.instance.name, addresses.proxy);
@@ -192,6 +195,7 @@
         meter: Arc::default(),
         quarantine: Arc::default(),
         counters: Arc::default(),
+        reach: Arc::default(),
     }
 }
 
@@ -223,6 +227,7 @@
         members: parts.members.clone(),
         servers: parts.servers.clone(),
         meter: parts.meter.clone(),
+        reach: parts.reach.clone(),
         proxy_address: addresses.proxy,
     }
 }
--- a/components/proxy/src/claim.rs
+++ b/components/proxy/src/claim.rs
@@ -23,7 +23,7 @@
 }
 
 /// Identifies one try to run a request, drawn at random.
-pub type AttemptId = u128;
+pub type AttemptId = u64;
 
 /// What became of a claim.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
