standin: let requests ask a backend server for faults

Cause: failures of the request path need a server that crashes, cuts or drops an answer, works slowly, or lies about its load, at a chosen request.

Ruled out: switches set per process, since one test needs both a faulty and a sound request on one server at one time.

Change: a request's query asks for the fault (work_ms, fault=crash|cut|drop, size, nest, tag). A crash ends the listener and all connections at once, as a kill does, and the process with code 101.

--- a/src/bin/sk-backend.rs
+++ b/src/bin/sk-backend.rs
@@ -6,6 +6,9 @@
 use sk_standin::{BackendOptions, start_backend};
 use tokio::signal::unix::{SignalKind, signal};
 
+/// Exit code after a request that crashes the stand-in.
+const CRASH_CODE: i32 = 101;
+
 #[derive(Debug, Options)]
 struct BackendArgs {
     /// Print this help
@@ -28,6 +31,13 @@
     /// Milliseconds of work a request takes
     #[options(default = "1")]
     work_ms: u64,
+    /// Connections held at once; more are closed unread
+    #[options(default = "100")]
+    connections: u32,
+    /// Load reported at /load, if it is to lie
+    reported_load: Option<f64>,
+    /// The daemon's address for callers, for nested calls
+    proxy: Option<String>,
 }
 
 #[tokio::main]
@@ -35,18 +45,25 @@
     env_logger::init();
     let args = BackendArgs::parse_args_default_or_exit();
     let options = BackendOptions {
-        address: args.address.parse()?,
-        daemon: args.daemon.parse()?,
-        service: args.service,
-        server: args.server,
         slots: args.slots,
         work: Duration::from_millis(args.work_ms),
-        announce_interval: Duration::from_millis(500),
+        connections: args.connections,
+        reported_load: args.reported_load,
+        proxy: args.proxy.map(|proxy| proxy.parse()).transpose()?,
+        ..BackendOptions::new(
+            args.address.parse()?,
+            args.daemon.parse()?,
+            &args.service,
+            &args.server,
+        )
     };
     let mut terminate = signal(SignalKind::terminate())?;
     let backend = start_backend(options).await?;
     println!("backend {}", backend.address());
-    terminate.recv().await;
+    tokio::select! {
+        _ = terminate.recv() => (),
+        () = backend.crashed() => std::process::exit(CRASH_CODE),
+    }
     let served = backend.served();
     backend.stop().await;
     println!("served {served}");
--- a/src/cmd/demo.rs
+++ b/src/cmd/demo.rs
@@ -111,15 +111,8 @@
     service: &str,
     daemon: SocketAddr,
 ) -> anyhow::Result<BackendHandle> {
-    let options = BackendOptions {
-        address: SocketAddr::from(([127, 0, 0, 1], 0)),
-        daemon,
-        service: service.to_owned(),
-        server: format!("{name}-server"),
-        slots: 12,
-        work: Duration::from_millis(1),
-        announce_interval: Duration::from_millis(500),
-    };
+    let address = SocketAddr::from(([127, 0, 0, 1], 0));
+    let options = BackendOptions::new(address, daemon, service, &format!("{name}-server"));
     start_backend(options).await
 }
 
