proxy: carry requests through guards, with truthful outcomes

Cause: the first form forwarded at random, without admission, retries, deadlines or any account of whether a request ran.

Ruled out: - the pooled client towards the local server: it hides whether a byte was sent, cannot hold the server's connection limit and cannot pace openings. Connections are taken from hyper's connection level instead. - 503 for quarantined requests: clients take it as an invitation to send again. They get 422. - HTTP/1.0 callers and answers without a length: a cut one looks complete.

Change: entry, guard over HTTP/2, server over HTTP/1.1; placing, admission, retries, quarantine, pacing and deadlines by sk-decide; claims behind the trait ClaimGate (none wired: keyed requests are refused as not run); drains in three steps; counters. New settings guard.connections and guard.max_body_bytes.

--- /dev/null
+++ b/components/proxy/tests/graceful_stop.rs
@@ -0,0 +1,89 @@
+//! Listeners that leave under load.
+
+mod common;
+
+use std::{
+    sync::atomic::{AtomicBool, AtomicU32, Ordering},
+    time::Duration,
+};
+
+use common::{FleetPlan, TestFleet, get, http1, http2, send, wait_for};
+use sk_proxy::{RefusalKind, RequestOutcome};
+
+const DRAIN: Duration = Duration::from_secs(10);
+
+/// Callers send confirmations all the time while one guard's daemon stops. What it has is finished,
+/// what arrives later is refused as not run and placed elsewhere: no caller notices.
+#[tokio::test(flavor = "multi_thread")]
+async fn guard_stops() {
+    let mut fleet = TestFleet::start(FleetPlan::new(3)).await;
+    let guard = fleet.daemons[1].guard_handle.take().expect("a guard");
+    let (is_over, sent) = (AtomicBool::new(false), AtomicU32::new(0));
+    let caller = |number: u32| {
+        let (client, fleet, is_over, sent) = (http1(), &fleet, &is_over, &sent);
+        async move {
+            while !is_over.load(Ordering::SeqCst) {
+                let tag = format!("{number}-{}", sent.fetch_add(1, Ordering::SeqCst));
+                let path = format!("/confirm?work_ms=10&tag={tag}");
+                let answer = send(&client, fleet.entry(), "POST", &path, &[], "").await;
+                assert_eq!(answer.status.as_u16(), 200, "{answer:?}");
+                assert_eq!(fleet.runs(&tag), 1);
+            }
+        }
+    };
+    let stop = async {
+        wait_for("load", || sent.load(Ordering::SeqCst) > 50).await;
+        assert!(guard.stop(DRAIN).await, "requests in flight were cut");
+        let begun = fleet.backends[0].counts().begun;
+        let before = sent.load(Ordering::SeqCst);
+        wait_for("more load", || sent.load(Ordering::SeqCst) > before + 100).await;
+        assert_eq!(fleet.backends[0].counts().begun, begun, "new work after the stop");
+        is_over.store(true, Ordering::SeqCst);
+    };
+    tokio::join!(futures::future::join_all((0..4).map(caller)), stop);
+}
+
+/// The daemon that callers enter by stops. Answers in flight arrive whole, over both protocols, and
+/// the next caller is told by `Connection: close` to go elsewhere.
+#[tokio::test(flavor = "multi_thread")]
+async fn entry_stops() {
+    let mut fleet = TestFleet::start(FleetPlan::new(2)).await;
+    let forward = fleet.daemons[0].forward_handle.take().expect("an entry");
+    let slow: Vec<_> = [http1(), http2()]
+        .into_iter()
+        .map(|client| {
+            let entry = fleet.entry();
+            let path = "/slow?work_ms=500&size=500000";
+            tokio::spawn(async move { get(&client, entry, path).await })
+        })
+        .collect();
+    wait_for("requests in flight", || fleet.daemons[0].counters.view().in_flight == 2).await;
+    forward.leave();
+    let answer = get(&http1(), fleet.entry(), "/last").await;
+    assert_eq!(answer.outcome(), Some(RequestOutcome::Ran), "still served");
+    assert_eq!(answer.headers["connection"], "close");
+    forward.refuse_new();
+    let answer = get(&http1(), fleet.entry(), "/late").await;
+    assert_eq!(answer.reason(), Some(RefusalKind::Draining));
+    assert_eq!(answer.outcome(), Some(RequestOutcome::NotRun));
+    let nested = [("x-sapphirekeel-hops", "1")];
+    let answer = send(&http1(), fleet.entry(), "GET", "/nested", &nested, "").await;
+    assert_eq!(answer.outcome(), Some(RequestOutcome::Ran), "work in flight may call on");
+    assert!(forward.stop(DRAIN).await);
+    for call in slow {
+        let answer = call.await.expect("call ends");
+        assert_eq!(answer.body.expect("a whole body").len(), 500_000);
+    }
+}
+
+/// A request in flight outlives the bound of the shutdown, which then says so.
+#[tokio::test(flavor = "multi_thread")]
+async fn bound_passed() {
+    let mut fleet = TestFleet::start(FleetPlan::new(1)).await;
+    let forward = fleet.daemons[0].forward_handle.take().expect("an entry");
+    let (client, entry) = (http1(), fleet.entry());
+    let call = tokio::spawn(async move { get(&client, entry, "/slow?work_ms=5000").await });
+    wait_for("a request in flight", || fleet.daemons[0].counters.view().in_flight == 1).await;
+    assert!(!forward.stop(Duration::from_millis(100)).await);
+    call.abort();
+}
--- /dev/null
+++ b/components/proxy/tests/whole_answers.rs
@@ -0,0 +1,149 @@
+//! Requests and answers arrive whole, or end in an error that their reader sees.
+
+mod common;
+
+use common::{FleetPlan, MAX_BODY_BYTES, TestFleet, get, http1, http2, send, wait_for};
+use http::StatusCode;
+use sk_proxy::{RefusalKind, RequestOutcome};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpStream,
+};
+
+#[tokio::test(flavor = "multi_thread")]
+async fn both_protocols() {
+    let fleet = TestFleet::start(FleetPlan::new(2)).await;
+    for client in [http1(), http2()] {
+        for size in [0, 100, 64 * 1024, 64 * 1024 + 1, 700_000] {
+            let answer = send(&client, fleet.entry(), "POST", "/echo", &[], vec![b'b'; size]).await;
+            assert_eq!(answer.status, StatusCode::OK, "{size}: {answer:?}");
+            assert_eq!(answer.outcome(), Some(RequestOutcome::Ran));
+            assert_eq!(answer.json()["body"].as_str().map(str::len), Some(size));
+        }
+        let answer = get(&client, fleet.entry(), "/large?size=3000000").await;
+        assert_eq!(answer.body.expect("a whole body").len(), 3_000_000);
+        let head = send(&client, fleet.entry(), "HEAD", "/head", &[], "").await;
+        assert_eq!(head.status, StatusCode::OK);
+    }
+    wait_for("all slots to be free", || {
+        fleet
+            .daemons
+            .iter()
+            .flat_map(|daemon| daemon.servers.guard_states().into_values())
+            .all(|state| state.running == [0, 0] && state.queued == [0, 0])
+    })
+    .await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn own_server() {
+    let mut plan = FleetPlan::new(0);
+    plan.servers = vec![true];
+    let fleet = TestFleet::start(plan).await;
+    let answer = send(&http1(), fleet.entry(), "POST", "/here", &[], "body").await;
+    assert_eq!(answer.json()["body"], "body");
+}
+
+/// A server dies, or its connection breaks, in the middle of an answer. The part that came reads
+/// like a short answer: a caller who is not told takes half a list for the whole. Both hops pass
+/// the cut on as an error. A reader that takes whatever comes before the connection's end, as the
+/// raw one here does, gets the half answer and no error.
+#[tokio::test(flavor = "multi_thread")]
+async fn cut_answer() {
+    let fleet = TestFleet::start(FleetPlan::new(1)).await;
+    for client in [http1(), http2()] {
+        for _ in 0..5 {
+            let answer = get(&client, fleet.entry(), "/cut?fault=cut&size=100000").await;
+            assert_eq!(answer.status, StatusCode::OK);
+            assert!(answer.body.is_err(), "a cut answer looked complete: {answer:?}");
+        }
+    }
+    let mut naive = TcpStream::connect(fleet.entry()).await.expect("connection");
+    let head = "GET /cut?fault=cut&size=100000 HTTP/1.1\r\nHost: test\r\n\r\n";
+    naive.write_all(head.as_bytes()).await.expect("request");
+    let mut read = Vec::new();
+    let read = naive.read_to_end(&mut read).await;
+    assert!(read.expect("no error is seen") > 50_000, "naive reader had no half answer");
+    let cut: u64 = fleet.daemons.iter().map(|daemon| daemon.counters.view().cut_answers).sum();
+    assert!(cut >= 10, "{cut} cut answers counted");
+}
+
+/// A caller's connection breaks in the middle of an upload. The part that came reads like a short
+/// upload: a server that is not told would store half a document. No server may be given it as a
+/// whole request.
+#[tokio::test(flavor = "multi_thread")]
+async fn cut_upload() {
+    let fleet = TestFleet::start(FleetPlan::new(1)).await;
+    let mut stream = TcpStream::connect(fleet.entry()).await.expect("connection");
+    let head = "POST /cut HTTP/1.1\r\nHost: test\r\nTransfer-Encoding: chunked\r\n\r\n";
+    stream.write_all(head.as_bytes()).await.expect("head");
+    // More than is kept for a retry, so that the request is under way when it is cut.
+    for _ in 0..20 {
+        let chunk = format!("1388\r\n{}\r\n", "x".repeat(0x1388));
+        stream.write_all(chunk.as_bytes()).await.expect("chunk");
+    }
+    wait_for("the server to have a part", || fleet.backends[0].counts().begun == 1).await;
+    drop(stream);
+    wait_for("the server to give up", || fleet.backends[0].counts().running == 0).await;
+    assert_eq!(fleet.backends[0].served(), 0, "a cut upload ran");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn oversized() {
+    let fleet = TestFleet::start(FleetPlan::new(1)).await;
+    let client = http1();
+    let long = "x".repeat(40_000);
+    let answer = send(&client, fleet.entry(), "GET", "/", &[("x-long", &long)], "").await;
+    assert_eq!(answer.status, StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE);
+    let body = vec![0; usize::try_from(MAX_BODY_BYTES).expect("small") + 1];
+    let answer = send(&client, fleet.entry(), "POST", "/", &[], body).await;
+    assert_eq!(answer.status, StatusCode::PAYLOAD_TOO_LARGE);
+    assert_eq!(answer.outcome(), Some(RequestOutcome::NotRun));
+    assert_eq!(fleet.served(), 0);
+}
+
+/// An HTTP/1.0 answer without a length ends with its connection, so that a cut one would look
+/// complete.
+#[tokio::test(flavor = "multi_thread")]
+async fn old_protocol() {
+    let fleet = TestFleet::start(FleetPlan::new(1)).await;
+    let mut stream = TcpStream::connect(fleet.entry()).await.expect("connection");
+    stream.write_all(b"GET / HTTP/1.0\r\nHost: test\r\n\r\n").await.expect("request");
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).await.expect("an answer");
+    assert!(answer.contains(" 505 ") && answer.contains("not-run"), "{answer}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn hop_headers() {
+    let fleet = TestFleet::start(FleetPlan::new(1)).await;
+    let headers = [
+        ("connection", "x-private, keep-alive"),
+        ("x-private", "1"),
+        ("te", "trailers"),
+        ("upgrade", "websocket"),
+        ("x-sapphirekeel-call", "{}"),
+        ("x-sapphirekeel-hops", "3"),
+    ];
+    let answer = send(&http1(), fleet.entry(), "GET", "/", &headers, "").await;
+    assert_eq!(answer.status, StatusCode::OK, "{answer:?}");
+    // The hops of the caller and one more.
+    assert_eq!(answer.json()["hops"], "4");
+    let answer = answer.json();
+    let arrived = answer["headers"].as_array().expect("names of headers");
+    for name in ["x-private", "te", "upgrade", "x-sapphirekeel-call", "x-sapphirekeel-token"] {
+        assert!(!arrived.iter().any(|arrived| arrived == name), "{name} arrived: {arrived:?}");
+    }
+}
+
+/// Someone who is no daemon sends to a guard directly, past routes and fair shares. The guard
+/// refuses it before the server is asked.
+#[tokio::test(flavor = "multi_thread")]
+async fn strange_daemon() {
+    let fleet = TestFleet::start(FleetPlan::new(1)).await;
+    let target = format!("http://{}/", fleet.daemons[1].guard).parse().expect("target");
+    assert!(http1().get(target).await.is_err(), "a guard speaks HTTP/2 only");
+    let answer = get(&http2(), fleet.daemons[1].guard, "/").await;
+    assert_eq!(answer.reason(), Some(RefusalKind::Unauthorized));
+    assert_eq!(fleet.backends[0].counts().begun, 0);
+}
