proxy: let senders hear refusals before connections end

Cause: three tests failed now and then on a loaded machine (load 17). - guard_stops: a request met the end of its HTTP/2 connection while the guard left, and its sender could not know that it did not run. - oversized: a caller that was still sending got a reset instead of 413. - server_unreachable: the stand-in's kill returned before its listener ended; the answer "unknown" was true, the test was wrong to expect a retry.

Ruled out: telling a refused stream from a lost one at the client. hyper's error does not say so, and h2 is not among our libraries.

Change: a stopping listener answers refusals for 200 ms before it ends connections; a refused body is read for at most 1 s; kill waits for the end.

--- a/components/proxy/src/serve.rs
+++ b/components/proxy/src/serve.rs
@@ -33,6 +33,10 @@
 /// Time for a caller to send a whole head. Without a bound, connections that send a byte now and
 /// then would hold all file descriptors.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
+/// Time between the first refusal and the end of connections. Whoever still sends hears of the
+/// refusal and goes elsewhere. A request that met the end of its connection instead would be lost
+/// with an outcome that its sender cannot know, although it did not run.
+const REFUSE_TIME: Duration = Duration::from_millis(200);
 /// Largest head of a caller's request; a larger one is answered with 431.
 const ENTRY_HEAD_BYTES: u32 = 32 * 1024;
 /// Largest head at the guard: a caller's and what the daemon of entry adds.
@@ -95,8 +99,12 @@
     /// Accepts no more, waits up to `bound` for requests in flight, and tells whether all ended.
     pub async fn stop(self, bound: Duration) -> bool {
         self.refuse_new();
-        self.stop.send_replace(true);
-        tokio::time::timeout(bound, self.task).await.is_ok()
+        let stop = async {
+            tokio::time::sleep(REFUSE_TIME).await;
+            self.stop.send_replace(true);
+            self.task.await
+        };
+        tokio::time::timeout(bound, stop).await.is_ok()
     }
 }
 
--- a/components/proxy/src/upload.rs
+++ b/components/proxy/src/upload.rs
@@ -20,6 +20,9 @@
 /// are streamed instead.
 pub(crate) const REPLAY_BYTES: usize = 64 * 1024;
 
+/// Longest time for which a refused body is read, so that its sender learns of the refusal.
+const DISCARD_WAIT: Duration = Duration::from_secs(1);
+
 /// The body of a request, by whether it is at hand.
 pub(crate) enum UploadBody {
     /// All of it is here and can be sent any number of times.
@@ -54,6 +57,9 @@
         let (parts, body) = request.into_parts();
         let body = CheckedBody::new(body, parts.version);
         if body.size_hint().lower() > limit {
+            if !parts.headers.contains_key(header::EXPECT) {
+                discard(body, limit).await;
+            }
             return (parts, Err(UploadError::TooLarge));
         }
         if body.is_end_stream() {
@@ -98,6 +104,25 @@
     }
 }
 
+/// Reads and drops a body that is refused, for a bounded time and length.
+///
+/// A caller that is still sending when the connection closes gets a reset, often before it has read
+/// the answer, and does not learn why. One that asked first has sent nothing and needs no such wait.
+async fn discard(mut body: CheckedBody, limit: u64) {
+    let read = async {
+        let mut length = 0;
+        while let Some(Ok(frame)) = body.frame().await {
+            length += frame.data_ref().map_or(0, |data| data.len() as u64);
+            if length > limit.saturating_mul(2) {
+                return;
+            }
+        }
+    };
+    if tokio::time::timeout(DISCARD_WAIT, read).await.is_err() {
+        log::debug!("proxy: a refused body took too long to read.");
+    }
+}
+
 async fn read_first(body: CheckedBody, limit: u64) -> Result<UploadBody, UploadError> {
     let limit = usize::try_from(limit).unwrap_or(usize::MAX);
     let mut rest = Limited::new(body, limit);
--- a/components/proxy/tests/keyed_claims.rs
+++ b/components/proxy/tests/keyed_claims.rs
@@ -114,8 +114,8 @@
 /// that the retry at another daemon is granted and the caller notices nothing.
 #[tokio::test(flavor = "multi_thread")]
 async fn claim_given_back() {
-    let (fleet, _) = start_claimed(2).await;
-    fleet.backends[0].kill();
+    let (mut fleet, _) = start_claimed(2).await;
+    fleet.backends[0].kill().await;
     for number in 0..10 {
         let path = format!("/reserve?tag=b{number}");
         let answer = send_keyed(&fleet, 0, &path, &format!("back-{number}")).await;
--- a/components/proxy/tests/retry_rules.rs
+++ b/components/proxy/tests/retry_rules.rs
@@ -12,8 +12,8 @@
 /// confirmation may safely be placed at the other server: no caller notices.
 #[tokio::test(flavor = "multi_thread")]
 async fn server_unreachable() {
-    let fleet = TestFleet::start(FleetPlan::new(2)).await;
-    fleet.backends[0].kill();
+    let mut fleet = TestFleet::start(FleetPlan::new(2)).await;
+    fleet.backends[0].kill().await;
     let client = http1();
     for number in 0..20 {
         let path = format!("/confirm?tag=t{number}");
--- a/components/proxy/tests/slots_freed.rs
+++ b/components/proxy/tests/slots_freed.rs
@@ -117,7 +117,7 @@
         })
         .collect();
     let guard = || fleet.daemons[1].servers.guard_states().into_values().next().expect("a guard");
-    wait_for("a queue", || guard().running[0] == SLOTS && guard().queued[0] > 0).await;
+    wait_for("a queue", || guard().running[0] == SLOTS && guard().queued[0] == 2).await;
     let address = fleet.backends[0].address();
     fleet.announce(1, "server-1", address, sk_member::EndpointStatus::Draining);
     let mut refused = 0;
--- a/components/standin/src/backend.rs
+++ b/components/standin/src/backend.rs
@@ -138,9 +138,14 @@
         self.state.work.crashed().await;
     }
 
-    /// Ends at once, as a killed process does: all connections break and no news is given.
-    pub fn kill(&self) {
+    /// Ends at once, as a killed process does: all connections break and no news is given. Returns
+    /// when nothing listens any more.
+    pub async fn kill(&mut self) {
         self.state.work.crash();
+        for task in self.tasks.drain(..) {
+            // A task that panicked has already printed why.
+            let _ = task.await;
+        }
     }
 
     /// Says that it drains, lets the daemon finish what it has passed on, then stops.
