--- a/components/ledger/src/commit.rs
+++ b/components/ledger/src/commit.rs
@@ -4,10 +4,11 @@
 
 use serde::Serialize;
 use sk_model::{
-    ChangeRecord, ChangeRequest, ConfigSnapshot, ContentHash, TeamTree, UnixMillis, content_hash,
-    validate_trees,
+    ChangeRecord, ChangeRequest, ConfigSnapshot, ContentHash, TeamTree, UnixMillis, Version,
+    content_hash, validate_trees,
 };
 use sk_store::{MAX_VALUE_BYTES, StoreError};
+use tokio::time::Instant;
 
 use crate::{
     CorruptData, Ledger, LedgerEntry, LedgerHead, MAX_TEAMS, MalformedChange, SubmitError,
@@ -33,12 +34,23 @@
 impl From<ReadError> for TryError {
     fn from(err: ReadError) -> Self {
         match err {
-            ReadError::Store(err) => Self::Away(err),
+            ReadError::Store(err) => err.into(),
             ReadError::Corrupt(fault) => Self::Final(SubmitError::Corrupt(fault)),
         }
     }
 }
 
+impl From<StoreError> for TryError {
+    fn from(err: StoreError) -> Self {
+        match err {
+            StoreError::TooLarge { size } => {
+                Self::Final(SubmitError::TooLarge { size, limit: MAX_VALUE_BYTES })
+            }
+            err => Self::Away(err),
+        }
+    }
+}
+
 impl From<MalformedChange> for TryError {
     fn from(fault: MalformedChange) -> Self {
         Self::Final(SubmitError::Malformed(fault))
@@ -58,6 +70,10 @@
     /// that has not moved is sent the very same bytes under the very same condition; of the two
     /// puts the platform lets only one through, and both would have made the same record.
     doubt: Option<HeadRevision>,
+    /// Hash of the subtree written by an earlier try, which need not be written again.
+    kept: Option<ContentHash>,
+    /// Version up to which an earlier try found no entry of this change.
+    absent_to: Option<Version>,
 }
 
 /// What a commit writes.
@@ -77,12 +93,17 @@
     ) -> Result<ChangeRecord, SubmitError> {
         check_request(request)?;
         let digest = request_digest(request);
-        let mut attempt = ChangeAttempt { request, digest, now, doubt: None };
+        let (doubt, kept, absent_to) = (None, None, None);
+        let mut attempt = ChangeAttempt { request, digest, now, doubt, kept, absent_to };
+        let deadline = Instant::now() + self.settings.submit_time;
         let mut retry_after = self.settings.retry_after;
         for number in 0..self.settings.submit_tries.max(1) {
             if number > 0 {
                 self.pause(number - 1).await;
             }
+            if number > 0 && Instant::now() >= deadline {
+                break;
+            }
             match self.try_commit(&mut attempt).await {
                 Ok(record) => return Ok(record),
                 Err(TryError::Retry) => {}
@@ -107,26 +128,45 @@
 
     async fn try_commit(&self, attempt: &mut ChangeAttempt<'_>) -> Result<ChangeRecord, TryError> {
         let (head, revision) = self.read_head().await?;
-        if let Some(entry) = self.find_entry(&head, &attempt.request.change_id).await? {
+        if let Some(entry) = self.find_again(attempt, &head).await? {
             return attempt.recognise(entry);
         }
         if attempt.doubt.is_some_and(|doubtful| doubtful != revision) {
             attempt.doubt = None;
         }
-        let plan = self.plan_commit(attempt, &head).await?;
+        let plan = self.plan_commit(attempt, &head, revision).await?;
         self.keep_entries(head.tail.get(..plan.moved).unwrap_or_default()).await?;
-        self.keep_tree(&head, &plan).await?;
+        self.keep_tree(attempt, &head, &plan).await?;
         self.put_head(attempt, revision, plan).await
     }
 
+    /// Finds the entry of the change, without a call where an earlier try has looked and all
+    /// versions since are in the head's tail.
+    async fn find_again(
+        &self,
+        attempt: &mut ChangeAttempt<'_>,
+        head: &LedgerHead,
+    ) -> Result<Option<LedgerEntry>, TryError> {
+        let change_id = &attempt.request.change_id;
+        let found = match attempt.absent_to {
+            Some(version) if head.first() <= version + 1 => head.find(change_id).cloned(),
+            _ => self.find_entry(head, change_id).await?,
+        };
+        attempt.absent_to = Some(head.root.version);
+        Ok(found)
+    }
+
     async fn plan_commit(
         &self,
         attempt: &ChangeAttempt<'_>,
         head: &LedgerHead,
+        revision: HeadRevision,
     ) -> Result<CommitPlan, TryError> {
         let request = attempt.request;
         self.check_base(request, head).await?;
         let mut snapshot = self.read_trees(head, &ConfigSnapshot::default()).await?;
+        // A try that loses the race leaves the next one only the subtrees changed since to read.
+        self.remember(snapshot.clone(), revision);
         let tree = snapshot.trees.get(&request.team).cloned().unwrap_or_default();
         check_withdrawn(request, &tree)?;
         let tree = Arc::new(tree.with_writes(&request.writes));
@@ -184,14 +224,22 @@
         self.keep(&self.keys.history(first.record.version), encode(&entries)?).await
     }
 
-    async fn keep_tree(&self, head: &LedgerHead, plan: &CommitPlan) -> Result<(), TryError> {
+    async fn keep_tree(
+        &self,
+        attempt: &mut ChangeAttempt<'_>,
+        head: &LedgerHead,
+        plan: &CommitPlan,
+    ) -> Result<(), TryError> {
         let value = encode(&*plan.tree)?;
         let hash = content_hash(value.as_bytes());
-        if head.root.trees.get(&plan.record.team).is_some_and(|tree_ref| tree_ref.hash == hash) {
+        let named = head.root.trees.get(&plan.record.team).map(|tree_ref| &tree_ref.hash);
+        if named == Some(&hash) || attempt.kept.as_ref() == Some(&hash) {
             return Ok(());
         }
         check_size(&value)?;
-        self.keep(&self.keys.tree(&hash), value).await
+        self.keep(&self.keys.tree(&hash), value).await?;
+        attempt.kept = Some(hash);
+        Ok(())
     }
 
     async fn keep(&self, key: &str, value: String) -> Result<(), TryError> {
@@ -199,7 +247,7 @@
             Ok(_) | Err(StoreError::Conflict { .. }) => Ok(()),
             // Writing it again is harmless, so the outcome need not be looked up.
             Err(StoreError::Unknown { .. }) => Err(TryError::Retry),
-            Err(err) => Err(TryError::Away(err)),
+            Err(err) => Err(err.into()),
         }
     }
 
@@ -231,14 +279,18 @@
                 attempt.doubt = Some(revision);
                 Err(TryError::Retry)
             }
-            Err(err) => Err(TryError::Away(err)),
+            Err(err) => Err(err.into()),
         }
     }
 }
 
 impl ChangeAttempt<'_> {
     /// Answers with the change that was accepted under this id.
-    fn recognise(&self, entry: LedgerEntry) -> Result<ChangeRecord, TryError> {
+    ///
+    /// It was not there when a put came into doubt, so the head has moved on since and an entry of
+    /// other content settles the doubt as well.
+    fn recognise(&mut self, entry: LedgerEntry) -> Result<ChangeRecord, TryError> {
+        self.doubt = None;
         match entry.digest == self.digest {
             true => Ok(entry.record),
             false => {
