Guard keyed requests by claims in the platform

Cause: the guard refused every request with an Idempotency-Key, since nothing remembered which ran. Change: the claim book behind the guard's border; giving back is awaited, so that the entry's retry at another daemon is granted.

--- a/components/claim/src/book.rs
+++ b/components/claim/src/book.rs
@@ -66,9 +66,12 @@
         self.submit_later(ClaimWish::Ran { key: key.clone(), attempt, status });
     }
 
-    /// Gives a grant back because the attempt did not run and never will. It returns at once.
-    pub fn give_back(&self, key: &ClaimKey, attempt: AttemptId) {
-        self.submit_later(ClaimWish::GiveBack { key: key.clone(), attempt });
+    /// Gives a grant back because the attempt did not run and never will. It goes on when the
+    /// caller stops waiting for it.
+    pub async fn give_back(&self, key: &ClaimKey, attempt: AttemptId) {
+        if self.submit(ClaimWish::GiveBack { key: key.clone(), attempt }).await.is_err() {
+            log::info!("claim: a claim is not given back.");
+        }
     }
 
     async fn submit(&self, wish: ClaimWish) -> ClaimResult {
--- a/components/claim/tests/at_most_once.rs
+++ b/components/claim/tests/at_most_once.rs
@@ -139,7 +139,7 @@
     let book = ClaimBook::new(store, settings());
     let key = claim_key("/a/b", "one");
     assert_eq!(book.claim(&key, 1).await, Ok(ClaimVerdict::Granted));
-    book.give_back(&key, 1);
+    book.give_back(&key, 1).await;
     assert_eq!(book.claim(&key, 2).await, Ok(ClaimVerdict::Granted));
 }
 
--- a/components/daemon/src/daemon.rs
+++ b/components/daemon/src/daemon.rs
@@ -2,6 +2,7 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
+use sk_claim::{ClaimBook, ClaimSettings};
 use sk_decide::{admitting, pacing::PacerSettings};
 use sk_ledger::{Ledger, LedgerSettings};
 use sk_member::{MemberBoard, MemberRecord, MemberStatus};
@@ -20,6 +21,7 @@
 use tokio::{net::TcpListener, task::JoinHandle};
 
 use crate::{
+    claims::BookGate,
     contacts::StoreContacts,
     error::DaemonError,
     port::DaemonPort,
@@ -74,6 +76,7 @@
     table: SharedTable,
     book: Arc<ReportBook>,
     meter: Arc<ControlMeter>,
+    claims: Arc<ClaimBook>,
     quarantine: Arc<QuarantineBoard>,
     counters: Arc<ProxyCounters>,
     reach: Arc<ReachClock>,
@@ -189,6 +192,7 @@
         LedgerSettings { key_prefix: key_prefix.clone(), ..LedgerSettings::default() };
     DaemonParts {
         ledger: Arc::new(Ledger::new(store.clone(), ledger_settings)),
+        claims: Arc::new(ClaimBook::new(store.clone(), claim_settings(&key_prefix))),
         store,
         held: Arc::default(),
         members: Arc::new(MemberBoard::new(own_record(settings, addresses))),
@@ -202,6 +206,10 @@
     }
 }
 
+fn claim_settings(key_prefix: &str) -> ClaimSettings {
+    ClaimSettings { key_prefix: key_prefix.to_owned(), ..ClaimSettings::default() }
+}
+
 fn own_record(settings: &DaemonSettings, addresses: DaemonAddresses) -> MemberRecord {
     MemberRecord {
         proxy: settings.instance.name.clone(),
@@ -307,7 +315,7 @@
         servers: parts.servers.clone(),
         token: GuardToken::new(&settings.peers.secret),
         quarantine: parts.quarantine.clone(),
-        claims: None,
+        claims: Some(Arc::new(BookGate { book: parts.claims.clone() })),
         counters: parts.counters.clone(),
     }
 }
--- a/components/daemon/src/lib.rs
+++ b/components/daemon/src/lib.rs
@@ -1,5 +1,6 @@
 //! Wires the parts of one daemon together.
 
+mod claims;
 mod contacts;
 mod daemon;
 mod error;
