--- a/components/spread/src/fetch.rs
+++ b/components/spread/src/fetch.rs
@@ -71,8 +71,8 @@
     /// Notes a version that a peer holds according to a heartbeat or a comparison, and fetches it
     /// if the tree does not bring it.
     pub(crate) fn note_version(self: &Rc<Self>, from: &str, version: Version, mark: RootMark) {
-        let newest = self.held.newest();
-        if version == newest.version() && mark != root_mark(&newest.root.hash()) {
+        let (newest, newest_mark) = self.held.newest_mark();
+        if version == newest && mark != newest_mark && newest > 0 {
             return self.report_diverged(version, from);
         }
         if !self.lacks(version, mark) || self.expected.get() >= version {
@@ -89,7 +89,7 @@
     }
 
     fn lacks(&self, version: Version, mark: RootMark) -> bool {
-        version > self.held.newest().version() && !self.held.is_refused(version, mark)
+        version > self.held.newest_mark().0 && !self.held.is_refused(version, mark)
     }
 
     /// Fetches what a peer holds beyond what is held here. With `confirm` the peer looks at the
--- a/components/spread/src/held.rs
+++ b/components/spread/src/held.rs
@@ -45,6 +45,8 @@
 struct HeldState {
     bases: VecDeque<Arc<ConfigSnapshot>>,
     newest: Arc<ConfigSnapshot>,
+    /// Mark of the newest one's root; heartbeats carry it several times a second.
+    newest_mark: RootMark,
     source: ProxyId,
     /// The version refused last.
     refused: Option<(Version, RootMark)>,
@@ -90,6 +92,12 @@
         self.state().newest.clone()
     }
 
+    /// Gives the newest version with the mark of its root.
+    pub(crate) fn newest_mark(&self) -> (Version, RootMark) {
+        let state = self.state();
+        (state.newest.version(), state.newest_mark)
+    }
+
     /// Gives the status as of now.
     pub fn status(&self) -> HeldStatus {
         self.status.borrow().clone()
@@ -148,6 +156,7 @@
         if state.bases.len() > KEPT_BASES {
             state.bases.pop_front();
         }
+        state.newest_mark = root_mark(&snapshot.root.hash());
         state.newest = snapshot;
         state.source = source.to_owned();
         if self.is_ready() {
--- a/components/spread/src/links.rs
+++ b/components/spread/src/links.rs
@@ -17,7 +17,7 @@
 
 use crate::{
     backoff::jittered,
-    node::{CALL_TIMEOUT, SpreadNode, root_mark},
+    node::{CALL_TIMEOUT, SpreadNode},
     peer_capnp::{beat, peer},
     state::CallKind,
 };
@@ -104,9 +104,9 @@
     }
 
     pub(crate) fn write_beat(&self, mut builder: beat::Builder<'_>) {
-        let newest = self.held.newest();
-        builder.set_version(newest.version());
-        builder.set_root_hash(root_mark(&newest.root.hash()));
+        let (version, mark) = self.held.newest_mark();
+        builder.set_version(version);
+        builder.set_root_hash(mark);
         builder.set_members(self.member_mark());
         builder.set_is_ready(self.held.is_ready());
     }
