member: random-regular overlay, and the fleet's size in a test

Ruled out: fingers on one hashed ring (32 neighbours for one daemon). Change: four hashed rings per data centre and bridges between centres; leaving daemons stay in the overlay until gone; a new link starts with a comparison of digests.

--- a/components/member/src/book.rs
+++ b/components/member/src/book.rs
@@ -21,6 +21,7 @@
 pub(crate) struct SuspicionBook {
     words: BTreeMap<ProxyId, BTreeMap<ProxyId, BookedWord>>,
     len: usize,
+    revision: u64,
 }
 
 impl SuspicionBook {
@@ -33,6 +34,7 @@
             None => self.len += 1,
             Some(_) => (),
         }
+        self.revision += 1;
         let words = self.words.entry(word.proxy.clone()).or_default();
         words.insert(word.observer.clone(), BookedWord { word, noted: now });
         true
@@ -45,7 +47,18 @@
             words.retain(|_, booked| now.saturating_sub(booked.noted) < ttl);
         }
         self.words.retain(|_, words| !words.is_empty());
-        self.len = self.words.values().map(BTreeMap::len).sum();
+        let len = self.words.values().map(BTreeMap::len).sum();
+        self.revision += u64::from(len != self.len);
+        self.len = len;
+    }
+
+    pub(crate) fn is_empty(&self) -> bool {
+        self.len == 0
+    }
+
+    /// Grows with each change of the book.
+    pub(crate) fn revision(&self) -> u64 {
+        self.revision
     }
 
     /// Gives who accuses whom, as far as the words are about the records that hold now.
@@ -55,7 +68,7 @@
     ) -> BTreeMap<&'a ProxyId, Vec<&'a ProxyId>> {
         let mut accusers = BTreeMap::new();
         for (proxy, words) in &self.words {
-            let Some(record) = view.get(proxy).filter(|record| record.is_present()) else {
+            let Some(record) = view.get(proxy).filter(|record| record.is_running()) else {
                 continue;
             };
             let is_live = |booked: &&BookedWord| is_live(&booked.word, record, view);
@@ -71,7 +84,7 @@
 
 // A word about an older sequence is answered: the owner has spoken since.
 fn is_live(word: &MemberSuspicion, record: &MemberRecord, view: &MemberView) -> bool {
-    let is_present = view.get(&word.observer).is_some_and(|observer| observer.is_present());
+    let is_running = view.get(&word.observer).is_some_and(|observer| observer.is_running());
     let is_current = (word.incarnation, word.sequence) == (record.incarnation, record.sequence);
-    !word.is_withdrawn && is_present && is_current
+    !word.is_withdrawn && is_running && is_current
 }
--- a/components/member/src/digest.rs
+++ b/components/member/src/digest.rs
@@ -1,7 +1,5 @@
 //! A short summary of all records, by which two daemons find where their beliefs differ.
 
-use sk_model::{ProxyId, content_hash};
-
 use crate::MemberRecord;
 
 /// Buckets of a digest. At 780 daemons one changed record costs the about 25 records of its
@@ -55,18 +53,38 @@
 }
 
 /// Gives the bucket of a daemon, the same on every daemon.
-pub fn bucket_of(proxy: &ProxyId) -> usize {
-    (short_hash(proxy) % DIGEST_BUCKETS as u64) as usize
+pub fn bucket_of(proxy: &str) -> usize {
+    (name_hash(proxy) % DIGEST_BUCKETS as u64) as usize
 }
 
 // Only the rank is hashed: records of one rank are copies of what the owner said, and daemons of
 // two releases that encode a record differently still find that they agree.
 fn rank_hash(record: &MemberRecord) -> u64 {
     let (incarnation, sequence, status) = record.rank();
-    short_hash(&format!("{} {incarnation} {sequence} {status}", record.proxy))
+    let parts = [incarnation, sequence, u64::from(status)];
+    parts.into_iter().fold(name_hash(&record.proxy), |hash, part| mix(hash ^ part))
+}
+
+/// Hashes a name alike on every daemon and in every release, which the standard library's hasher
+/// does not promise. Peers are authenticated, so nobody chooses names to collide.
+pub(crate) fn name_hash(name: &str) -> u64 {
+    // FNV-1a.
+    let mut hash = 0xcbf2_9ce4_8422_2325;
+    for byte in name.bytes() {
+        hash = (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3);
+    }
+    mix(hash)
+}
+
+/// Hashes the pair of a purpose and a name, given the hashes of both.
+pub(crate) fn pair_hash(purpose: u64, name: u64) -> u64 {
+    mix(name ^ mix(purpose))
 }
 
-pub(crate) fn short_hash(text: &str) -> u64 {
-    // The first 16 digits of a hexadecimal SHA-256 always fit.
-    u64::from_str_radix(&content_hash(text.as_bytes())[..16], 16).unwrap_or_default()
+// The finishing step of SplitMix64: names that differ in a digit get unrelated hashes, which
+// FNV-1a alone does not give.
+fn mix(hash: u64) -> u64 {
+    let hash = (hash ^ (hash >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    let hash = (hash ^ (hash >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    hash ^ (hash >> 31)
 }
--- a/components/member/src/monitor.rs
+++ b/components/member/src/monitor.rs
@@ -76,7 +76,25 @@
     marks: MemberMarks,
     last_tick: Option<Duration>,
     judge_from: Duration,
-    planned: Option<(MemberView, OverlayPlan)>,
+    planned: Option<PlannedView>,
+    judged: Option<JudgedState>,
+}
+
+/// The links of a view, kept because planning takes about a millisecond at 780 daemons.
+#[derive(Debug)]
+struct PlannedView {
+    view: MemberView,
+    plan: Arc<OverlayPlan>,
+}
+
+/// What the last verdict was made of.
+///
+/// A cut lasts for hours, and a verdict at 780 daemons takes about a millisecond: made anew at
+/// each tick it would use up the daemon's share of a core for nothing.
+#[derive(Debug, PartialEq, Eq)]
+struct JudgedState {
+    revision: u64,
+    silent: Vec<ProxyId>,
 }
 
 impl LivenessMonitor {
@@ -93,6 +111,7 @@
             last_tick: None,
             judge_from: Duration::ZERO,
             planned: None,
+            judged: None,
         }
     }
 
@@ -101,6 +120,7 @@
     pub fn set_neighbours(&mut self, neighbours: impl IntoIterator<Item = ProxyId>, now: Duration) {
         let wanted: BTreeSet<ProxyId> = neighbours.into_iter().collect();
         self.watch.set_neighbours(wanted, now, &self.options);
+        self.judged = None;
     }
 
     /// Notes that a neighbour was heard.
@@ -165,22 +185,27 @@
     }
 
     fn judge(&mut self, view: &MemberView, now: Duration, events: &mut Vec<MonitorEvent>) {
-        let accusers = self.book.accusers(view);
-        let neighbours: std::collections::BTreeMap<_, _> =
-            self.watch.states(now, &self.options).collect();
-        let is_quiet = accusers.is_empty() && !neighbours.values().any(|is_silent| *is_silent);
+        let silent = self.watch.states(now, &self.options).filter(|(_, is_silent)| *is_silent);
+        let silent: Vec<ProxyId> = silent.map(|(proxy, _)| proxy.clone()).collect();
+        let is_quiet = silent.is_empty() && self.book.is_empty();
         if is_quiet || self.watch.is_empty() {
+            self.judged = None;
             return self.set_marks(MemberMarks::default(), events);
         }
-        // Planning takes some milliseconds at 780 daemons: once for each view that is judged.
-        let is_planned = |(planned, _): &(MemberView, _)| Arc::ptr_eq(planned, view);
-        let plan = match self.planned.take_if(|planned| is_planned(planned)) {
-            Some((_, plan)) => plan,
-            None => OverlayPlan::new(view),
+        let state = JudgedState { revision: self.book.revision(), silent };
+        let is_planned = self.is_planned(view);
+        if is_planned && self.judged.as_ref() == Some(&state) {
+            return;
+        }
+        let plan = self.plan(view);
+        let case = VerdictCase {
+            own: &self.own,
+            view,
+            plan: &plan,
+            accusers: self.book.accusers(view),
+            neighbours: self.watch.states(now, &self.options).collect(),
+            quorum: self.options.quorum.max(1),
         };
-        let quorum = self.options.quorum.max(1);
-        let own = &self.own;
-        let case = VerdictCase { own, view, plan: &plan, accusers, neighbours, quorum };
         let reached = case.reached();
         let marks = case.marks(&reached);
         for proxy in case.gone(&reached) {
@@ -188,10 +213,26 @@
             let (incarnation, sequence) = (record.incarnation, record.sequence);
             events.push(MonitorEvent::Gone { proxy, incarnation, sequence });
         }
-        self.planned = Some((view.clone(), plan));
+        self.judged = Some(state);
         self.set_marks(marks, events);
     }
 
+    /// Gives the links planned for a view; they are computed only when they can have changed.
+    pub fn plan(&mut self, view: &MemberView) -> Arc<OverlayPlan> {
+        let plan = match &self.planned {
+            Some(planned) if Arc::ptr_eq(&planned.view, view) => return planned.plan.clone(),
+            Some(planned) if planned.plan.is_plan_of(view) => planned.plan.clone(),
+            _ => Arc::new(OverlayPlan::new(view)),
+        };
+        self.planned = Some(PlannedView { view: view.clone(), plan: plan.clone() });
+        self.judged = None;
+        plan
+    }
+
+    fn is_planned(&self, view: &MemberView) -> bool {
+        self.planned.as_ref().is_some_and(|planned| Arc::ptr_eq(&planned.view, view))
+    }
+
     fn set_marks(&mut self, marks: MemberMarks, events: &mut Vec<MonitorEvent>) {
         if self.marks != marks {
             self.marks = marks.clone();
--- a/components/member/src/overlay.rs
+++ b/components/member/src/overlay.rs
@@ -2,37 +2,72 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use sk_model::ProxyId;
+use sk_model::{DataCentre, ProxyId};
 
-use crate::{MemberRecord, MemberView, digest::short_hash};
+use crate::{
+    MemberRecord, MemberView,
+    digest::{name_hash, pair_hash},
+};
 
-/// Fingers of a daemon in the ring of its data centre reach 1, 3, 9, 27, … places ahead. Links
-/// serve both ways, so any distance is a sum of few fingers (balanced ternary): at 87 daemons 4
-/// fingers reach everyone in at most 5 steps, where powers of two need 7 fingers for 4 steps.
-const RING_BASE: usize = 3;
-/// Links between two data centres that are joined. Three ends on different daemons, so that no
-/// two failures separate them; more would only add heartbeats between regions.
-const BRIDGES: usize = 3;
+/// Rings through all members of a data centre, each in an order drawn by another hash; a daemon
+/// links to the next one in each. Together they are close to a random regular graph: everyone has
+/// 8 neighbours there, a flood doubles and doubles again, and losing one in ten parts nobody.
+///
+/// Ruled out: fingers by rank in order of names, where each restart moves the links of its whole
+/// data centre; fingers by place on one hashed ring, where one daemon of 780 had 32 neighbours.
+const RING_SALTS: [u64; 4] = [1, 2, 3, 4];
+/// Fingers between data centres reach 1, 2, 4, … places ahead. At 9 data centres two steps join
+/// any two; with base 3 the flood of 780 daemons takes two steps more for hardly fewer links.
+const CENTRE_BASE: usize = 2;
+/// Links between two data centres that are joined. Four ends on different daemons, so that no
+/// three failures separate them. Measured at 780 daemons: 3 bridges need 9 steps, 4 need 8; each
+/// bridge adds 27 links to about 3,200, most of them between regions.
+const BRIDGES: usize = 4;
 /// Most links one daemon chooses. Bounds heartbeats also for data centres of one daemon each.
 const MAX_LINKS: usize = 10;
 
 /// Links that every daemon chooses, computed alike from one view.
 ///
-/// Made for 780 daemons in 9 data centres: a ring with fingers in each data centre, and bridges
-/// between data centres that are themselves a ring with fingers, ordered by region.
+/// Made for 780 daemons in 9 data centres: several rings within each data centre, and bridges
+/// between data centres that form a ring with fingers, ordered by region. A daemon that comes or
+/// goes changes its own links and few others.
 #[derive(Clone, Debug)]
 pub struct OverlayPlan {
-    chosen: BTreeMap<ProxyId, BTreeSet<ProxyId>>,
-    linked: BTreeMap<ProxyId, BTreeSet<ProxyId>>,
+    /// What the links were planned from, in order of names.
+    members: Vec<PlanMember>,
+    /// Links by place in `members`.
+    links: Vec<LinkList>,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+struct PlanMember {
+    proxy: ProxyId,
+    data_centre: DataCentre,
+    region: String,
+    hash: u64,
+}
+
+#[derive(Clone, Debug, Default)]
+struct LinkList {
+    chosen: Vec<usize>,
+    linked: Vec<usize>,
 }
 
 impl OverlayPlan {
-    /// Plans the links between the present members.
+    /// Plans the links between the members that run.
     pub fn new(view: &MemberView) -> Self {
-        let mut plan = Self { chosen: BTreeMap::new(), linked: BTreeMap::new() };
-        let centres = group_members(view);
-        for members in &centres {
-            plan.add_ring(members);
+        let member = |record: &MemberRecord| PlanMember {
+            proxy: record.proxy.clone(),
+            data_centre: record.data_centre.clone(),
+            region: record.region.clone(),
+            hash: name_hash(&record.proxy),
+        };
+        let members: Vec<PlanMember> = running(view).map(member).collect();
+        let links = vec![LinkList::default(); members.len()];
+        let mut plan = Self { members, links };
+        let centres = group_members(running(view));
+        for centre in &centres {
+            plan.add_rings(&centre.members);
         }
         for (place, near) in centres.iter().enumerate() {
             for step in ring_steps(centres.len()) {
@@ -42,43 +77,110 @@
         plan
     }
 
+    /// Tells whether a view leads to the same links: drains and changed endpoints move none.
+    pub fn is_plan_of(&self, view: &MemberView) -> bool {
+        let is_same = |(member, record): (&PlanMember, &MemberRecord)| {
+            member.proxy == record.proxy
+                && member.data_centre == record.data_centre
+                && member.region == record.region
+        };
+        running(view).count() == self.members.len()
+            && self.members.iter().zip(running(view)).all(is_same)
+    }
+
     /// Lists the daemons that `proxy` connects to.
     pub fn chosen(&self, proxy: &str) -> Vec<ProxyId> {
-        self.chosen.get(proxy).into_iter().flatten().cloned().collect()
+        let links = self.links_of(proxy);
+        links
+            .into_iter()
+            .flat_map(|links| &links.chosen)
+            .map(|to| self.members[*to].proxy.clone())
+            .collect()
     }
 
-    /// Lists the daemons that `proxy` shares a link with, whoever opened it.
+    /// Lists the daemons that `proxy` shares a link with, whoever opened it. These are to be
+    /// watched.
     pub fn neighbours(&self, proxy: &str) -> impl Iterator<Item = &ProxyId> {
-        self.linked.get(proxy).into_iter().flatten()
+        let links = self.links_of(proxy);
+        links.into_iter().flat_map(|links| &links.linked).map(|to| &self.members[*to].proxy)
     }
 
-    fn add_ring(&mut self, members: &[&MemberRecord]) {
-        for (place, member) in members.iter().enumerate() {
-            self.linked.entry(member.proxy.clone()).or_default();
-            for step in ring_steps(members.len()) {
-                self.add_link(member, members[(place + step) % members.len()]);
+    /// Finds the daemons that a flood from `starts` reaches without passing `own` and without the
+    /// closed links, together with `own`.
+    pub(crate) fn reach<'a>(
+        &'a self,
+        own: &'a ProxyId,
+        starts: impl Iterator<Item = &'a ProxyId>,
+        closed: impl Iterator<Item = (&'a ProxyId, &'a ProxyId)>,
+    ) -> BTreeSet<&'a ProxyId> {
+        let pair = |(first, second): (&'a ProxyId, &'a ProxyId)| {
+            Some((self.place_of(first)?, self.place_of(second)?))
+        };
+        let closed: BTreeSet<(usize, usize)> = closed.filter_map(pair).collect();
+        let mut is_reached = vec![false; self.members.len()];
+        let own_place = self.place_of(own);
+        own_place.into_iter().for_each(|place| is_reached[place] = true);
+        let mut frontier: Vec<usize> = starts.filter_map(|proxy| self.place_of(proxy)).collect();
+        while let Some(place) = frontier.pop() {
+            if std::mem::replace(&mut is_reached[place], true) {
+                continue;
             }
+            let is_open = |next: &&usize| {
+                !closed.contains(&(place, **next)) && !closed.contains(&(**next, place))
+            };
+            frontier.extend(self.links[place].linked.iter().filter(is_open));
         }
+        let reached = self.members.iter().zip(is_reached).filter(|(_, is_reached)| *is_reached);
+        reached.map(|(member, _)| &member.proxy).chain([own]).collect()
+    }
+
+    fn place_of(&self, proxy: &str) -> Option<usize> {
+        self.members.binary_search_by(|member| member.proxy.as_str().cmp(proxy)).ok()
     }
 
-    fn add_bridges(&mut self, near: &[&MemberRecord], far: &[&MemberRecord]) {
-        let near_ends = bridge_ends(near, &far[0].data_centre);
-        let far_ends = bridge_ends(far, &near[0].data_centre);
-        for (first, second) in near_ends.iter().zip(far_ends) {
+    fn links_of(&self, proxy: &str) -> Option<&LinkList> {
+        let place = self.place_of(proxy)?;
+        self.links.get(place)
+    }
+
+    fn add_rings(&mut self, members: &[usize]) {
+        let mut ring = members.to_vec();
+        for salt in RING_SALTS {
+            ring.sort_by_cached_key(|member| {
+                (pair_hash(salt, self.members[*member].hash), *member)
+            });
+            for (rank, member) in ring.iter().enumerate() {
+                self.add_link(*member, ring[(rank + 1) % ring.len()]);
+            }
+        }
+    }
+
+    fn add_bridges(&mut self, near: &CentreGroup, far: &CentreGroup) {
+        let near_ends = self.bridge_ends(near, far.name);
+        let far_ends = self.bridge_ends(far, near.name);
+        for (first, second) in near_ends.into_iter().zip(far_ends) {
             self.add_link(first, second);
         }
     }
 
-    fn add_link(&mut self, first: &MemberRecord, second: &MemberRecord) {
-        let (first, second) = (&first.proxy, &second.proxy);
-        let chosen = self.chosen.entry(first.clone()).or_default();
-        let is_linked = self.linked.get(first).is_some_and(|linked| linked.contains(second));
-        if first == second || is_linked || chosen.len() >= MAX_LINKS {
+    // Drawn by hash, so that the bridges to different data centres end on different daemons.
+    fn bridge_ends(&self, centre: &CentreGroup, far: &str) -> Vec<usize> {
+        let mut ends = centre.members.clone();
+        let far = name_hash(far);
+        ends.sort_by_cached_key(|member| (pair_hash(far, self.members[*member].hash), *member));
+        ends.truncate(BRIDGES);
+        ends
+    }
+
+    fn add_link(&mut self, first: usize, second: usize) {
+        let links = &mut self.links[first];
+        let is_linked = first == second || links.linked.contains(&second);
+        if is_linked || links.chosen.len() >= MAX_LINKS {
             return;
         }
-        chosen.insert(second.clone());
-        self.linked.entry(first.clone()).or_default().insert(second.clone());
-        self.linked.entry(second.clone()).or_default().insert(first.clone());
+        links.chosen.push(second);
+        links.linked.push(second);
+        self.links[second].linked.push(first);
     }
 }
 
@@ -87,26 +189,27 @@
     OverlayPlan::new(view).chosen(own)
 }
 
+struct CentreGroup<'a> {
+    name: &'a str,
+    members: Vec<usize>,
+}
+
+fn running(view: &MemberView) -> impl Iterator<Item = &MemberRecord> {
+    view.values().map(|record| &**record).filter(|record| record.is_running())
+}
+
 // Ordered by region, then data centre, then name: the same on every daemon.
-fn group_members(view: &MemberView) -> Vec<Vec<&MemberRecord>> {
-    let mut centres: BTreeMap<(&str, &str), Vec<&MemberRecord>> = BTreeMap::new();
-    for record in view.values().filter(|record| record.is_present()) {
-        let centre = (record.region.as_str(), record.data_centre.as_str());
-        centres.entry(centre).or_default().push(record);
+fn group_members<'a>(records: impl Iterator<Item = &'a MemberRecord>) -> Vec<CentreGroup<'a>> {
+    let mut centres: BTreeMap<(&str, &str), Vec<usize>> = BTreeMap::new();
+    for (place, record) in records.enumerate() {
+        centres.entry((&record.region, &record.data_centre)).or_default().push(place);
     }
-    centres.into_values().collect()
+    let group = |((_, name), members)| CentreGroup { name, members };
+    centres.into_iter().map(group).collect()
 }
 
 fn ring_steps(len: usize) -> impl Iterator<Item = usize> {
     // Beyond half the ring, a finger only repeats a shorter one from the other side.
-    std::iter::successors(Some(1), |step| Some(step * RING_BASE))
+    std::iter::successors(Some(1), |step| Some(step * CENTRE_BASE))
         .take_while(move |step| *step <= len / 2)
 }
-
-// Drawn by hash, so that the bridges to different data centres end on different daemons.
-fn bridge_ends<'a>(members: &[&'a MemberRecord], far: &str) -> Vec<&'a MemberRecord> {
-    let mut ends = members.to_vec();
-    ends.sort_by_cached_key(|record| short_hash(&format!("{far} {}", record.proxy)));
-    ends.truncate(BRIDGES);
-    ends
-}
--- a/components/member/src/record.rs
+++ b/components/member/src/record.rs
@@ -104,7 +104,13 @@
             .then_with(|| self.endpoints.cmp(&other.endpoints))
     }
 
-    /// Tells whether the daemon is believed reachable for control traffic.
+    /// Tells whether the daemon's process is believed to run. One that leaves finishes requests,
+    /// which make calls of their own, for up to minutes: it stays in the overlay until it is gone.
+    pub fn is_running(&self) -> bool {
+        self.status != MemberStatus::Gone
+    }
+
+    /// Tells whether the daemon is believed reachable for control traffic, and stays.
     pub fn is_present(&self) -> bool {
         matches!(self.status, MemberStatus::Alive | MemberStatus::Suspect)
     }
--- a/components/member/src/rumor.rs
+++ b/components/member/src/rumor.rs
@@ -38,9 +38,11 @@
 /// News to send, by link. Each is sent over each link at most once, and not back to its sender.
 ///
 /// Made for a herd restart, in which every daemon changes its record several times within a
-/// second: news of one daemon replace each other while they wait, and a queue that is full
-/// forgets its oldest news and asks for a comparison of digests instead, so that neither memory
-/// nor control bytes grow with the length of the storm.
+/// second: news of one daemon replace each other while they wait, and a queue that is full forgets
+/// them all and asks for a comparison of digests instead, so that neither memory nor control bytes
+/// grow with the length of the storm. Until that comparison starts, nothing is queued, because it
+/// covers everything learnt before: a daemon that joins learns the whole fleet from one contact,
+/// and would otherwise send all of it over each of its links.
 #[derive(Debug, Default)]
 pub struct RumorQueue {
     links: BTreeMap<ProxyId, LinkQueue>,
@@ -52,9 +54,11 @@
         Self::default()
     }
 
-    /// Adds a link. What was learnt before is for the comparison of digests at its start.
+    /// Adds a link, over which digests are to be compared first: news that came before it are not
+    /// sent over it.
     pub fn add_link(&mut self, link: ProxyId) {
-        self.links.entry(link).or_default();
+        let queue = LinkQueue { needs_repair: true, ..LinkQueue::default() };
+        self.links.entry(link).or_insert(queue);
     }
 
     /// Removes a link and the news that wait for it.
@@ -74,9 +78,10 @@
     /// ends a flood.
     pub fn push(&mut self, rumor: &MemberRumor, from: Option<&ProxyId>) {
         for (link, queue) in &mut self.links {
-            match Some(link) == from {
-                true => queue.forget(rumor),
-                false => queue.push(rumor.clone()),
+            match rumor {
+                _ if Some(link) == from => queue.forget(rumor),
+                MemberRumor::Record(_) if queue.needs_repair => (),
+                _ => queue.push(rumor.clone()),
             }
         }
     }
@@ -98,16 +103,17 @@
         self.links.get(link).map_or(0, |queue| queue.order.len())
     }
 
-    /// Tells, once, whether news for a link were lost and digests are to be compared over it.
+    /// Tells, once, whether digests are to be compared over a link, because it is new or news for
+    /// it were lost. The digest is to be taken right after this call, before more is merged.
     pub fn take_repair(&mut self, link: &ProxyId) -> bool {
         let queue = self.links.get_mut(link);
         queue.is_some_and(|queue| std::mem::take(&mut queue.needs_repair))
     }
 
-    /// Asks for a comparison of digests over a link, after sending news over it failed.
+    /// Asks for a comparison of digests over a link, after sending over it failed.
     pub fn mark_failed(&mut self, link: &ProxyId) {
         if let Some(queue) = self.links.get_mut(link) {
-            queue.needs_repair = true;
+            queue.start_repair();
         }
     }
 }
@@ -121,12 +127,21 @@
             None => self.order.push_back(key.clone()),
         }
         self.rumors.insert(key, rumor);
-        if self.order.len() > MAX_PENDING
-            && let Some(oldest) = self.order.pop_front()
-        {
-            self.rumors.remove(&oldest);
-            self.needs_repair = true;
+        if self.order.len() > MAX_PENDING {
+            self.start_repair();
+        }
+    }
+
+    // Words are no part of digests: the newest ones of each observer are kept where they fit.
+    fn start_repair(&mut self) {
+        let is_word = |rumor: &MemberRumor| matches!(rumor, MemberRumor::Suspicion(_));
+        self.rumors.retain(|_, rumor| is_word(rumor));
+        if self.rumors.len() > MAX_PENDING {
+            self.rumors.clear();
         }
+        let rumors = &self.rumors;
+        self.order.retain(|key| rumors.contains_key(key));
+        self.needs_repair = true;
     }
 
     // The neighbour that sent it holds it, and anything older.
--- a/components/member/src/table.rs
+++ b/components/member/src/table.rs
@@ -88,7 +88,8 @@
     }
 
     /// Merges a record from a peer. Merging is commutative, associative and idempotent.
-    pub fn merge(&mut self, record: MemberRecord) -> MergeOutcome {
+    pub fn merge(&mut self, record: impl Into<Arc<MemberRecord>>) -> MergeOutcome {
+        let record = record.into();
         if record.proxy == self.own {
             return self.merge_own(&record);
         }
@@ -131,7 +132,7 @@
     /// Drops tombstones that were kept for long enough, and tells how many records went. To be
     /// called every few seconds.
     pub fn expire(&mut self, now: Duration) -> usize {
-        let is_gone = |record: &&Arc<MemberRecord>| record.status == MemberStatus::Gone;
+        let is_gone = |record: &&Arc<MemberRecord>| !record.is_running();
         let gone = self.records.values().filter(is_gone).map(|record| &record.proxy);
         let outcome = self.tombstones.sweep(gone.filter(|proxy| **proxy != self.own), now);
         for proxy in &outcome.hidden {
@@ -223,10 +224,11 @@
         self.insert(record);
     }
 
-    fn insert(&mut self, record: MemberRecord) {
-        self.remove(&record.proxy.clone());
+    fn insert(&mut self, record: impl Into<Arc<MemberRecord>>) {
+        let record = record.into();
+        self.remove(&record.proxy);
         self.digest.add(&record);
-        self.records.insert(record.proxy.clone(), Arc::new(record));
+        self.records.insert(record.proxy.clone(), record);
     }
 
     fn remove(&mut self, proxy: &str) {
--- a/components/member/src/tree.rs
+++ b/components/member/src/tree.rs
@@ -1,10 +1,11 @@
 //! The tree along which a data centre's relay passes configuration on.
 
-use std::cmp::Reverse;
-
 use sk_model::ProxyId;
 
-use crate::{MemberView, digest::short_hash};
+use crate::{
+    MemberView,
+    digest::{name_hash, pair_hash},
+};
 
 /// The members of one data centre as a tree with a given root, the same on every daemon.
 ///
@@ -26,9 +27,8 @@
             record.data_centre == data_centre && record.is_present()
         };
         let mut members: Vec<ProxyId> = view.keys().filter(is_member).cloned().collect();
-        members.sort_by_cached_key(|proxy| {
-            (proxy != root, Reverse(short_hash(&format!("{root} {proxy}"))))
-        });
+        let seed = name_hash(root);
+        members.sort_by_cached_key(|proxy| (proxy != root, pair_hash(seed, name_hash(proxy))));
         Self { members, fan_out: fan_out.max(1) }
     }
 
--- a/components/member/src/verdict.rs
+++ b/components/member/src/verdict.rs
@@ -23,26 +23,14 @@
 
 impl<'a> VerdictCase<'a> {
     /// Finds the daemons that can be reached from this one over links that nobody calls silent.
+    /// This daemon's own links are known first hand, and are where the search starts.
     pub(crate) fn reached(&self) -> BTreeSet<&'a ProxyId> {
         let heard = self.neighbours.iter().filter(|(_, is_silent)| !**is_silent);
-        let mut frontier: Vec<&ProxyId> = heard.map(|(proxy, _)| *proxy).collect();
-        let mut reached = BTreeSet::from([self.own]);
-        while let Some(proxy) = frontier.pop() {
-            if reached.insert(proxy) {
-                let next = self.plan.neighbours(proxy);
-                frontier.extend(next.filter(|next| self.is_open(proxy, next)));
-            }
-        }
-        reached
-    }
-
-    fn is_open(&self, first: &ProxyId, second: &ProxyId) -> bool {
-        let is_accused = |proxy: &ProxyId, observer: &ProxyId| {
-            self.accusers.get(proxy).is_some_and(|observers| observers.contains(&observer))
-        };
-        // This daemon's own links are known first hand, and led to the start of the search.
-        let is_own = first == self.own || second == self.own;
-        !is_own && !is_accused(first, second) && !is_accused(second, first)
+        let starts = heard.map(|(proxy, _)| *proxy);
+        let closed = self.accusers.iter().flat_map(|(proxy, observers)| {
+            observers.iter().map(move |observer| (*proxy, *observer))
+        });
+        self.plan.reach(self.own, starts, closed)
     }
 
     /// Makes the marks: who is suspected, and who cannot be reached.
@@ -53,8 +41,8 @@
         let suspects = suspects.filter(|proxy| *proxy != self.own);
         let mut marks: BTreeMap<ProxyId, LocalMark> =
             suspects.map(|proxy| (proxy.clone(), LocalMark::Suspect)).collect();
-        let present = self.view.values().filter(|record| record.is_present());
-        let lost = present.filter(|record| !reached.contains(&record.proxy));
+        let running = self.view.values().filter(|record| record.is_running());
+        let lost = running.filter(|record| !reached.contains(&record.proxy));
         marks.extend(lost.map(|record| (record.proxy.clone(), LocalMark::Unreachable)));
         Arc::new(marks)
     }
@@ -84,7 +72,7 @@
         let observers: BTreeSet<&ProxyId> = observers.copied().collect();
         let centre = self.centre_of(proxy);
         let near = observers.iter().filter(|observer| self.centre_of(observer) == centre).count();
-        let members = self.view.values().filter(|record| record.is_present());
+        let members = self.view.values().filter(|record| record.is_running());
         let members: Vec<_> =
             members.filter(|record| Some(&*record.data_centre) == centre).collect();
         let is_within = |member: &ProxyId| member != proxy && reached.contains(member);
--- a/components/member/src/watch.rs
+++ b/components/member/src/watch.rs
@@ -112,7 +112,7 @@
     ) -> Vec<DueWord> {
         let mut due = std::mem::take(&mut self.withdrawn);
         for (proxy, state) in &mut self.neighbours {
-            let Some(record) = view.get(proxy).filter(|record| record.is_present()) else {
+            let Some(record) = view.get(proxy).filter(|record| record.is_running()) else {
                 continue;
             };
             state.follow(record.incarnation, record.sequence, now, options);
--- /dev/null
+++ b/components/member/tests/overlay_links.rs
@@ -0,0 +1,106 @@
+//! The links between daemons.
+
+mod support;
+
+use std::{
+    collections::{BTreeSet, VecDeque},
+    sync::Arc,
+};
+
+use rand::{SeedableRng, rngs::StdRng, seq::SliceRandom};
+use sk_member::{MemberRecord, OverlayPlan, choose_links};
+use support::{fleet, view_of};
+
+/// Gives how many daemons are reached and in how many steps, without those that are down.
+fn flood(plan: &OverlayPlan, from: &str, down: &BTreeSet<String>) -> (usize, usize) {
+    let mut reached = BTreeSet::from([from.to_owned()]);
+    let mut waiting = VecDeque::from([(from.to_owned(), 0)]);
+    let mut steps = 0;
+    while let Some((proxy, step)) = waiting.pop_front() {
+        steps = step;
+        for next in plan.neighbours(&proxy).filter(|next| !down.contains(*next)) {
+            if reached.insert(next.clone()) {
+                waiting.push_back((next.clone(), step + 1));
+            }
+        }
+    }
+    (reached.len(), steps)
+}
+
+fn names(records: &[Arc<MemberRecord>]) -> Vec<String> {
+    records.iter().map(|record| record.proxy.clone()).collect()
+}
+
+#[test]
+fn few_links() {
+    for len in [2, 3, 9, 10, 50, 200, 780] {
+        let view = view_of(fleet(len));
+        let plan = OverlayPlan::new(&view);
+        let most = view.keys().map(|proxy| plan.chosen(proxy).len()).max();
+        let most_shared = view.keys().map(|proxy| plan.neighbours(proxy).count()).max();
+        let shared: usize = view.keys().map(|proxy| plan.neighbours(proxy).count()).sum();
+        println!("{len} daemons: {most:?} chosen, {most_shared:?} shared, {shared} ends");
+        assert!(most <= Some(10), "{len} daemons");
+        assert_eq!(choose_links(&view, "proxy-001"), plan.chosen("proxy-001"));
+    }
+}
+
+#[test]
+fn small_diameter() {
+    let view = view_of(fleet(780));
+    let plan = OverlayPlan::new(&view);
+    let floods = view.keys().map(|proxy| flood(&plan, proxy, &BTreeSet::new()));
+    let floods: Vec<(usize, usize)> = floods.collect();
+    let diameter = floods.iter().map(|(_, steps)| *steps).max();
+    println!("diameter {diameter:?}");
+    assert!(floods.iter().all(|(reached, _)| *reached == 780));
+    assert!(diameter <= Some(8), "diameter {diameter:?}");
+}
+
+// A data centre loses its power, or is cut off. If its daemons were the only way between the
+// others, drains and crashes would stay unknown on the far side.
+#[test]
+fn centre_lost() {
+    for len in [27, 90, 780] {
+        let records = fleet(len);
+        let plan = OverlayPlan::new(&view_of(records.clone()));
+        for centre in 0..9 {
+            let is_lost = |record: &&Arc<MemberRecord>| record.data_centre == format!("dc{centre}");
+            let down: Vec<_> = records.iter().filter(is_lost).cloned().collect();
+            let down: BTreeSet<String> = names(&down).into_iter().collect();
+            let from = names(&records).into_iter().find(|name| !down.contains(name));
+            let (reached, _) = flood(&plan, &from.unwrap(), &down);
+            assert_eq!(reached, len - down.len(), "{len} daemons without dc{centre}");
+        }
+    }
+}
+
+// One in ten daemons dies at the same moment, before the others have chosen new links. A daemon
+// left without a way to the rest would serve on what it last heard.
+#[test]
+fn tenth_lost() {
+    let records = fleet(780);
+    let plan = OverlayPlan::new(&view_of(records.clone()));
+    for seed in 0..100 {
+        let mut shuffled = names(&records);
+        shuffled.shuffle(&mut StdRng::seed_from_u64(seed));
+        let from = shuffled.pop().unwrap();
+        let down: BTreeSet<String> = shuffled.into_iter().take(78).collect();
+        assert_eq!(flood(&plan, &from, &down).0, 702, "seed {seed}");
+    }
+}
+
+// A whole region's links to the others hang on the instances that hold them. Were they the same
+// ones, two failures would look like a cut region.
+#[test]
+fn disjoint_bridges() {
+    let view = view_of(fleet(780));
+    let plan = OverlayPlan::new(&view);
+    for centre in (0..9).map(|centre| format!("dc{centre}")) {
+        let is_bridge = |proxy: &&String| {
+            let is_far = |next: &String| view[next].data_centre != centre;
+            view[*proxy].data_centre == centre && plan.neighbours(proxy).any(is_far)
+        };
+        assert!(view.keys().filter(is_bridge).count() >= 6, "{centre}");
+    }
+}
--- /dev/null
+++ b/components/member/tests/support/naive.rs
@@ -0,0 +1,119 @@
+//! One daemon that removes whom it does not hear, and believes whatever came last.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+    time::Duration,
+};
+
+use sk_member::{MemberRecord, MemberStatus, choose_links};
+
+use super::{
+    network::{FakeBelief, FakeMessage, FakePolicy},
+    view_of,
+};
+
+const SUSPECT: Duration = Duration::from_millis(1_500);
+
+pub struct NaiveNode {
+    own: Arc<MemberRecord>,
+    records: BTreeMap<String, Arc<MemberRecord>>,
+    heard: BTreeMap<String, Duration>,
+    links: BTreeSet<String>,
+    sent: Vec<(String, FakeMessage)>,
+}
+
+impl NaiveNode {
+    fn flood(&mut self, message: &FakeMessage, from: Option<&str>) {
+        let links = self.links.iter().filter(|link| Some(link.as_str()) != from);
+        self.sent.extend(links.map(|link| (link.clone(), message.clone())));
+    }
+
+    fn store(&mut self, from: &str, record: Arc<MemberRecord>) {
+        let held = self.records.insert(record.proxy.clone(), record.clone());
+        if held.as_ref() != Some(&record) {
+            self.flood(&FakeMessage::Record(record), Some(from));
+        }
+    }
+
+    fn remove(&mut self, proxy: &str, from: Option<&str>) {
+        if proxy != self.own.proxy && self.records.remove(proxy).is_some() {
+            self.heard.remove(proxy);
+            self.flood(&FakeMessage::Removed(proxy.to_owned()), from);
+        }
+    }
+}
+
+impl FakePolicy for NaiveNode {
+    fn start(own: Arc<MemberRecord>, known: &[Arc<MemberRecord>]) -> Self {
+        let all = known.iter().chain([&own]).cloned();
+        let records = BTreeMap::clone(&view_of(all.clone()));
+        let view = view_of(all);
+        let mut links: BTreeSet<String> = choose_links(&view, &own.proxy).into_iter().collect();
+        let is_towards =
+            |proxy: &&String| choose_links(&view, proxy).iter().any(|link| *link == own.proxy);
+        links.extend(view.keys().filter(is_towards).cloned());
+        let heard = links.iter().map(|link| (link.clone(), Duration::ZERO)).collect();
+        Self { own, records, heard, links, sent: Vec::new() }
+    }
+
+    fn neighbours(&self) -> Vec<String> {
+        self.links.iter().cloned().collect()
+    }
+
+    fn heard(&mut self, from: &str, now: Duration) {
+        if let Some(heard) = self.heard.get_mut(from) {
+            *heard = now;
+        }
+    }
+
+    fn lost(&mut self, from: &str, _: Duration) {
+        self.remove(from, None);
+    }
+
+    fn tick(&mut self, now: Duration) {
+        let is_silent = |(_, heard): &(&String, &Duration)| now - **heard >= SUSPECT;
+        let silent = self.heard.iter().filter(is_silent).map(|(proxy, _)| proxy.clone());
+        for proxy in silent.collect::<Vec<_>>() {
+            self.remove(&proxy, None);
+        }
+    }
+
+    fn receive(&mut self, from: &str, message: FakeMessage, _: Duration) {
+        match message {
+            FakeMessage::Record(record) => self.store(from, record),
+            FakeMessage::Removed(proxy) => self.remove(&proxy, Some(from)),
+            FakeMessage::Records(records, ..) => {
+                records.into_iter().for_each(|record| self.store(from, record));
+            }
+            _ => (),
+        }
+    }
+
+    fn outgoing(&mut self) -> Vec<(String, FakeMessage)> {
+        std::mem::take(&mut self.sent)
+    }
+
+    fn repair(&mut self) -> FakeMessage {
+        FakeMessage::Records(self.records.values().cloned().collect(), Vec::new(), false)
+    }
+
+    fn drain(&mut self) {
+        let record = MemberRecord { status: MemberStatus::Leaving, ..(*self.own).clone() };
+        self.own = Arc::new(record);
+        self.records.insert(self.own.proxy.clone(), self.own.clone());
+        self.flood(&FakeMessage::Record(self.own.clone()), None);
+    }
+
+    fn belief(&self, proxy: &str) -> FakeBelief {
+        match self.records.get(proxy).map(|record| record.status) {
+            None => FakeBelief::Gone,
+            Some(MemberStatus::Leaving | MemberStatus::Gone) => FakeBelief::Avoided,
+            Some(_) => FakeBelief::Usable,
+        }
+    }
+
+    fn incarnation(&self, proxy: &str) -> u64 {
+        self.records.get(proxy).map_or(0, |record| record.incarnation)
+    }
+}
--- /dev/null
+++ b/components/member/tests/support/network.rs
@@ -0,0 +1,162 @@
+//! Steps of 50 ms in which every message sent before arrives.
+
+use std::{collections::BTreeMap, collections::BTreeSet, sync::Arc, time::Duration};
+
+use sk_member::{MemberDigest, MemberRecord, MemberSuspicion};
+
+/// Longer than one way between regions together with the wait for a batch.
+pub const STEP: Duration = Duration::from_millis(50);
+const TICK_STEPS: u64 = 2;
+const HEARTBEAT_STEPS: u64 = 10;
+const REPAIR_STEPS: u64 = 40;
+
+#[derive(Clone, Debug)]
+pub enum FakeMessage {
+    Heartbeat,
+    Record(Arc<MemberRecord>),
+    Suspicion(MemberSuspicion),
+    /// One observer's decision, in the naive version.
+    Removed(String),
+    Digest(MemberDigest),
+    /// Records of some buckets, and whether the receiver's are asked for.
+    Records(Vec<Arc<MemberRecord>>, Vec<usize>, bool),
+}
+
+/// What a daemon believes of another, as far as routing is concerned.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum FakeBelief {
+    Usable,
+    /// Known, but not to be sent new work.
+    Avoided,
+    Gone,
+    Unknown,
+}
+
+/// The decisions of one daemon, ours or the naive ones.
+pub trait FakePolicy {
+    fn start(own: Arc<MemberRecord>, known: &[Arc<MemberRecord>]) -> Self;
+    fn neighbours(&self) -> Vec<String>;
+    fn heard(&mut self, from: &str, now: Duration);
+    fn lost(&mut self, from: &str, now: Duration);
+    fn tick(&mut self, now: Duration);
+    fn receive(&mut self, from: &str, message: FakeMessage, now: Duration);
+    fn outgoing(&mut self) -> Vec<(String, FakeMessage)>;
+    fn repair(&mut self) -> FakeMessage;
+    fn drain(&mut self);
+    fn belief(&self, proxy: &str) -> FakeBelief;
+    fn incarnation(&self, proxy: &str) -> u64;
+}
+
+pub struct FakeNetwork<P> {
+    pub nodes: BTreeMap<String, P>,
+    pub paused: BTreeSet<String>,
+    /// Tells whether messages from the first to the second are lost.
+    pub is_cut: fn(&str, &str) -> bool,
+    /// Rumors sent so far, by sender.
+    pub sent: BTreeMap<String, usize>,
+    mail: BTreeMap<String, Vec<(String, FakeMessage)>>,
+    step: u64,
+}
+
+impl<P: FakePolicy> FakeNetwork<P> {
+    pub fn new(records: &[Arc<MemberRecord>]) -> Self {
+        let start = |own: &Arc<MemberRecord>| (own.proxy.clone(), P::start(own.clone(), records));
+        Self {
+            nodes: records.iter().map(start).collect(),
+            paused: BTreeSet::new(),
+            is_cut: |_, _| false,
+            sent: BTreeMap::new(),
+            mail: BTreeMap::new(),
+            step: 0,
+        }
+    }
+
+    pub fn now(&self) -> Duration {
+        STEP * self.step as u32
+    }
+
+    pub fn run(&mut self, time: Duration) {
+        let end = self.now() + time;
+        while self.now() < end {
+            self.advance();
+        }
+    }
+
+    /// Runs until the condition holds, and gives the time it took.
+    pub fn run_until(&mut self, most: Duration, is_done: impl Fn(&Self) -> bool) -> Duration {
+        let start = self.now();
+        while !is_done(self) {
+            assert!(self.now() - start < most, "not done after {most:?}");
+            self.advance();
+        }
+        self.now() - start
+    }
+
+    /// Ends a process; `is_reset` tells whether its instance's kernel still says so.
+    pub fn crash(&mut self, proxy: &str, is_reset: bool) {
+        self.nodes.remove(proxy);
+        self.mail.remove(proxy);
+        let now = self.now();
+        for node in self.nodes.values_mut().filter(|_| is_reset) {
+            node.lost(proxy, now);
+        }
+    }
+
+    /// Starts a process that knows one other.
+    pub fn join(&mut self, own: MemberRecord, contact: &str) {
+        let proxy = own.proxy.clone();
+        let mut node = P::start(Arc::new(own), &[]);
+        let digest = node.repair();
+        self.nodes.insert(proxy.clone(), node);
+        self.send(&proxy, contact, digest);
+    }
+
+    /// Counts the running daemons, but for some, that believe this of a daemon.
+    pub fn count(&self, proxy: &str, belief: FakeBelief) -> usize {
+        let others = self.nodes.iter().filter(|(name, _)| *name != proxy);
+        others.filter(|(_, node)| node.belief(proxy) == belief).count()
+    }
+
+    fn advance(&mut self) {
+        self.step += 1;
+        let (now, step) = (self.now(), self.step);
+        let mut mail = std::mem::take(&mut self.mail);
+        let mut outgoing = Vec::new();
+        for (place, (name, node)) in self.nodes.iter_mut().enumerate() {
+            if self.paused.contains(name) {
+                let waiting = mail.remove(name).unwrap_or_default();
+                self.mail.insert(name.clone(), waiting);
+                continue;
+            }
+            // A tick first: a process that wakes looks at its clock before it reads its mail.
+            let place = place as u64 + step;
+            if place.is_multiple_of(TICK_STEPS) {
+                node.tick(now);
+            }
+            for (from, message) in mail.remove(name).unwrap_or_default() {
+                node.heard(&from, now);
+                node.receive(&from, message, now);
+            }
+            let mut sent = node.outgoing();
+            *self.sent.entry(name.clone()).or_default() += sent.len();
+            let neighbours = node.neighbours();
+            if place.is_multiple_of(HEARTBEAT_STEPS) {
+                sent.extend(neighbours.iter().map(|to| (to.clone(), FakeMessage::Heartbeat)));
+            }
+            if place.is_multiple_of(REPAIR_STEPS) && !neighbours.is_empty() {
+                let to = &neighbours[(step / REPAIR_STEPS) as usize % neighbours.len()];
+                sent.push((to.clone(), node.repair()));
+            }
+            outgoing.extend(sent.into_iter().map(|(to, message)| (name.clone(), to, message)));
+        }
+        for (from, to, message) in outgoing {
+            self.send(&from, &to, message);
+        }
+    }
+
+    fn send(&mut self, from: &str, to: &str, message: FakeMessage) {
+        if self.nodes.contains_key(to) && !(self.is_cut)(from, to) {
+            self.mail.entry(to.to_owned()).or_default().push((from.to_owned(), message));
+        }
+    }
+}
--- /dev/null
+++ b/components/member/tests/support/node.rs
@@ -0,0 +1,196 @@
+//! One daemon that decides with this crate.
+
+use std::{collections::BTreeSet, sync::Arc, time::Duration};
+
+use sk_member::{
+    LivenessMonitor, LocalMark, MemberRecord, MemberRumor, MemberStatus, MemberTable, MemberView,
+    MergeOutcome, MonitorEvent, MonitorOptions, RumorQueue,
+};
+
+use super::network::{FakeBelief, FakeMessage, FakePolicy};
+
+const BATCH: usize = 64;
+
+pub struct MemberNode {
+    pub table: MemberTable,
+    pub accused: Vec<String>,
+    monitor: LivenessMonitor,
+    queue: RumorQueue,
+    view: MemberView,
+    neighbours: BTreeSet<String>,
+    replies: Vec<(String, FakeMessage)>,
+}
+
+impl MemberNode {
+    fn publish(&mut self, now: Duration) {
+        self.view = Arc::new(self.table.records().clone());
+        let plan = self.monitor.plan(&self.view);
+        let own = &self.table.own().proxy;
+        let wanted: BTreeSet<String> = plan.neighbours(own).cloned().collect();
+        for link in self.neighbours.difference(&wanted) {
+            self.queue.remove_link(link);
+        }
+        for link in wanted.difference(&self.neighbours) {
+            self.queue.add_link(link.clone());
+        }
+        if wanted != self.neighbours {
+            self.monitor.set_neighbours(wanted.clone(), now);
+            self.neighbours = wanted;
+        }
+    }
+
+    fn spread_own(&mut self, now: Duration) {
+        self.publish(now);
+        self.queue.push(&MemberRumor::Record(self.table.own().clone()), None);
+    }
+
+    fn merge(&mut self, from: &str, records: Vec<Arc<MemberRecord>>, now: Duration) {
+        let mut newer = Vec::new();
+        for record in records {
+            match self.table.merge(record.clone()) {
+                MergeOutcome::Newer => newer.push((record, Some(from.to_owned()))),
+                MergeOutcome::Refuted => newer.push((self.table.own().clone(), None)),
+                _ => (),
+            }
+        }
+        if !newer.is_empty() {
+            self.publish(now);
+        }
+        for (record, from) in newer {
+            self.queue.push(&MemberRumor::Record(record), from.as_ref());
+        }
+    }
+
+    fn follow(&mut self, event: MonitorEvent, now: Duration) {
+        match event {
+            MonitorEvent::Spread(word) => {
+                if !word.is_withdrawn {
+                    self.accused.push(word.proxy.clone());
+                }
+                self.queue.push(&MemberRumor::Suspicion(word), None);
+            }
+            MonitorEvent::Gone { proxy, incarnation, sequence } => {
+                if self.table.declare_gone(&proxy, incarnation, sequence) {
+                    self.publish(now);
+                }
+            }
+            MonitorEvent::Marked(_) => (),
+            MonitorEvent::Paused(_) => {
+                self.table.withdraw_endpoints();
+                self.spread_own(now);
+            }
+        }
+    }
+}
+
+impl FakePolicy for MemberNode {
+    fn start(own: Arc<MemberRecord>, known: &[Arc<MemberRecord>]) -> Self {
+        let mut table = MemberTable::new(MemberRecord::clone(&own));
+        for record in known {
+            table.merge(record.clone());
+        }
+        let options = MonitorOptions::default();
+        let mut node = Self {
+            monitor: LivenessMonitor::new(own.proxy.clone(), own.incarnation, options),
+            queue: RumorQueue::new(),
+            view: MemberView::default(),
+            neighbours: BTreeSet::new(),
+            replies: Vec::new(),
+            accused: Vec::new(),
+            table,
+        };
+        node.publish(Duration::ZERO);
+        node
+    }
+
+    fn neighbours(&self) -> Vec<String> {
+        self.neighbours.iter().cloned().collect()
+    }
+
+    fn heard(&mut self, from: &str, now: Duration) {
+        self.monitor.heard(from, now);
+    }
+
+    fn lost(&mut self, from: &str, now: Duration) {
+        self.monitor.lost(from, now);
+    }
+
+    fn tick(&mut self, now: Duration) {
+        for event in self.monitor.tick(&self.view.clone(), now) {
+            self.follow(event, now);
+        }
+    }
+
+    fn receive(&mut self, from: &str, message: FakeMessage, now: Duration) {
+        let own = self.table.own().proxy.clone();
+        match message {
+            FakeMessage::Record(record) => self.merge(from, vec![record], now),
+            FakeMessage::Suspicion(word) if word.proxy == own => {
+                if self.table.refute(&word) {
+                    self.spread_own(now);
+                }
+            }
+            FakeMessage::Suspicion(word) => {
+                if self.monitor.note(word.clone(), now) {
+                    self.queue.push(&MemberRumor::Suspicion(word), Some(&from.to_owned()));
+                }
+            }
+            FakeMessage::Digest(digest) => {
+                let buckets = self.table.digest().differing(&digest);
+                let records = self.table.records_in(&buckets);
+                let reply = FakeMessage::Records(records, buckets, true);
+                self.replies.push((from.to_owned(), reply));
+            }
+            FakeMessage::Records(records, buckets, is_asked) => {
+                self.merge(from, records, now);
+                if is_asked && !buckets.is_empty() {
+                    let records = self.table.records_in(&buckets);
+                    let reply = FakeMessage::Records(records, buckets, false);
+                    self.replies.push((from.to_owned(), reply));
+                }
+            }
+            FakeMessage::Heartbeat | FakeMessage::Removed(_) => (),
+        }
+    }
+
+    fn outgoing(&mut self) -> Vec<(String, FakeMessage)> {
+        let mut sent = std::mem::take(&mut self.replies);
+        for link in &self.neighbours {
+            if self.queue.take_repair(link) {
+                sent.push((link.clone(), FakeMessage::Digest(self.table.digest().clone())));
+            }
+            sent.extend(self.queue.take(link, BATCH).into_iter().map(|rumor| {
+                let message = match rumor {
+                    MemberRumor::Record(record) => FakeMessage::Record(record),
+                    MemberRumor::Suspicion(word) => FakeMessage::Suspicion(word),
+                };
+                (link.clone(), message)
+            }));
+        }
+        sent
+    }
+
+    fn repair(&mut self) -> FakeMessage {
+        FakeMessage::Digest(self.table.digest().clone())
+    }
+
+    fn drain(&mut self) {
+        self.table.set_status(MemberStatus::Leaving);
+        self.spread_own(Duration::ZERO);
+    }
+
+    fn belief(&self, proxy: &str) -> FakeBelief {
+        let mark = self.monitor.marks().get(proxy);
+        match self.table.records().get(proxy).map(|record| record.status) {
+            None => FakeBelief::Unknown,
+            Some(MemberStatus::Gone) => FakeBelief::Gone,
+            Some(MemberStatus::Leaving) => FakeBelief::Avoided,
+            Some(_) if mark == Some(&LocalMark::Unreachable) => FakeBelief::Avoided,
+            Some(_) => FakeBelief::Usable,
+        }
+    }
+
+    fn incarnation(&self, proxy: &str) -> u64 {
+        self.table.records().get(proxy).map_or(0, |record| record.incarnation)
+    }
+}
