Pass quarantine between daemons; end the daemon with its control thread

Cause: a request that crashes servers was refused only where it had crashed one, and a panic of the control thread (found here: a counter array one short after a kind was added) left a daemon that served old routes unseen. Change: notices flooded over the links, everything to a new link; the daemon stops when the control thread ends. Records that only this daemon believes unreachable get no work while others run the service.

--- a/components/daemon/src/daemon.rs
+++ b/components/daemon/src/daemon.rs
@@ -24,6 +24,7 @@
     claims::BookGate,
     contacts::StoreContacts,
     error::DaemonError,
+    notices::QuarantineNotices,
     port::DaemonPort,
     reach::{ReachClock, watch_reach},
     source::{BookSink, LedgerSource},
@@ -135,6 +136,13 @@
         self.addresses
     }
 
+    /// Waits until a part that the daemon cannot do without has ended by itself.
+    pub async fn failed(&self) {
+        let mut ended = self.spread.ended();
+        while ended.changed().await.is_ok() {}
+        log::error!("daemon: the control thread ended.");
+    }
+
     /// Stops gracefully: tells the others, accepts no more, finishes requests in flight within
     /// the set bound, and tells whether all of them ended.
     ///
@@ -239,6 +247,7 @@
         servers: parts.servers.clone(),
         meter: parts.meter.clone(),
         reach: parts.reach.clone(),
+        quarantine: parts.quarantine.clone(),
         proxy_address: addresses.proxy,
     }
 }
@@ -269,6 +278,7 @@
         source: Arc::new(LedgerSource { ledger: parts.ledger.clone() }),
         contacts: Some(Arc::new(contacts)),
         acks: Arc::new(BookSink { book: parts.book.clone() }),
+        notices: Some(Arc::new(QuarantineNotices { board: parts.quarantine.clone() })),
         meter: parts.meter.clone(),
     };
     start_spread(options, listener, spread_parts).map_err(DaemonError::Spread)
--- a/components/daemon/src/lib.rs
+++ b/components/daemon/src/lib.rs
@@ -4,6 +4,7 @@
 mod contacts;
 mod daemon;
 mod error;
+mod notices;
 mod port;
 mod reach;
 mod records;
--- /dev/null
+++ b/components/daemon/src/notices.rs
@@ -0,0 +1,106 @@
+//! Requests that crash servers, passed between daemons.
+
+use std::{sync::Arc, time::Duration};
+
+use serde::{Deserialize, Serialize};
+use sk_decide::quarantine::{CrashEvidence, CrashKind, SuspectRecord};
+use sk_proxy::QuarantineBoard;
+use sk_spread::NoticeBoard;
+
+/// Records taken from one message at most. A board holds fewer; more is a fault of the sender.
+const MAX_RECORDS: usize = 4_096;
+
+/// The quarantine board behind the spread's border.
+pub(crate) struct QuarantineNotices {
+    pub(crate) board: Arc<QuarantineBoard>,
+}
+
+#[derive(Serialize, Deserialize)]
+struct SuspectWire {
+    fingerprint: u64,
+    evidence: Vec<CrashWire>,
+}
+
+#[derive(Serialize, Deserialize)]
+struct CrashWire {
+    at_ms: u64,
+    occasion: u64,
+    kind: KindWire,
+    is_cleared: bool,
+}
+
+#[derive(Clone, Copy, Serialize, Deserialize)]
+enum KindWire {
+    Company,
+    Alone,
+    Trial,
+}
+
+impl NoticeBoard for QuarantineNotices {
+    fn revision(&self) -> u64 {
+        self.board.revision()
+    }
+
+    fn take_changed(&self) -> Option<Vec<u8>> {
+        encode(&self.board.take_changed())
+    }
+
+    fn everything(&self) -> Option<Vec<u8>> {
+        match self.board.is_empty() {
+            true => None,
+            false => encode(&self.board.entries()),
+        }
+    }
+
+    fn merge(&self, body: &[u8]) -> bool {
+        let records: Vec<SuspectWire> = match serde_json::from_slice(body) {
+            Ok(records) => records,
+            Err(_) => return false,
+        };
+        if records.len() > MAX_RECORDS {
+            return false;
+        }
+        let records: Vec<SuspectRecord> = records.into_iter().map(read_suspect).collect();
+        self.board.merge(&records);
+        true
+    }
+}
+
+fn encode(records: &[SuspectRecord]) -> Option<Vec<u8>> {
+    let wire: Vec<SuspectWire> = records.iter().map(write_suspect).collect();
+    serde_json::to_vec(&wire).ok().filter(|_| !wire.is_empty())
+}
+
+fn write_suspect(record: &SuspectRecord) -> SuspectWire {
+    let crash = |evidence: &CrashEvidence| CrashWire {
+        at_ms: evidence.at.as_millis() as u64,
+        occasion: evidence.occasion,
+        kind: match evidence.kind {
+            CrashKind::Company => KindWire::Company,
+            CrashKind::Alone => KindWire::Alone,
+            CrashKind::Trial => KindWire::Trial,
+        },
+        is_cleared: evidence.is_cleared,
+    };
+    SuspectWire {
+        fingerprint: record.fingerprint,
+        evidence: record.evidence.iter().map(crash).collect(),
+    }
+}
+
+fn read_suspect(wire: SuspectWire) -> SuspectRecord {
+    let crash = |crash: &CrashWire| CrashEvidence {
+        at: Duration::from_millis(crash.at_ms),
+        occasion: crash.occasion,
+        kind: match crash.kind {
+            KindWire::Company => CrashKind::Company,
+            KindWire::Alone => CrashKind::Alone,
+            KindWire::Trial => CrashKind::Trial,
+        },
+        is_cleared: crash.is_cleared,
+    };
+    SuspectRecord {
+        fingerprint: wire.fingerprint,
+        evidence: wire.evidence.iter().map(crash).collect(),
+    }
+}
--- a/components/daemon/src/port.rs
+++ b/components/daemon/src/port.rs
@@ -1,8 +1,14 @@
 //! What operators can ask of this daemon.
 
-use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Instant};
+use std::{
+    collections::BTreeMap,
+    net::SocketAddr,
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use async_trait::async_trait;
+use sk_decide::quarantine::QuarantineSettings;
 use sk_ledger::Ledger;
 use sk_member::{EndpointRecord, EndpointStatus, MemberBoard, MemberRecord, MemberTable};
 use sk_model::{
@@ -12,7 +18,7 @@
     HeldView, OperatorPort, OpsError, PeerView, ServerAnnouncement, ServerView, StateDump,
     TeamRecord, TeamView,
 };
-use sk_proxy::{LocalServer, LocalServers};
+use sk_proxy::{LocalServer, LocalServers, QuarantineBoard};
 use sk_report::{
     ChangeReport, FleetReport, KnownProxy, ReportError, make_change_report, make_report, read_acks,
     read_times,
@@ -39,6 +45,7 @@
     pub(crate) servers: Arc<LocalServers>,
     pub(crate) meter: Arc<ControlMeter>,
     pub(crate) reach: Arc<ReachClock>,
+    pub(crate) quarantine: Arc<QuarantineBoard>,
     pub(crate) proxy_address: SocketAddr,
 }
 
@@ -113,6 +120,8 @@
             rejected: status.rejected,
             control_sent: bytes.sent,
             control_received: bytes.received,
+            suspects: self.quarantine.len() as u64,
+            quarantined: count_quarantined(&self.quarantine),
             proxy_address: self.proxy_address,
             servers: servers.iter().map(view_server).collect(),
             members: view.iter().map(|(proxy, peer)| (proxy.clone(), view_peer(peer))).collect(),
@@ -151,13 +160,20 @@
         let known = |record: &MemberRecord| KnownProxy {
             data_centre: record.data_centre.clone(),
             incarnation: record.incarnation,
-            unreachable_since: (!record.is_present()).then(|| self.reach.since(&record.proxy)),
+            unreachable_since: self.reach.lost_since(&record.proxy),
         };
         let view = self.members.view();
         view.iter().map(|(proxy, record)| (proxy.clone(), known(record))).collect()
     }
 }
 
+fn count_quarantined(board: &QuarantineBoard) -> u64 {
+    let hold = QuarantineSettings::default().hold;
+    let since = Duration::from_millis(unix_now()).saturating_sub(hold);
+    let entries = board.entries();
+    entries.iter().filter(|record| record.convicted_at(since).is_some()).count() as u64
+}
+
 fn report_error(err: ReportError) -> OpsError {
     match err {
         ReportError::Store(err) => store_error(&err),
--- a/components/daemon/src/reach.rs
+++ b/components/daemon/src/reach.rs
@@ -5,7 +5,7 @@
     sync::{Arc, Mutex, PoisonError},
 };
 
-use sk_member::{MemberBoard, MemberView};
+use sk_member::{LocalMark, MemberBoard, MemberMarks, MemberRecord, MemberView};
 use sk_model::{ProxyId, UnixMillis};
 
 use crate::tasks::unix_now;
@@ -17,17 +17,20 @@
 }
 
 impl ReachClock {
-    /// Gives since when a daemon is not reachable; one that was never seen so counts from now.
-    pub(crate) fn since(&self, proxy: &ProxyId) -> UnixMillis {
+    /// Gives since when a daemon is not reachable, none while it is believed to be.
+    pub(crate) fn lost_since(&self, proxy: &ProxyId) -> Option<UnixMillis> {
         let since = self.since.lock().unwrap_or_else(PoisonError::into_inner);
-        since.get(proxy).copied().unwrap_or_else(unix_now)
+        since.get(proxy).copied()
     }
 
-    fn observe(&self, view: &MemberView) {
+    fn observe(&self, view: &MemberView, marks: &MemberMarks) {
         let now = unix_now();
+        let is_lost = |record: &MemberRecord| {
+            !record.is_present() || marks.get(&record.proxy) == Some(&LocalMark::Unreachable)
+        };
         let mut since = self.since.lock().unwrap_or_else(PoisonError::into_inner);
-        since.retain(|proxy, _| view.get(proxy).is_some_and(|record| !record.is_present()));
-        for record in view.values().filter(|record| !record.is_present()) {
+        since.retain(|proxy, _| view.get(proxy).is_some_and(|record| is_lost(record)));
+        for record in view.values().filter(|record| is_lost(record)) {
             since.entry(record.proxy.clone()).or_insert(now);
         }
     }
@@ -38,7 +41,7 @@
     let mut views = members.subscribe();
     loop {
         let view = views.borrow_and_update().clone();
-        clock.observe(&view);
+        clock.observe(&view, &members.marks());
         if views.changed().await.is_err() {
             return;
         }
--- a/components/daemon/src/tasks.rs
+++ b/components/daemon/src/tasks.rs
@@ -1,12 +1,13 @@
 //! Work that a daemon does in the background.
 
 use std::{
+    collections::BTreeSet,
     sync::Arc,
     time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
 
-use sk_member::MemberBoard;
-use sk_model::UnixMillis;
+use sk_member::{LocalMark, MemberBoard, MemberMarks, MemberRecord, MemberView};
+use sk_model::{ServiceName, UnixMillis};
 use sk_proxy::{LocalServers, RouteTable, SharedTable, TablePlace, process_now};
 use sk_report::ReportBook;
 use sk_spread::HeldConfig;
@@ -36,9 +37,10 @@
     loop {
         versions.mark_unchanged();
         let view = views.borrow_and_update().clone();
-        let records = view.values().map(|record| &**record);
+        let records = usable_records(&view, &members.marks());
         let before = table.load_full();
-        let next = RouteTable::build(&before, &held.current(), records, &place, process_now());
+        let next =
+            RouteTable::build(&before, &held.current(), records.into_iter(), &place, process_now());
         table.store(Arc::new(next));
         let is_open = tokio::select! {
             changed = versions.changed() => changed.is_ok(),
@@ -50,6 +52,28 @@
     }
 }
 
+/// Gives the records whose servers may get work: those that are reachable, and the others for
+/// services that no reachable one runs.
+///
+/// A daemon that is cut off, or whose control thread was starved, believes others unreachable that
+/// requests may still reach. Trying them costs a failed connect, which says "not run"; leaving
+/// them out would refuse every request to their services.
+fn usable_records<'a>(view: &'a MemberView, marks: &MemberMarks) -> Vec<&'a MemberRecord> {
+    let is_reachable = |record: &&MemberRecord| {
+        marks.get(&record.proxy).is_none_or(|mark| *mark != LocalMark::Unreachable)
+    };
+    let (mut usable, lost): (Vec<&MemberRecord>, Vec<&MemberRecord>) =
+        view.values().map(|record| &**record).partition(is_reachable);
+    let endpoints = usable.iter().flat_map(|record| &record.endpoints);
+    let served: BTreeSet<&ServiceName> = endpoints.map(|endpoint| &endpoint.service).collect();
+    let is_needed = |record: &&MemberRecord| {
+        record.endpoints.iter().any(|endpoint| !served.contains(&endpoint.service))
+    };
+    let needed: Vec<&MemberRecord> = lost.into_iter().filter(is_needed).collect();
+    usable.extend(needed);
+    usable
+}
+
 /// Tells the other daemons what backend servers stand beside this one.
 pub(crate) fn publish_endpoints(servers: &LocalServers, members: &MemberBoard) {
     let endpoints = servers.endpoints();
--- a/components/ops/src/wire.rs
+++ b/components/ops/src/wire.rs
@@ -97,6 +97,10 @@
     pub control_sent: u64,
     /// Control bytes received.
     pub control_received: u64,
+    /// Requests suspected of crashing servers.
+    pub suspects: u64,
+    /// Of these, requests that are refused for it.
+    pub quarantined: u64,
     /// Address for callers.
     pub proxy_address: SocketAddr,
     /// Backend servers beside it, by service.
--- a/components/spread/schema/peer.capnp
+++ b/components/spread/schema/peer.capnp
@@ -24,6 +24,8 @@
   # Asks for the newest version.
   acknowledge @6 (acks :List(Ack)) -> ();
   # Tells a relay what daemons hold.
+  notices @7 (body :Data) -> ();
+  # Passes on news of the request path, such as requests that crash servers.
 }
 
 interface Ticket {
--- a/components/spread/src/driver.rs
+++ b/components/spread/src/driver.rs
@@ -24,12 +24,13 @@
     neighbours::watch_neighbours,
     news::pass_own_record,
     node::{ConfirmOutcome, SpreadNode},
+    notices::pass_notices,
     options::SpreadOptions,
     pass::{PassOrder, pass_versions},
     relays::keep_relays,
     repair::repair_forever,
     session::serve_session,
-    source::{AckSink, ConfigSource, ContactBook},
+    source::{AckSink, ConfigSource, ContactBook, NoticeBoard},
     start::settle_start,
     state::{SpreadState, SpreadStats},
     watch::{confirm_source, watch_source},
@@ -53,6 +54,8 @@
     pub contacts: Option<Arc<dyn ContactBook>>,
     /// Takes acknowledgements at a relay.
     pub acks: Arc<dyn AckSink>,
+    /// News of the request path; without it none are passed on.
+    pub notices: Option<Arc<dyn NoticeBoard>>,
     /// Counts control bytes.
     pub meter: Arc<ControlMeter>,
 }
@@ -62,6 +65,7 @@
     stop: Option<oneshot::Sender<()>>,
     thread: Option<std::thread::JoinHandle<()>>,
     reader: StateReader,
+    ended: watch::Receiver<bool>,
 }
 
 /// Reads the state of a running spread, for the state dump.
@@ -100,7 +104,10 @@
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     let stats = Arc::new(SpreadStats::default());
     let reader = StateReader { stats: stats.clone(), held: parts.held.clone() };
+    let (ending, ended) = watch::channel(false);
     let run = move || {
+        // Dropped with the thread, also where it panics.
+        let _ending = ending;
         let tasks = LocalSet::new();
         tasks.block_on(&runtime, async move {
             tokio::select! {
@@ -110,7 +117,7 @@
         });
     };
     let thread = std::thread::Builder::new().name("spread".to_owned()).spawn(run)?;
-    Ok(SpreadHandle { stop: Some(stop), thread: Some(thread), reader })
+    Ok(SpreadHandle { stop: Some(stop), thread: Some(thread), reader, ended })
 }
 
 impl SpreadHandle {
@@ -119,6 +126,14 @@
         self.reader.clone()
     }
 
+    /// Gives a receiver whose sender is gone once the control thread has ended.
+    ///
+    /// A daemon whose control thread is gone would go on with old routes, unseen by the others;
+    /// one would notice only that its reports stay away.
+    pub fn ended(&self) -> watch::Receiver<bool> {
+        self.ended.clone()
+    }
+
     /// Ends the control thread and waits for it.
     pub fn stop(&mut self) {
         drop(self.stop.take());
@@ -157,6 +172,7 @@
         keep_links(&node),
         watch_neighbours(&node),
         pass_own_record(&node),
+        pass_notices(&node),
         watch_source(&node),
         confirm_source(&node, ends.confirms),
         pass_versions(&node, ends.passes),
@@ -186,6 +202,7 @@
         contacts: parts.contacts,
         acks: parts.acks,
         ack_batch: Default::default(),
+        notices: parts.notices,
         meter: parts.meter,
         stats,
         pool: Default::default(),
--- a/components/spread/src/lib.rs
+++ b/components/spread/src/lib.rs
@@ -17,6 +17,7 @@
 mod neighbours;
 mod news;
 mod node;
+mod notices;
 mod options;
 mod pass;
 mod pool;
@@ -41,7 +42,7 @@
 pub use held::{HeldConfig, HeldStatus, OfferOutcome};
 pub use options::{PassMode, SpreadOptions};
 pub use pass::{PassPlan, PassStyle, VersionOrigin, plan_pass};
-pub use source::{AckSink, ConfigSource, ContactBook, ContactMap, SourceError};
+pub use source::{AckSink, ConfigSource, ContactBook, ContactMap, NoticeBoard, SourceError};
 pub use state::{CallKind, KindBytes, SpreadState};
 pub use update::{
     ConfigUpdate, TreeContent, TreeHashes, TreeUpdate, UpdateFault, apply_update, make_tree_update,
--- a/components/spread/src/node.rs
+++ b/components/spread/src/node.rs
@@ -24,7 +24,7 @@
     pool::PeerPool,
     relays::RelayView,
     session::{PeerSession, open_session},
-    source::{AckSink, ConfigSource, ContactBook},
+    source::{AckSink, ConfigSource, ContactBook, NoticeBoard},
     state::SpreadStats,
 };
 
@@ -47,6 +47,7 @@
     pub(crate) contacts: Option<Arc<dyn ContactBook>>,
     pub(crate) acks: Arc<dyn AckSink>,
     pub(crate) ack_batch: AckBatch,
+    pub(crate) notices: Option<Arc<dyn NoticeBoard>>,
     pub(crate) meter: Arc<ControlMeter>,
     pub(crate) stats: Arc<SpreadStats>,
     pub(crate) pool: PeerPool,
--- /dev/null
+++ b/components/spread/src/notices.rs
@@ -0,0 +1,65 @@
+//! News of the request path, flooded over the links.
+
+use std::{collections::BTreeSet, rc::Rc, time::Duration};
+
+use futures::future::join_all;
+use sk_model::ProxyId;
+
+use crate::{
+    node::{CALL_TIMEOUT, SpreadNode},
+    peer_capnp::peer,
+    state::CallKind,
+};
+
+/// Time between looks for news. A hop takes half of it on average and a large fleet has six to
+/// eight, so that a request that crashes servers is known everywhere in about a second.
+const LOOK_INTERVAL: Duration = Duration::from_millis(200);
+
+/// Passes news on to every link, and everything to a link that is new.
+///
+/// Without the second part, a daemon that starts would let a request run that all others already
+/// refuse, and its server would be the next to crash.
+pub(crate) async fn pass_notices(node: &Rc<SpreadNode>) {
+    let Some(notices) = node.notices.clone() else { return };
+    let (mut seen, mut known) = (0, BTreeSet::new());
+    loop {
+        tokio::time::sleep(LOOK_INTERVAL).await;
+        let links = node.link_names();
+        let fresh: BTreeSet<ProxyId> = links.difference(&known).cloned().collect();
+        known.retain(|proxy| links.contains(proxy));
+        let revision = notices.revision();
+        if revision != seen {
+            seen = revision;
+            if let Some(body) = notices.take_changed() {
+                send_all(node, &known, &body).await;
+            }
+        }
+        match notices.everything() {
+            Some(body) if !fresh.is_empty() => known.extend(send_all(node, &fresh, &body).await),
+            Some(_) => (),
+            None => known.extend(fresh),
+        }
+    }
+}
+
+/// Sends news to some links and gives those that took it. One that did not is new again once the
+/// link is back, since a link that fails is planned anew.
+async fn send_all(node: &Rc<SpreadNode>, links: &BTreeSet<ProxyId>, body: &[u8]) -> Vec<ProxyId> {
+    let calls = links.iter().map(async |proxy| {
+        let call = async |peer: peer::Client| {
+            let mut request = peer.notices_request();
+            request.get().set_body(body);
+            node.stats.sent(CallKind::Notice, request.get().into_reader().total_size()?);
+            request.send().promise.await.map(drop)
+        };
+        let result = node.call(proxy, CALL_TIMEOUT, call).await;
+        result.inspect_err(|err| log::debug!("spread: notices to {proxy} failed: {err}.")).is_ok()
+    });
+    let taken = join_all(calls).await;
+    links
+        .iter()
+        .zip(taken)
+        .filter(|(_, is_taken)| *is_taken)
+        .map(|(link, _)| link.clone())
+        .collect()
+}
--- a/components/spread/src/server.rs
+++ b/components/spread/src/server.rs
@@ -164,6 +164,19 @@
         answer_fetch(&node, request, answer)
     }
 
+    async fn notices(
+        self: Rc<Self>,
+        params: peer::NoticesParams,
+        _: peer::NoticesResults,
+    ) -> Result<(), Error> {
+        let (node, _) = self.enter()?;
+        let body = params.get()?.get_body()?;
+        match node.notices.as_ref().is_none_or(|notices| notices.merge(body)) {
+            true => Ok(()),
+            false => Err(Error::failed("notices cannot be read".to_owned())),
+        }
+    }
+
     async fn acknowledge(
         self: Rc<Self>,
         params: peer::AcknowledgeParams,
--- a/components/spread/src/source.rs
+++ b/components/spread/src/source.rs
@@ -63,6 +63,24 @@
     ) -> Result<(), SourceError>;
 }
 
+/// News of the request path that every daemon should know.
+///
+/// Merging is idempotent and commutative, and what a merge changed counts as changed here, so that
+/// each daemon passes each piece of news on once.
+pub trait NoticeBoard: Send + Sync {
+    /// Gives a number that grows with each change.
+    fn revision(&self) -> u64;
+
+    /// Takes what changed since the last call, encoded; none where nothing did.
+    fn take_changed(&self) -> Option<Vec<u8>>;
+
+    /// Gives everything, encoded, for a daemon that may know none of it; none if there is nothing.
+    fn everything(&self) -> Option<Vec<u8>>;
+
+    /// Merges what a peer sent and tells whether it could be read.
+    fn merge(&self, body: &[u8]) -> bool;
+}
+
 /// Takes proxies' acknowledgements at a relay.
 pub trait AckSink: Send + Sync {
     /// Notes acknowledgements; noting one twice changes nothing.
--- a/components/spread/src/state.rs
+++ b/components/spread/src/state.rs
@@ -39,18 +39,22 @@
     /// Versions fetched.
     #[display("fetch")]
     Fetch,
+    /// News of the request path.
+    #[display("notice")]
+    Notice,
     /// Acknowledgements.
     #[display("ack")]
     Ack,
 }
 
-const KINDS: [CallKind; 7] = [
+const KINDS: [CallKind; 8] = [
     CallKind::Beat,
     CallKind::Rumor,
     CallKind::Reconcile,
     CallKind::Push,
     CallKind::Announce,
     CallKind::Fetch,
+    CallKind::Notice,
     CallKind::Ack,
 ];
 
--- a/components/spread/tests/common/mod.rs
+++ b/components/spread/tests/common/mod.rs
@@ -258,6 +258,7 @@
         let members = Arc::new(MemberBoard::new(record));
         let meter = Arc::new(ControlMeter::default());
         let parts = SpreadParts {
+            notices: None,
             held: held.clone(),
             members: members.clone(),
             source: platform.clone(),
--- a/src/bin/sapphirekeeld.rs
+++ b/src/bin/sapphirekeeld.rs
@@ -30,10 +30,13 @@
         "daemon {} proxy={} guard={} control={} ops={}",
         settings.instance.name, addresses.proxy, addresses.guard, addresses.control, addresses.ops
     );
-    tokio::select! {
-        _ = terminate.recv() => (),
-        _ = interrupt.recv() => (),
-    }
-    anyhow::ensure!(daemon.stop().await, "requests in flight did not end within the bound");
+    let has_failed = tokio::select! {
+        _ = terminate.recv() => false,
+        _ = interrupt.recv() => false,
+        () = daemon.failed() => true,
+    };
+    let is_clean = daemon.stop().await;
+    anyhow::ensure!(!has_failed, "a part failed; the daemon has to be started again");
+    anyhow::ensure!(is_clean, "requests in flight did not end within the bound");
     Ok(())
 }
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -74,6 +74,11 @@
         (status, rest)
     }
 
+    /// Gives how the process ended, none while it runs.
+    pub fn ended(&mut self) -> Option<ExitStatus> {
+        self.child.try_wait().expect("process can be waited for")
+    }
+
     /// Asks for a graceful shutdown and waits for it.
     pub fn terminate(self) -> (ExitStatus, String) {
         self.signal("-TERM");
