--- a/components/member/tests/fault_handling.rs
+++ b/components/member/tests/fault_handling.rs
@@ -4,6 +4,7 @@
 
 use std::time::Duration;
 
+use sk_member::MemberRecord;
 use support::{
     fleet,
     naive::NaiveNode,
@@ -20,6 +21,10 @@
     network
 }
 
+fn in_rack(proxy: &str) -> bool {
+    ["proxy-001", "proxy-010", "proxy-019", "proxy-028"].contains(&proxy)
+}
+
 fn in_region(proxy: &str, region: usize) -> bool {
     let index: usize = proxy["proxy-".len()..].parse().unwrap();
     index % 9 / 3 == region
@@ -141,3 +146,42 @@
         assert!(is_lost || network.count(&proxy, FakeBelief::Avoided) == 0, "{proxy}");
     }
 }
+
+// All processes die together and come back knowing one address. Until they know each other again,
+// calls between services find no server.
+#[test]
+fn herd_restart() {
+    let mut network = network::<MemberNode>();
+    let records = fleet(SIZE);
+    records.iter().for_each(|record| network.crash(&record.proxy, true));
+    network.sent.clear();
+    for record in &records {
+        let record = MemberRecord { incarnation: 2_000, ..MemberRecord::clone(record) };
+        let contact = if record.proxy == "proxy-000" { "proxy-001" } else { "proxy-000" };
+        network.join(record, contact);
+    }
+    let all = SIZE * (SIZE - 1);
+    let time = network.run_until(Duration::from_secs(11), |net| usable_pairs(net) == all);
+    println!("known after {time:?}, {:?} messages", network.sent.values().max());
+}
+
+// The instances of one rack, four of ten in a data centre, are cut off together and come back.
+// Each of them heard none of the others, and none of their words may remove one that runs.
+#[test]
+fn rack_cut() {
+    let mut network = network::<MemberNode>();
+    network.is_cut = |from, to| in_rack(from) != in_rack(to);
+    network.run(Duration::from_secs(10));
+    for name in network.nodes.keys().filter(|name| !in_rack(name)) {
+        let removed = network.count(name, FakeBelief::Gone);
+        assert_eq!(removed, 0, "the rack removed {name}");
+    }
+    network.is_cut = |_, _| false;
+    let all = SIZE * (SIZE - 1);
+    let time = network.run_until(Duration::from_secs(5), |net| usable_pairs(net) == all);
+    println!("rack back after {time:?}");
+    for _ in 0..100 {
+        network.run(Duration::from_millis(100));
+        assert_eq!(usable_pairs(&network), all, "flaps after it healed");
+    }
+}
