ledger: let the tests' platform resume all suspended calls

Cause: trials with more than 300 sessions hung. Subtrees are read several at a time, and the test platform woke only one of two suspended reads. The 300 sessions of the test never met it. Change: resuming wakes all. Nothing in the ledger changed.

--- a/components/ledger/tests/common/mod.rs
+++ b/components/ledger/tests/common/mod.rs
@@ -61,9 +61,10 @@
         *self.faults.lock().unwrap() = faults.iter().copied().collect();
     }
 
+    /// Resumes all suspended calls; a ledger may have several reads under way.
     pub fn resume(&self) {
         if self.is_paused.swap(false, SeqCst) {
-            self.gate.notify_one();
+            self.gate.notify_waiters();
         }
     }
 
