--- /dev/null
+++ b/tests/example_settings.rs
@@ -0,0 +1,109 @@
+//! Examples that users copy must be good, whole and explained.
+
+mod common;
+
+use std::{collections::BTreeSet, fs, path::Path, process::Command};
+
+use common::render;
+use sk_settings::{DaemonSettings, SpreadMode, read_settings};
+use toml::{Table, Value};
+
+const EXAMPLES: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/examples");
+const DEPLOYMENTS: [&str; 2] = ["ledvica", "restlwerk"];
+
+fn settings_file(deployment: &str) -> String {
+    format!("{EXAMPLES}/settings/{deployment}.toml")
+}
+
+fn read_deployment(deployment: &str) -> DaemonSettings {
+    read_settings(Path::new(&settings_file(deployment))).expect("good settings")
+}
+
+/// Gives the dotted keys of a table that hold values.
+fn dotted_keys(table: &Table) -> BTreeSet<String> {
+    let mut keys = BTreeSet::new();
+    for (key, value) in table {
+        match value {
+            Value::Table(inner) => {
+                keys.extend(dotted_keys(inner).iter().map(|inner| format!("{key}.{inner}")));
+            }
+            _ => {
+                keys.insert(key.clone());
+            }
+        }
+    }
+    keys
+}
+
+fn files_under(directory: &Path) -> Vec<std::path::PathBuf> {
+    let entries = fs::read_dir(directory).expect("directory can be read");
+    let paths = entries.map(|entry| entry.expect("entry").path());
+    paths
+        .flat_map(|path| match path.is_dir() {
+            true => files_under(&path),
+            false => vec![path],
+        })
+        .collect()
+}
+
+#[test]
+fn all_parse() {
+    for file in files_under(Path::new(EXAMPLES)) {
+        let text = fs::read_to_string(&file).expect("example can be read");
+        assert!(text.parse::<Table>().is_ok(), "{}", file.display());
+    }
+}
+
+#[test]
+fn every_key() {
+    for deployment in DEPLOYMENTS {
+        let settings = read_deployment(deployment);
+        // The one key that may be absent; without it the struct would show a key fewer.
+        assert!(settings.metrics.address.is_some());
+        let known = Table::try_from(&settings).expect("settings encode");
+        let text = fs::read_to_string(settings_file(deployment)).expect("example can be read");
+        let shown: Table = text.parse().expect("toml");
+        assert_eq!(dotted_keys(&known), dotted_keys(&shown), "{deployment}");
+    }
+}
+
+#[test]
+fn every_reason() {
+    let files =
+        DEPLOYMENTS.map(settings_file).into_iter().chain([format!("{EXAMPLES}/operator.toml")]);
+    for file in files {
+        let text = fs::read_to_string(&file).expect("example can be read");
+        let mut comment = String::new();
+        for line in text.lines() {
+            match line.split_once(" = ") {
+                _ if line.starts_with('#') => comment.push_str(line),
+                Some((key, _)) => {
+                    let is_told = ["Default", "Required", "No default"];
+                    assert!(is_told.iter().any(|word| comment.contains(word)), "{file}: {key}");
+                    comment.clear();
+                }
+                None => comment.clear(),
+            }
+        }
+    }
+}
+
+#[test]
+fn weighed_differently() {
+    let [ledvica, restlwerk] = DEPLOYMENTS.map(read_deployment);
+    assert_eq!(ledvica.spread.mode, SpreadMode::Push);
+    assert_eq!(restlwerk.spread.mode, SpreadMode::Announce);
+    assert!(ledvica.spread.fan_out > restlwerk.spread.fan_out);
+    assert!(ledvica.spread.repair_interval_ms < restlwerk.spread.repair_interval_ms);
+}
+
+#[test]
+fn declarations_check() {
+    let output = Command::new(env!("CARGO_BIN_EXE_sapphirekeel"))
+        .args(["check", "examples/declarations/first", "examples/declarations/second"])
+        .args(["examples/settings/ledvica.toml", "examples/settings/restlwerk.toml"])
+        .current_dir(env!("CARGO_MANIFEST_DIR"))
+        .output()
+        .expect("command line runs");
+    assert!(output.status.success(), "{}", render(&output));
+}
