Name line, column and key of faults in declarations and settings

Cause: a tagged enum is read through a buffer that loses places, so a bad declaration named no line, and bounds of settings named none either. Change: the kind is read first and then its own fields; a place type finds keys in the text. A manager's hash in upper case never matched any token and is refused now. make_writes moves to the model with a property test that it leads from what is accepted to what is declared.

--- a/components/model/src/change.rs
+++ b/components/model/src/change.rs
@@ -49,3 +49,20 @@
     /// Paths that were withdrawn.
     pub withdrawn: Vec<SettingPath>,
 }
+
+/// Gives the writes that lead from the accepted settings to the declared ones.
+pub fn make_writes(
+    accepted: &BTreeMap<SettingPath, SettingBody>,
+    declared: &BTreeMap<SettingPath, SettingBody>,
+) -> SettingWrites {
+    let mut writes = SettingWrites::new();
+    for (path, body) in declared {
+        if accepted.get(path) != Some(body) {
+            writes.insert(path.clone(), Some(body.clone()));
+        }
+    }
+    for path in accepted.keys().filter(|path| !declared.contains_key(*path)) {
+        writes.insert(path.clone(), None);
+    }
+    writes
+}
--- /dev/null
+++ b/components/model/tests/declaration_round.rs
@@ -0,0 +1,116 @@
+//! Declarations read back as they were written, and changes that lead to what is declared.
+
+use std::{collections::BTreeMap, sync::Arc};
+
+use expect_test::{Expect, expect};
+use proptest::{collection::btree_map, option, prelude::*};
+use sk_model::{
+    RouteSetting, ServiceSetting, SettingBody, SettingPath, TeamTree, ValueSetting, WorkClass,
+    make_writes, parse_declaration, validate_trees,
+};
+
+type SettingMap = BTreeMap<SettingPath, SettingBody>;
+
+const SERVICES: [&str; 2] = ["/t/s/one", "/t/s/two"];
+
+fn any_route() -> impl Strategy<Value = SettingBody> {
+    let class = prop_oneof![Just(WorkClass::Short), Just(WorkClass::Long)];
+    let host = option::of("[a-z.]{1,12}");
+    (host, "/[a-z/]{0,8}", 0..SERVICES.len(), any::<bool>(), class, 1..=120_000u64).prop_map(
+        |(host, prefix, service, repeatable, class, deadline_ms)| {
+            let service = SERVICES[service].to_owned();
+            SettingBody::Route(RouteSetting {
+                host,
+                prefix,
+                service,
+                repeatable,
+                class,
+                deadline_ms,
+            })
+        },
+    )
+}
+
+fn any_body() -> impl Strategy<Value = SettingBody> {
+    prop_oneof![
+        any::<String>()
+            .prop_map(|description| SettingBody::Service(ServiceSetting { description })),
+        any::<String>().prop_map(|text| SettingBody::Value(ValueSetting { text })),
+        any_route(),
+    ]
+}
+
+fn any_settings() -> impl Strategy<Value = SettingMap> {
+    btree_map("/t/[ab]/[a-c]", any_body(), 0..8).prop_map(|mut settings| {
+        for service in SERVICES {
+            let body = SettingBody::Service(ServiceSetting { description: String::new() });
+            settings.insert(service.to_owned(), body);
+        }
+        settings
+    })
+}
+
+proptest! {
+    #[test]
+    fn text_round(body in any_body()) {
+        let text = toml::to_string(&body).expect("bodies encode");
+        prop_assert_eq!(parse_declaration(&text), Ok(body));
+    }
+
+    #[test]
+    fn any_text(text in "(kind = \"(service|route|value|x)\"\n)?(prefix|host|text|\\PC{0,9}) ?= ?(\"\\PC{0,9}\"|[0-9]{1,20}|\\[|\\{|\n){0,4}") {
+        if let Err(fault) = parse_declaration(&text) {
+            prop_assert!(fault.place.line <= text.matches('\n').count() + 1, "{}", fault);
+        }
+    }
+
+    #[test]
+    fn writes_lead(accepted in any_settings(), declared in any_settings()) {
+        let writes = make_writes(&accepted, &declared);
+        let reached = TeamTree { settings: accepted.clone() }.with_writes(&writes);
+        prop_assert_eq!(&reached.settings, &declared);
+        // Nothing is written that stands already, and nothing is withdrawn that does not stand.
+        for (path, body) in &writes {
+            prop_assert_ne!(accepted.get(path), body.as_ref());
+        }
+        prop_assert!(make_writes(&reached.settings, &declared).is_empty());
+        // Only clashing claims can be at fault: all paths, services and bounds are good.
+        let faults = validate_trees(&BTreeMap::from([("t".to_owned(), Arc::new(reached))]));
+        let is_clash = |fault: &sk_model::ConfigFault| {
+            matches!(fault, sk_model::ConfigFault::RouteClash { .. })
+        };
+        prop_assert!(faults.iter().all(is_clash), "{:?}", faults);
+    }
+}
+
+fn fault_of(text: &str, expected: Expect) {
+    expected.assert_eq(&parse_declaration(text).expect_err("a bad declaration").to_string());
+}
+
+#[test]
+fn faults_name_place() {
+    fault_of("", expect!["1:1: `kind` is missing or no text; allowed: service, route, value"]);
+    fault_of(
+        "\nkind = 3\n",
+        expect!["2:1: `kind` is missing or no text; allowed: service, route, value"],
+    );
+    fault_of("kind = \"rout\"\n", expect!["1:8: `kind` is rout; allowed: service, route, value"]);
+    fault_of(
+        "kind = \"service\"\n\ncolour = \"red\"\n",
+        expect!["3:1: unknown field `colour`, expected `description`"],
+    );
+    fault_of(
+        "kind = \"value\"\ntext = 7\n",
+        expect!["2:8: `text`: invalid type: integer `7`, expected a string"],
+    );
+    fault_of("kind = \"value\"\ntext = \"a\"\ntext = \"b\"\n", expect!["3:1: duplicate key"]);
+    fault_of(
+        "kind = \"route\"\nprefix = \"board\"\nservice = \"/t/s\"\n",
+        expect!["2:1: `prefix` is board; allowed: a path that begins with `/`"],
+    );
+    fault_of("kind = \"route\"\nservice = \"/t/s\"\n", expect!["1:1: missing field `prefix`"]);
+    fault_of(
+        &format!("kind = \"value\"\ntext = \"{}\"\n", "x".repeat(70_000)),
+        expect!["1:1: declaration is larger than 65536 bytes"],
+    );
+}
--- a/components/settings/src/check.rs
+++ b/components/settings/src/check.rs
@@ -2,6 +2,8 @@
 
 use std::{net::SocketAddr, ops::RangeInclusive, path::Path};
 
+use sk_model::TextPlace;
+
 use crate::{DaemonSettings, ListenSettings, SettingsError};
 
 const NAME_RULE: &str = "1 to 64 characters of a-z 0-9 - _ .";
@@ -10,8 +12,12 @@
 const MIN_MISSED_HEARTBEATS: u64 = 3;
 
 /// Checks every bound and returns the first one broken.
-pub(crate) fn check_settings(file: &Path, settings: &DaemonSettings) -> Result<(), SettingsError> {
-    let checker = BoundChecker { file };
+pub(crate) fn check_settings(
+    file: &Path,
+    text: &str,
+    settings: &DaemonSettings,
+) -> Result<(), SettingsError> {
+    let checker = BoundChecker { file, text };
     checker.name("instance.name", &settings.instance.name)?;
     checker.name("instance.data_centre", &settings.instance.data_centre)?;
     checker.name("instance.region", &settings.instance.region)?;
@@ -41,8 +47,8 @@
     checker.holds(
         "operators.manager_sha256",
         "malformed",
-        hash.is_empty() || (hash.len() == 64 && hash.bytes().all(|b| b.is_ascii_hexdigit())),
-        "64 hexadecimal digits, or empty",
+        hash.is_empty() || (hash.len() == 64 && hash.bytes().all(is_hash_byte)),
+        "64 hexadecimal digits in lower case, or empty",
     )
 }
 
@@ -72,6 +78,7 @@
 
 struct BoundChecker<'a> {
     file: &'a Path,
+    text: &'a str,
 }
 
 impl BoundChecker<'_> {
@@ -86,7 +93,14 @@
             return Ok(());
         }
         let (file, found) = (self.file.to_owned(), found.to_owned());
-        Err(SettingsError::Bound { file, key, found, allowed })
+        let place = self.place(&[key]);
+        Err(SettingsError::Bound { file, place, key, found, allowed })
+    }
+
+    /// Gives the place of the first of the keys that the file sets.
+    fn place(&self, keys: &[&str]) -> TextPlace {
+        let found = keys.iter().find_map(|key| TextPlace::of_key(self.text, key));
+        found.unwrap_or(TextPlace::START)
     }
 
     fn range(
@@ -115,7 +129,8 @@
             let clash = named[index + 1..].iter().find(|(_, other)| is_clash(*address, *other));
             if let Some((second, _)) = clash {
                 let (file, address) = (self.file.to_owned(), address.to_string());
-                return Err(SettingsError::Clash { file, first, second, address });
+                let place = self.place(&[*first, *second]);
+                return Err(SettingsError::Clash { file, place, first, second, address });
             }
         }
         Ok(())
@@ -131,3 +146,9 @@
 fn is_name_byte(byte: u8) -> bool {
     matches!(byte, b'a'..=b'z' | b'0'..=b'9' | b'-' | b'_' | b'.')
 }
+
+/// Hashes are compared byte by byte with ones written in lower case; digits in upper case would
+/// refuse every token without a word why.
+fn is_hash_byte(byte: u8) -> bool {
+    matches!(byte, b'0'..=b'9' | b'a'..=b'f')
+}
--- a/components/settings/src/error.rs
+++ b/components/settings/src/error.rs
@@ -2,8 +2,11 @@
 
 use std::path::PathBuf;
 
+use sk_model::TextPlace;
 use thiserror::Error;
 
+use crate::MAX_SETTINGS_BYTES;
+
 /// Why settings cannot be used.
 #[derive(Debug, Error)]
 pub enum SettingsError {
@@ -15,19 +18,29 @@
         /// What the system said.
         source: std::io::Error,
     },
+    /// The file is larger than settings may be.
+    #[error("{}: larger than {MAX_SETTINGS_BYTES} bytes", file.display())]
+    TooLarge {
+        /// The file.
+        file: PathBuf,
+    },
     /// The text is not TOML, has an unknown key or a value of the wrong type.
-    #[error("{}: {reason}", file.display())]
+    #[error("{}:{place}: {reason}", file.display())]
     Syntax {
         /// The file.
         file: PathBuf,
-        /// Line, key and what is expected there.
+        /// Line and column.
+        place: TextPlace,
+        /// The key and what is expected there.
         reason: String,
     },
     /// A value is outside its bounds.
-    #[error("{}: `{key}` is {found}; allowed: {allowed}", file.display())]
+    #[error("{}:{place}: `{key}` is {found}; allowed: {allowed}", file.display())]
     Bound {
         /// The file.
         file: PathBuf,
+        /// Line and column of the key; the start of the file where a default is at fault.
+        place: TextPlace,
         /// Dotted key.
         key: &'static str,
         /// What was found.
@@ -36,10 +49,15 @@
         allowed: &'static str,
     },
     /// Two keys name the same address.
-    #[error("{}: `{first}` and `{second}` are both {address}; allowed: distinct addresses", file.display())]
+    #[error(
+        "{}:{place}: `{first}` and `{second}` are both {address}; allowed: distinct addresses",
+        file.display()
+    )]
     Clash {
         /// The file.
         file: PathBuf,
+        /// Line and column of the first of the two that the file sets.
+        place: TextPlace,
         /// The first dotted key.
         first: &'static str,
         /// The second dotted key.
--- a/components/settings/src/lib.rs
+++ b/components/settings/src/lib.rs
@@ -13,7 +13,13 @@
 };
 pub use error::SettingsError;
 
-use std::path::Path;
+use std::{fs::File, io::Read, path::Path};
+
+use sk_model::TextPlace;
+
+/// Largest settings file, in bytes. A fleet's thousand seeds fit; a wrong file named by mistake
+/// does not fill the memory.
+pub const MAX_SETTINGS_BYTES: u64 = 64 * 1024;
 
 /// Reads and checks the settings in a file.
 ///
@@ -21,9 +27,17 @@
 ///
 /// Returns a [`SettingsError`] that names the file, the key and what is allowed.
 pub fn read_settings(file: &Path) -> Result<DaemonSettings, SettingsError> {
-    let text = std::fs::read_to_string(file)
-        .map_err(|source| SettingsError::Read { file: file.to_owned(), source })?;
-    parse_settings(file, &text)
+    let mut text = String::new();
+    let opened = File::open(file);
+    let read =
+        opened.and_then(|opened| opened.take(MAX_SETTINGS_BYTES + 1).read_to_string(&mut text));
+    match read {
+        Ok(size) if size as u64 > MAX_SETTINGS_BYTES => {
+            Err(SettingsError::TooLarge { file: file.to_owned() })
+        }
+        Ok(_) => parse_settings(file, &text),
+        Err(source) => Err(SettingsError::Read { file: file.to_owned(), source }),
+    }
 }
 
 /// Parses and checks settings; `file` is named in errors only.
@@ -32,8 +46,11 @@
 ///
 /// Returns a [`SettingsError`] that names the file, the key and what is allowed.
 pub fn parse_settings(file: &Path, text: &str) -> Result<DaemonSettings, SettingsError> {
-    let settings: DaemonSettings = toml::from_str(text)
-        .map_err(|err| SettingsError::Syntax { file: file.to_owned(), reason: err.to_string() })?;
-    check::check_settings(file, &settings)?;
+    let settings: DaemonSettings = toml::from_str(text).map_err(|err| SettingsError::Syntax {
+        file: file.to_owned(),
+        place: TextPlace::of_error(text, &err),
+        reason: TextPlace::describe_error(text, &err),
+    })?;
+    check::check_settings(file, text, &settings)?;
     Ok(settings)
 }
