--- a/src/cli.rs
+++ b/src/cli.rs
@@ -5,6 +5,8 @@
 use gumdrop::Options;
 
 /// Operates a fleet: changes settings and reads reports.
+///
+/// Exit codes: 0 done, 1 refused and nothing was done, 2 called wrongly, 3 outcome unknown.
 #[derive(Debug, Options)]
 pub struct CliArgs {
     /// Print this help
@@ -57,11 +59,18 @@
     pub once: bool,
 }
 
-/// Arguments of `check`.
+/// Checks offline: a file as settings of a daemon, a directory as declarations.
+///
+/// DIR/<team>/a/b.toml declares the setting /<team>/a/b. Hidden entries and .md files are passed
+/// over. Any other name is refused, so that a mistyped name is not dropped without a word.
+/// Faults are printed as FILE:LINE:COLUMN. Exit codes: 0 all good, 1 faults found, 2 called wrongly.
 #[derive(Debug, Options)]
 pub struct CheckArgs {
     /// Print this help
     pub help: bool,
+    /// Print data as JSON
+    #[options(no_short)]
+    pub json: bool,
     /// Settings files and directories of declarations
     #[options(free, required)]
     pub paths: Vec<PathBuf>,
@@ -72,6 +81,9 @@
 pub struct PlanArgs {
     /// Print this help
     pub help: bool,
+    /// Print data as JSON
+    #[options(no_short)]
+    pub json: bool,
     /// Directory of declarations, with one directory a team
     #[options(free, required)]
     pub directory: PathBuf,
@@ -84,6 +96,9 @@
 pub struct ApplyArgs {
     /// Print this help
     pub help: bool,
+    /// Print data as JSON
+    #[options(no_short)]
+    pub json: bool,
     /// Directory of declarations, with one directory a team
     #[options(free, required)]
     pub directory: PathBuf,
@@ -100,7 +115,7 @@
     pub change_id: Option<String>,
     /// Wait until it is in force everywhere
     pub wait: bool,
-    /// Seconds to wait at most; needs the managers' token in SAPPHIREKEEL_MANAGER_TOKEN
+    /// Seconds to wait at most; reads the report with the token in SAPPHIREKEEL_MANAGER_TOKEN
     #[options(no_short, default = "30", meta = "SECONDS")]
     pub wait_bound: u64,
 }
@@ -110,6 +125,9 @@
 pub struct WithdrawArgs {
     /// Print this help
     pub help: bool,
+    /// Print data as JSON
+    #[options(no_short)]
+    pub json: bool,
     /// Path of the setting
     #[options(free, required)]
     pub path: String,
@@ -126,6 +144,9 @@
 pub struct GetArgs {
     /// Print this help
     pub help: bool,
+    /// Print data as JSON
+    #[options(no_short)]
+    pub json: bool,
     /// Team; all teams with the managers' token
     #[options(free)]
     pub team: Option<String>,
@@ -136,6 +157,9 @@
 pub struct ReportArgs {
     /// Print this help
     pub help: bool,
+    /// Print data as JSON
+    #[options(no_short)]
+    pub json: bool,
     /// Print comma-separated values
     #[options(no_short)]
     pub csv: bool,
@@ -151,6 +175,12 @@
     /// Changes from a version on
     #[options(no_short, meta = "VERSION")]
     pub from: Option<u64>,
+    /// Changes accepted at this time or later, in milliseconds since 1970-01-01 UTC
+    #[options(no_short, meta = "UNIX_MS")]
+    pub since: Option<u64>,
+    /// Changes accepted before this time, in milliseconds since 1970-01-01 UTC
+    #[options(no_short, meta = "UNIX_MS")]
+    pub until: Option<u64>,
     /// One proxy only
     #[options(no_short)]
     pub proxy: Option<String>,
@@ -161,6 +191,9 @@
 pub struct StateArgs {
     /// Print this help
     pub help: bool,
+    /// Print data as JSON
+    #[options(no_short)]
+    pub json: bool,
 }
 
 /// Arguments of `team`.
@@ -175,3 +208,19 @@
     #[options(no_short, required, meta = "HASH")]
     pub token_sha256: String,
 }
+
+impl CliCommand {
+    /// Tells whether the subcommand itself asks for JSON.
+    pub fn is_json(&self) -> bool {
+        match self {
+            Self::Demo(_) | Self::Team(_) => false,
+            Self::Check(args) => args.json,
+            Self::Plan(args) => args.json,
+            Self::Apply(args) => args.json,
+            Self::Withdraw(args) => args.json,
+            Self::Get(args) => args.json,
+            Self::Report(args) => args.json,
+            Self::State(args) => args.json,
+        }
+    }
+}
--- a/src/client.rs
+++ b/src/client.rs
@@ -4,13 +4,14 @@
 
 use anyhow::{Context, bail};
 use http_body_util::{BodyExt, Full, Limited};
-use hyper::{Method, Request, body::Bytes, header};
+use hyper::{Method, Request, StatusCode, body::Bytes, header, http};
 use hyper_util::{
     client::legacy::{Client, connect::HttpConnector},
     rt::TokioExecutor,
 };
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 use sk_ops::OpsError;
+use thiserror::Error;
 
 /// Longer than a submit's own bound, so that the daemon's answer comes before ours.
 const CALL_TIMEOUT: Duration = Duration::from_secs(15);
@@ -31,12 +32,43 @@
 }
 
 /// A call that gave no result.
-#[derive(Debug)]
+#[derive(Debug, Error)]
 pub enum CallError {
     /// The daemon refused, or said that the outcome is unknown.
+    #[error(transparent)]
     Refused(OpsError),
+    /// The call reached nobody, or was a read whose answer did not come: nothing was changed.
+    #[error("{0}")]
+    NotDone(ExchangeError),
     /// No answer came; a change that was submitted may be accepted.
-    NoAnswer(anyhow::Error),
+    #[error("{0}")]
+    NoAnswer(ExchangeError),
+}
+
+/// Why an exchange of a request and its answer failed.
+#[derive(Debug, Error)]
+pub enum ExchangeError {
+    /// The request could not be made.
+    #[error("cannot make the request: {0}")]
+    Request(#[from] http::Error),
+    /// Nobody accepted the connection.
+    #[error("daemon {0} is away")]
+    Connect(String),
+    /// The connection ended before the answer.
+    #[error("connection broke: {0}")]
+    Broken(#[from] hyper_util::client::legacy::Error),
+    /// The answer's body ended early or is too long.
+    #[error("answer broke off: {0}")]
+    Body(Box<dyn std::error::Error + Send + Sync>),
+    /// The bound passed.
+    #[error("no answer within {} s", CALL_TIMEOUT.as_secs())]
+    Timeout,
+    /// The answer is not one that a daemon gives.
+    #[error("daemon answered {0} with what cannot be read")]
+    Unreadable(StatusCode),
+    /// The body cannot be encoded.
+    #[error("cannot encode: {0}")]
+    Encode(#[from] serde_json::Error),
 }
 
 impl OpsClient {
@@ -73,10 +105,13 @@
         Self::new(self.daemon.clone(), token)
     }
 
-    /// Reads.
+    /// Reads. A read that fails has changed nothing.
     pub async fn get<T: DeserializeOwned>(&self, path: &str) -> Result<T, CallError> {
-        let body = self.call(Method::GET, path, Bytes::new()).await?;
-        serde_json::from_slice(&body).map_err(|err| CallError::NoAnswer(err.into()))
+        let answer = self.call(Method::GET, path, Bytes::new()).await;
+        match answer.and_then(|(status, body)| decode(status, &body)) {
+            Err(CallError::NoAnswer(err)) => Err(CallError::NotDone(err)),
+            result => result,
+        }
     }
 
     /// Submits.
@@ -85,8 +120,8 @@
         path: &str,
         body: &B,
     ) -> Result<T, CallError> {
-        let body = self.call(Method::POST, path, encode(body)?).await?;
-        serde_json::from_slice(&body).map_err(|err| CallError::NoAnswer(err.into()))
+        let (status, body) = self.call(Method::POST, path, encode(body)?).await?;
+        decode(status, &body)
     }
 
     /// Writes.
@@ -94,35 +129,66 @@
         self.call(Method::PUT, path, encode(body)?).await.map(drop)
     }
 
-    async fn call(&self, method: Method, path: &str, body: Bytes) -> Result<Bytes, CallError> {
-        let exchange = async {
-            let request = Request::builder()
-                .method(method)
-                .uri(format!("http://{}{path}", self.daemon))
-                .header(header::AUTHORIZATION, format!("Bearer {}", self.token))
-                .header(header::CONTENT_TYPE, "application/json")
-                .body(Full::new(body))?;
-            let response = self.client.request(request).await.context("daemon is away")?;
-            let status = response.status();
-            let body = Limited::new(response.into_body(), MAX_ANSWER_BYTES).collect().await;
-            let body = body.map_err(|err| anyhow::anyhow!(err))?.to_bytes();
-            anyhow::Ok((status, body))
-        };
-        let (status, body) = match tokio::time::timeout(CALL_TIMEOUT, exchange).await {
-            Ok(answer) => answer.map_err(CallError::NoAnswer)?,
-            Err(_) => return Err(CallError::NoAnswer(anyhow::anyhow!("no answer in time"))),
+    async fn call(
+        &self,
+        method: Method,
+        path: &str,
+        body: Bytes,
+    ) -> Result<(StatusCode, Bytes), CallError> {
+        let request = self.make_request(method, path, body).map_err(CallError::NotDone)?;
+        let exchange = tokio::time::timeout(CALL_TIMEOUT, self.exchange(request)).await;
+        let (status, body) = match exchange {
+            Ok(Ok(answer)) => answer,
+            Ok(Err(err @ ExchangeError::Connect(_))) => return Err(CallError::NotDone(err)),
+            Ok(Err(err)) => return Err(CallError::NoAnswer(err)),
+            Err(_) => return Err(CallError::NoAnswer(ExchangeError::Timeout)),
         };
-        if status.is_success() {
-            return Ok(body);
-        }
         match serde_json::from_slice(&body) {
+            _ if status.is_success() => Ok((status, body)),
             Ok(refusal) => Err(CallError::Refused(refusal)),
-            Err(_) => Err(CallError::NoAnswer(anyhow::anyhow!("daemon answered {status}"))),
+            Err(_) => Err(CallError::NoAnswer(ExchangeError::Unreadable(status))),
         }
     }
+
+    fn make_request(
+        &self,
+        method: Method,
+        path: &str,
+        body: Bytes,
+    ) -> Result<Request<Full<Bytes>>, ExchangeError> {
+        Ok(Request::builder()
+            .method(method)
+            .uri(format!("http://{}{path}", self.daemon))
+            .header(header::AUTHORIZATION, format!("Bearer {}", self.token))
+            .header(header::CONTENT_TYPE, "application/json")
+            .body(Full::new(body))?)
+    }
+
+    async fn exchange(
+        &self,
+        request: Request<Full<Bytes>>,
+    ) -> Result<(StatusCode, Bytes), ExchangeError> {
+        let response = match self.client.request(request).await {
+            Ok(response) => response,
+            // Told apart from other failures, because nothing can have been done.
+            Err(err) if err.is_connect() => {
+                return Err(ExchangeError::Connect(self.daemon.clone()));
+            }
+            Err(err) => return Err(ExchangeError::Broken(err)),
+        };
+        let status = response.status();
+        let body = Limited::new(response.into_body(), MAX_ANSWER_BYTES).collect().await;
+        let body = body.map_err(ExchangeError::Body)?;
+        Ok((status, body.to_bytes()))
+    }
 }
 
 fn encode<B: Serialize>(body: &B) -> Result<Bytes, CallError> {
     let json = serde_json::to_vec(body);
-    json.map(Bytes::from).map_err(|err| CallError::NoAnswer(err.into()))
+    json.map(Bytes::from).map_err(|err| CallError::NotDone(err.into()))
+}
+
+fn decode<T: DeserializeOwned>(status: StatusCode, body: &[u8]) -> Result<T, CallError> {
+    let unreadable = |_| CallError::NoAnswer(ExchangeError::Unreadable(status));
+    serde_json::from_slice(body).map_err(unreadable)
 }
--- a/src/cmd/apply.rs
+++ b/src/cmd/apply.rs
@@ -1,14 +1,17 @@
 //! Makes a team's settings what a directory declares.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
-use sk_model::{ChangeRecord, ChangeRequest, hash_json};
-use sk_report::{FleetReport, ProxyState};
+use sk_ledger::MAX_WRITES;
+use sk_model::{ChangeRecord, ChangeRequest, make_writes};
 
-use super::{CmdOutcome, explain, plan::read_accepted, print_json};
-use crate::{cli::ApplyArgs, client::OpsClient, declared::read_team, diff::make_writes};
+use super::{
+    CmdOutcome, explain, plan::read_accepted, print_json, refuse, submit::submit, wait::wait,
+};
+use crate::{cli::ApplyArgs, client::OpsClient, declared::read_team};
 
-const POLL_INTERVAL: Duration = Duration::from_millis(200);
+/// Variable with the managers' token, by which `--wait` reads the report.
+const MANAGER_VARIABLE: &str = "SAPPHIREKEEL_MANAGER_TOKEN";
 
 /// Applies a directory, and waits for the fleet where that was asked for.
 pub async fn run(
@@ -16,104 +19,54 @@
     args: &ApplyArgs,
     is_json: bool,
 ) -> anyhow::Result<CmdOutcome> {
-    let (team, declared) = read_team(&args.directory, args.team.as_deref())?;
-    let accepted = match read_accepted(client, &team).await {
-        Ok(accepted) => accepted,
-        Err(err) => return Ok(explain(&err)),
+    // Looked for before anything is sent: a usage error after the submit would hide its outcome.
+    let manager = match std::env::var(MANAGER_VARIABLE) {
+        _ if !args.wait => None,
+        Ok(token) => Some(client.with_token(token)),
+        Err(_) => anyhow::bail!("--wait reads the report: set {MANAGER_VARIABLE}"),
     };
-    let writes = make_writes(&accepted.settings, &declared);
-    if writes.is_empty() {
-        println!("nothing to change on top of version {}", accepted.version);
+    let request = match make_request(client, args).await {
+        Ok(request) => request,
+        Err(outcome) => return Ok(outcome),
+    };
+    if request.writes.is_empty() {
+        match is_json {
+            true => print_json(&None::<ChangeRecord>)?,
+            false => println!("nothing to change on top of version {}", request.base),
+        }
         return Ok(CmdOutcome::Done);
     }
-    let request = ChangeRequest {
-        change_id: args.change_id.clone().unwrap_or_default(),
-        team,
-        author: args.author.clone(),
-        revision: args.revision.clone(),
-        base: accepted.version,
-        writes,
-    };
     let record = match submit(client, request, is_json).await? {
         Ok(record) => record,
         Err(outcome) => return Ok(outcome),
     };
-    match args.wait {
-        true => wait(client, &record, Duration::from_secs(args.wait_bound)).await,
-        false => Ok(CmdOutcome::Done),
-    }
-}
-
-/// Submits a change and prints what became of it.
-pub async fn submit(
-    client: &OpsClient,
-    mut request: ChangeRequest,
-    is_json: bool,
-) -> anyhow::Result<Result<ChangeRecord, CmdOutcome>> {
-    if request.change_id.is_empty() {
-        // Made from the content, so that running the command again after a lost answer asks
-        // about the same change instead of making another.
-        let digest = hash_json(&request);
-        request.change_id = format!("{}-{}", request.team, &digest[..16]);
-    }
-    match client.post::<_, ChangeRecord>("/v1/changes", &request).await {
-        Ok(record) => {
-            match is_json {
-                true => print_json(&record)?,
-                false => {
-                    println!("accepted as version {} (change {})", record.version, record.change_id)
-                }
-            }
-            Ok(Ok(record))
-        }
-        Err(err) => {
-            let outcome = explain(&err);
-            if outcome == CmdOutcome::Unknown {
-                eprintln!(
-                    "run the same command again; change {} takes effect once",
-                    request.change_id
-                );
-            }
-            Ok(Err(outcome))
+    match manager {
+        Some(manager) => {
+            let bound = Duration::from_secs(args.wait_bound);
+            Ok(wait(&manager, record.version, bound, is_json).await)
         }
+        None => Ok(CmdOutcome::Done),
     }
 }
 
-async fn wait(
-    client: &OpsClient,
-    record: &ChangeRecord,
-    bound: Duration,
-) -> anyhow::Result<CmdOutcome> {
-    let manager = match std::env::var("SAPPHIREKEEL_MANAGER_TOKEN") {
-        Ok(token) => client.with_token(token),
-        Err(_) => anyhow::bail!("--wait reads the report: set SAPPHIREKEEL_MANAGER_TOKEN"),
-    };
-    let begin = Instant::now();
-    let mut last = usize::MAX;
-    loop {
-        let report: FleetReport = match manager.get("/v1/report").await {
-            Ok(report) => report,
-            Err(err) => return Ok(explain(&err)),
-        };
-        let is_missing =
-            |state: &ProxyState, version| *state != ProxyState::InForce && version < record.version;
-        let missing: Vec<&str> = report
-            .proxies
-            .iter()
-            .filter(|proxy| is_missing(&proxy.state, proxy.version))
-            .map(|proxy| proxy.proxy.as_str())
-            .collect();
-        if missing.len() != last {
-            last = missing.len();
-            println!("in force on {} of {}", report.total - missing.len(), report.total);
-        }
-        if missing.is_empty() && report.total > 0 {
-            return Ok(CmdOutcome::Done);
-        }
-        if begin.elapsed() > bound {
-            eprintln!("unknown: not in force in time on {}", missing.join(" "));
-            return Ok(CmdOutcome::Unknown);
-        }
-        tokio::time::sleep(POLL_INTERVAL).await;
+async fn make_request(client: &OpsClient, args: &ApplyArgs) -> Result<ChangeRequest, CmdOutcome> {
+    let declared = read_team(&args.directory, args.team.as_deref());
+    let (team, declared) = declared.map_err(|err| refuse(&err))?;
+    let accepted = read_accepted(client, &team).await.map_err(|err| explain(&err))?;
+    let writes = make_writes(&accepted.settings, &declared);
+    if writes.len() > MAX_WRITES {
+        eprintln!(
+            "refused: {} writes are more than the {MAX_WRITES} of one change; apply in parts",
+            writes.len()
+        );
+        return Err(CmdOutcome::Refused);
     }
+    Ok(ChangeRequest {
+        change_id: args.change_id.clone().unwrap_or_default(),
+        team,
+        author: args.author.clone(),
+        revision: args.revision.clone(),
+        base: accepted.version,
+        writes,
+    })
 }
--- a/src/cmd/check.rs
+++ b/src/cmd/check.rs
@@ -1,40 +1,83 @@
 //! Checks settings and declarations offline.
 
-use std::{collections::BTreeMap, path::Path, sync::Arc};
+use std::{
+    collections::BTreeMap,
+    path::{Path, PathBuf},
+    sync::Arc,
+};
 
+use serde::Serialize;
 use sk_model::{TeamTree, validate_trees};
 
-use super::CmdOutcome;
-use crate::{cli::CheckArgs, declared::read_declarations};
+use super::{CmdOutcome, print_json};
+use crate::{
+    cli::CheckArgs,
+    declared::{DeclaredTeams, read_declarations},
+};
+
+/// What was found at one path.
+#[derive(Serialize)]
+struct CheckedPath {
+    path: PathBuf,
+    /// What it holds, where it is good.
+    found: Option<String>,
+    faults: Vec<String>,
+}
 
 /// Checks each path: a directory as declarations, a file as settings of a daemon.
-pub fn run(args: &CheckArgs) -> CmdOutcome {
-    let mut is_good = true;
-    for path in &args.paths {
-        match check_path(path) {
-            Ok(found) => println!("{}: {found}", path.display()),
-            Err(err) => {
-                eprintln!("{err:#}");
-                is_good = false;
-            }
-        }
+pub fn run(args: &CheckArgs, is_json: bool) -> anyhow::Result<CmdOutcome> {
+    let checked: Vec<CheckedPath> = args.paths.iter().map(|path| check_path(path)).collect();
+    match is_json {
+        true => print_json(&checked)?,
+        false => checked.iter().for_each(print_checked),
+    }
+    match checked.iter().all(|checked| checked.faults.is_empty()) {
+        true => Ok(CmdOutcome::Done),
+        false => Ok(CmdOutcome::Refused),
     }
-    if is_good { CmdOutcome::Done } else { CmdOutcome::Refused }
 }
 
-fn check_path(path: &Path) -> anyhow::Result<String> {
-    if !path.is_dir() {
-        let settings = sk_settings::read_settings(path)?;
-        return Ok(format!("good settings of {}", settings.instance.name));
+fn print_checked(checked: &CheckedPath) {
+    if let Some(found) = &checked.found {
+        println!("{}: {found}", checked.path.display());
     }
-    let mut trees = BTreeMap::new();
-    let mut count = 0;
-    for (team, settings) in read_declarations(path)? {
-        count += settings.len();
-        trees.insert(team, Arc::new(TeamTree { settings }));
+    checked.faults.iter().for_each(|fault| eprintln!("{fault}"));
+}
+
+fn check_path(path: &Path) -> CheckedPath {
+    let result = match path.is_dir() {
+        true => check_directory(path),
+        false => check_settings(path),
+    };
+    let path = path.to_owned();
+    match result {
+        Ok(found) => CheckedPath { path, found: Some(found), faults: Vec::new() },
+        Err(faults) => CheckedPath { path, found: None, faults },
     }
-    let faults = validate_trees(&trees);
-    let list: Vec<String> = faults.iter().map(|fault| format!("  {fault}")).collect();
-    anyhow::ensure!(faults.is_empty(), "{}:\n{}", path.display(), list.join("\n"));
-    Ok(format!("{count} good declarations"))
+}
+
+fn check_settings(file: &Path) -> Result<String, Vec<String>> {
+    match sk_settings::read_settings(file) {
+        Ok(settings) => Ok(format!("good settings of {}", settings.instance.name)),
+        Err(err) => Err(vec![err.to_string()]),
+    }
+}
+
+fn check_directory(directory: &Path) -> Result<String, Vec<String>> {
+    let list = |faults: Vec<_>| faults.iter().map(ToString::to_string).collect::<Vec<_>>();
+    let teams = read_declarations(directory).map_err(|faults| list(faults.0))?;
+    let count: usize = teams.values().map(BTreeMap::len).sum();
+    let faults = validate_trees(&make_trees(teams));
+    match faults.is_empty() {
+        true => Ok(format!("{count} good declarations")),
+        false => {
+            let place = directory.display();
+            Err(faults.iter().map(|fault| format!("{place}: {fault}")).collect())
+        }
+    }
+}
+
+fn make_trees(teams: DeclaredTeams) -> BTreeMap<String, Arc<TeamTree>> {
+    let tree = |settings| Arc::new(TeamTree { settings });
+    teams.into_iter().map(|(team, settings)| (team, tree(settings))).collect()
 }
--- a/src/cmd/demo.rs
+++ b/src/cmd/demo.rs
@@ -12,7 +12,9 @@
 use hyper::body::Bytes;
 use hyper_util::{client::legacy::Client, rt::TokioExecutor};
 use sk_daemon::{DaemonHandle, start_daemon};
-use sk_model::{ChangeRecord, ChangeRequest, SettingBody, SettingPath, parse_declaration};
+use sk_model::{
+    ChangeRecord, ChangeRequest, SettingBody, SettingPath, make_writes, parse_declaration,
+};
 use sk_ops::{StateDump, TeamRecord, hash_token};
 use sk_report::FleetReport;
 use sk_settings::parse_settings;
@@ -21,11 +23,7 @@
 };
 
 use super::{CmdOutcome, report::render_report};
-use crate::{
-    cli::DemoArgs,
-    client::{CallError, OpsClient},
-    diff::{make_writes, render_writes},
-};
+use crate::{cli::DemoArgs, client::OpsClient, diff::render_writes};
 
 const MANAGER_TOKEN: &str = "demo manager";
 const TEAM_TOKEN: &str = "demo team";
@@ -168,7 +166,7 @@
     let manager = OpsClient::new(daemon.clone(), MANAGER_TOKEN.to_owned());
     let operator = OpsClient::new(daemon, TEAM_TOKEN.to_owned());
     let team = TeamRecord { token_sha256: hash_token(TEAM_TOKEN) };
-    manager.put(&format!("/v1/teams/{TEAM}"), &team).await.map_err(call_error)?;
+    manager.put(&format!("/v1/teams/{TEAM}"), &team).await?;
 
     wait_members(&manager).await?;
     let mut declared = BTreeMap::new();
@@ -205,7 +203,7 @@
     base: u64,
 ) -> anyhow::Result<ChangeRecord> {
     let writes = make_writes(accepted, declared);
-    print!("\n{}", render_writes(accepted, &writes));
+    print!("\n{}", render_writes(accepted, base, &writes));
     let request = ChangeRequest {
         change_id: format!("demo-{}", base + 1),
         team: TEAM.to_owned(),
@@ -214,14 +212,14 @@
         base,
         writes,
     };
-    operator.post("/v1/changes", &request).await.map_err(call_error)
+    Ok(operator.post("/v1/changes", &request).await?)
 }
 
 /// Waits until every daemon knows of every other, so that "everywhere" means all three.
 async fn wait_members(manager: &OpsClient) -> anyhow::Result<()> {
     let begin = Instant::now();
     loop {
-        let report: FleetReport = manager.get("/v1/report").await.map_err(call_error)?;
+        let report: FleetReport = manager.get("/v1/report").await?;
         if report.total == DAEMONS.len() {
             return Ok(());
         }
@@ -233,7 +231,7 @@
 async fn wait_in_force(manager: &OpsClient, record: &ChangeRecord) -> anyhow::Result<FleetReport> {
     let begin = Instant::now();
     loop {
-        let report: FleetReport = manager.get("/v1/report").await.map_err(call_error)?;
+        let report: FleetReport = manager.get("/v1/report").await?;
         if report.version >= record.version && report.in_force == report.total {
             return Ok(report);
         }
@@ -262,7 +260,7 @@
     let mut sum = 0;
     for daemon in &fleet.daemons {
         let client = OpsClient::new(daemon.addresses().ops.to_string(), String::new());
-        sum += client.get::<StateDump>("/v1/state").await.map_err(call_error)?.control_sent;
+        sum += client.get::<StateDump>("/v1/state").await?.control_sent;
     }
     Ok(sum)
 }
@@ -278,10 +276,3 @@
     ensure!(is_clean, "a daemon cut off requests");
     fleet.platform.stop().await.context("platform")
 }
-
-fn call_error(err: CallError) -> anyhow::Error {
-    match err {
-        CallError::Refused(err) => err.into(),
-        CallError::NoAnswer(err) => err,
-    }
-}
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -7,7 +7,9 @@
 mod plan;
 mod report;
 mod state;
+mod submit;
 mod team;
+mod wait;
 mod withdraw;
 
 use std::process::ExitCode;
@@ -52,31 +54,9 @@
         eprintln!("{}", CliArgs::command_list().unwrap_or_default());
         return CmdOutcome::Usage.into();
     };
-    let is_json = args.json;
+    let is_json = args.json || command.is_json();
     let client = || OpsClient::from_args(args.daemon, args.token, args.config.as_deref());
-    let result = match command {
-        CliCommand::Demo(demo) => demo::run(&demo).await,
-        CliCommand::Check(check) => Ok(check::run(&check)),
-        CliCommand::Plan(plan) => {
-            with(client(), async |client| plan::run(&client, &plan).await).await
-        }
-        CliCommand::Apply(apply) => {
-            with(client(), async |client| apply::run(&client, &apply, is_json).await).await
-        }
-        CliCommand::Withdraw(withdraw) => {
-            with(client(), async |client| withdraw::run(&client, &withdraw, is_json).await).await
-        }
-        CliCommand::Get(get) => {
-            with(client(), async |client| get::run(&client, &get, is_json).await).await
-        }
-        CliCommand::Report(report) => {
-            with(client(), async |client| report::run(&client, &report, is_json).await).await
-        }
-        CliCommand::State(_) => with(client(), async |client| state::run(&client).await).await,
-        CliCommand::Team(team) => {
-            with(client(), async |client| team::run(&client, &team).await).await
-        }
-    };
+    let result = run_command(command, client, is_json).await;
     match result {
         Ok(outcome) => outcome.into(),
         Err(err) => {
@@ -86,11 +66,29 @@
     }
 }
 
-async fn with(
-    client: anyhow::Result<OpsClient>,
-    command: impl AsyncFnOnce(OpsClient) -> anyhow::Result<CmdOutcome>,
+/// Runs a subcommand; the client is made only by those that call a daemon.
+async fn run_command(
+    command: CliCommand,
+    client: impl FnOnce() -> anyhow::Result<OpsClient>,
+    is_json: bool,
 ) -> anyhow::Result<CmdOutcome> {
-    command(client?).await
+    match command {
+        CliCommand::Demo(args) => demo::run(&args).await,
+        CliCommand::Check(args) => check::run(&args, is_json),
+        CliCommand::Plan(args) => plan::run(&client()?, &args, is_json).await,
+        CliCommand::Apply(args) => apply::run(&client()?, &args, is_json).await,
+        CliCommand::Withdraw(args) => withdraw::run(&client()?, &args, is_json).await,
+        CliCommand::Get(args) => get::run(&client()?, &args, is_json).await,
+        CliCommand::Report(args) => report::run(&client()?, &args, is_json).await,
+        CliCommand::State(_) => state::run(&client()?).await,
+        CliCommand::Team(args) => team::run(&client()?, &args).await,
+    }
+}
+
+/// Prints why the command line itself refuses.
+pub fn refuse(err: &dyn std::error::Error) -> CmdOutcome {
+    eprintln!("refused: {err}");
+    CmdOutcome::Refused
 }
 
 /// Prints why a call gave no result and tells how the command ended.
@@ -117,6 +115,10 @@
             eprintln!("refused: {err}");
             CmdOutcome::Refused
         }
+        CallError::NotDone(err) => {
+            eprintln!("refused: {err:#}; nothing was done");
+            CmdOutcome::Refused
+        }
         CallError::NoAnswer(err) => {
             eprintln!("unknown: {err:#}");
             CmdOutcome::Unknown
--- a/src/cmd/plan.rs
+++ b/src/cmd/plan.rs
@@ -1,28 +1,53 @@
 //! Shows what apply would change.
 
+use serde::Serialize;
+use sk_model::{SettingWrites, TeamName, Version, make_writes};
 use sk_ops::{HeldView, TeamView};
 
-use super::{CmdOutcome, explain};
+use super::{CmdOutcome, explain, print_json, refuse};
 use crate::{
     cli::PlanArgs,
     client::{CallError, OpsClient},
     declared::read_team,
-    diff::{make_writes, render_writes},
+    diff::{count_writes, render_writes},
 };
 
+/// What apply would submit.
+#[derive(Serialize)]
+struct ChangePlan<'a> {
+    team: &'a TeamName,
+    base: Version,
+    writes: &'a SettingWrites,
+}
+
 /// Prints the difference between what is accepted and what is declared.
-pub async fn run(client: &OpsClient, args: &PlanArgs) -> anyhow::Result<CmdOutcome> {
-    let (team, declared) = read_team(&args.directory, args.team.as_deref())?;
+pub async fn run(client: &OpsClient, args: &PlanArgs, is_json: bool) -> anyhow::Result<CmdOutcome> {
+    let (team, declared) = match read_team(&args.directory, args.team.as_deref()) {
+        Ok(found) => found,
+        Err(err) => return Ok(refuse(&err)),
+    };
     let accepted = match read_accepted(client, &team).await {
         Ok(accepted) => accepted,
         Err(err) => return Ok(explain(&err)),
     };
     let writes = make_writes(&accepted.settings, &declared);
-    print!("{}", render_writes(&accepted.settings, &writes));
-    println!("{} to write or withdraw, on top of version {}", writes.len(), accepted.version);
+    match is_json {
+        true => print_json(&ChangePlan { team: &team, base: accepted.version, writes: &writes })?,
+        false => print_plan(&accepted, &writes),
+    }
     Ok(CmdOutcome::Done)
 }
 
+fn print_plan(accepted: &TeamView, writes: &SettingWrites) {
+    let version = accepted.version;
+    print!("{}", render_writes(&accepted.settings, version, writes));
+    let counts = count_writes(&accepted.settings, writes);
+    println!(
+        "{} to add, {} to change, {} to withdraw, on top of version {version}",
+        counts.added, counts.changed, counts.withdrawn
+    );
+}
+
 /// Reads a team's accepted settings; a team without any has version zero.
 pub async fn read_accepted(client: &OpsClient, team: &str) -> Result<TeamView, CallError> {
     let mut view: HeldView = client.get(&format!("/v1/settings?team={team}")).await?;
--- a/src/cmd/report.rs
+++ b/src/cmd/report.rs
@@ -18,7 +18,7 @@
     args: &ReportArgs,
     is_json: bool,
 ) -> anyhow::Result<CmdOutcome> {
-    let is_history = args.path.is_some() || args.team.is_some() || args.from.is_some();
+    let is_history = is_history(args);
     let printed = match args.change {
         Some(version) => report_change(client, version, args, is_json).await,
         None if is_history => report_history(client, args, is_json).await,
@@ -30,6 +30,11 @@
     }
 }
 
+fn is_history(args: &ReportArgs) -> bool {
+    let is_timed = args.since.is_some() || args.until.is_some();
+    is_timed || args.path.is_some() || args.team.is_some() || args.from.is_some()
+}
+
 async fn report_fleet(
     client: &OpsClient,
     args: &ReportArgs,
@@ -74,11 +79,7 @@
     is_json: bool,
 ) -> Result<anyhow::Result<()>, CallError> {
     let mut records = read_history(client, args.from.unwrap_or(1)).await?;
-    records.retain(|record| {
-        let mut paths = record.written.iter().chain(&record.withdrawn);
-        args.team.as_ref().is_none_or(|team| *team == record.team)
-            && args.path.as_ref().is_none_or(|wanted| paths.any(|path| path == wanted))
-    });
+    records.retain(|record| is_wanted(record, args));
     Ok(match (is_json, args.csv) {
         (true, _) => print_json(&records),
         (_, true) => print_csv(records.iter().map(ChangeRow::new)),
@@ -89,6 +90,14 @@
     })
 }
 
+fn is_wanted(record: &ChangeRecord, args: &ReportArgs) -> bool {
+    let mut paths = record.written.iter().chain(&record.withdrawn);
+    args.since.is_none_or(|since| record.accepted_at >= since)
+        && args.until.is_none_or(|until| record.accepted_at < until)
+        && args.team.as_ref().is_none_or(|team| *team == record.team)
+        && args.path.as_ref().is_none_or(|wanted| paths.any(|path| path == wanted))
+}
+
 /// Reads all records from a version on, page by page.
 async fn read_history(
     client: &OpsClient,
--- a/src/cmd/withdraw.rs
+++ b/src/cmd/withdraw.rs
@@ -1,8 +1,8 @@
 //! Withdraws one setting.
 
-use sk_model::{ChangeRequest, SettingWrites, team_of};
+use sk_model::{ChangeRequest, SettingWrites, check_path, team_of};
 
-use super::{CmdOutcome, apply::submit, explain, plan::read_accepted};
+use super::{CmdOutcome, explain, plan::read_accepted, refuse, submit::submit};
 use crate::{cli::WithdrawArgs, client::OpsClient};
 
 /// Withdraws the setting at a path.
@@ -11,6 +11,9 @@
     args: &WithdrawArgs,
     is_json: bool,
 ) -> anyhow::Result<CmdOutcome> {
+    if let Err(err) = check_path(&args.path) {
+        return Ok(refuse(&err));
+    }
     let team = team_of(&args.path).to_owned();
     let accepted = match read_accepted(client, &team).await {
         Ok(accepted) => accepted,
--- a/src/diff.rs
+++ b/src/diff.rs
@@ -1,55 +1,137 @@
-//! What a change writes, from what is accepted to what is declared.
+//! Renders what a change writes as version control does.
 
-use std::collections::BTreeMap;
+use std::{cmp::max, collections::BTreeMap, fmt::Write};
 
-use sk_model::{SettingBody, SettingPath, SettingWrites};
+use sk_model::{SettingBody, SettingPath, SettingWrites, Version};
 
-use crate::declared::DeclaredSettings;
+/// Most lines that differ of which the longest common part is still looked for. Its table has the
+/// square of this; longer parts, such as a value that was replaced, are shown as replaced whole.
+const MAX_ALIGNED_LINES: usize = 500;
 
-/// Gives the writes that lead from the accepted settings to the declared ones.
-pub fn make_writes(
+/// How many settings a change adds, changes and withdraws.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct WriteCounts {
+    /// Settings that were not there.
+    pub added: usize,
+    /// Settings with another body.
+    pub changed: usize,
+    /// Settings withdrawn.
+    pub withdrawn: usize,
+}
+
+/// Counts a change's writes by what they do to the accepted settings.
+pub fn count_writes(
     accepted: &BTreeMap<SettingPath, SettingBody>,
-    declared: &DeclaredSettings,
-) -> SettingWrites {
-    let mut writes = SettingWrites::new();
-    for (path, body) in declared {
-        if accepted.get(path) != Some(body) {
-            writes.insert(path.clone(), Some(body.clone()));
+    writes: &SettingWrites,
+) -> WriteCounts {
+    let mut counts = WriteCounts::default();
+    for (path, body) in writes {
+        match (accepted.contains_key(path), body) {
+            (_, None) => counts.withdrawn += 1,
+            (true, Some(_)) => counts.changed += 1,
+            (false, Some(_)) => counts.added += 1,
         }
     }
-    for path in accepted.keys().filter(|path| !declared.contains_key(*path)) {
-        writes.insert(path.clone(), None);
-    }
-    writes
+    counts
 }
 
-/// Renders writes as version control does: `+` for new, `~` for changed, `-` for withdrawn, with
-/// the lines of the bodies that differ.
+/// Renders writes as a unified diff of each setting's TOML, with the whole setting as context.
 pub fn render_writes(
     accepted: &BTreeMap<SettingPath, SettingBody>,
+    version: Version,
     writes: &SettingWrites,
 ) -> String {
     let mut text = String::new();
     for (path, body) in writes {
-        let before = accepted.get(path).map(body_lines).unwrap_or_default();
-        let after = body.as_ref().map(body_lines).unwrap_or_default();
-        let sign = match (before.is_empty(), after.is_empty()) {
-            (true, _) => '+',
-            (_, true) => '-',
-            _ => '~',
-        };
-        text.push_str(&format!("{sign} {path}\n"));
-        for line in before.iter().filter(|line| !after.contains(line)) {
-            text.push_str(&format!("    - {line}\n"));
-        }
-        for line in after.iter().filter(|line| !before.contains(line)) {
-            text.push_str(&format!("    + {line}\n"));
-        }
+        render_write(&mut text, path, version, accepted.get(path), body.as_ref());
     }
     text
 }
 
-fn body_lines(body: &SettingBody) -> Vec<String> {
-    let text = toml::to_string(body).unwrap_or_default();
+fn render_write(
+    text: &mut String,
+    path: &str,
+    version: Version,
+    before: Option<&SettingBody>,
+    after: Option<&SettingBody>,
+) {
+    let old = before.map_or("/dev/null".to_owned(), |_| format!("{path} (version {version})"));
+    let new = after.map_or("/dev/null", |_| path);
+    // Writing to a string cannot fail.
+    let _ = writeln!(text, "--- {old}\n+++ {new}");
+    let (before, after) = (body_lines(before), body_lines(after));
+    for (sign, line) in diff_lines(&before, &after) {
+        let _ = writeln!(text, "{sign}{line}");
+    }
+}
+
+fn body_lines(body: Option<&SettingBody>) -> Vec<String> {
+    let text = body.and_then(|body| toml::to_string(body).ok()).unwrap_or_default();
     text.lines().map(str::to_owned).collect()
 }
+
+/// Gives the lines of both with ` ` for kept, `-` for removed and `+` for added.
+fn diff_lines<'a>(before: &'a [String], after: &'a [String]) -> Vec<(char, &'a str)> {
+    let head = count_equal(before.iter(), after.iter());
+    let (before_rest, after_rest) = (&before[head..], &after[head..]);
+    let tail = count_equal(before_rest.iter().rev(), after_rest.iter().rev());
+    let (before_mid, before_tail) = before_rest.split_at(before_rest.len() - tail);
+    let after_mid = &after_rest[..after_rest.len() - tail];
+    let kept = |line: &'a String| (' ', line.as_str());
+    let mut lines: Vec<_> = before[..head].iter().map(kept).collect();
+    lines.extend(align_lines(before_mid, after_mid));
+    lines.extend(before_tail.iter().map(kept));
+    lines
+}
+
+fn count_equal<'a>(
+    first: impl Iterator<Item = &'a String>,
+    second: impl Iterator<Item = &'a String>,
+) -> usize {
+    first.zip(second).take_while(|(first, second)| first == second).count()
+}
+
+/// Aligns two runs of lines along their longest common subsequence.
+fn align_lines<'a>(before: &'a [String], after: &'a [String]) -> Vec<(char, &'a str)> {
+    let removed = |line: &'a String| ('-', line.as_str());
+    let added = |line: &'a String| ('+', line.as_str());
+    if before.len().max(after.len()) > MAX_ALIGNED_LINES {
+        return before.iter().map(removed).chain(after.iter().map(added)).collect();
+    }
+    let common = common_lengths(before, after);
+    let (mut old, mut new) = (0, 0);
+    let mut lines = Vec::new();
+    while old < before.len() && new < after.len() {
+        match before[old] == after[new] {
+            true => {
+                lines.push((' ', before[old].as_str()));
+                (old, new) = (old + 1, new + 1);
+            }
+            false if common[old + 1][new] >= common[old][new + 1] => {
+                lines.push(removed(&before[old]));
+                old += 1;
+            }
+            false => {
+                lines.push(added(&after[new]));
+                new += 1;
+            }
+        }
+    }
+    lines.extend(before[old..].iter().map(removed));
+    lines.extend(after[new..].iter().map(added));
+    lines
+}
+
+/// Gives the length of the longest common subsequence from each pair of lines on.
+fn common_lengths(before: &[String], after: &[String]) -> Vec<Vec<usize>> {
+    let mut common = vec![vec![0; after.len() + 1]; before.len() + 1];
+    for old in (0..before.len()).rev() {
+        for new in (0..after.len()).rev() {
+            common[old][new] = match before[old] == after[new] {
+                true => common[old + 1][new + 1] + 1,
+                false => max(common[old + 1][new], common[old][new + 1]),
+            };
+        }
+    }
+    common
+}
