Guard the operators' interface against rogue input

Cause: an announcement could name any address, from any sender, so that a rogue could draw a service's requests to itself; a change could be looked up with any token; a team name with a slash could be created; a team's hash had no shape. Change: announcements must come from, and name, this very instance (loopback or the daemon's own guard and proxy IP), with bounds on id, service, slots and the count of services; a looked-up change is shown to its team and to managers only; team names are one segment of at most 64 bytes; hashes are 64 lower-case digits. Tests: proptest of bodies, headers and paths against a started interface over a fake daemon (each a typed error, nothing written), token rules, announcements.

--- a/components/daemon/src/port.rs
+++ b/components/daemon/src/port.rs
@@ -1,16 +1,19 @@
 //! What operators can ask of this daemon.
 
-use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Instant};
+use std::{
+    collections::BTreeMap,
+    net::{IpAddr, SocketAddr},
+    sync::Arc,
+    time::Instant,
+};
 
 use async_trait::async_trait;
 use sk_ledger::Ledger;
 use sk_member::{EndpointRecord, EndpointStatus, MemberBoard, MemberRecord, MemberTable};
-use sk_model::{
-    ChangeRecord, ChangeRequest, ConfigSnapshot, ProxyId, TeamName, Version, check_path,
-};
+use sk_model::{ChangeRecord, ChangeRequest, ConfigSnapshot, ProxyId, TeamName, Version};
 use sk_ops::{
-    HeldView, OperatorPort, OpsError, PeerView, ServerAnnouncement, ServerView, StateDump,
-    TeamRecord, TeamView,
+    HeldView, MAX_SERVICES, OperatorPort, OpsError, PeerView, ServerAnnouncement, ServerView,
+    StateDump, TeamRecord, TeamView,
 };
 use sk_proxy::{LocalServer, LocalServers};
 use sk_report::{
@@ -26,8 +29,6 @@
     tasks::{publish_endpoints, unix_now},
 };
 
-const SLOT_RULE: std::ops::RangeInclusive<u32> = 1..=10_000;
-
 /// The parts that operators' calls reach.
 pub(crate) struct DaemonPort {
     pub(crate) manager_sha256: String,
@@ -119,14 +120,20 @@
         }
     }
 
-    fn announce(&self, announcement: ServerAnnouncement) -> Result<(), OpsError> {
-        let malformed = |reason: String| OpsError::Malformed { reason };
-        check_path(&announcement.service).map_err(|err| malformed(err.to_string()))?;
-        let address = announcement.address.parse();
-        let address =
-            address.map_err(|_| malformed("`address`; allowed: IP and port".to_owned()))?;
-        if !SLOT_RULE.contains(&announcement.slots) {
-            return Err(malformed("`slots`; allowed: 1 to 10000".to_owned()));
+    fn own_ips(&self) -> Vec<IpAddr> {
+        vec![self.members.own().guard.ip(), self.proxy_address.ip()]
+    }
+
+    fn announce(
+        &self,
+        announcement: ServerAnnouncement,
+        address: SocketAddr,
+    ) -> Result<(), OpsError> {
+        let endpoints = self.servers.endpoints();
+        let is_known = endpoints.iter().any(|held| held.service == announcement.service);
+        if !is_known && endpoints.len() >= MAX_SERVICES {
+            let reason = format!("too many services; allowed: {MAX_SERVICES} beside a daemon");
+            return Err(OpsError::Malformed { reason });
         }
         let status = match announcement.is_draining {
             true => EndpointStatus::Draining,
--- a/components/model/src/hash.rs
+++ b/components/model/src/hash.rs
@@ -16,6 +16,11 @@
     })
 }
 
+/// Tells whether a text is a digest as written here. One in upper case would never be equal to it.
+pub fn is_hash(hash: &str) -> bool {
+    hash.len() == 64 && hash.bytes().all(|byte| matches!(byte, b'0'..=b'9' | b'a'..=b'f'))
+}
+
 /// Hashes the JSON encoding of a value whose maps are all ordered.
 ///
 /// # Panics
--- a/components/model/src/lib.rs
+++ b/components/model/src/lib.rs
@@ -17,7 +17,7 @@
     DeclarationError, DeclarationFault, MAX_DECLARATION_BYTES, RouteSetting, ServiceSetting,
     SettingBody, ValueSetting, WorkClass, parse_declaration,
 };
-pub use hash::{content_hash, hash_json};
+pub use hash::{content_hash, hash_json, is_hash};
 pub use path::{
     MAX_PATH_BYTES, MAX_TEAM_BYTES, PathError, SettingPath, TeamName, check_path, check_team,
     team_of,
--- a/components/ops/src/port.rs
+++ b/components/ops/src/port.rs
@@ -1,6 +1,9 @@
 //! What the interface needs of the daemon.
 
-use std::sync::Arc;
+use std::{
+    net::{IpAddr, SocketAddr},
+    sync::Arc,
+};
 
 use async_trait::async_trait;
 use sk_model::{ChangeRecord, ChangeRequest, TeamName, Version};
@@ -48,6 +51,13 @@
     /// Gives the state of this daemon, without asking the platform.
     fn state(&self) -> StateDump;
 
-    /// Takes an announcement of the local backend server.
-    fn announce(&self, announcement: ServerAnnouncement) -> Result<(), OpsError>;
+    /// Gives the IPs that the daemon is known by, besides loopback.
+    fn own_ips(&self) -> Vec<IpAddr>;
+
+    /// Takes a checked announcement of the local backend server, which listens at `address`.
+    fn announce(
+        &self,
+        announcement: ServerAnnouncement,
+        address: SocketAddr,
+    ) -> Result<(), OpsError>;
 }
--- a/components/ops/src/server.rs
+++ b/components/ops/src/server.rs
@@ -9,11 +9,13 @@
 use http::header;
 use schemars::JsonSchema;
 use serde::Deserialize;
-use sk_model::{ChangeRecord, ChangeRequest, Version, check_path};
+use sk_ledger::{MAX_CHANGE_ID_BYTES, MalformedChange};
+use sk_model::{ChangeRecord, ChangeRequest, Version, check_team, is_hash};
 use sk_report::{ChangeReport, FleetReport};
 
 use crate::{
     HeldView, OpsError, ServerAnnouncement, SharedPort, StateDump, TeamRecord, access::is_token,
+    announcement::check_announcement,
 };
 
 /// A change holds at most one subtree, which fits a platform value; JSON escapes may double it.
@@ -88,12 +90,22 @@
     }
 }
 
+/// Checks a team's name, which becomes part of a key in the platform.
+fn require_team_name(team: &str) -> Result<(), OpsError> {
+    check_team(team).map_err(|err| OpsError::Malformed { reason: err.to_string() })
+}
+
+/// Bounds a change id before anything is asked of the platform; its shape is the ledger's to check.
+fn require_change_id(id: &str) -> Result<(), OpsError> {
+    match (1..=MAX_CHANGE_ID_BYTES).contains(&id.len()) {
+        true => Ok(()),
+        false => Err(OpsError::Malformed { reason: MalformedChange::ChangeId.to_string() }),
+    }
+}
+
 async fn require_team(request: &OpsRequest, team: &str) -> Result<(), OpsError> {
     let token = bearer(request)?;
-    // The name becomes part of a key in the platform.
-    if check_path(&format!("/{team}/x")).is_err() || team.contains('/') {
-        return Err(OpsError::Malformed { reason: format!("bad team `{team}`") });
-    }
+    require_team_name(team)?;
     match request.context().team(team).await? {
         Some(record) if is_token(token, &record.token_sha256) => Ok(()),
         Some(_) => Err(OpsError::Forbidden { reason: format!("the token is not {team}'s") }),
@@ -133,6 +145,7 @@
     body: TypedBody<ChangeRequest>,
 ) -> OpsResult<ChangeRecord> {
     let change = body.into_inner();
+    require_change_id(&change.change_id)?;
     require_team(&request, &change.team).await?;
     Ok(HttpResponseOk(request.context().submit(change).await?))
 }
@@ -142,8 +155,14 @@
 async fn get_change(request: OpsRequest, path: Path<ChangePath>) -> OpsResult<ChangeRecord> {
     bearer(&request)?;
     let id = path.into_inner().id;
+    require_change_id(&id)?;
     let record = request.context().outcome(&id).await?;
-    record.map(HttpResponseOk).ok_or(OpsError::NotFound { what: format!("change {id}") })
+    let record = record.ok_or(OpsError::NotFound { what: format!("change {id}") })?;
+    // Without this, a guessed id would show one team's paths and authors to another.
+    if require_manager(&request).is_err() {
+        require_team(&request, &record.team).await?;
+    }
+    Ok(HttpResponseOk(record))
 }
 
 /// Reads the settings of one team, or of all with the managers' token.
@@ -204,10 +223,13 @@
 ) -> Result<HttpResponseUpdatedNoContent, OpsError> {
     require_manager(&request)?;
     let team = path.into_inner().team;
-    if check_path(&format!("/{team}/x")).is_err() {
-        return Err(OpsError::Malformed { reason: format!("bad team `{team}`") });
+    require_team_name(&team)?;
+    let record = body.into_inner();
+    if !is_hash(&record.token_sha256) {
+        let reason = "`token_sha256`; allowed: 64 hexadecimal digits in lower case".to_owned();
+        return Err(OpsError::Malformed { reason });
     }
-    request.context().put_team(&team, body.into_inner()).await?;
+    request.context().put_team(&team, record).await?;
     Ok(HttpResponseUpdatedNoContent())
 }
 
@@ -217,6 +239,9 @@
     request: OpsRequest,
     body: TypedBody<ServerAnnouncement>,
 ) -> Result<HttpResponseUpdatedNoContent, OpsError> {
-    request.context().announce(body.into_inner())?;
+    let announcement = body.into_inner();
+    let sender = request.request.remote_addr().ip();
+    let address = check_announcement(&announcement, sender, &request.context().own_ips())?;
+    request.context().announce(announcement, address)?;
     Ok(HttpResponseUpdatedNoContent())
 }
--- a/components/settings/src/check.rs
+++ b/components/settings/src/check.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddr, ops::RangeInclusive, path::Path};
 
-use sk_model::TextPlace;
+use sk_model::{TextPlace, is_hash};
 
 use crate::{DaemonSettings, ListenSettings, SettingsError};
 
@@ -47,7 +47,7 @@
     checker.holds(
         "operators.manager_sha256",
         "malformed",
-        hash.is_empty() || (hash.len() == 64 && hash.bytes().all(is_hash_byte)),
+        hash.is_empty() || is_hash(hash),
         "64 hexadecimal digits in lower case, or empty",
     )
 }
@@ -154,9 +154,3 @@
 fn is_name_byte(byte: u8) -> bool {
     matches!(byte, b'a'..=b'z' | b'0'..=b'9' | b'-' | b'_' | b'.')
 }
-
-/// Hashes are compared byte by byte with ones written in lower case; digits in upper case would
-/// refuse every token without a word why.
-fn is_hash_byte(byte: u8) -> bool {
-    matches!(byte, b'0'..=b'9' | b'a'..=b'f')
-}
