--- a/components/daemon/src/daemon.rs
+++ b/components/daemon/src/daemon.rs
@@ -2,6 +2,7 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
+use sk_claim::{ClaimBook, ClaimSettings};
 use sk_decide::{admitting, pacing::PacerSettings};
 use sk_ledger::{Ledger, LedgerSettings};
 use sk_member::{MemberBoard, MemberRecord, MemberStatus};
@@ -20,8 +21,10 @@
 use tokio::{net::TcpListener, task::JoinHandle};
 
 use crate::{
+    claims::BookGate,
     contacts::StoreContacts,
     error::DaemonError,
+    notices::QuarantineNotices,
     port::DaemonPort,
     reach::{ReachClock, watch_reach},
     source::{BookSink, LedgerSource},
@@ -74,6 +77,7 @@
     table: SharedTable,
     book: Arc<ReportBook>,
     meter: Arc<ControlMeter>,
+    claims: Arc<ClaimBook>,
     quarantine: Arc<QuarantineBoard>,
     counters: Arc<ProxyCounters>,
     reach: Arc<ReachClock>,
@@ -132,6 +136,13 @@
         self.addresses
     }
 
+    /// Waits until a part that the daemon cannot do without has ended by itself.
+    pub async fn failed(&self) {
+        let mut ended = self.spread.ended();
+        while ended.changed().await.is_ok() {}
+        log::error!("daemon: the control thread ended.");
+    }
+
     /// Stops gracefully: tells the others, accepts no more, finishes requests in flight within
     /// the set bound, and tells whether all of them ended.
     ///
@@ -189,6 +200,7 @@
         LedgerSettings { key_prefix: key_prefix.clone(), ..LedgerSettings::default() };
     DaemonParts {
         ledger: Arc::new(Ledger::new(store.clone(), ledger_settings)),
+        claims: Arc::new(ClaimBook::new(store.clone(), claim_settings(&key_prefix))),
         store,
         held: Arc::default(),
         members: Arc::new(MemberBoard::new(own_record(settings, addresses))),
@@ -202,6 +214,10 @@
     }
 }
 
+fn claim_settings(key_prefix: &str) -> ClaimSettings {
+    ClaimSettings { key_prefix: key_prefix.to_owned(), ..ClaimSettings::default() }
+}
+
 fn own_record(settings: &DaemonSettings, addresses: DaemonAddresses) -> MemberRecord {
     MemberRecord {
         proxy: settings.instance.name.clone(),
@@ -231,6 +247,7 @@
         servers: parts.servers.clone(),
         meter: parts.meter.clone(),
         reach: parts.reach.clone(),
+        quarantine: parts.quarantine.clone(),
         proxy_address: addresses.proxy,
     }
 }
@@ -261,6 +278,7 @@
         source: Arc::new(LedgerSource { ledger: parts.ledger.clone() }),
         contacts: Some(Arc::new(contacts)),
         acks: Arc::new(BookSink { book: parts.book.clone() }),
+        notices: Some(Arc::new(QuarantineNotices { board: parts.quarantine.clone() })),
         meter: parts.meter.clone(),
     };
     start_spread(options, listener, spread_parts).map_err(DaemonError::Spread)
@@ -307,7 +325,7 @@
         servers: parts.servers.clone(),
         token: GuardToken::new(&settings.peers.secret),
         quarantine: parts.quarantine.clone(),
-        claims: None,
+        claims: Some(Arc::new(BookGate { book: parts.claims.clone() })),
         counters: parts.counters.clone(),
     }
 }
--- a/components/spread/src/fetch.rs
+++ b/components/spread/src/fetch.rs
@@ -12,6 +12,7 @@
     codec,
     held::OfferOutcome,
     node::{CALL_TIMEOUT, RootMark, SpreadNode, root_mark},
+    options::PassMode,
     pass::VersionOrigin,
     peer_capnp::{fetch_answer, peer},
     state::CallKind,
@@ -25,7 +26,9 @@
 const LONGEST_PAUSE: Duration = Duration::from_secs(1);
 /// How long a version that a heartbeat shows is left to the tree, on average. Without it every
 /// push would be fetched as well by whoever's heartbeat came first.
-const TREE_GRACE: Duration = Duration::from_millis(500);
+const PUSH_GRACE: Duration = Duration::from_millis(500);
+/// The same where relays gather changes before they announce them.
+const ANNOUNCE_GRACE: Duration = Duration::from_millis(2_500);
 /// Longest pause that a peer may ask for; a faulty one must not put a daemon to sleep.
 const MAX_BUSY_PAUSE: Duration = Duration::from_secs(2);
 
@@ -71,8 +74,8 @@
     /// Notes a version that a peer holds according to a heartbeat or a comparison, and fetches it
     /// if the tree does not bring it.
     pub(crate) fn note_version(self: &Rc<Self>, from: &str, version: Version, mark: RootMark) {
-        let newest = self.held.newest();
-        if version == newest.version() && mark != root_mark(&newest.root.hash()) {
+        let (newest, newest_mark) = self.held.newest_mark();
+        if version == newest && mark != newest_mark && newest > 0 {
             return self.report_diverged(version, from);
         }
         if !self.lacks(version, mark) || self.expected.get() >= version {
@@ -80,16 +83,20 @@
         }
         self.expected.set(version);
         let want = FetchWant { version, mark, from: from.to_owned(), origin: VersionOrigin::Found };
+        let grace = match self.options.mode {
+            PassMode::Push => PUSH_GRACE,
+            PassMode::Announce => ANNOUNCE_GRACE,
+        };
         let node = self.clone();
         tokio::task::spawn_local(async move {
-            tokio::time::sleep(jittered(TREE_GRACE)).await;
+            tokio::time::sleep(jittered(grace)).await;
             node.expected.set(0);
             node.want(want);
         });
     }
 
     fn lacks(&self, version: Version, mark: RootMark) -> bool {
-        version > self.held.newest().version() && !self.held.is_refused(version, mark)
+        version > self.held.newest_mark().0 && !self.held.is_refused(version, mark)
     }
 
     /// Fetches what a peer holds beyond what is held here. With `confirm` the peer looks at the
--- a/components/spread/src/links.rs
+++ b/components/spread/src/links.rs
@@ -17,7 +17,7 @@
 
 use crate::{
     backoff::jittered,
-    node::{CALL_TIMEOUT, SpreadNode, root_mark},
+    node::{CALL_TIMEOUT, SpreadNode},
     peer_capnp::{beat, peer},
     state::CallKind,
 };
@@ -104,9 +104,9 @@
     }
 
     pub(crate) fn write_beat(&self, mut builder: beat::Builder<'_>) {
-        let newest = self.held.newest();
-        builder.set_version(newest.version());
-        builder.set_root_hash(root_mark(&newest.root.hash()));
+        let (version, mark) = self.held.newest_mark();
+        builder.set_version(version);
+        builder.set_root_hash(mark);
         builder.set_members(self.member_mark());
         builder.set_is_ready(self.held.is_ready());
     }
@@ -132,7 +132,9 @@
     loop {
         let view = views.borrow_and_update().clone();
         let mark = Some(presence_mark(&view));
-        if planned != mark {
+        // A daemon that leaves is in nobody's plan, its own included. It keeps its links, over which
+        // the news of its leaving may still be under way.
+        if planned != mark && node.members.own().is_present() {
             planned = mark;
             plan_links(node, &view);
         }
