Read reports that name an unreachable proxy

Cause: the state's time had the same name as the report's own field, flattened into one object with two of them; the measurement with a relay killed found it. Ruled out: the command line alone, since every JSON reader fails there. Change: unreachable_since. Test: every state reads back; failed before.

--- a/components/report/src/fleet.rs
+++ b/components/report/src/fleet.rs
@@ -22,7 +22,7 @@
     /// Nothing is heard of it; what it holds now is not known.
     Unreachable {
         /// Since when, on the clock of the daemon that made the report.
-        since: UnixMillis,
+        unreachable_since: UnixMillis,
     },
     /// It acknowledged once and no daemon knows of it now.
     Unknown,
@@ -125,7 +125,7 @@
     let refusal = ack.and_then(|ack| ack.rejected.as_ref());
     let refusal = refusal.filter(|rejected| rejected.version == newest);
     let state = match (known.unreachable_since, ack, refusal) {
-        (Some(since), ..) => ProxyState::Unreachable { since },
+        (Some(unreachable_since), ..) => ProxyState::Unreachable { unreachable_since },
         (None, Some(ack), _) if ack.version >= newest => ProxyState::InForce,
         (None, _, Some(rejected)) => ProxyState::Rejected { reason: rejected.reason.clone() },
         _ => ProxyState::Pending,
--- a/components/report/tests/true_reports.rs
+++ b/components/report/tests/true_reports.rs
@@ -5,7 +5,8 @@
 use proptest::prelude::*;
 use sk_model::{ChangeRecord, ProxyAck, RejectedVersion};
 use sk_report::{
-    KnownProxy, ProxyState, ReportBook, make_change_report, make_report, read_acks, read_times,
+    FleetReport, KnownProxy, ProxyState, ReportBook, make_change_report, make_report, read_acks,
+    read_times,
 };
 use sk_store::{FakeStore, SharedStore, WriteFault};
 
@@ -59,10 +60,24 @@
 #[test]
 fn silent_proxy() {
     let state = state_of(known(1, Some(77)), Some(ack("a", 1, 2)));
-    assert_eq!(state, ProxyState::Unreachable { since: 77 });
+    assert_eq!(state, ProxyState::Unreachable { unreachable_since: 77 });
     assert_eq!(state_of(known(1, None), None), ProxyState::Pending);
 }
 
+// A manager asks while a proxy is cut off. Two fields of one name in the answer made the command
+// line refuse the whole report, just when it was needed.
+#[test]
+fn every_state_reads() {
+    let known = [("a", known(1, None)), ("b", known(1, Some(77))), ("c", known(1, None))];
+    let known = known.map(|(proxy, known)| (proxy.to_owned(), known)).into();
+    let rejected = Some(RejectedVersion { version: 2, reason: "bad".to_owned() });
+    let acks = [ack("a", 1, 2), ProxyAck { rejected, ..ack("c", 1, 1) }, ack("d", 1, 1)];
+    let acks = acks.map(|ack| (ack.proxy.clone(), ack)).into();
+    let report = make_report(Some(change(2)), &known, &acks);
+    let text = serde_json::to_string(&report).expect("a report encodes");
+    assert_eq!(serde_json::from_str::<FleetReport>(&text).expect("it reads"), report);
+}
+
 #[test]
 fn refused_version() {
     let rejected = Some(RejectedVersion { version: 2, reason: "bad".to_owned() });
--- a/src/cmd/report.rs
+++ b/src/cmd/report.rs
@@ -206,7 +206,9 @@
         ProxyState::InForce => "in force".to_owned(),
         ProxyState::Pending => "pending".to_owned(),
         ProxyState::Rejected { reason } => format!("rejected: {reason}"),
-        ProxyState::Unreachable { since } => format!("unreachable since {since}"),
+        ProxyState::Unreachable { unreachable_since } => {
+            format!("unreachable since {unreachable_since}")
+        }
         ProxyState::Unknown => "unknown".to_owned(),
     }
 }
