spread: leave the platform to relays while a whole fleet waits for it

After an outage in which everything restarted, each waiting daemon read the platform in its turn; a fleet that holds nothing would read every subtree in each. Also tests the bound on unproven connections.

--- a/components/spread/src/start.rs
+++ b/components/spread/src/start.rs
@@ -8,7 +8,7 @@
 use tokio::{sync::watch, time::Instant};
 
 use crate::{
-    backoff::{RetryPause, drawn},
+    backoff::{RetryPause, drawn, jittered},
     fetch::{FetchOutcome, FetchReply},
     join::JoinStage,
     node::{ConfirmOutcome, SpreadNode},
@@ -25,7 +25,11 @@
 /// First and longest pause between rounds of asking.
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
 const LONGEST_PAUSE: Duration = Duration::from_secs(1);
-/// The same while the platform is away and nobody reachable knows a version.
+/// Mean pause between reads by a daemon whose relays are there but not ready themselves. Only
+/// their way to the platform may be cut, so it has to read; but after an outage in which everything
+/// restarted, hundreds wait like this, and each that reads holds nothing yet and reads all.
+const LATE_PAUSE: Duration = Duration::from_secs(10);
+/// Longest pause between rounds while the platform is away and nobody reachable knows a version.
 const OUTAGE_PAUSE: Duration = Duration::from_secs(5);
 /// Members asked for what they hold before the platform is read.
 const WARM_TRIES: usize = 8;
@@ -34,32 +38,46 @@
 /// Times that a busy member is asked again.
 const ASK_TRIES: usize = 5;
 
+/// What the data centre's relays said to a starting daemon.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum RelayAnswer {
+    /// None could be asked.
+    Silent,
+    /// None of those asked is ready itself.
+    Waiting,
+    /// A ready one could not read the platform.
+    Away,
+    /// One read the platform, and what it holds is held here.
+    Confirmed,
+}
+
 /// Asks relays, and in the end the platform itself, until this daemon holds what it must.
 pub(crate) async fn settle_start(node: &Rc<SpreadNode>, mut stage: watch::Receiver<JoinStage>) {
     let window_end = Instant::now() + drawn(START_WINDOW);
+    let mut late = window_end + drawn(LATE_PAUSE);
     let mut pause = RetryPause::new(FIRST_PAUSE, LONGEST_PAUSE);
     // Nobody can be asked before the first round of joining is over.
     let trying = stage.wait_for(|stage| *stage != JoinStage::Trying);
     let _ = tokio::time::timeout_at(window_end, trying).await;
     while !node.held.is_ready() {
         let stage = *stage.borrow();
-        if stage == JoinStage::Met && ask_relays(node).await {
-            return node.set_ready("as a relay confirmed");
-        }
-        let is_due = Instant::now() >= window_end || is_settled_relay(node);
-        if stage == JoinStage::Alone || is_due {
-            warm_up(node).await;
-            match node.confirm().await {
-                ConfirmOutcome::Held => return,
-                // A process before this one cannot have held a version that fails validation;
-                // what it held, the peers know.
-                ConfirmOutcome::Refused | ConfirmOutcome::Away if ask_members(node).await => {
-                    return node.set_ready("as the members know");
-                }
-                ConfirmOutcome::Refused | ConfirmOutcome::Away => {
-                    pause.raise_cap(OUTAGE_PAUSE);
-                }
+        let answer = match stage {
+            JoinStage::Met => ask_relays(node).await,
+            _ => RelayAnswer::Silent,
+        };
+        let may_read = match answer {
+            RelayAnswer::Confirmed => return node.set_ready("as a relay confirmed"),
+            RelayAnswer::Away => true,
+            _ if stage == JoinStage::Alone || is_settled_relay(node) => true,
+            RelayAnswer::Silent => Instant::now() >= window_end,
+            RelayAnswer::Waiting => Instant::now() >= late,
+        };
+        if may_read {
+            late = Instant::now() + jittered(LATE_PAUSE);
+            if read_platform(node).await {
+                return;
             }
+            pause.raise_cap(OUTAGE_PAUSE);
         }
         let mut ready = node.held.ready();
         let is_ready = ready.wait_for(|is_ready| *is_ready);
@@ -67,6 +85,22 @@
     }
 }
 
+/// Reads the platform, or asks the members where that is away, and tells whether this daemon is
+/// ready by it.
+async fn read_platform(node: &Rc<SpreadNode>) -> bool {
+    warm_up(node).await;
+    match node.confirm().await {
+        ConfirmOutcome::Held => true,
+        // A process before this one cannot have held a version that fails validation; what it
+        // held, the members know.
+        ConfirmOutcome::Refused | ConfirmOutcome::Away if ask_members(node).await => {
+            node.set_ready("as the members know");
+            true
+        }
+        ConfirmOutcome::Refused | ConfirmOutcome::Away => false,
+    }
+}
+
 /// Takes from a peer what it holds, before the platform is read: a read then costs one call for the
 /// head, where a daemon that holds nothing reads every subtree.
 async fn warm_up(node: &Rc<SpreadNode>) {
@@ -87,22 +121,29 @@
     relays.rank.is_some() && relays.since.elapsed() >= RELAY_SETTLED
 }
 
-/// Asks the data centre's relays to look at the platform, and tells whether one did and what it
-/// holds is held here.
-async fn ask_relays(node: &Rc<SpreadNode>) -> bool {
+/// Asks the data centre's relays to look at the platform, until one has.
+async fn ask_relays(node: &Rc<SpreadNode>) -> RelayAnswer {
     let relays = node.relays.borrow().relays.clone();
+    let mut answer = RelayAnswer::Silent;
     for relay in relays.iter().filter(|relay| relay.proxy != node.own_name) {
-        match node.fetch(&relay.proxy, true, &VersionOrigin::Found).await {
-            Ok(reply) if reply.is_fresh && reply.outcome == FetchOutcome::Held => return true,
-            Ok(reply) => {
-                if let FetchOutcome::Busy(busy) = reply.outcome {
-                    tokio::time::sleep(busy).await;
-                }
+        let reply = match node.fetch(&relay.proxy, true, &VersionOrigin::Found).await {
+            Ok(reply) => reply,
+            Err(err) => {
+                log::debug!("spread: {} cannot be asked: {err}.", relay.proxy);
+                continue;
             }
-            Err(err) => log::debug!("spread: {} cannot be asked: {err}.", relay.proxy),
-        }
+        };
+        answer = answer.max(match reply.outcome {
+            FetchOutcome::Held if reply.is_fresh => return RelayAnswer::Confirmed,
+            FetchOutcome::Held | FetchOutcome::Refused if reply.is_ready => RelayAnswer::Away,
+            FetchOutcome::Busy(busy) => {
+                tokio::time::sleep(busy).await;
+                RelayAnswer::Waiting
+            }
+            _ => RelayAnswer::Waiting,
+        });
     }
-    false
+    answer
 }
 
 /// Asks all reachable members for what they hold, and tells whether any of them knows.
--- a/components/spread/tests/bad_version.rs
+++ b/components/spread/tests/bad_version.rs
@@ -80,6 +80,24 @@
     assert!(daemons.iter().all(|daemon| daemon.present() == 2 && daemon.version() == 1));
 }
 
+/// A scanner opens more connections than any herd of daemons would. Those beyond the bound end at
+/// once, and a daemon that joins a moment later still finds a place.
+#[test]
+fn unproven_connections_are_few() {
+    let fleet = TestFleet::new();
+    let daemon = fleet.start("lj1-00", "lj1", &[]);
+    wait_for("the start", || daemon.held.is_ready());
+    let connect = |_| TcpStream::connect(daemon.address).expect("connects");
+    let mut strangers: Vec<TcpStream> = (0..160).map(connect).collect();
+    let begin = std::time::Instant::now();
+    let refused = strangers.last_mut().expect("a stranger");
+    refused.set_read_timeout(Some(WAIT_BOUND)).expect("timeout");
+    assert_eq!(refused.read(&mut [0; 64]).expect("the end"), 0);
+    assert!(begin.elapsed() < Duration::from_secs(2), "{:?}", begin.elapsed());
+    let late = fleet.start("lj1-01", "lj1", &[daemon.address]);
+    wait_for("the next daemon to join", || late.present() == 2 && daemon.present() == 2);
+}
+
 /// A scanner connects to a control port and says nothing, or pours bytes into it. Its connections
 /// must end by themselves, or the daemon runs out of file descriptors or memory.
 #[test]
--- a/components/spread/tests/source_outage.rs
+++ b/components/spread/tests/source_outage.rs
@@ -2,6 +2,8 @@
 
 mod common;
 
+use std::sync::atomic::Ordering;
+
 use common::{FakePlatform, TestFleet, all_hold, numbered, wait_for};
 use sk_spread::SpreadOptions;
 
@@ -49,6 +51,31 @@
     wait_for("the version", || all_hold(&daemons, 7));
 }
 
+/// As before, with many daemons: when the platform returns, all of them wait for it. If each read
+/// it for itself, the return would exhaust its rate and look like the next outage.
+#[test]
+fn many_wait_for_return() {
+    let fleet = TestFleet::new();
+    fleet.platform.accept(numbered(7));
+    fleet.platform.set_down(true);
+    let first = fleet.start("lj1-00", "lj1", &[]);
+    let seeds = [first.address];
+    let others = (1..30).map(|index| fleet.start(&format!("lj1-{index:02}"), "lj1", &seeds));
+    let daemons: Vec<_> = [first].into_iter().chain(others).collect();
+    wait_for("them to meet", || daemons.iter().all(|daemon| daemon.present() == daemons.len()));
+    wait_for("the platform to be asked in vain", || {
+        fleet.platform.reads.load(Ordering::SeqCst) >= 4
+    });
+    assert!(daemons.iter().all(|daemon| !daemon.held.is_ready()));
+    fleet.platform.set_down(false);
+    fleet.platform.reads.store(0, Ordering::SeqCst);
+    let took = wait_for("the version", || all_hold(&daemons, 7));
+    let reads = fleet.platform.reads.load(Ordering::SeqCst);
+    println!("{reads} reads for {} daemons in {took:?} after the return", daemons.len());
+    assert!(reads < daemons.len(), "{reads} reads for {} daemons", daemons.len());
+    assert!(took.as_secs() < 11, "took {took:?}");
+}
+
 /// A daemon's own way to the platform is cut while its peers' are not. Without the peers it would
 /// never become ready, or would serve something older than it served before.
 #[test]
