spread: read the platform only where a relay looked in vain

few_reads failed in 1 of 4 runs, then 1 of 15: up to 22 reads for 40 daemons. Cause: a ready daemon that had stopped being a relay answered "not fresh", which starters took for a platform that is away, so they read it themselves. Ruled out: the gathering of reads, the time before a daemon takes itself for a relay, and short start windows, each of which only thinned it out (kept where they bound a herd's reads).

--- a/components/spread/schema/peer.capnp
+++ b/components/spread/schema/peer.capnp
@@ -67,6 +67,8 @@
     # The base is not kept here: ask again with the hashes of the subtrees.
   }
   ticket @6 :Ticket;
+  isAway @7 :Bool;
+  # The configuration source was asked in vain.
 }
 
 struct Member {
--- a/components/spread/src/fetch.rs
+++ b/components/spread/src/fetch.rs
@@ -45,6 +45,8 @@
 pub(crate) struct FetchReply {
     /// The peer looked at the configuration source after it was asked.
     pub(crate) is_fresh: bool,
+    /// The peer looked there in vain.
+    pub(crate) is_away: bool,
     /// The peer itself is ready.
     pub(crate) is_ready: bool,
     pub(crate) outcome: FetchOutcome,
@@ -113,7 +115,7 @@
             return Ok(reply);
         }
         let again = self.fetch_once(from, false, &base, &tree_hashes(&base), origin).await?;
-        Ok(FetchReply { is_fresh: reply.is_fresh, ..again })
+        Ok(FetchReply { outcome: again.outcome, ..reply })
     }
 
     async fn fetch_once(
@@ -138,6 +140,7 @@
             let outcome = self.take_answer(answer, base, from, origin)?;
             Ok(FetchReply {
                 is_fresh: answer.get_is_fresh(),
+                is_away: answer.get_is_away(),
                 is_ready: answer.get_is_ready(),
                 outcome,
             })
--- a/components/spread/src/server.rs
+++ b/components/spread/src/server.rs
@@ -156,10 +156,13 @@
         // In a herd restart each daemon is a relay by its own first view. One that is not ready
         // has not read the platform itself yet, and would read it for whoever asks.
         let is_relay = node.held.is_ready() && node.relays.borrow().rank.is_some();
-        let is_fresh =
-            request.get_confirm() && is_relay && node.confirm().await == ConfirmOutcome::Held;
+        let looked = match request.get_confirm() && is_relay {
+            true => Some(node.confirm().await),
+            false => None,
+        };
         let mut answer = results.get().init_answer();
-        answer.set_is_fresh(is_fresh);
+        answer.set_is_fresh(looked == Some(ConfirmOutcome::Held));
+        answer.set_is_away(looked.is_some_and(|outcome| outcome != ConfirmOutcome::Held));
         answer.set_is_ready(node.held.is_ready());
         answer_fetch(&node, request, answer)
     }
--- a/components/spread/src/start.rs
+++ b/components/spread/src/start.rs
@@ -15,13 +15,16 @@
     pass::VersionOrigin,
 };
 
-/// Longest time that a starting daemon leaves the platform to others. In a herd restart the times
+/// Time, beyond the shortest, that a starting daemon leaves the platform to others. In a herd restart the times
 /// are spread over it, so that the first ones read the platform and all later ones get it
-/// from them; a daemon whose peers are all away is late by at most this time.
-const START_WINDOW: Duration = Duration::from_secs(3);
+/// from them; a daemon whose peers are all away is late by it.
+const START_WINDOW: Duration = Duration::from_secs(2);
+/// Shortest such time: joining and choosing relays takes that long in a herd restart, and whoever
+/// reads earlier reads because it has not met the others yet.
+const START_LEAST: Duration = Duration::from_secs(1);
 /// Time for which the relays must have stayed the same before a starting daemon takes itself for
 /// one and reads the platform. In a herd restart each daemon is a relay by its own first view.
-const RELAY_SETTLED: Duration = Duration::from_millis(250);
+const RELAY_SETTLED: Duration = Duration::from_millis(600);
 /// First and longest pause between rounds of asking.
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
 const LONGEST_PAUSE: Duration = Duration::from_secs(1);
@@ -53,7 +56,7 @@
 
 /// Asks relays, and in the end the platform itself, until this daemon holds what it must.
 pub(crate) async fn settle_start(node: &Rc<SpreadNode>, mut stage: watch::Receiver<JoinStage>) {
-    let window_end = Instant::now() + drawn(START_WINDOW);
+    let window_end = Instant::now() + START_LEAST + drawn(START_WINDOW);
     let mut late = window_end + drawn(LATE_PAUSE);
     let mut pause = RetryPause::new(FIRST_PAUSE, LONGEST_PAUSE);
     // Nobody can be asked before the first round of joining is over.
@@ -135,7 +138,7 @@
         };
         answer = answer.max(match reply.outcome {
             FetchOutcome::Held if reply.is_fresh => return RelayAnswer::Confirmed,
-            FetchOutcome::Held | FetchOutcome::Refused if reply.is_ready => RelayAnswer::Away,
+            _ if reply.is_away => RelayAnswer::Away,
             FetchOutcome::Busy(busy) => {
                 tokio::time::sleep(busy).await;
                 RelayAnswer::Waiting
--- a/components/spread/src/watch.rs
+++ b/components/spread/src/watch.rs
@@ -3,7 +3,10 @@
 use std::{rc::Rc, sync::Arc, time::Duration};
 
 use sk_model::ConfigSnapshot;
-use tokio::sync::{mpsc, oneshot};
+use tokio::{
+    sync::{mpsc, oneshot},
+    time::Instant,
+};
 
 use crate::{
     backoff::RetryPause,
@@ -18,9 +21,12 @@
 /// calls a second at a source that is away, and a delay of at most four seconds once it is back.
 const FIRST_PAUSE: Duration = Duration::from_millis(250);
 const LONGEST_PAUSE: Duration = Duration::from_secs(4);
-/// Wait of a look at the source for others that want one too. In a herd restart it bounds the
-/// reads of one relay to ten a second, however many daemons ask; a lone start is late by it.
+/// Wait of a look at the source for others that want one too. A lone start is late by it.
 const GATHER_PAUSE: Duration = Duration::from_millis(100);
+/// The same after a look within the last second. In a herd restart it bounds the reads of one relay
+/// to three a second, however many daemons ask.
+const HERD_PAUSE: Duration = Duration::from_millis(300);
+const HERD_WINDOW: Duration = Duration::from_secs(1);
 
 type ConfirmRequest = oneshot::Sender<ConfirmOutcome>;
 
@@ -75,13 +81,16 @@
     node: &Rc<SpreadNode>,
     mut requests: mpsc::UnboundedReceiver<ConfirmRequest>,
 ) {
+    let mut last: Option<Instant> = None;
     while let Some(first) = requests.recv().await {
         let mut waiting = vec![first];
-        tokio::time::sleep(GATHER_PAUSE).await;
+        let is_herd = last.is_some_and(|last| last.elapsed() < HERD_WINDOW);
+        tokio::time::sleep(if is_herd { HERD_PAUSE } else { GATHER_PAUSE }).await;
         while let Ok(next) = requests.try_recv() {
             waiting.push(next);
         }
         let outcome = read_source(node).await;
+        last = Some(Instant::now());
         for request in waiting {
             let _ = request.send(outcome);
         }
--- a/components/spread/tests/herd_start.rs
+++ b/components/spread/tests/herd_start.rs
@@ -28,8 +28,10 @@
     assert!(took.as_secs() < 11, "took {took:?}");
     // Reading for oneself takes one read per daemon at least; that is the naive way.
     let reads = fleet.platform.reads.load(Ordering::SeqCst);
-    println!("{reads} reads for {FLEET} daemons in {took:?}");
-    assert!(reads < FLEET / 2, "{reads} reads for {FLEET} daemons");
+    let by = |daemon: &TestDaemon| daemon.handle.reader().state().source_reads;
+    let most = daemons.iter().chain([&first]).map(by).max().unwrap_or_default();
+    println!("{most} reads by the busiest, {reads} reads for {FLEET} daemons in {took:?}");
+    assert!(reads <= FLEET / 4, "{reads} reads for {FLEET} daemons");
 }
 
 /// All daemons restart together at new addresses: seeds and contacts are stale and nobody knows
