--- a/components/daemon/src/port.rs
+++ b/components/daemon/src/port.rs
@@ -1,18 +1,22 @@
 //! What operators can ask of this daemon.
 
-use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Instant};
+use std::{
+    collections::BTreeMap,
+    net::{IpAddr, SocketAddr},
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use async_trait::async_trait;
+use sk_decide::quarantine::QuarantineSettings;
 use sk_ledger::Ledger;
 use sk_member::{EndpointRecord, EndpointStatus, MemberBoard, MemberRecord, MemberTable};
-use sk_model::{
-    ChangeRecord, ChangeRequest, ConfigSnapshot, ProxyId, TeamName, Version, check_path,
-};
+use sk_model::{ChangeRecord, ChangeRequest, ConfigSnapshot, ProxyId, TeamName, Version};
 use sk_ops::{
-    HeldView, OperatorPort, OpsError, PeerView, ServerAnnouncement, ServerView, StateDump,
-    TeamRecord, TeamView,
+    HeldView, MAX_SERVICES, OperatorPort, OpsError, PeerView, ServerAnnouncement, ServerView,
+    StateDump, TeamRecord, TeamView,
 };
-use sk_proxy::{LocalServer, LocalServers};
+use sk_proxy::{LocalServer, LocalServers, QuarantineBoard};
 use sk_report::{
     ChangeReport, FleetReport, KnownProxy, ReportError, make_change_report, make_report, read_acks,
     read_times,
@@ -26,8 +30,6 @@
     tasks::{publish_endpoints, unix_now},
 };
 
-const SLOT_RULE: std::ops::RangeInclusive<u32> = 1..=10_000;
-
 /// The parts that operators' calls reach.
 pub(crate) struct DaemonPort {
     pub(crate) manager_sha256: String,
@@ -39,6 +41,7 @@
     pub(crate) servers: Arc<LocalServers>,
     pub(crate) meter: Arc<ControlMeter>,
     pub(crate) reach: Arc<ReachClock>,
+    pub(crate) quarantine: Arc<QuarantineBoard>,
     pub(crate) proxy_address: SocketAddr,
 }
 
@@ -113,20 +116,28 @@
             rejected: status.rejected,
             control_sent: bytes.sent,
             control_received: bytes.received,
+            suspects: self.quarantine.len() as u64,
+            quarantined: count_quarantined(&self.quarantine),
             proxy_address: self.proxy_address,
             servers: servers.iter().map(view_server).collect(),
             members: view.iter().map(|(proxy, peer)| (proxy.clone(), view_peer(peer))).collect(),
         }
     }
 
-    fn announce(&self, announcement: ServerAnnouncement) -> Result<(), OpsError> {
-        let malformed = |reason: String| OpsError::Malformed { reason };
-        check_path(&announcement.service).map_err(|err| malformed(err.to_string()))?;
-        let address = announcement.address.parse();
-        let address =
-            address.map_err(|_| malformed("`address`; allowed: IP and port".to_owned()))?;
-        if !SLOT_RULE.contains(&announcement.slots) {
-            return Err(malformed("`slots`; allowed: 1 to 10000".to_owned()));
+    fn own_ips(&self) -> Vec<IpAddr> {
+        vec![self.members.own().guard.ip(), self.proxy_address.ip()]
+    }
+
+    fn announce(
+        &self,
+        announcement: ServerAnnouncement,
+        address: SocketAddr,
+    ) -> Result<(), OpsError> {
+        let endpoints = self.servers.endpoints();
+        let is_known = endpoints.iter().any(|held| held.service == announcement.service);
+        if !is_known && endpoints.len() >= MAX_SERVICES {
+            let reason = format!("too many services; allowed: {MAX_SERVICES} beside a daemon");
+            return Err(OpsError::Malformed { reason });
         }
         let status = match announcement.is_draining {
             true => EndpointStatus::Draining,
@@ -151,13 +162,20 @@
         let known = |record: &MemberRecord| KnownProxy {
             data_centre: record.data_centre.clone(),
             incarnation: record.incarnation,
-            unreachable_since: (!record.is_present()).then(|| self.reach.since(&record.proxy)),
+            unreachable_since: self.reach.lost_since(&record.proxy),
         };
         let view = self.members.view();
         view.iter().map(|(proxy, record)| (proxy.clone(), known(record))).collect()
     }
 }
 
+fn count_quarantined(board: &QuarantineBoard) -> u64 {
+    let hold = QuarantineSettings::default().hold;
+    let since = Duration::from_millis(unix_now()).saturating_sub(hold);
+    let entries = board.entries();
+    entries.iter().filter(|record| record.convicted_at(since).is_some()).count() as u64
+}
+
 fn report_error(err: ReportError) -> OpsError {
     match err {
         ReportError::Store(err) => store_error(&err),
