proxy: find deadly requests whose callers have left; stricter keys and hosts

Cause: a request that fells its server after its caller's deadline was not in flight when the death was noticed, so it was never held back. Two Idempotency-Key headers were read as the first. Route hosts were compared by case and port.

Ruled out: holding the slot until the server is done. A caller that leaves frees its slot, and the server cannot be asked.

Change: the guard remembers for 1 s which requests were left; a refused connection is examined as a death too. Two keys get 400; hosts compare as names. departed_caller: refused after the second death.

--- a/components/proxy/src/entry.rs
+++ b/components/proxy/src/entry.rs
@@ -43,13 +43,14 @@
     Err(Box::new(own_answer(status, RequestOutcome::NotRun, RefusalKind::NotCarried)))
 }
 
-/// Refuses keys that cannot be kept as text. Two that differ in such bytes alone would count as one
-/// request, and the second would be answered as a copy of the first.
+/// Refuses keys that cannot be kept as text, and requests with two. Keys that differ in such bytes
+/// alone would count as one, and the second request would be answered as a copy of the first.
 fn check_key<B>(request: &Request<B>) -> Result<(), OwnAnswer> {
     let is_key = |key: &http::HeaderValue| key.len() <= MAX_KEY_BYTES && key.to_str().is_ok();
-    match request.headers().get_all(KEY_HEADER).iter().all(is_key) {
-        true => Ok(()),
-        false => {
+    let mut keys = request.headers().get_all(KEY_HEADER).iter();
+    match (keys.next().is_none_or(is_key), keys.next()) {
+        (true, None) => Ok(()),
+        _ => {
             let (status, kind) = (StatusCode::BAD_REQUEST, RefusalKind::Malformed);
             Err(Box::new(own_answer(status, RequestOutcome::NotRun, kind)))
         }
--- a/components/proxy/src/gate.rs
+++ b/components/proxy/src/gate.rs
@@ -1,6 +1,7 @@
 //! Admission to the local backend server, for tasks that wait.
 
 use std::{
+    collections::VecDeque,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::Duration,
 };
@@ -20,6 +21,12 @@
 type WaitSender = oneshot::Sender<Result<(), RefusalReason>>;
 type WaitReceiver = oneshot::Receiver<Result<(), RefusalReason>>;
 
+/// Time for which a server may still work on a request whose caller has left. Without it a request
+/// that crashes servers, sent by a caller who never waits, would not be found among those in flight.
+const LEFT_WINDOW: Duration = Duration::from_secs(1);
+/// Departed callers' requests remembered.
+const LEFT_LIMIT: usize = 64;
+
 /// A request that the server has, or had when its connection broke.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct ServerFlight {
@@ -34,6 +41,8 @@
     sent: SecondaryMap<Ticket, Fingerprint>,
     /// Requests whose connection broke, until it is clear whether the server died.
     broken: Vec<ServerFlight>,
+    /// Requests whose callers left, with the time at which they did, the newest last.
+    left: VecDeque<(Duration, ServerFlight)>,
     has_ticker: bool,
 }
 
@@ -59,6 +68,7 @@
             waiting: SecondaryMap::new(),
             sent: SecondaryMap::new(),
             broken: Vec::new(),
+            left: VecDeque::new(),
             has_ticker: false,
         };
         Self { state: Mutex::new(state), queued: Notify::new() }
@@ -95,10 +105,14 @@
         self.lock().guard.state(process_now())
     }
 
-    /// Takes the requests whose connection broke since the last call, and those the server has.
+    /// Takes the requests whose connection broke since the last call, and those the server has or
+    /// may still be working on.
     pub(crate) fn take_flights(&self) -> Vec<ServerFlight> {
         let mut state = self.lock();
         let mut flights = std::mem::take(&mut state.broken);
+        let since = process_now().saturating_sub(LEFT_WINDOW);
+        let left = std::mem::take(&mut state.left).into_iter();
+        flights.extend(left.filter(|(at, _)| *at >= since).map(|(_, flight)| flight));
         let running = state.sent.iter().map(|(ticket, fingerprint)| ServerFlight {
             fingerprint: *fingerprint,
             is_trial: state.guard.is_trial(ticket),
@@ -169,7 +183,13 @@
     }
 
     fn end(&mut self, ticket: Ticket, is_complete: bool) {
-        self.sent.remove(ticket);
+        if let Some(fingerprint) = self.sent.remove(ticket).filter(|_| !is_complete) {
+            let is_trial = self.guard.is_trial(ticket);
+            self.left.push_back((process_now(), ServerFlight { fingerprint, is_trial }));
+            if self.left.len() > LEFT_LIMIT {
+                self.left.pop_front();
+            }
+        }
         self.waiting.remove(ticket);
         let released = match is_complete {
             true => self.guard.finish(ticket, process_now()),
--- a/components/proxy/src/guard.rs
+++ b/components/proxy/src/guard.rs
@@ -190,6 +190,7 @@
             Ok(sender) => sender,
             Err(err) => {
                 log::info!("guard: {}: {err}.", server.id);
+                examine(context.quarantine.clone(), context.servers.clone(), server.clone());
                 return not_run(admitted, RefusalKind::ServerUnreachable).await;
             }
         };
@@ -280,7 +281,7 @@
     if let Some(mut hold) = hold {
         hold.set(ClaimOutcome::Ran { status: response.status().as_u16() });
     }
-    if is_unframed(&response) {
+    if is_unframed(&response) || response.status().is_informational() {
         log::warn!("guard: {} gives answers without a length.", exchange.server.id);
         return lost_answer(RefusalKind::AnswerUnframed, RequestOutcome::Ran);
     }
--- a/components/proxy/src/local.rs
+++ b/components/proxy/src/local.rs
@@ -51,6 +51,8 @@
     pub(crate) pool: Arc<ServerPool>,
     /// Host for requests that bring none.
     pub(crate) host: HeaderValue,
+    /// Whether the server drains or has gone, so that its end is no crash.
+    pub(crate) is_retired: AtomicBool,
     /// Whether someone is already finding out whether the server died.
     pub(crate) is_examined: AtomicBool,
 }
@@ -176,6 +178,7 @@
             pool: Arc::new(ServerPool::new(server.address, self.limits.pacer)),
             host: HeaderValue::from_str(&server.address.to_string())
                 .expect("an address makes a header"),
+            is_retired: AtomicBool::new(false),
             is_examined: AtomicBool::new(false),
         })
     }
@@ -200,6 +203,11 @@
         !self.is_examined.swap(true, Ordering::AcqRel)
     }
 
+    /// Tells whether the server's end was to be expected.
+    pub(crate) fn is_retired(&self) -> bool {
+        self.is_retired.load(Ordering::Acquire)
+    }
+
     /// Ends the examination, so that a later break is examined anew.
     pub(crate) fn end_examination(&self) {
         self.is_examined.store(false, Ordering::Release);
@@ -208,6 +216,7 @@
 
 /// Lets a server finish what it has and take no more.
 fn retire(guarded: &GuardedServer) {
+    guarded.is_retired.store(true, Ordering::Release);
     guarded.gate.drain();
     guarded.pool.close();
 }
--- a/components/proxy/src/quarantine.rs
+++ b/components/proxy/src/quarantine.rs
@@ -120,7 +120,7 @@
     }
 }
 
-/// Finds out, after a connection to a server broke, whether the server died, and if so holds the
+/// Finds out, after a connection to a server broke or was refused, whether the server died, and if so holds the
 /// requests it had as suspects.
 ///
 /// One broken connection alone may be the server's own choice, as when a handler fails. A server
@@ -130,7 +130,7 @@
     servers: Arc<LocalServers>,
     server: Arc<GuardedServer>,
 ) {
-    if !server.begin_examination() {
+    if server.is_retired() || !server.begin_examination() {
         return;
     }
     tokio::spawn(async move {
--- a/components/proxy/src/table.rs
+++ b/components/proxy/src/table.rs
@@ -143,7 +143,7 @@
     pub fn find(&self, host: Option<&str>, path: &str) -> Option<RouteMatch<'_>> {
         let is_match = |route: &&TableRoute| {
             is_prefix(&route.setting.prefix, path)
-                && route.setting.host.as_deref().is_none_or(|wanted| Some(wanted) == host)
+                && route.setting.host.as_deref().is_none_or(|wanted| is_host(wanted, host))
         };
         let route = self.routes.iter().find(is_match)?;
         let service = self.services.get(route.service)?;
@@ -285,6 +285,13 @@
     routes
 }
 
+/// Compares hosts as names: without regard to case, and to the port if the route names none.
+fn is_host(wanted: &str, host: Option<&str>) -> bool {
+    let Some(host) = host else { return false };
+    let name = host.rsplit_once(':').map_or(host, |(name, _)| name);
+    wanted.eq_ignore_ascii_case(host) || wanted.eq_ignore_ascii_case(name)
+}
+
 /// Matches at segment borders: `/board` covers `/board` and `/board/1` but not `/boards`.
 fn is_prefix(prefix: &str, path: &str) -> bool {
     let rest = path.strip_prefix(prefix);
--- a/components/proxy/tests/crash_quarantine.rs
+++ b/components/proxy/tests/crash_quarantine.rs
@@ -103,6 +103,30 @@
     }
 }
 
+/// A caller sends a deadly request with a deadline so short that it has left before the server dies,
+/// and sends it again. The request is in flight no longer when the death is noticed, which is when
+/// the next request finds nobody listening. It is remembered for a moment and held back after the
+/// second death all the same.
+#[tokio::test(flavor = "multi_thread")]
+async fn departed_caller() {
+    let mut fleet = TestFleet::start(FleetPlan::new(1)).await;
+    let client = http1();
+    let hasty = [("x-sapphirekeel-deadline-ms", "60")];
+    let path = "/deadly?fault=crash&work_ms=120";
+    for death in 1..=2 {
+        let answer = send(&client, fleet.entry(), "POST", path, &hasty, "body").await;
+        assert_eq!(answer.reason(), Some(RefusalKind::DeadlinePassed), "{answer:?}");
+        let dead = fleet.backends.last().expect("a server").address();
+        wait_for("the death", || std::net::TcpStream::connect(dead).is_err()).await;
+        get(&client, fleet.entry(), "/innocent").await;
+        let empty = || fleet.daemons[1].servers.endpoints().is_empty();
+        wait_for("the death to be noticed", empty).await;
+        restart_dead(&mut fleet, 1, &mut (death * 10)).await;
+    }
+    let answer = send(&client, fleet.entry(), "POST", path, &[], "body").await;
+    assert_eq!(answer.reason(), Some(RefusalKind::Quarantined), "{answer:?}");
+}
+
 /// A server drops one connection, as when a handler fails, and goes on with the others. It did not
 /// die, so that no request is held back.
 #[tokio::test(flavor = "multi_thread")]
--- a/components/standin/src/backend.rs
+++ b/components/standin/src/backend.rs
@@ -226,14 +226,20 @@
     let running = work.start(plan.tag.as_deref());
     let (parts, body) = request.into_parts();
     let body = body.collect().await.map_err(|_| FaultError::Dropped)?.to_bytes();
-    tokio::time::sleep(plan.work.unwrap_or(options.work)).await;
-    match plan.fault {
-        RequestFault::Crash => {
+    let time = plan.work.unwrap_or(options.work);
+    if plan.fault == RequestFault::Crash {
+        // A task of its own, since the work that crashes goes on when the caller leaves.
+        let work = work.clone();
+        tokio::spawn(async move {
+            tokio::time::sleep(time).await;
             work.crash();
-            return std::future::pending().await;
-        }
+        });
+        return std::future::pending().await;
+    }
+    tokio::time::sleep(time).await;
+    match plan.fault {
         RequestFault::Drop => return Err(FaultError::Dropped),
-        RequestFault::None | RequestFault::Cut => {}
+        RequestFault::None | RequestFault::Cut | RequestFault::Crash => {}
     }
     if let Some(nested) = call_nested(options, &parts, plan).await? {
         running.end();
