--- a/components/daemon/src/lib.rs
+++ b/components/daemon/src/lib.rs
@@ -1,8 +1,10 @@
 //! Wires the parts of one daemon together.
 
+mod claims;
 mod contacts;
 mod daemon;
 mod error;
+mod notices;
 mod port;
 mod reach;
 mod records;
