--- a/tests/proxy_deaths.rs
+++ b/tests/proxy_deaths.rs
@@ -120,9 +120,9 @@
     }
 }
 
-/// A request crashes each server that runs it and its caller sends it again and again, by different
-/// daemons. The first deaths are not shared between daemons yet when the second comes, so that each
-/// daemon counts its own: none lets more than two of its servers die.
+/// A request crashes each server that runs it and its caller sends it again and again. After the
+/// second death it is refused, with an answer that says why and invites no resend; the server that
+/// was started last lives on.
 #[tokio::test(flavor = "multi_thread")]
 async fn crash_resent() {
     let mut fleet = RequestFleet::start("crash_resent", 1);
