proxy: let a server that was gone come back as the same process

Cause: a guard's "server gone" marked the endpoint as leaving, which is final for its process. A server that was paused past its announcements' lapse, or taken for dead by mistake, came back as the same process and got no work from that entry until its next restart, unless a table without it came between.

Ruled out: forgetting the mark with the next table; membership may join both changes into one.

Change: only a drain that was announced is final; a server that is gone counts as unreachable.

--- a/components/proxy/src/attempt.rs
+++ b/components/proxy/src/attempt.rs
@@ -225,10 +225,14 @@
             status if status.is_server_error() => CallOutcome::Failure,
             _ => CallOutcome::Success,
         }),
-        (Some(RefusalKind::Draining | RefusalKind::ServerGone), _) => Some(CallOutcome::Leaving),
-        (Some(RefusalKind::Unreachable | RefusalKind::ServerUnreachable), _) => {
-            Some(CallOutcome::Unreachable)
-        }
+        (Some(RefusalKind::Draining), _) => Some(CallOutcome::Leaving),
+        // Not final: a server that was paused comes back as the same process.
+        (
+            Some(
+                RefusalKind::ServerGone | RefusalKind::Unreachable | RefusalKind::ServerUnreachable,
+            ),
+            _,
+        ) => Some(CallOutcome::Unreachable),
         (Some(kind), RequestOutcome::NotRun) if !kind.is_local() => None,
         (Some(RefusalKind::AlreadyRan | RefusalKind::AlreadyClaimed), _) => None,
         (_, RequestOutcome::NotRun) => Some(CallOutcome::Refused),
--- a/components/proxy/src/guard.rs
+++ b/components/proxy/src/guard.rs
@@ -120,7 +120,9 @@
     let offer = guard_request(call, deadline, alone);
     let permit = match server.gate.admit(&offer).await {
         Ok(permit) => permit,
-        Err(Refusal { reason, retry_after }) => return refuse_until(reason.into(), retry_after),
+        Err(Refusal { reason, retry_after }) => {
+            return refuse_until(server.refusal_kind(reason), retry_after);
+        }
     };
     let key = claim_key(&request, call);
     let hold = match claim(context, key, deadline).await {
--- a/components/proxy/src/local.rs
+++ b/components/proxy/src/local.rs
@@ -13,13 +13,13 @@
 use arc_swap::ArcSwap;
 use http::HeaderValue;
 use sk_decide::{
-    admitting::{GuardSettings, GuardState},
+    admitting::{GuardSettings, GuardState, RefusalReason},
     pacing::PacerSettings,
 };
 use sk_member::{EndpointRecord, EndpointStatus, ServerId};
 use sk_model::ServiceName;
 
-use crate::{clock::process_now, gate::AdmissionGate, pool::ServerPool};
+use crate::{clock::process_now, gate::AdmissionGate, outcome::RefusalKind, pool::ServerPool};
 
 /// A backend server beside this daemon.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -51,6 +51,8 @@
     pub(crate) pool: Arc<ServerPool>,
     /// Host for requests that bring none.
     pub(crate) host: HeaderValue,
+    /// Whether the server said that it drains, which is final for its process.
+    pub(crate) is_leaving: AtomicBool,
     /// Whether the server drains or has gone, so that its end is no crash.
     pub(crate) is_retired: AtomicBool,
     /// Whether someone is already finding out whether the server died.
@@ -106,6 +108,7 @@
                 }
             };
             if is_draining(&server) {
+                guarded.is_leaving.store(true, Ordering::Release);
                 retire(&guarded);
             }
             servers.insert(service, ServerEntry { server, guarded });
@@ -178,6 +181,7 @@
             pool: Arc::new(ServerPool::new(server.address, self.limits.pacer)),
             host: HeaderValue::from_str(&server.address.to_string())
                 .expect("an address makes a header"),
+            is_leaving: AtomicBool::new(false),
             is_retired: AtomicBool::new(false),
             is_examined: AtomicBool::new(false),
         })
@@ -203,6 +207,17 @@
         !self.is_examined.swap(true, Ordering::AcqRel)
     }
 
+    /// Gives the reason for a refusal by the gate. A gate also drains when its server is gone, which
+    /// need not be final: a server that was paused announces itself again as the same process.
+    pub(crate) fn refusal_kind(&self, reason: RefusalReason) -> RefusalKind {
+        match reason {
+            RefusalReason::Draining if !self.is_leaving.load(Ordering::Acquire) => {
+                RefusalKind::ServerGone
+            }
+            reason => reason.into(),
+        }
+    }
+
     /// Tells whether the server's end was to be expected.
     pub(crate) fn is_retired(&self) -> bool {
         self.is_retired.load(Ordering::Acquire)
--- a/components/proxy/tests/retry_rules.rs
+++ b/components/proxy/tests/retry_rules.rs
@@ -122,6 +122,23 @@
     .await;
 }
 
+/// A server is paused, its announcements lapse, and it wakes as the same process. Requests that came
+/// meanwhile did not run. They must not mark it as leaving for good: it would stay idle until its
+/// next restart, and nobody would see why.
+#[tokio::test(flavor = "multi_thread")]
+async fn paused_server() {
+    let fleet = TestFleet::start(FleetPlan::new(1)).await;
+    let client = http1();
+    fleet.daemons[1].servers.expire(std::time::Instant::now(), Duration::ZERO);
+    let answer = send(&client, fleet.entry(), "POST", "/", &[], "body").await;
+    assert_eq!(answer.reason(), Some(RefusalKind::ServerGone));
+    assert_eq!(answer.outcome(), Some(RequestOutcome::NotRun));
+    let address = fleet.backends[0].address();
+    fleet.announce(1, "server-1", address, sk_member::EndpointStatus::Ready);
+    let answer = send(&client, fleet.entry(), "POST", "/", &[], "body").await;
+    assert_eq!(answer.status, StatusCode::OK, "{answer:?}");
+}
+
 /// A server answers after its caller's deadline. The caller hears "unknown" at the deadline, the
 /// late answer goes nowhere, and the next caller on the same connections gets its own.
 #[tokio::test(flavor = "multi_thread")]
