--- a/components/proxy/tests/whole_answers.rs
+++ b/components/proxy/tests/whole_answers.rs
@@ -88,6 +88,34 @@
     assert_eq!(fleet.backends[0].served(), 0, "a cut upload ran");
 }
 
+/// Makes an HTTP/2 frame of stream 1, or of the connection for settings.
+fn frame(kind: u8, flags: u8, payload: &[u8]) -> Vec<u8> {
+    let length = u32::try_from(payload.len()).expect("small frame").to_be_bytes();
+    let stream = u8::from(kind != 4);
+    [&length[1..], &[kind, flags, 0, 0, 0, stream], payload].concat()
+}
+
+/// The same cut over HTTP/2, by a client that resets its stream with the code for "no error". The
+/// library reads that as the end of the body. The request must not run as a whole one.
+#[tokio::test(flavor = "multi_thread")]
+async fn reset_upload() {
+    let fleet = TestFleet::start(FleetPlan::new(1)).await;
+    let mut stream = TcpStream::connect(fleet.entry()).await.expect("connection");
+    // POST, http, path `/`, authority `test`, by the static table.
+    let head = [&[0x83, 0x86, 0x84, 0x41, 4][..], b"test"].concat();
+    let preface = [b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n".to_vec(), frame(4, 0, &[])].concat();
+    stream.write_all(&preface).await.expect("preface");
+    // The entry's window holds the upload once its settings are acknowledged.
+    stream.read_exact(&mut [0; 9]).await.expect("settings");
+    let mut sent = [frame(4, 1, &[]), frame(1, 4, &head)].concat();
+    (0..10).for_each(|_| sent.extend(frame(0, 0, &[b'x'; 10_000])));
+    stream.write_all(&sent).await.expect("part of an upload");
+    wait_for("the server to have a part", || fleet.backends[0].counts().begun == 1).await;
+    stream.write_all(&frame(3, 0, &[0; 4])).await.expect("reset");
+    wait_for("the server to give up", || fleet.backends[0].counts().running == 0).await;
+    assert_eq!(fleet.backends[0].served(), 0, "a cut upload ran");
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn oversized() {
     let fleet = TestFleet::start(FleetPlan::new(1)).await;
