--- a/components/proxy/src/guard.rs
+++ b/components/proxy/src/guard.rs
@@ -120,7 +120,9 @@
     let offer = guard_request(call, deadline, alone);
     let permit = match server.gate.admit(&offer).await {
         Ok(permit) => permit,
-        Err(Refusal { reason, retry_after }) => return refuse_until(reason.into(), retry_after),
+        Err(Refusal { reason, retry_after }) => {
+            return refuse_until(server.refusal_kind(reason), retry_after);
+        }
     };
     let key = claim_key(&request, call);
     let hold = match claim(context, key, deadline).await {
@@ -190,6 +192,7 @@
             Ok(sender) => sender,
             Err(err) => {
                 log::info!("guard: {}: {err}.", server.id);
+                examine(context.quarantine.clone(), context.servers.clone(), server.clone());
                 return not_run(admitted, RefusalKind::ServerUnreachable).await;
             }
         };
@@ -280,7 +283,7 @@
     if let Some(mut hold) = hold {
         hold.set(ClaimOutcome::Ran { status: response.status().as_u16() });
     }
-    if is_unframed(&response) {
+    if is_unframed(&response) || response.status().is_informational() {
         log::warn!("guard: {} gives answers without a length.", exchange.server.id);
         return lost_answer(RefusalKind::AnswerUnframed, RequestOutcome::Ran);
     }
