Send metrics to a statsd receiver

Cause: nothing told an operator's own tools what a daemon does. Change: a task reads the state dump and the proxy's counters every ten seconds and sends them by cadence over a socket that does not wait; off without metrics.address. Ruled out: a queuing sink, whose thread and queue a dozen lines do not need.

--- a/components/daemon/src/daemon.rs
+++ b/components/daemon/src/daemon.rs
@@ -24,6 +24,7 @@
     claims::BookGate,
     contacts::StoreContacts,
     error::DaemonError,
+    metrics::send_metrics,
     notices::QuarantineNotices,
     port::DaemonPort,
     reach::{ReachClock, watch_reach},
@@ -116,6 +117,11 @@
         tokio::spawn(tasks::expire_servers(parts.servers.clone(), parts.members.clone(), ttl)),
         tokio::spawn(watch_reach(parts.reach.clone(), parts.members.clone())),
         tokio::spawn(tasks::flush_reports(parts.book.clone(), parts.store.clone())),
+        tokio::spawn(send_metrics(
+            settings.metrics.address,
+            Arc::new(make_port(settings, &parts, addresses)),
+            parts.counters.clone(),
+        )),
     ];
     log::info!("daemon: {} runs at {}.", settings.instance.name, addresses.proxy);
     Ok(DaemonHandle {
--- a/components/daemon/src/lib.rs
+++ b/components/daemon/src/lib.rs
@@ -4,6 +4,7 @@
 mod contacts;
 mod daemon;
 mod error;
+mod metrics;
 mod notices;
 mod port;
 mod reach;
