--- a/components/ops/src/server.rs
+++ b/components/ops/src/server.rs
@@ -3,8 +3,9 @@
 use std::net::SocketAddr;
 
 use dropshot::{
-    ApiDescription, ConfigDropshot, HttpResponseOk, HttpResponseUpdatedNoContent, HttpServer, Path,
-    Query, RequestContext, ServerBuilder, TypedBody, endpoint,
+    ApiDescription, ConfigDropshot, HttpResponseError, HttpResponseOk,
+    HttpResponseUpdatedNoContent, HttpServer, Path, Query, RequestContext, ServerBuilder,
+    TypedBody, endpoint,
 };
 use http::header;
 use schemars::JsonSchema;
@@ -147,7 +148,13 @@
     let change = body.into_inner();
     require_change_id(&change.change_id)?;
     require_team(&request, &change.team).await?;
-    Ok(HttpResponseOk(request.context().submit(change).await?))
+    let id = change.change_id.clone();
+    let result = request.context().submit(change).await;
+    if let Err(err) = &result {
+        // The status only: a reason may quote what the change holds.
+        log::info!("ops: change {id:?} ended with status {}.", err.status_code().as_u16());
+    }
+    Ok(HttpResponseOk(result?))
 }
 
 /// Looks a change up.
@@ -230,6 +237,7 @@
         return Err(OpsError::Malformed { reason });
     }
     request.context().put_team(&team, record).await?;
+    log::info!("ops: team {team} has another token.");
     Ok(HttpResponseUpdatedNoContent())
 }
 
--- a/src/cmd/report.rs
+++ b/src/cmd/report.rs
@@ -83,6 +83,10 @@
     Ok(match (is_json, args.csv) {
         (true, _) => print_json(&records),
         (_, true) => print_csv(records.iter().map(ChangeRow::new)),
+        _ if records.is_empty() => {
+            println!("no changes");
+            Ok(())
+        }
         _ => {
             records.iter().for_each(|record| print!("{}", render_record(record)));
             Ok(())
