Tell on standard error that no change matches

Cause: the words went to standard output, which scripts take for records; the test of foreign subtrees failed on it. Change: they go to standard error.

--- a/src/cmd/report.rs
+++ b/src/cmd/report.rs
@@ -84,7 +84,7 @@
         (true, _) => print_json(&records),
         (_, true) => print_csv(records.iter().map(ChangeRow::new)),
         _ if records.is_empty() => {
-            println!("no changes");
+            eprintln!("no changes");
             Ok(())
         }
         _ => {
