--- a/components/settings/src/lib.rs
+++ b/components/settings/src/lib.rs
@@ -49,8 +49,17 @@
     let settings: DaemonSettings = toml::from_str(text).map_err(|err| SettingsError::Syntax {
         file: file.to_owned(),
         place: TextPlace::of_error(text, &err),
-        reason: TextPlace::describe_error(text, &err),
+        reason: hide_secret(TextPlace::describe_error(text, &err)),
     })?;
     check::check_settings(file, text, &settings)?;
     Ok(settings)
 }
+
+/// Drops the value that the TOML reader quotes where the secret is of the wrong type: the error ends
+/// in logs, which more people read than the settings.
+fn hide_secret(reason: String) -> String {
+    match reason.starts_with("`secret`") {
+        true => "`secret`: invalid type, expected a string".to_owned(),
+        false => reason,
+    }
+}
