--- a/src/cli.rs
+++ b/src/cli.rs
@@ -49,7 +49,7 @@
     Team(TeamArgs),
 }
 
-/// Arguments of `demo`.
+/// Runs a small fleet on loopback and shows a change going through it.
 #[derive(Debug, Options)]
 pub struct DemoArgs {
     /// Print this help
@@ -76,7 +76,9 @@
     pub paths: Vec<PathBuf>,
 }
 
-/// Arguments of `plan`.
+/// Shows what apply would change, as a diff from what is accepted to what is declared.
+///
+/// Exit codes: 0 also where nothing differs, 1 refused, 2 called wrongly.
 #[derive(Debug, Options)]
 pub struct PlanArgs {
     /// Print this help
@@ -91,7 +93,10 @@
     pub team: Option<String>,
 }
 
-/// Arguments of `apply`.
+/// Makes a team's settings what a directory declares, whole or not at all.
+///
+/// A change whose answer is lost is looked up by its id; exit code 3 says that it may be in force.
+/// Running the same command again is safe, as a change id takes effect once.
 #[derive(Debug, Options)]
 pub struct ApplyArgs {
     /// Print this help
@@ -120,7 +125,7 @@
     pub wait_bound: u64,
 }
 
-/// Arguments of `withdraw`.
+/// Withdraws one setting. Refused while a route needs it.
 #[derive(Debug, Options)]
 pub struct WithdrawArgs {
     /// Print this help
@@ -139,7 +144,7 @@
     pub author: String,
 }
 
-/// Arguments of `get`.
+/// Prints accepted settings.
 #[derive(Debug, Options)]
 pub struct GetArgs {
     /// Print this help
@@ -152,7 +157,9 @@
     pub team: Option<String>,
 }
 
-/// Arguments of `report`.
+/// Prints who holds what since when; with --path, --team, --from, --since or --until, who wrote what.
+///
+/// Needs the managers' token. Times are milliseconds since 1970-01-01 UTC.
 #[derive(Debug, Options)]
 pub struct ReportArgs {
     /// Print this help
@@ -186,7 +193,7 @@
     pub proxy: Option<String>,
 }
 
-/// Arguments of `state`.
+/// Prints what one daemon holds and believes, as JSON; answers also while the platform is away.
 #[derive(Debug, Options)]
 pub struct StateArgs {
     /// Print this help
@@ -196,7 +203,7 @@
     pub json: bool,
 }
 
-/// Arguments of `team`.
+/// Creates a team or gives it another token. Needs the managers' token.
 #[derive(Debug, Options)]
 pub struct TeamArgs {
     /// Print this help
--- a/tests/cli_check.rs
+++ b/tests/cli_check.rs
@@ -135,6 +135,7 @@
         let output = run(&[command, "--help"], &directory);
         assert!(output.status.success(), "{command}: {}", render(&output));
         assert!(render(&output).contains("--help"), "{command}: {}", render(&output));
+        assert!(!render(&output).contains("Arguments of"), "{command}: {}", render(&output));
     }
     let output = run(&["check", "--help"], &directory);
     assert!(render(&output).contains("Any other name is refused"), "{}", render(&output));
