--- a/components/daemon/src/daemon.rs
+++ b/components/daemon/src/daemon.rs
@@ -1,6 +1,10 @@
 //! Starting and stopping one daemon.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    net::SocketAddr,
+    sync::{Arc, OnceLock},
+    time::Duration,
+};
 
 use sk_claim::{ClaimBook, ClaimSettings};
 use sk_decide::{admitting, pacing::PacerSettings};
@@ -15,7 +19,8 @@
 use sk_report::ReportBook;
 use sk_settings::{DaemonSettings, SpreadMode};
 use sk_spread::{
-    ControlMeter, HeldConfig, PassMode, SpreadHandle, SpreadOptions, SpreadParts, start_spread,
+    ControlMeter, HeldConfig, PassMode, SpreadHandle, SpreadOptions, SpreadParts, StateReader,
+    start_spread,
 };
 use sk_store::{HttpStore, SharedStore};
 use tokio::{net::TcpListener, task::JoinHandle};
@@ -82,6 +87,7 @@
     quarantine: Arc<QuarantineBoard>,
     counters: Arc<ProxyCounters>,
     reach: Arc<ReachClock>,
+    spread: Arc<OnceLock<StateReader>>,
 }
 
 /// Starts a daemon from checked settings.
@@ -101,6 +107,8 @@
     let ops = start_ops(settings.listen.ops, Arc::new(make_port(settings, &parts, addresses)))?;
     let addresses = DaemonAddresses { ops: ops.address(), ..addresses };
     let spread = run_spread(settings, &parts, listeners.control)?;
+    // Set once in a daemon's life; the dump shows nothing of the control thread before.
+    let _ = parts.spread.set(spread.reader());
     let guard_context = Arc::new(guard_context(settings, &parts));
     let forward_context = forward_context(settings, &parts, guard_context.clone());
     let forward = serve_forward(listeners.proxy, Arc::new(forward_context));
@@ -217,6 +225,7 @@
         quarantine: Arc::default(),
         counters: Arc::default(),
         reach: Arc::default(),
+        spread: Arc::default(),
     }
 }
 
@@ -254,6 +263,10 @@
         meter: parts.meter.clone(),
         reach: parts.reach.clone(),
         quarantine: parts.quarantine.clone(),
+        counters: parts.counters.clone(),
+        table: parts.table.clone(),
+        book: parts.book.clone(),
+        spread: parts.spread.clone(),
         proxy_address: addresses.proxy,
     }
 }
--- /dev/null
+++ b/components/daemon/src/dump.rs
@@ -0,0 +1,109 @@
+//! The state dump: what each part says of itself, without asking the platform.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use sk_decide::{admitting::GuardState, quarantine::QuarantineSettings};
+use sk_member::{EndpointRecord, MemberMarks, MemberRecord};
+use sk_model::{ProxyId, ServiceName};
+use sk_ops::{ControlView, PeerView, RequestView, ServerView, StateDump};
+use sk_proxy::{ProxyCounters, QuarantineBoard, RouteTable};
+use sk_spread::SpreadState;
+
+use crate::{port::DaemonPort, tasks::unix_now};
+
+impl DaemonPort {
+    /// Gathers the state of this daemon.
+    pub(crate) fn dump(&self) -> StateDump {
+        let own = self.members.own();
+        let status = self.held.status();
+        let bytes = self.meter.bytes();
+        let view = self.members.view();
+        let marks = self.members.marks();
+        let servers = self.servers.endpoints();
+        let guards = self.servers.guard_states();
+        let spread = self.spread.get().map(|reader| reader.state()).unwrap_or_default();
+        StateDump {
+            proxy: own.proxy.clone(),
+            data_centre: own.data_centre.clone(),
+            version: status.version,
+            since: status.since,
+            source: status.source,
+            rejected: status.rejected,
+            control_sent: bytes.sent,
+            control_received: bytes.received,
+            suspects: self.quarantine.len() as u64,
+            quarantined: count_quarantined(&self.quarantine),
+            proxy_address: self.proxy_address,
+            control: view_control(spread, self.book.pending_centres()),
+            requests: view_requests(&self.counters, &self.table.load()),
+            servers: servers.iter().map(|endpoint| view_server(endpoint, &guards)).collect(),
+            members: view.values().map(|record| view_peer(record, &marks)).collect(),
+        }
+    }
+}
+
+fn count_quarantined(board: &QuarantineBoard) -> u64 {
+    let hold = QuarantineSettings::default().hold;
+    let since = Duration::from_millis(unix_now()).saturating_sub(hold);
+    let entries = board.entries();
+    entries.iter().filter(|record| record.convicted_at(since).is_some()).count() as u64
+}
+
+fn view_control(state: SpreadState, pending_reports: usize) -> ControlView {
+    ControlView {
+        is_ready: state.is_ready,
+        is_relay: state.is_relay,
+        relays: state.relays,
+        links: state.links,
+        source_fault: state.source_fault,
+        fetches_served: state.fetches_served,
+        fetches_refused: state.fetches_refused,
+        diverged: state.diverged,
+        sent_bytes: state.kinds.into_iter().map(|kind| (kind.kind, kind.sent)).collect(),
+        pending_reports: pending_reports as u64,
+    }
+}
+
+fn view_requests(counters: &ProxyCounters, table: &RouteTable) -> RequestView {
+    let view = counters.view();
+    let left = table.services().map(|service| (service.name.to_string(), service.retries_left()));
+    RequestView {
+        in_flight: view.in_flight,
+        ran: view.ran,
+        not_run: view.not_run,
+        unknown: view.unknown,
+        refused: view.refused,
+        retries: view.retries,
+        retries_left: left.collect(),
+    }
+}
+
+fn view_server(
+    endpoint: &EndpointRecord,
+    guards: &BTreeMap<ServiceName, GuardState>,
+) -> (ServiceName, ServerView) {
+    let guard = guards.get(&endpoint.service);
+    let view = ServerView {
+        server: endpoint.server.clone(),
+        status: endpoint.status.to_string(),
+        slots: endpoint.slots,
+        open_slots: guard.map_or(0, |guard| guard.slots),
+        running: guard.map_or([0; 2], |guard| guard.running),
+        queued: guard.map_or([0; 2], |guard| guard.queued),
+    };
+    (endpoint.service.clone(), view)
+}
+
+fn view_peer(record: &MemberRecord, marks: &MemberMarks) -> (ProxyId, PeerView) {
+    let service =
+        |endpoint: &EndpointRecord| (endpoint.service.clone(), endpoint.status.to_string());
+    let view = PeerView {
+        data_centre: record.data_centre.clone(),
+        incarnation: record.incarnation,
+        sequence: record.sequence,
+        status: record.status.to_string(),
+        mark: marks.get(&record.proxy).map(ToString::to_string),
+        services: record.endpoints.iter().map(service).collect(),
+    };
+    (record.proxy.clone(), view)
+}
--- a/components/daemon/src/lib.rs
+++ b/components/daemon/src/lib.rs
@@ -3,6 +3,7 @@
 mod claims;
 mod contacts;
 mod daemon;
+mod dump;
 mod error;
 mod metrics;
 mod notices;
--- a/components/daemon/src/port.rs
+++ b/components/daemon/src/port.rs
@@ -3,25 +3,24 @@
 use std::{
     collections::BTreeMap,
     net::{IpAddr, SocketAddr},
-    sync::Arc,
-    time::{Duration, Instant},
+    sync::{Arc, OnceLock},
+    time::Instant,
 };
 
 use async_trait::async_trait;
-use sk_decide::quarantine::QuarantineSettings;
 use sk_ledger::Ledger;
 use sk_member::{EndpointRecord, EndpointStatus, MemberBoard, MemberRecord, MemberTable};
 use sk_model::{ChangeRecord, ChangeRequest, ConfigSnapshot, ProxyId, TeamName, Version};
 use sk_ops::{
-    HeldView, MAX_SERVICES, OperatorPort, OpsError, PeerView, ServerAnnouncement, ServerView,
-    StateDump, TeamRecord, TeamView,
+    HeldView, MAX_SERVICES, OperatorPort, OpsError, ServerAnnouncement, StateDump, TeamRecord,
+    TeamView,
 };
-use sk_proxy::{LocalServer, LocalServers, QuarantineBoard};
+use sk_proxy::{LocalServer, LocalServers, ProxyCounters, QuarantineBoard, SharedTable};
 use sk_report::{
-    ChangeReport, FleetReport, KnownProxy, ReportError, make_change_report, make_report, read_acks,
-    read_times,
+    ChangeReport, FleetReport, KnownProxy, ReportBook, ReportError, make_change_report,
+    make_report, read_acks, read_times,
 };
-use sk_spread::{ControlMeter, HeldConfig};
+use sk_spread::{ControlMeter, HeldConfig, StateReader};
 use sk_store::SharedStore;
 
 use crate::{
@@ -42,6 +41,11 @@
     pub(crate) meter: Arc<ControlMeter>,
     pub(crate) reach: Arc<ReachClock>,
     pub(crate) quarantine: Arc<QuarantineBoard>,
+    pub(crate) counters: Arc<ProxyCounters>,
+    pub(crate) table: SharedTable,
+    pub(crate) book: Arc<ReportBook>,
+    /// Set once the control thread runs.
+    pub(crate) spread: Arc<OnceLock<StateReader>>,
     pub(crate) proxy_address: SocketAddr,
 }
 
@@ -102,26 +106,7 @@
     }
 
     fn state(&self) -> StateDump {
-        let own = self.members.own();
-        let status = self.held.status();
-        let bytes = self.meter.bytes();
-        let view = self.members.view();
-        let servers = self.servers.endpoints();
-        StateDump {
-            proxy: own.proxy.clone(),
-            data_centre: own.data_centre.clone(),
-            version: status.version,
-            since: status.since,
-            source: status.source,
-            rejected: status.rejected,
-            control_sent: bytes.sent,
-            control_received: bytes.received,
-            suspects: self.quarantine.len() as u64,
-            quarantined: count_quarantined(&self.quarantine),
-            proxy_address: self.proxy_address,
-            servers: servers.iter().map(view_server).collect(),
-            members: view.iter().map(|(proxy, peer)| (proxy.clone(), view_peer(peer))).collect(),
-        }
+        self.dump()
     }
 
     fn own_ips(&self) -> Vec<IpAddr> {
@@ -169,13 +154,6 @@
     }
 }
 
-fn count_quarantined(board: &QuarantineBoard) -> u64 {
-    let hold = QuarantineSettings::default().hold;
-    let since = Duration::from_millis(unix_now()).saturating_sub(hold);
-    let entries = board.entries();
-    entries.iter().filter(|record| record.convicted_at(since).is_some()).count() as u64
-}
-
 fn report_error(err: ReportError) -> OpsError {
     match err {
         ReportError::Store(err) => store_error(&err),
@@ -192,24 +170,3 @@
     let teams: BTreeMap<_, _> = snapshot.root.trees.iter().map(view).collect();
     HeldView { version: snapshot.version(), teams }
 }
-
-fn view_server(endpoint: &EndpointRecord) -> (String, ServerView) {
-    let server = ServerView {
-        server: endpoint.server.clone(),
-        status: endpoint.status.to_string(),
-        slots: endpoint.slots,
-    };
-    (endpoint.service.clone(), server)
-}
-
-fn view_peer(record: &MemberRecord) -> PeerView {
-    let service =
-        |endpoint: &EndpointRecord| (endpoint.service.clone(), endpoint.status.to_string());
-    PeerView {
-        data_centre: record.data_centre.clone(),
-        incarnation: record.incarnation,
-        sequence: record.sequence,
-        status: record.status.to_string(),
-        services: record.endpoints.iter().map(service).collect(),
-    }
-}
--- a/components/measure/src/fleet.rs
+++ b/components/measure/src/fleet.rs
@@ -138,6 +138,16 @@
         daemon.context("daemon runs")?.address(name)
     }
 
+    /// Gives an address of every daemon that runs, by name.
+    pub fn addresses(&self, name: &str) -> Vec<String> {
+        self.daemons.iter().flatten().filter_map(|daemon| daemon.address(name).ok()).collect()
+    }
+
+    /// Gives the client with the managers' token.
+    pub(crate) fn manager(&self) -> &JsonClient {
+        &self.manager
+    }
+
     fn first_ops(&self) -> anyhow::Result<String> {
         self.daemons.iter().flatten().next().context("a daemon runs")?.address("ops")
     }
--- a/components/measure/src/lib.rs
+++ b/components/measure/src/lib.rs
@@ -8,6 +8,7 @@
 mod config;
 mod fleet;
 mod load;
+mod members;
 mod process;
 mod spread;
 
@@ -15,4 +16,5 @@
 pub use claims::measure_claims;
 pub use fleet::{FleetPlan, TestFleet};
 pub use load::{LoadPlan, measure_load};
+pub use members::{MemberFigures, measure_members};
 pub use spread::{SpreadPlan, measure_spread};
--- a/components/ops/src/lib.rs
+++ b/components/ops/src/lib.rs
@@ -13,5 +13,6 @@
 pub use port::{OperatorPort, SharedPort};
 pub use server::{OpsHandle, start_ops};
 pub use wire::{
-    HeldView, PeerView, ServerAnnouncement, ServerView, StateDump, TeamRecord, TeamView,
+    ControlView, HeldView, PeerView, RequestView, ServerAnnouncement, ServerView, StateDump,
+    TeamRecord, TeamView,
 };
--- a/components/ops/src/wire.rs
+++ b/components/ops/src/wire.rs
@@ -63,6 +63,8 @@
     pub sequence: u64,
     /// Whether it takes part.
     pub status: String,
+    /// What this daemon alone believes of it: `suspect`, `unreachable` or nothing.
+    pub mark: Option<String>,
     /// Services of the backend servers beside it, with their status.
     pub services: BTreeMap<ServiceName, String>,
 }
@@ -76,6 +78,56 @@
     pub status: String,
     /// Requests it works on at once.
     pub slots: u32,
+    /// Slots the guard uses now: fewer while the server is cold.
+    pub open_slots: u32,
+    /// Requests that run there, short and long.
+    pub running: [u32; 2],
+    /// Requests that wait for a slot, short and long.
+    pub queued: [u32; 2],
+}
+
+/// The control traffic of one daemon.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+pub struct ControlView {
+    /// Whether the daemon holds what it must before it serves.
+    pub is_ready: bool,
+    /// Whether it watches the platform for its data centre.
+    pub is_relay: bool,
+    /// The relays of its data centre, first choice first.
+    pub relays: Vec<ProxyId>,
+    /// Daemons it exchanges heartbeats with.
+    pub links: Vec<ProxyId>,
+    /// What the platform said last; none while it answers.
+    pub source_fault: Option<String>,
+    /// Fetches served to other daemons.
+    pub fetches_served: u64,
+    /// Fetches refused because too many were served at once.
+    pub fetches_refused: u64,
+    /// Newest version under which another daemon holds another content; zero where none does.
+    pub diverged: Version,
+    /// Payload bytes sent, by kind of call.
+    pub sent_bytes: BTreeMap<String, u64>,
+    /// Data centres whose acknowledgements wait to be kept in the platform.
+    pub pending_reports: u64,
+}
+
+/// Callers' requests of one daemon since its start.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+pub struct RequestView {
+    /// In this daemon now.
+    pub in_flight: u64,
+    /// Answered by a server.
+    pub ran: u64,
+    /// Not run.
+    pub not_run: u64,
+    /// Not known whether run.
+    pub unknown: u64,
+    /// Answers of the daemon's own, by reason.
+    pub refused: BTreeMap<String, u64>,
+    /// Attempts after the first.
+    pub retries: u64,
+    /// Whole retries that each service may still be sent.
+    pub retries_left: BTreeMap<ServiceName, u64>,
 }
 
 /// The state of one daemon. Holds no secret.
@@ -103,6 +155,10 @@
     pub quarantined: u64,
     /// Address for callers.
     pub proxy_address: SocketAddr,
+    /// The control traffic.
+    pub control: ControlView,
+    /// Callers' requests since the start.
+    pub requests: RequestView,
     /// Backend servers beside it, by service.
     pub servers: BTreeMap<ServiceName, ServerView>,
     /// Other daemons and this one.
--- a/components/report/src/book.rs
+++ b/components/report/src/book.rs
@@ -79,6 +79,11 @@
         }
     }
 
+    /// Counts the data centres of which something is pending.
+    pub fn pending_centres(&self) -> usize {
+        self.pending().acks.len()
+    }
+
     /// Writes what is pending to the platform: one object for each data centre, and one for each
     /// version there.
     ///
--- a/src/bin/sk-measure.rs
+++ b/src/bin/sk-measure.rs
@@ -6,7 +6,7 @@
 use serde::Serialize;
 use sk_measure::{
     BaselineKind, FleetPlan, LoadPlan, SpreadPlan, measure_baseline, measure_claims, measure_load,
-    measure_spread,
+    measure_members, measure_spread,
 };
 
 #[derive(Debug, Options)]
@@ -21,6 +21,8 @@
 enum MeasureCommand {
     /// Configuration against the fleet's size, with the baselines
     Spread(SpreadArgs),
+    /// Time until all daemons know of a start, a drain and a crash
+    Members(MemberArgs),
     /// The request path against a direct call
     Load(LoadArgs),
     /// Claims of requests that may not be repeated
@@ -48,6 +50,18 @@
     no_baseline: bool,
 }
 
+#[derive(Debug, Options)]
+struct MemberArgs {
+    /// Print this help
+    help: bool,
+    /// Fleet sizes
+    #[options(default = "10,50")]
+    daemons: String,
+    /// Starts, drains and crashes of each fleet
+    #[options(default = "5")]
+    rounds: usize,
+}
+
 #[derive(Debug, Options)]
 struct LoadArgs {
     /// Print this help
@@ -87,6 +101,7 @@
     let args = MeasureArgs::parse_args_default_or_exit();
     match args.command {
         Some(MeasureCommand::Spread(args)) => spread(&args).await,
+        Some(MeasureCommand::Members(args)) => members(&args).await,
         Some(MeasureCommand::Load(args)) => load(&args).await,
         Some(MeasureCommand::Claims(args)) => claims(&args).await,
         None => anyhow::bail!("{}", MeasureArgs::command_list().unwrap_or_default()),
@@ -97,12 +112,7 @@
     for daemons in numbers(&args.daemons)? {
         let daemons = daemons as usize;
         let plan = SpreadPlan {
-            fleet: FleetPlan {
-                daemons,
-                // Nine data centres at the full size; at least a few daemons in each.
-                data_centres: (daemons / 5).clamp(2, 9),
-                settings: args.settings.clone(),
-            },
+            fleet: fleet_plan(daemons, args.settings.clone()),
             changes: args.changes,
             idle: Duration::from_secs(args.idle),
         };
@@ -115,6 +125,19 @@
     Ok(())
 }
 
+async fn members(args: &MemberArgs) -> anyhow::Result<()> {
+    for daemons in numbers(&args.daemons)? {
+        let plan = fleet_plan(daemons as usize, String::new());
+        print(&measure_members(plan, args.rounds).await?)?;
+    }
+    Ok(())
+}
+
+fn fleet_plan(daemons: usize, settings: String) -> FleetPlan {
+    // Nine data centres at the full size; at least a few daemons in each.
+    FleetPlan { daemons, data_centres: (daemons / 5).clamp(2, 9), settings }
+}
+
 async fn load(args: &LoadArgs) -> anyhow::Result<()> {
     let plan = LoadPlan {
         rates: numbers(&args.rates)?,
