--- a/components/settings/src/daemon_settings.rs
+++ b/components/settings/src/daemon_settings.rs
@@ -105,10 +105,11 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum SpreadMode {
-    /// Sends the change at once: least convergence time.
+    /// Sends the change at once: least convergence time, and fewest bytes for a change on its own.
     #[default]
     Push,
-    /// Announces the version and lets peers fetch what they lack: fewest control bytes.
+    /// Gathers changes for a second, then announces the version and lets peers fetch what they
+    /// lack: fewest control bytes where many changes come within a second.
     Announce,
 }
 
--- a/tests/example_settings.rs
+++ b/tests/example_settings.rs
@@ -92,7 +92,10 @@
 fn weighed_differently() {
     let [ledvica, restlwerk] = DEPLOYMENTS.map(read_deployment);
     assert_eq!(ledvica.spread.mode, SpreadMode::Push);
-    assert_eq!(restlwerk.spread.mode, SpreadMode::Announce);
+    // Measured: a change on its own costs fewer bytes pushed than announced.
+    assert_eq!(restlwerk.spread.mode, SpreadMode::Push);
+    // All but a thousandth of a day's control bytes are sent while nothing changes.
+    assert!(ledvica.member.heartbeat_ms < restlwerk.member.heartbeat_ms);
     assert!(ledvica.spread.fan_out > restlwerk.spread.fan_out);
     assert!(ledvica.spread.repair_interval_ms < restlwerk.spread.repair_interval_ms);
 }
