--- a/components/store/src/fake.rs
+++ b/components/store/src/fake.rs
@@ -58,6 +58,11 @@
         self.state().write_faults.push_back(fault);
     }
 
+    /// Forgets the faults planned and not yet used.
+    pub fn clear_faults(&self) {
+        self.state().write_faults.clear();
+    }
+
     fn state(&self) -> MutexGuard<'_, FakeState> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- /dev/null
+++ b/tests/fleet_model.rs
@@ -0,0 +1,380 @@
+//! Random sessions over the ledger, the held configurations and the reports, beside a naive model.
+//!
+//! The parts meet at their interfaces: messages between proxies are values in a queue that loses,
+//! repeats and reorders them, and the platform is the in-memory fake.
+
+use std::{collections::BTreeMap, sync::Arc};
+
+use proptest::prelude::*;
+use sk_ledger::{Ledger, LedgerSettings, SubmitError};
+use sk_model::{
+    ChangeRequest, ConfigSnapshot, ProxyAck, RouteSetting, ServiceSetting, SettingBody,
+    SettingWrites, WorkClass, validate_trees,
+};
+use sk_report::{KnownProxy, ProxyState, ReportBook, make_report, read_acks};
+use sk_spread::{ConfigUpdate, HeldConfig, OfferOutcome, apply_update, make_update};
+use sk_store::{FakeStore, SharedStore, WriteFault};
+
+const PROXIES: usize = 3;
+const TEAMS: usize = 2;
+const PREFIX: &str = "sapphirekeel/";
+
+#[derive(Clone, Debug)]
+enum Step {
+    /// An operator of a team writes or withdraws a service and a route, seen as of some time ago.
+    Submit { team: usize, is_stale: bool, service: Option<bool>, route: Option<Option<usize>> },
+    /// The answer or the request of the platform's next write is lost.
+    Fault(bool),
+    /// The platform goes away or comes back.
+    Outage(bool),
+    /// A proxy reads the platform.
+    Load(usize),
+    /// A proxy sends another what it lacks; the message waits in the queue.
+    Send { from: usize, to: usize },
+    /// A message of the queue arrives; it may come again later.
+    Deliver { index: usize, is_kept: bool },
+    /// A message is lost.
+    Drop(usize),
+    /// A proxy starts anew and holds nothing until it reads the platform or hears from another.
+    Restart(usize),
+    /// A proxy's word reaches the relay.
+    Ack(usize),
+    /// The relay writes to the platform.
+    Flush,
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    let (team, proxy) = (0..TEAMS, 0..PROXIES);
+    prop_oneof![
+        6 => (team, any::<bool>(), any::<Option<bool>>(), any::<Option<Option<u8>>>()).prop_map(
+            |(team, is_stale, service, route)| {
+                let route = route.map(|to| to.map(|to| usize::from(to) % TEAMS));
+                Step::Submit { team, is_stale, service, route }
+            }
+        ),
+        1 => any::<bool>().prop_map(Step::Fault),
+        1 => any::<bool>().prop_map(Step::Outage),
+        4 => proxy.clone().prop_map(Step::Load),
+        4 => (proxy.clone(), proxy.clone()).prop_map(|(from, to)| Step::Send { from, to }),
+        4 => (any::<usize>(), any::<bool>())
+            .prop_map(|(index, is_kept)| Step::Deliver { index, is_kept }),
+        1 => any::<usize>().prop_map(Step::Drop),
+        1 => proxy.clone().prop_map(Step::Restart),
+        3 => proxy.prop_map(Step::Ack),
+        2 => Just(Step::Flush),
+    ]
+}
+
+fn team(index: usize) -> String {
+    format!("team{index}")
+}
+
+fn make_change(number: u64, team_index: usize, base: u64, writes: SettingWrites) -> ChangeRequest {
+    ChangeRequest {
+        change_id: format!("change{number}"),
+        team: team(team_index),
+        author: "ana".to_owned(),
+        revision: "r".to_owned(),
+        base,
+        writes,
+    }
+}
+
+fn make_writes(
+    own: usize,
+    service: Option<bool>,
+    route: Option<Option<usize>>,
+    number: u64,
+) -> SettingWrites {
+    let mut writes = SettingWrites::new();
+    let service_path = |index: usize| format!("/{}/service", team(index));
+    if let Some(is_there) = service {
+        let description = format!("change {number}");
+        let body = || SettingBody::Service(ServiceSetting { description });
+        writes.insert(service_path(own), is_there.then(body));
+    }
+    if let Some(to) = route {
+        let body = |to: usize| {
+            SettingBody::Route(RouteSetting {
+                host: None,
+                prefix: format!("/{}", team(own)),
+                service: service_path(to),
+                repeatable: false,
+                class: WorkClass::Short,
+                deadline_ms: 1_000 + number,
+            })
+        };
+        writes.insert(format!("/{}/route", team(own)), to.map(body));
+    }
+    writes
+}
+
+/// One proxy with the greatest version it ever held in its present process.
+struct ModelProxy {
+    incarnation: u64,
+    held: HeldConfig,
+    seen: u64,
+}
+
+impl ModelProxy {
+    fn start(incarnation: u64) -> Self {
+        let held = HeldConfig::new();
+        held.set_ready(0);
+        Self { incarnation, held, seen: 0 }
+    }
+
+    fn ack(&self, index: usize) -> ProxyAck {
+        let status = self.held.status();
+        ProxyAck {
+            proxy: format!("proxy{index}"),
+            incarnation: self.incarnation,
+            data_centre: "lj1".to_owned(),
+            version: status.version,
+            since: status.since,
+            source: status.source,
+            rejected: status.rejected,
+        }
+    }
+}
+
+struct ModelFleet {
+    fake: Arc<FakeStore>,
+    store: SharedStore,
+    ledger: Ledger,
+    book: ReportBook,
+    proxies: Vec<ModelProxy>,
+    queue: Vec<(usize, ConfigUpdate)>,
+    /// Settings after each accepted version, by a naive application of its writes.
+    accepted: BTreeMap<u64, BTreeMap<String, SettingBody>>,
+    /// Submits whose outcome was not told.
+    open: Vec<ChangeRequest>,
+    /// What an operator saw some time ago.
+    stale: ConfigSnapshot,
+    number: u64,
+}
+
+impl ModelFleet {
+    fn new() -> Self {
+        let fake = Arc::new(FakeStore::new());
+        let store: SharedStore = fake.clone();
+        Self {
+            ledger: Ledger::new(store.clone(), LedgerSettings::default()),
+            book: ReportBook::new(PREFIX),
+            proxies: (0..PROXIES).map(|_| ModelProxy::start(1)).collect(),
+            queue: Vec::new(),
+            accepted: BTreeMap::from([(0, BTreeMap::new())]),
+            open: Vec::new(),
+            stale: ConfigSnapshot::default(),
+            number: 0,
+            fake,
+            store,
+        }
+    }
+
+    async fn run(&mut self, step: Step) {
+        match step {
+            Step::Submit { team, is_stale, service, route } => {
+                self.submit(team, is_stale, service, route).await;
+            }
+            Step::Fault(is_answer) => self.fake.plan_write(match is_answer {
+                true => WriteFault::LoseAnswer,
+                false => WriteFault::LoseRequest,
+            }),
+            Step::Outage(is_down) => self.fake.set_down(is_down),
+            Step::Load(proxy) => self.load(proxy).await,
+            Step::Send { from, to } => {
+                let (base, newest) =
+                    (self.proxies[to].held.current(), self.proxies[from].held.current());
+                self.queue.push((to, make_update(&base, &newest)));
+            }
+            Step::Deliver { index, is_kept } if !self.queue.is_empty() => {
+                let index = index % self.queue.len();
+                let (to, update) = self.queue[index].clone();
+                if !is_kept {
+                    self.queue.swap_remove(index);
+                }
+                let held = &self.proxies[to].held;
+                if let Ok(snapshot) = apply_update(&held.current(), update) {
+                    held.offer(snapshot, "peer", 1);
+                }
+            }
+            Step::Drop(index) if !self.queue.is_empty() => {
+                let index = index % self.queue.len();
+                self.queue.swap_remove(index);
+            }
+            Step::Deliver { .. } | Step::Drop(_) => (),
+            Step::Restart(proxy) => {
+                let incarnation = self.proxies[proxy].incarnation + 1;
+                self.proxies[proxy] = ModelProxy::start(incarnation);
+            }
+            Step::Ack(proxy) => self.book.note(vec![self.proxies[proxy].ack(proxy)]),
+            Step::Flush => drop(self.book.flush(&self.store).await),
+        }
+        self.check().await;
+    }
+
+    async fn submit(
+        &mut self,
+        team_index: usize,
+        is_stale: bool,
+        service: Option<bool>,
+        route: Option<Option<usize>>,
+    ) {
+        let Ok(newest) = self.ledger.load(&ConfigSnapshot::default()).await else { return };
+        let seen = if is_stale { &self.stale } else { &newest };
+        let base = seen.root.trees.get(&team(team_index)).map_or(0, |tree| tree.version);
+        self.stale = newest;
+        self.number += 1;
+        let writes = make_writes(team_index, service, route, self.number);
+        let request = make_change(self.number, team_index, base, writes);
+        match self.ledger.submit(&request, 1).await {
+            Ok(record) => self.note_accepted(record.version, &request),
+            Err(SubmitError::Unknown { .. }) => self.open.push(request),
+            Err(_) => (),
+        }
+    }
+
+    /// Applies an accepted change as naively as can be.
+    fn note_accepted(&mut self, version: u64, request: &ChangeRequest) {
+        let mut settings = self.accepted[&(version - 1)].clone();
+        for (path, body) in &request.writes {
+            assert!(path.starts_with(&format!("/{}/", request.team)), "outside the subtree");
+            match body {
+                Some(body) => settings.insert(path.clone(), body.clone()),
+                None => settings.remove(path),
+            };
+        }
+        assert!(self.accepted.insert(version, settings).is_none(), "version given twice");
+    }
+
+    async fn load(&mut self, proxy: usize) {
+        let held = &self.proxies[proxy].held;
+        if let Ok(snapshot) = self.ledger.load(&held.current()).await {
+            held.offer(snapshot, "platform", 1);
+        }
+    }
+
+    async fn check(&mut self) {
+        self.settle_open().await;
+        for (index, proxy) in self.proxies.iter_mut().enumerate() {
+            let snapshot = proxy.held.current();
+            let version = snapshot.version();
+            assert!(version >= proxy.seen, "proxy {index} moved back");
+            proxy.seen = version;
+            assert!(validate_trees(&snapshot.trees).is_empty(), "proxy {index} holds a fault");
+            let settings: BTreeMap<String, SettingBody> =
+                snapshot.settings().map(|(path, body)| (path.clone(), body.clone())).collect();
+            assert_eq!(Some(&settings), self.accepted.get(&version), "proxy {index} holds a part");
+        }
+        self.check_report().await;
+    }
+
+    /// Finds out what became of submits whose outcome was not told.
+    async fn settle_open(&mut self) {
+        let mut found = Vec::new();
+        for request in &self.open {
+            if let Ok(Some(record)) = self.ledger.outcome(&request.change_id).await {
+                found.push((record.version, request.clone()));
+            }
+        }
+        found.sort_by_key(|(version, _)| *version);
+        for (version, request) in found {
+            self.note_accepted(version, &request);
+            self.open.retain(|open| open.change_id != request.change_id);
+        }
+    }
+
+    async fn check_report(&self) {
+        let (Ok(newest), Ok(acks)) = (
+            self.ledger.load(&ConfigSnapshot::default()).await,
+            read_acks(&self.store, PREFIX).await,
+        ) else {
+            return;
+        };
+        let known = |(index, proxy): (usize, &ModelProxy)| {
+            let known = KnownProxy {
+                data_centre: "lj1".to_owned(),
+                incarnation: proxy.incarnation,
+                unreachable_since: None,
+            };
+            (format!("proxy{index}"), known)
+        };
+        let known = self.proxies.iter().enumerate().map(known).collect();
+        let report = make_report(newest.root.change.clone(), &known, &acks);
+        for (proxy, state) in self.proxies.iter().zip(&report.proxies) {
+            let held = proxy.held.current().version();
+            assert!(state.version <= held, "the report claims more than {} holds", state.proxy);
+            if state.state == ProxyState::InForce {
+                assert!(held >= newest.version(), "{} is said to be in force", state.proxy);
+            }
+        }
+    }
+
+    /// Mends everything and checks that what was accepted is in force and reported so.
+    async fn heal(&mut self) {
+        self.fake.set_down(false);
+        self.fake.clear_faults();
+        for request in std::mem::take(&mut self.open) {
+            match self.ledger.submit(&request, 1).await {
+                Ok(record) if self.accepted.contains_key(&record.version) => (),
+                Ok(record) => self.note_accepted(record.version, &request),
+                Err(_) => (),
+            }
+        }
+        self.queue.clear();
+        for proxy in 0..PROXIES {
+            self.load(proxy).await;
+            self.book.note(vec![self.proxies[proxy].ack(proxy)]);
+        }
+        self.book.flush(&self.store).await.expect("the platform is up");
+        self.check().await;
+        let last = *self.accepted.keys().last().expect("version zero is there");
+        for proxy in &self.proxies {
+            assert_eq!(proxy.held.current().version(), last, "accepted and not in force");
+        }
+        let history = self.ledger.history(1, 10_000).await.expect("the platform is up");
+        assert_eq!(history.len() as u64, last, "an accepted change is lost");
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(128))]
+
+    // Operators race, the platform goes away and loses answers, messages between proxies are
+    // reordered, repeated and lost, and proxies start anew. A user would notice a proxy on an old
+    // route, a change that vanished, or a report that claims what is not so.
+    #[test]
+    fn whole_session(steps in prop::collection::vec(step(), 1..60)) {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().start_paused(true)
+            .build().expect("runtime");
+        runtime.block_on(async {
+            let mut fleet = ModelFleet::new();
+            for step in steps {
+                fleet.run(step).await;
+            }
+            fleet.heal().await;
+        });
+    }
+}
+
+// A naive proxy puts in force what arrives, in the order in which it arrives. Of two updates that
+// cross on their way, the older one comes last and stays.
+#[test]
+fn naive_moves_back() {
+    let snapshot = |version: u64| {
+        let root = sk_model::SnapshotRoot { version, ..Default::default() };
+        ConfigSnapshot { root, ..ConfigSnapshot::default() }
+    };
+    let crossing = [snapshot(2), snapshot(1)];
+    let mut naive = ConfigSnapshot::default();
+    let held = HeldConfig::new();
+    held.set_ready(0);
+    let mut outcomes = Vec::new();
+    for arrived in crossing {
+        naive = arrived.clone();
+        outcomes.push(held.offer(arrived, "peer", 1));
+    }
+    assert_eq!(naive.version(), 1, "the naive proxy moved back");
+    assert_eq!(held.current().version(), 2);
+    assert_eq!(outcomes, [OfferOutcome::Applied, OfferOutcome::NotNewer]);
+}
