proxy: let a guard's load lower its share at the entries

Cause: each entry counted its own requests only, and the hints that placing takes were never given. Change: each answer between daemons carries the guard's load in percent; it is removed before callers see it.

--- a/components/proxy/src/attempt.rs
+++ b/components/proxy/src/attempt.rs
@@ -18,7 +18,7 @@
     clock::process_now,
     entry::EntryRequest,
     forward::{ForwardContext, count_own},
-    guard::{RAN_HEADER, pass},
+    guard::{LOAD_HEADER, RAN_HEADER, pass},
     outcome::{RefusalKind, RequestOutcome},
     passed::PassedBody,
     table::{TableEndpoint, TableService},
@@ -95,6 +95,9 @@
         log.running = Some(RunningAttempt { placed, began: Instant::now() });
         let message = attempt_message(request, body, service, endpoint, &call);
         let response = send(context, endpoint, message).await;
+        if let (Some(load), Some(id)) = (load_of(&response), log.tried.last()) {
+            service.placement.hint(*id, load, process_now());
+        }
         let failure = match judge(context, request, log, response, deadline) {
             AttemptEnd::Answered(response) => return response,
             AttemptEnd::Failed(failure) => failure,
@@ -212,6 +215,12 @@
     Some(Duration::from_micros(micros))
 }
 
+/// Gives the load that the guard counted when it answered, from 0 to 1.
+fn load_of(response: &Response<ProxyBody>) -> Option<f64> {
+    let percent: u32 = response.headers().get(LOAD_HEADER)?.to_str().ok()?.parse().ok()?;
+    Some(f64::from(percent.min(100)) / 100.0)
+}
+
 /// Tells what an answer says of the endpoint, or nothing where it speaks of the request alone.
 fn call_outcome(
     response: &Response<ProxyBody>,
--- a/components/proxy/src/forward.rs
+++ b/components/proxy/src/forward.rs
@@ -14,7 +14,7 @@
     body::ProxyBody,
     counters::ProxyCounters,
     entry::{CallOrigin, EntryRequest, check_carried, host_of},
-    guard::{GuardContext, RAN_HEADER},
+    guard::{GuardContext, LOAD_HEADER, RAN_HEADER},
     headers::{is_nested, read_context},
     outcome::{RefusalKind, RequestOutcome},
     passed::{EntryCount, PassedBody},
@@ -45,6 +45,7 @@
     let count = EntryCount::new(context.counters.clone());
     let mut response = forward_routed(&context, request, caller).await;
     response.headers_mut().remove(RAN_HEADER);
+    response.headers_mut().remove(LOAD_HEADER);
     let outcome = RequestOutcome::read(response.headers()).unwrap_or(RequestOutcome::Unknown);
     context.counters.count_outcome(outcome);
     response.map(|body| PassedBody::counted(body, count).boxed_unsync())
--- a/components/proxy/src/gate.rs
+++ b/components/proxy/src/gate.rs
@@ -100,6 +100,12 @@
         state.deliver(released);
     }
 
+    /// Gives the load in percent: none without requests, a hundred with all slots taken and the
+    /// queue half full.
+    pub(crate) fn load_percent(&self) -> u32 {
+        (self.lock().guard.load(process_now()) * 100.0).round() as u32
+    }
+
     /// Gives the counts.
     pub(crate) fn state(&self) -> GuardState {
         self.lock().guard.state(process_now())
--- a/components/proxy/src/guard.rs
+++ b/components/proxy/src/guard.rs
@@ -31,6 +31,10 @@
 pub(crate) const KEY_HEADER: &str = "idempotency-key";
 /// Header with the microseconds from admission to the head of the answer, between daemons.
 pub(crate) const RAN_HEADER: &str = "x-sapphirekeel-ran-us";
+/// Header with the guard's load in percent when it answered: a hint for placing, since each entry
+/// counts only its own requests at an endpoint. It is the guard's count and not the server's word,
+/// so that it cannot mislead, but it lags by the way back.
+pub(crate) const LOAD_HEADER: &str = "x-sapphirekeel-load";
 
 /// What the guard needs.
 pub struct GuardContext {
@@ -292,6 +296,7 @@
     RequestOutcome::Ran.write(headers);
     let took = u64::try_from(admitted_at.elapsed().as_micros()).unwrap_or(u64::MAX);
     headers.insert(RAN_HEADER, took.into());
+    headers.insert(LOAD_HEADER, exchange.server.gate.load_percent().into());
     response.map(|body| ServedBody::new(body, exchange, deadline).boxed_unsync())
 }
 
