--- /dev/null
+++ b/components/proxy/tests/load_hints.rs
@@ -0,0 +1,46 @@
+//! What a guard says of its load, at entries that sent it little themselves.
+
+mod common;
+
+use std::time::Duration;
+
+use common::{FleetPlan, TestFleet, get, http1, wait_for};
+use sk_proxy::process_now;
+
+fn share(fleet: &TestFleet) -> f64 {
+    let table = fleet.daemons[0].table.load();
+    let service = table.services().next().expect("a service");
+    let states = service.endpoint_states(process_now());
+    states[&fleet.daemons[1].name].share
+}
+
+/// Another daemon's callers fill a server. An entry that counted only its own requests would take
+/// the server for idle and send its callers into the queue there.
+#[tokio::test(flavor = "multi_thread")]
+async fn busy_elsewhere() {
+    let fleet = TestFleet::start(FleetPlan::new(1)).await;
+    let (own, other) = (fleet.entry(), fleet.daemons[1].entry);
+    assert_eq!(get(&http1(), own, "/").await.status, 200);
+    let idle = share(&fleet);
+    let client = http1();
+    let calls: Vec<_> = (0..4)
+        .map(|_| {
+            let client = client.clone();
+            tokio::spawn(async move { get(&client, other, "/?work_ms=1500&tag=long").await })
+        })
+        .collect();
+    wait_for("the server to be busy", || fleet.runs("long") == 4).await;
+    let answer = get(&http1(), own, "/").await;
+    assert_eq!(answer.status, 200);
+    assert!(!answer.headers.contains_key("x-sapphirekeel-load"), "{answer:?}");
+    assert!(share(&fleet) < idle, "{} before, {} with a busy server", idle, share(&fleet));
+    for call in calls {
+        assert_eq!(call.await.expect("call ends").status, 200);
+    }
+    // A hint lags, so it must not hold for ever.
+    let begin = process_now();
+    wait_for("the hint to pass", || {
+        process_now() > begin + Duration::from_secs(1) && share(&fleet) >= idle
+    })
+    .await;
+}
