spread: close a connection whose opening is given up

Cause: a call gives up after 2 s and drops open_session, whose own bound of 3 s for the proof, and with it the close, then never comes. The connection stayed open on this side, used by nobody. Where the peer was paused or slow and entered it after all, it held there as the newest way here, and every call over it was refused with "peer is not proven"; that refusal counts as a sound connection, so the peer kept it.

Change: a guard closes the connection however the opening ends, unless the peer was proven.

Before: late_proof::connection_closed fails, the connection is still open after 15 s. After: closed after 2.00 s.

Comparisons of either side each 2 s carry records over a sound connection in the other direction, so that both directions would have to be hit at once.

--- a/components/spread/src/session.rs
+++ b/components/spread/src/session.rs
@@ -93,6 +93,28 @@
     }
 }
 
+/// Closes a connection that is not proven when its opening ends, also where a caller with less
+/// patience than [`PROOF_TIMEOUT`] drops it.
+///
+/// A connection left open would never be used or closed by this side: files would run out. The
+/// peer may have entered it among its own as the newest way here, and would get nothing but
+/// refusals over it, so that its heartbeats stay away although it runs.
+struct OpeningGuard(Option<SessionLink>);
+
+impl OpeningGuard {
+    fn keep(mut self) {
+        self.0 = None;
+    }
+}
+
+impl Drop for OpeningGuard {
+    fn drop(&mut self) {
+        if let Some(link) = &self.0 {
+            link.close();
+        }
+    }
+}
+
 /// Connects to a peer, proves the secret both ways and gives the session.
 pub(crate) async fn open_session(
     node: &Rc<SpreadNode>,
@@ -103,18 +125,10 @@
     let (mut system, link, allowance) = make_session(node, stream, Side::Client, None)?;
     let gate: gate::Client = system.bootstrap(Side::Server);
     tokio::task::spawn_local(run_session(node.clone(), system, link.clone()));
+    let opening = OpeningGuard(Some(link.clone()));
     let proved = tokio::time::timeout(PROOF_TIMEOUT, prove(node, gate, &link)).await;
-    let session = match proved {
-        Ok(Ok(session)) => session,
-        Ok(Err(err)) => {
-            link.close();
-            return Err(err);
-        }
-        Err(_) => {
-            link.close();
-            return Err(Error::overloaded("proof timed out".to_owned()));
-        }
-    };
+    let session = proved.map_err(|_| Error::overloaded("proof timed out".to_owned()))??;
+    opening.keep();
     allowance.lift();
     node.pool.add(session.clone());
     Ok(session)
