tests: give each test's fleet a secret of its own

Cause of the rare "waited in vain" of process tests: all fleets had the same secret and the same names of daemons. When one test's daemon ends, its control port is free, and a daemon of another test that runs at the same time can be given it. The first fleet still calls that address, finds the right secret and exchanges records. From then on two processes answer to each of "daemon0" and "daemon1", raise their starts against each other eight times, and then one of each is believed by nobody: its server gets no request, or its daemon counts as missing, for the rest of the test.

Seen: one of 309 runs of proxy_deaths (40 of them of guard_paused alone), at load 3.8 to 10.5, failed after 60 s with "waited in vain for routes". Its log has "daemon2 holds another content under version 1" and "daemon0 was seen with a later start", neither of which one fleet alone can bring about.

The secret is made from the fleet's directory, which each test has for itself. No check is changed.

Not shown: that the one failure of guard_paused had this cause, as its log is not kept here.

--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -148,7 +148,7 @@
 
 [peers]
 seeds = [{}]
-secret = "secret of the test fleet"
+secret = "secret of the fleet in {}"
 
 [operators]
 manager_sha256 = "{}"
@@ -159,6 +159,10 @@
         plan.data_centre,
         plan.platform,
         seeds.join(", "),
+        // Tests run at once and give their daemons the same names. A daemon that took over the port
+        // of another test's dead one would else be let into that fleet, where two processes
+        // dispute each name until one is believed by nobody and its server gets no request.
+        directory.display(),
         sk_ops::hash_token(MANAGER_TOKEN),
         plan.extra,
     );
