Keep fleets apart by prefix; hide another team's change; one settings text

Cause: fleets with one secret joined each other over a reused address (found in tests, 'another process uses the name'); a change id in use showed the other team's record; the loopback settings stood in three places. Test: foreign_id.

--- a/components/daemon/src/daemon.rs
+++ b/components/daemon/src/daemon.rs
@@ -271,13 +271,20 @@
     }
 }
 
+/// Gives what daemons prove to each other. It holds the key prefix too: of two fleets that were
+/// given one secret by mistake, a daemon that took over an address of the other one's would else be
+/// let in there, with another history under the same versions.
+fn fleet_secret(settings: &DaemonSettings) -> String {
+    format!("{} {}", settings.platform.key_prefix, settings.peers.secret)
+}
+
 fn run_spread(
     settings: &DaemonSettings,
     parts: &DaemonParts,
     listener: std::net::TcpListener,
 ) -> Result<SpreadHandle, DaemonError> {
     let options = SpreadOptions {
-        secret: settings.peers.secret.clone(),
+        secret: fleet_secret(settings),
         seeds: settings.peers.seeds.clone(),
         mode: match settings.spread.mode {
             SpreadMode::Push => PassMode::Push,
@@ -342,7 +349,7 @@
 fn guard_context(settings: &DaemonSettings, parts: &DaemonParts) -> GuardContext {
     GuardContext {
         servers: parts.servers.clone(),
-        token: GuardToken::new(&settings.peers.secret),
+        token: GuardToken::new(&fleet_secret(settings)),
         quarantine: parts.quarantine.clone(),
         claims: Some(Arc::new(BookGate { book: parts.claims.clone() })),
         counters: parts.counters.clone(),
--- a/components/daemon/src/port.rs
+++ b/components/daemon/src/port.rs
@@ -8,7 +8,7 @@
 };
 
 use async_trait::async_trait;
-use sk_ledger::Ledger;
+use sk_ledger::{Ledger, SubmitError};
 use sk_member::{EndpointRecord, EndpointStatus, MemberBoard, MemberRecord, MemberTable};
 use sk_model::{ChangeRecord, ChangeRequest, ConfigSnapshot, ProxyId, TeamName, Version};
 use sk_ops::{
@@ -66,7 +66,14 @@
     async fn submit(&self, request: ChangeRequest) -> Result<ChangeRecord, OpsError> {
         let now = unix_now();
         let record = self.ledger.submit(&request, now).await;
-        let record = record.map_err(|err| OpsError::from_submit(err, now))?;
+        let record = record.map_err(|err| match err {
+            // The other team's change is none of this team's business.
+            SubmitError::IdReused { record } if record.team != request.team => {
+                let reason = "`change_id` is in use; allowed: one not used before".to_owned();
+                OpsError::Malformed { reason }
+            }
+            err => OpsError::from_submit(err, now),
+        })?;
         log::info!("ops: change {} is version {}.", record.change_id, record.version);
         Ok(record)
     }
--- a/components/measure/src/fleet.rs
+++ b/components/measure/src/fleet.rs
@@ -10,6 +10,7 @@
 use sk_model::ChangeRecord;
 use sk_ops::{StateDump, TeamRecord, hash_token};
 use sk_report::{ChangeReport, FleetReport};
+use sk_settings::{LoopbackPlan, loopback_text};
 use sk_standin::PlatformCounts;
 
 use crate::{
@@ -78,41 +79,19 @@
 
     fn start_daemon(&self, index: usize) -> anyhow::Result<ChildProcess> {
         let running = self.daemons.iter().flatten().take(SEEDS);
-        let seeds: Result<Vec<String>, _> = running
-            .map(|daemon| daemon.address("control").map(|seed| format!("\"{seed}\"")))
-            .collect();
+        let seeds: Result<Vec<String>, _> =
+            running.map(|daemon| daemon.address("control")).collect();
         let data_centre = index % self.plan.data_centres;
-        let text = format!(
-            r#"
-[instance]
-name = "daemon{index:03}"
-data_centre = "dc{data_centre}"
-region = "region{}"
-
-[listen]
-proxy = "127.0.0.1:0"
-guard = "127.0.0.1:0"
-control = "127.0.0.1:0"
-ops = "127.0.0.1:0"
-
-[platform]
-address = "{}"
-
-[peers]
-seeds = [{}]
-secret = "secret of the measured fleet"
-
-[operators]
-manager_sha256 = "{}"
-
-{}
-"#,
-            data_centre % REGIONS,
-            self.platform.last_word(),
-            seeds?.join(", "),
-            hash_token(MANAGER_TOKEN),
-            self.plan.settings,
-        );
+        let text = loopback_text(&LoopbackPlan {
+            name: &format!("daemon{index:03}"),
+            data_centre: &format!("dc{data_centre}"),
+            region: &format!("region{}", data_centre % REGIONS),
+            platform: &self.platform.last_word(),
+            seeds: &seeds?,
+            secret: &format!("secret of the measured fleet {}", std::process::id()),
+            manager_sha256: &hash_token(MANAGER_TOKEN),
+            extra: &self.plan.settings,
+        });
         let file = self.folder.join(format!("daemon{index:03}.toml"));
         std::fs::write(&file, text)?;
         ChildProcess::start("sapphirekeeld", &[file.to_str().context("path is text")?])
--- a/components/settings/src/lib.rs
+++ b/components/settings/src/lib.rs
@@ -6,12 +6,14 @@
 mod check;
 mod daemon_settings;
 mod error;
+mod loopback;
 
 pub use daemon_settings::{
     DaemonSettings, GuardSettings, InstanceSettings, ListenSettings, MemberSettings,
     MetricSettings, OperatorSettings, PeerSettings, PlatformSettings, SpreadMode, SpreadSettings,
 };
 pub use error::SettingsError;
+pub use loopback::{LoopbackPlan, loopback_text};
 
 use std::{fs::File, io::Read, path::Path};
 
--- /dev/null
+++ b/components/settings/src/loopback.rs
@@ -0,0 +1,62 @@
+//! Settings of daemons that share this machine, for the demo, measurements and tests.
+
+/// One daemon on loopback, with free ports.
+#[derive(Clone, Debug)]
+pub struct LoopbackPlan<'a> {
+    /// Name of the daemon.
+    pub name: &'a str,
+    /// Its data centre.
+    pub data_centre: &'a str,
+    /// Its region.
+    pub region: &'a str,
+    /// Address of the platform's stand-in, as IP and port.
+    pub platform: &'a str,
+    /// Control addresses of other daemons.
+    pub seeds: &'a [String],
+    /// Secret of the fleet. Fleets that run at once need different ones: a daemon that took over
+    /// the port of another fleet's dead one would else be let into that fleet.
+    pub secret: &'a str,
+    /// SHA-256 of the managers' token in hexadecimal.
+    pub manager_sha256: &'a str,
+    /// Further sections in TOML.
+    pub extra: &'a str,
+}
+
+/// Renders the settings as the TOML text that a daemon reads.
+pub fn loopback_text(plan: &LoopbackPlan<'_>) -> String {
+    let seeds: Vec<String> = plan.seeds.iter().map(|seed| format!("\"{seed}\"")).collect();
+    format!(
+        r#"
+[instance]
+name = "{}"
+data_centre = "{}"
+region = "{}"
+
+[listen]
+proxy = "127.0.0.1:0"
+guard = "127.0.0.1:0"
+control = "127.0.0.1:0"
+ops = "127.0.0.1:0"
+
+[platform]
+address = "{}"
+
+[peers]
+seeds = [{}]
+secret = "{}"
+
+[operators]
+manager_sha256 = "{}"
+
+{}
+"#,
+        plan.name,
+        plan.data_centre,
+        plan.region,
+        plan.platform,
+        seeds.join(", "),
+        plan.secret,
+        plan.manager_sha256,
+        plan.extra,
+    )
+}
--- a/src/cmd/demo.rs
+++ b/src/cmd/demo.rs
@@ -17,7 +17,7 @@
 };
 use sk_ops::{StateDump, TeamRecord, hash_token};
 use sk_report::FleetReport;
-use sk_settings::parse_settings;
+use sk_settings::{LoopbackPlan, loopback_text, parse_settings};
 use sk_standin::{
     BackendHandle, BackendOptions, PlatformHandle, PlatformOptions, start_backend, start_platform,
 };
@@ -26,6 +26,7 @@
 use crate::{cli::DemoArgs, client::OpsClient, diff::render_writes};
 
 const MANAGER_TOKEN: &str = "demo manager";
+const SECRET: &str = "secret of the demo";
 const TEAM_TOKEN: &str = "demo team";
 const TEAM: &str = "ledvica";
 /// Longest wait for anything on an idle machine; a loaded one needs a part of it.
@@ -92,10 +93,19 @@
     let (mut daemons, mut backends) = (Vec::new(), Vec::new());
     let mut seeds = Vec::new();
     for (name, data_centre, service) in DAEMONS {
-        let text = settings_text(name, data_centre, platform.address(), &seeds);
+        let text = loopback_text(&LoopbackPlan {
+            name,
+            data_centre,
+            region: "slovenia",
+            platform: &platform.address().to_string(),
+            seeds: &seeds,
+            secret: SECRET,
+            manager_sha256: &hash_token(MANAGER_TOKEN),
+            extra: "",
+        });
         let settings = parse_settings(&PathBuf::from("demo"), &text)?;
         let daemon = start_daemon(&settings).await?;
-        seeds.push(daemon.addresses().control);
+        seeds.push(daemon.addresses().control.to_string());
         if let Some(service) = service {
             backends.push(start_server(name, service, daemon.addresses().ops).await?);
         }
@@ -114,41 +124,6 @@
     start_backend(options).await
 }
 
-fn settings_text(
-    name: &str,
-    data_centre: &str,
-    platform: SocketAddr,
-    seeds: &[SocketAddr],
-) -> String {
-    let seeds: Vec<String> = seeds.iter().map(|seed| format!("\"{seed}\"")).collect();
-    format!(
-        r#"
-[instance]
-name = "{name}"
-data_centre = "{data_centre}"
-region = "slovenia"
-
-[listen]
-proxy = "127.0.0.1:0"
-guard = "127.0.0.1:0"
-control = "127.0.0.1:0"
-ops = "127.0.0.1:0"
-
-[platform]
-address = "{platform}"
-
-[peers]
-seeds = [{}]
-secret = "secret of the demo"
-
-[operators]
-manager_sha256 = "{}"
-"#,
-        seeds.join(", "),
-        hash_token(MANAGER_TOKEN)
-    )
-}
-
 async fn show(fleet: &DemoFleet) -> anyhow::Result<()> {
     println!("platform      {}", fleet.platform.address());
     for ((name, ..), daemon) in DAEMONS.iter().zip(&fleet.daemons) {
--- a/tests/accept_faults.rs
+++ b/tests/accept_faults.rs
@@ -124,6 +124,31 @@
     wait_for("2 of 2 in force", || in_force(&fleet.ops(0)) == (2, 2));
 }
 
+// A team picks a change id that another team has used. The refusal must not show what the other
+// team changed.
+#[test]
+fn foreign_id() {
+    let fleet = start_fleet("foreign_id");
+    let hash = sk_ops::hash_token("bor token");
+    let team = ["team", "bor", "--token-sha256", &hash];
+    assert!(operate(&fleet.ops(0), MANAGER_TOKEN, &team).status.success());
+    let change = |team: &str| {
+        format!(
+            r#"{{"change_id":"x","team":"{team}","author":"a","revision":"1","base":0,
+            "writes":{{"/{team}/one":{{"kind":"service"}}}}}}"#
+        )
+    };
+    let post = |token: &str, team: &str| {
+        let headers = format!("Authorization: Bearer {token}\r\n");
+        common::call_with(&fleet.ops(0), "POST", "/v1/changes", &headers, &change(team))
+            .expect("an answer")
+    };
+    assert_eq!(post(TEAM_TOKEN, "ana").status, 200);
+    let answer = post("bor token", "bor");
+    assert_eq!(answer.status, 400, "{answer:?}");
+    assert!(!answer.body.contains("/ana/"), "{answer:?}");
+}
+
 // A team's token is used on another team's subtree, by a path inside a change of its own.
 #[test]
 fn foreign_subtree() {
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -13,6 +13,8 @@
     time::{Duration, Instant},
 };
 
+use sk_settings::{LoopbackPlan, loopback_text};
+
 /// Longest wait for a condition; an idle machine needs a small part of it.
 pub const WAIT_BOUND: Duration = Duration::from_secs(60);
 pub const POLL_INTERVAL: Duration = Duration::from_millis(20);
@@ -129,43 +131,19 @@
 }
 
 pub fn start_daemon(directory: &Path, plan: &DaemonPlan<'_>) -> TestProcess {
-    let seeds: Vec<String> = plan.seeds.iter().map(|seed| format!("\"{seed}\"")).collect();
-    let text = format!(
-        r#"
-[instance]
-name = "{}"
-data_centre = "{}"
-region = "slovenia"
-
-[listen]
-proxy = "127.0.0.1:0"
-guard = "127.0.0.1:0"
-control = "127.0.0.1:0"
-ops = "127.0.0.1:0"
-
-[platform]
-address = "{}"
-
-[peers]
-seeds = [{}]
-secret = "secret of the fleet in {}"
-
-[operators]
-manager_sha256 = "{}"
-
-{}
-"#,
-        plan.name,
-        plan.data_centre,
-        plan.platform,
-        seeds.join(", "),
+    let text = loopback_text(&LoopbackPlan {
+        name: plan.name,
+        data_centre: plan.data_centre,
+        region: "slovenia",
+        platform: plan.platform,
+        seeds: plan.seeds,
         // Tests run at once and give their daemons the same names. A daemon that took over the port
         // of another test's dead one would else be let into that fleet, where two processes
         // dispute each name until one is believed by nobody and its server gets no request.
-        directory.display(),
-        sk_ops::hash_token(MANAGER_TOKEN),
-        plan.extra,
-    );
+        secret: &format!("secret of the fleet in {}", directory.display()),
+        manager_sha256: &sk_ops::hash_token(MANAGER_TOKEN),
+        extra: plan.extra,
+    });
     let file = directory.join(format!("{}.toml", plan.name));
     fs::write(&file, text).expect("settings can be written");
     TestProcess::start(env!("CARGO_BIN_EXE_sapphirekeeld"), &[file.to_str().expect("path")])
