proxy: box a request's future; measure idle connections

Cause: an idle caller's connection held 43.6 KB, as hyper keeps room for a whole request future in each connection. Ruled out: read buffers (8 KB).

--- a/components/measure/src/lib.rs
+++ b/components/measure/src/lib.rs
@@ -15,6 +15,6 @@
 pub use baseline::{BaselineKind, measure_baseline};
 pub use claims::measure_claims;
 pub use fleet::{FleetPlan, TestFleet};
-pub use load::{LoadPlan, measure_load};
+pub use load::{LoadPlan, measure_connections, measure_load};
 pub use members::{MemberFigures, measure_members};
 pub use spread::{SpreadPlan, measure_spread};
--- a/components/measure/src/load.rs
+++ b/components/measure/src/load.rs
@@ -19,7 +19,11 @@
     rt::TokioExecutor,
 };
 use serde::Serialize;
-use tokio::task::JoinSet;
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpStream,
+    task::JoinSet,
+};
 
 use crate::{
     config::{service, team},
@@ -66,6 +70,19 @@
     pub entry_memory: f64,
 }
 
+/// What idle connections of callers cost an entry daemon.
+#[derive(Clone, Debug, Serialize)]
+pub struct ConnectionFigures {
+    /// Connections held open, each after one answered request.
+    pub connections: usize,
+    /// Resident memory before, in megabytes.
+    pub memory_before: f64,
+    /// Resident memory with all of them open, in megabytes.
+    pub memory_after: f64,
+    /// Bytes of each connection.
+    pub bytes_each: f64,
+}
+
 type LoadClient = Client<HttpConnector, Empty<Bytes>>;
 
 /// Measures the request path: an entry daemon without a server, and daemons with one each.
@@ -109,6 +126,43 @@
     ChildProcess::start("sk-backend", &args)
 }
 
+/// Measures the memory that callers' idle connections take at an entry daemon.
+///
+/// # Errors
+///
+/// Returns an error when a process or a connection fails.
+pub async fn measure_connections(connections: usize) -> anyhow::Result<ConnectionFigures> {
+    let settings = String::new();
+    let fleet = TestFleet::start(FleetPlan { daemons: 2, data_centres: 1, settings })?;
+    let _backend = start_backend(&fleet.address(1, "ops")?, 1, 0)?;
+    let version = fleet.fill().await?.version;
+    fleet.wait_in_force(version, WAIT_BOUND).await?;
+    let entry: SocketAddr = fleet.address(0, "proxy")?.parse()?;
+    let path = format!("/{}/0", team(0));
+    wait_served(entry, &path).await?;
+    let memory = || -> anyhow::Result<f64> {
+        Ok(fleet.usage()?.first().map_or(0.0, |usage| usage.memory as f64))
+    };
+    let before = memory()?;
+    let mut held = Vec::with_capacity(connections);
+    let request = format!("GET {path} HTTP/1.1\r\nHost: measure\r\n\r\n");
+    for _ in 0..connections {
+        let mut stream = TcpStream::connect(entry).await?;
+        stream.write_all(request.as_bytes()).await?;
+        let mut head = [0; 1024];
+        let count = stream.read(&mut head).await?;
+        anyhow::ensure!(head[..count].starts_with(b"HTTP/1.1 200"), "a request was refused");
+        held.push(stream);
+    }
+    let after = memory()?;
+    Ok(ConnectionFigures {
+        connections,
+        memory_before: before / 1e6,
+        memory_after: after / 1e6,
+        bytes_each: (after - before) / connections as f64,
+    })
+}
+
 async fn wait_served(entry: SocketAddr, path: &str) -> anyhow::Result<()> {
     let client: LoadClient = Client::builder(TokioExecutor::new()).build_http();
     let begin = Instant::now();
--- a/components/proxy/src/serve.rs
+++ b/components/proxy/src/serve.rs
@@ -215,7 +215,8 @@
 {
     let is_http1 = request.version() == Version::HTTP_11;
     let is_refused = switch.has_reached(DrainStage::Refusing) && !is_nested(request.headers());
-    let answer = (!is_refused).then(|| handle(request, caller));
+    // Boxed, as the library keeps room for a whole future in each connection, also an idle one.
+    let answer = (!is_refused).then(|| Box::pin(handle(request, caller)));
     let switch = switch.clone();
     async move {
         let mut response = match answer {
--- a/src/bin/sk-measure.rs
+++ b/src/bin/sk-measure.rs
@@ -5,8 +5,8 @@
 use gumdrop::Options;
 use serde::Serialize;
 use sk_measure::{
-    BaselineKind, FleetPlan, LoadPlan, SpreadPlan, measure_baseline, measure_claims, measure_load,
-    measure_members, measure_spread,
+    BaselineKind, FleetPlan, LoadPlan, SpreadPlan, measure_baseline, measure_claims,
+    measure_connections, measure_load, measure_members, measure_spread,
 };
 
 #[derive(Debug, Options)]
@@ -78,6 +78,9 @@
     /// Backend servers
     #[options(default = "3")]
     servers: usize,
+    /// Idle connections of callers to measure memory with
+    #[options(no_short, default = "1000")]
+    connections: usize,
 }
 
 #[derive(Debug, Options)]
@@ -145,7 +148,8 @@
         work_ms: args.work_ms,
         servers: args.servers,
     };
-    measure_load(&plan).await?.iter().try_for_each(print)
+    measure_load(&plan).await?.iter().try_for_each(print)?;
+    print(&measure_connections(args.connections).await?)
 }
 
 async fn claims(args: &ClaimArgs) -> anyhow::Result<()> {
