--- a/components/claim/src/book.rs
+++ b/components/claim/src/book.rs
@@ -2,7 +2,7 @@
 
 use std::{
     collections::HashMap,
-    sync::{Arc, Mutex, PoisonError},
+    sync::{Mutex, PoisonError},
     time::{SystemTime, UNIX_EPOCH},
 };
 
@@ -139,6 +139,3 @@
     let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
     now.as_millis() as UnixMillis
 }
-
-/// Shared by the guard and the daemon.
-pub type SharedClaims = Arc<ClaimBook>;
--- a/components/claim/src/head.rs
+++ b/components/claim/src/head.rs
@@ -20,7 +20,7 @@
 
 /// What is known of the one attempt that was granted.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum ClaimState {
+pub(crate) enum ClaimState {
     /// Granted; whether it ran is not known.
     #[serde(rename = "c")]
     Claimed,
@@ -31,7 +31,7 @@
 
 /// One claim.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct ClaimEntry {
+pub(crate) struct ClaimEntry {
     /// Key of the request.
     #[serde(rename = "k")]
     pub key: ClaimKey,
@@ -48,7 +48,7 @@
 
 /// Names an immutable chunk of older claims.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct ChunkRef {
+pub(crate) struct ChunkRef {
     /// Hash of the chunk's content, which is its key: writers with different chunks never meet.
     pub hash: ContentHash,
     /// The newest claim in it.
@@ -59,7 +59,7 @@
 /// claim is granted, so two writers can never both grant one key.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
-pub struct PartitionHead {
+pub(crate) struct PartitionHead {
     /// Chunks that hold claims not yet expired, oldest first.
     pub chunks: Vec<ChunkRef>,
     /// Claims not yet moved to a chunk, oldest first. An entry here goes before one in a chunk.
--- a/components/claim/src/lib.rs
+++ b/components/claim/src/lib.rs
@@ -11,8 +11,8 @@
 mod partition;
 mod settings;
 
-pub use book::{ClaimBook, SharedClaims};
+pub use book::ClaimBook;
 pub use error::ClaimError;
-pub use head::{AttemptId, ChunkRef, ClaimEntry, ClaimKey, ClaimState, PartitionHead, claim_key};
+pub use head::{AttemptId, ClaimKey, claim_key};
 pub use partition::ClaimVerdict;
 pub use settings::ClaimSettings;
