claim: draw pauses with sk-decide's backoff; drop a dead function

The claim crate had written full jitter and its spread again; the windows and draws are the same as before (uniform to twice the mean, doubled six times). LocalServers::has_server was called by nobody. No behaviour changes.

--- a/components/claim/src/commit.rs
+++ b/components/claim/src/commit.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use serde::de::DeserializeOwned;
+use sk_decide::backoff::{BackoffSettings, draw_between};
 use sk_model::{ContentHash, UnixMillis, content_hash};
 use sk_store::{ObjectKey, Revision, SharedStore, StoreError};
 
@@ -15,6 +16,8 @@
 
 /// A shorter pause than this is below what the runtime's timers keep.
 const MIN_LINGER: Duration = Duration::from_millis(1);
+/// Doublings of the pause after a lost try; a claim has to be answered within a second or two.
+const MAX_DOUBLINGS: u32 = 6;
 
 /// A partition as one writer knows it, with the revision of the head it was read from.
 #[derive(Default)]
@@ -43,7 +46,7 @@
         let mut last = ClaimError::Unavailable { reason: "no try".to_owned() };
         for attempt in 0..settings.tries {
             if !self.linger.is_zero() {
-                tokio::time::sleep(jittered(self.linger)).await;
+                tokio::time::sleep(linger_pause(self.linger)).await;
             }
             let tried = self.try_commit(store, settings, &prefix, wishes, now).await;
             match tried {
@@ -68,7 +71,7 @@
                 }
                 Err(err) => return Err(err),
             }
-            tokio::time::sleep(full_jitter(settings.backoff, attempt)).await;
+            tokio::time::sleep(lost_pause(settings, attempt)).await;
         }
         Err(last)
     }
@@ -189,13 +192,17 @@
         .map_err(|err| ClaimError::Corrupt { key: key.to_owned(), reason: err.to_string() })
 }
 
-fn jittered(mean: Duration) -> Duration {
-    mean.mul_f64(rand::random_range(0.5..1.5))
+/// Spreads the pause over half to one and a half of it, so that partitions do not write in step.
+fn linger_pause(linger: Duration) -> Duration {
+    draw_between(linger / 2, linger * 3 / 2, &mut rand::rng())
 }
 
-fn full_jitter(mean: Duration, attempt: u32) -> Duration {
-    let cap = mean.saturating_mul(2_u32.saturating_pow(attempt.min(6)));
-    cap.mul_f64(rand::random_range(0.0..2.0))
+/// Gives how long to stay away after tries that lost against another writer: on average the
+/// setting, doubled from try to try.
+fn lost_pause(settings: &ClaimSettings, attempt: u32) -> Duration {
+    let base = settings.backoff * 2;
+    let cap = base * (1 << MAX_DOUBLINGS);
+    BackoffSettings { base, cap }.delay(attempt, &mut rand::rng())
 }
 
 /// Gives the partition of a key; every daemon gives the same.
--- a/components/proxy/src/local.rs
+++ b/components/proxy/src/local.rs
@@ -132,11 +132,6 @@
         self.current.load().values().map(|entry| entry.server.endpoint.clone()).collect()
     }
 
-    /// Tells whether a server with this id is known.
-    pub fn has_server(&self, id: &ServerId) -> bool {
-        self.current.load().values().any(|entry| entry.guarded.id == *id)
-    }
-
     /// Gives the counts of each server's guard, by service.
     pub fn guard_states(&self) -> BTreeMap<ServiceName, GuardState> {
         let current = self.current.load();
