--- a/components/daemon/src/daemon.rs
+++ b/components/daemon/src/daemon.rs
@@ -2,30 +2,42 @@
 
 use std::{
     net::SocketAddr,
-    sync::{Arc, OnceLock},
+    sync::{
+        Arc, Mutex, OnceLock,
+        atomic::{AtomicBool, Ordering},
+    },
     time::Duration,
 };
 
+use arc_swap::ArcSwapOption;
 use sk_claim::{ClaimBook, ClaimSettings};
-use sk_decide::{admitting, pacing::PacerSettings};
+use sk_decide::{
+    admitting,
+    pacing::PacerSettings,
+    placing::{PlacementOrder, PlacementSettings},
+    quarantine::QuarantineSettings,
+    retrying::RetrySettings,
+};
 use sk_ledger::{Ledger, LedgerSettings};
-use sk_member::{MemberBoard, MemberRecord, MemberStatus};
-use sk_ops::{OpsHandle, start_ops};
+use sk_member::{HeartbeatBook, MemberBoard, MemberRecord, MemberStatus};
+use sk_model::ServiceName;
+use sk_ops::{OpsHandle, SharedPort, start_ops};
 use sk_proxy::{
-    ForwardContext, GuardContext, GuardToken, LocalServers, PeerClient, ProxyCounters,
-    QuarantineBoard, ServeHandle, ServerLimits, SharedTable, TablePlace, serve_forward,
-    serve_guard,
+    ForwardContext, GuardContext, GuardToken, LocalServers, OwnService, PeerClient, ProxyCounters,
+    QuarantineBoard, ServeHandle, ServerLimits, SharedTable, TablePlace, TableTuning,
+    serve_forward, serve_guard,
 };
 use sk_report::ReportBook;
-use sk_settings::{DaemonSettings, SpreadMode};
+use sk_settings::{DaemonSettings, PlacingOrder, SpreadMode};
 use sk_spread::{
     ControlMeter, HeldConfig, PassMode, SpreadHandle, SpreadOptions, SpreadParts, StateReader,
     start_spread,
 };
-use sk_store::{HttpStore, SharedStore};
+use sk_store::SharedStore;
 use tokio::{net::TcpListener, task::JoinHandle};
 
 use crate::{
+    border::PlatformBorder,
     claims::BookGate,
     contacts::StoreContacts,
     error::DaemonError,
@@ -33,14 +45,10 @@
     notices::QuarantineNotices,
     port::DaemonPort,
     reach::{ReachClock, watch_reach},
-    source::{BookSink, LedgerSource},
+    source::BookSink,
     tasks,
 };
 
-/// Time given to the news that this daemon leaves, before it refuses new requests: for the news to
-/// reach the others, and for callers to be told with an answer that the next goes elsewhere.
-const LEAVE_NOTICE: Duration = Duration::from_millis(300);
-
 /// Where a daemon listens.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct DaemonAddresses {
@@ -54,14 +62,27 @@
     pub ops: SocketAddr,
 }
 
+/// How long a stop takes.
+#[derive(Clone, Copy, Debug)]
+struct StopTimes {
+    /// For the news that this daemon leaves, before it refuses new requests: to reach the others,
+    /// and for callers to be told with an answer that the next goes elsewhere.
+    leave: Duration,
+    /// For requests in flight, after that.
+    drain: Duration,
+}
+
 /// A running daemon.
 pub struct DaemonHandle {
     addresses: DaemonAddresses,
-    drain: Duration,
+    times: StopTimes,
+    is_leaving: Arc<AtomicBool>,
+    own_service: OwnService,
+    border: Arc<PlatformBorder>,
     members: Arc<MemberBoard>,
     forward: ServeHandle,
     guard: ServeHandle,
-    ops: OpsHandle,
+    ops: Vec<OpsHandle>,
     spread: SpreadHandle,
     tasks: Vec<JoinHandle<()>>,
 }
@@ -75,7 +96,11 @@
 
 /// Parts that are shared within one daemon.
 struct DaemonParts {
+    border: Arc<PlatformBorder>,
     store: SharedStore,
+    heartbeats: Arc<Mutex<HeartbeatBook>>,
+    is_leaving: Arc<AtomicBool>,
+    own_service: OwnService,
     ledger: Arc<Ledger>,
     held: Arc<HeldConfig>,
     members: Arc<MemberBoard>,
@@ -104,8 +129,12 @@
         ops: settings.listen.ops,
     };
     let parts = make_parts(settings, addresses);
-    let ops = start_ops(settings.listen.ops, Arc::new(make_port(settings, &parts, addresses)))?;
-    let addresses = DaemonAddresses { ops: ops.address(), ..addresses };
+    let port: SharedPort = Arc::new(make_port(settings, &parts, addresses));
+    let mut ops = vec![start_ops(settings.listen.ops, port.clone())?];
+    let addresses = DaemonAddresses { ops: ops[0].address(), ..addresses };
+    if let Some(ready) = settings.listen.ready {
+        ops.push(start_ops(ready, port.clone())?);
+    }
     let spread = run_spread(settings, &parts, listeners.control)?;
     // Set once in a daemon's life; the dump shows nothing of the control thread before.
     let _ = parts.spread.set(spread.reader());
@@ -113,7 +142,11 @@
     let forward_context = forward_context(settings, &parts, guard_context.clone());
     let forward = serve_forward(listeners.proxy, Arc::new(forward_context));
     let guard = serve_guard(listeners.guard, guard_context);
-    let drain = Duration::from_millis(settings.guard.drain_ms);
+    let times = StopTimes {
+        leave: Duration::from_millis(settings.guard.leave_ms),
+        drain: Duration::from_millis(settings.guard.drain_ms),
+    };
+    let flush = Duration::from_millis(settings.report.flush_ms);
     let ttl = Duration::from_millis(settings.guard.announce_ttl_ms);
     let tasks = vec![
         tokio::spawn(tasks::build_tables(
@@ -124,17 +157,16 @@
         )),
         tokio::spawn(tasks::expire_servers(parts.servers.clone(), parts.members.clone(), ttl)),
         tokio::spawn(watch_reach(parts.reach.clone(), parts.members.clone())),
-        tokio::spawn(tasks::flush_reports(parts.book.clone(), parts.store.clone())),
-        tokio::spawn(send_metrics(
-            settings.metrics.address,
-            Arc::new(make_port(settings, &parts, addresses)),
-            parts.counters.clone(),
-        )),
+        tokio::spawn(tasks::flush_reports(parts.book.clone(), parts.store.clone(), flush)),
+        tokio::spawn(send_metrics(settings.metrics.address, port, parts.counters.clone())),
     ];
     log::info!("daemon: {} runs at {}.", settings.instance.name, addresses.proxy);
     Ok(DaemonHandle {
         addresses,
-        drain,
+        times,
+        is_leaving: parts.is_leaving,
+        own_service: parts.own_service,
+        border: parts.border,
         members: parts.members,
         forward,
         guard,
@@ -157,6 +189,14 @@
         log::error!("daemon: the control thread ended.");
     }
 
+    /// Takes settings that were changed while the daemon runs. Only the service beside it can change
+    /// so; anything else takes effect at the next start.
+    pub fn reload(&self, settings: &DaemonSettings) {
+        let service = own_service(&self.border, settings);
+        log::info!("daemon: settings read again, service {service:?}.");
+        self.own_service.store(service.map(Arc::new));
+    }
+
     /// Stops gracefully: tells the others, accepts no more, finishes requests in flight within
     /// the set bound, and tells whether all of them ended.
     ///
@@ -164,16 +204,19 @@
     /// which goes by this daemon's own listener for callers.
     pub async fn stop(mut self) -> bool {
         log::info!("daemon: leaving.");
+        self.is_leaving.store(true, Ordering::Release);
         self.members.update(|table| table.set_status(MemberStatus::Leaving), |changed| *changed);
         self.forward.leave();
         self.guard.leave();
-        tokio::time::sleep(LEAVE_NOTICE).await;
-        let end = tokio::time::Instant::now() + self.drain;
+        tokio::time::sleep(self.times.leave).await;
+        let end = tokio::time::Instant::now() + self.times.drain;
         self.forward.refuse_new();
-        let guard = self.guard.stop(self.drain).await;
+        let guard = self.guard.stop(self.times.drain).await;
         let left = end.saturating_duration_since(tokio::time::Instant::now());
         let forward = self.forward.stop(left).await;
-        self.ops.stop().await;
+        for ops in self.ops {
+            ops.stop().await;
+        }
         self.tasks.iter().for_each(JoinHandle::abort);
         // The control thread is joined, which must not block a worker of this runtime.
         let stop = tokio::task::spawn_blocking(move || self.spread.stop());
@@ -206,9 +249,8 @@
 }
 
 fn make_parts(settings: &DaemonSettings, addresses: DaemonAddresses) -> DaemonParts {
-    let timeout = Duration::from_millis(settings.platform.timeout_ms);
-    let address = settings.platform.address.to_string();
-    let store: SharedStore = Arc::new(HttpStore::new(&address, timeout));
+    let border = Arc::new(PlatformBorder::new(&settings.platform));
+    let store = border.store.clone();
     let key_prefix = settings.platform.key_prefix.clone();
     let ledger_settings =
         LedgerSettings { key_prefix: key_prefix.clone(), ..LedgerSettings::default() };
@@ -216,19 +258,32 @@
         ledger: Arc::new(Ledger::new(store.clone(), ledger_settings)),
         claims: Arc::new(ClaimBook::new(store.clone(), claim_settings(&key_prefix))),
         store,
+        own_service: Arc::new(ArcSwapOption::from(own_service(&border, settings).map(Arc::new))),
+        heartbeats: Arc::default(),
+        is_leaving: Arc::default(),
+        border,
         held: Arc::default(),
         members: Arc::new(MemberBoard::new(own_record(settings, addresses))),
         servers: Arc::new(LocalServers::new(server_limits(settings))),
         table: SharedTable::default(),
         book: Arc::new(ReportBook::new(&key_prefix)),
         meter: Arc::default(),
-        quarantine: Arc::default(),
+        quarantine: Arc::new(QuarantineBoard::new(quarantine_settings(settings))),
         counters: Arc::default(),
         reach: Arc::default(),
         spread: Arc::default(),
     }
 }
 
+fn own_service(border: &PlatformBorder, settings: &DaemonSettings) -> Option<ServiceName> {
+    settings.instance.service.as_deref().map(|service| border.service_path(service))
+}
+
+fn quarantine_settings(settings: &DaemonSettings) -> QuarantineSettings {
+    let limit = settings.guard.crash_limit;
+    QuarantineSettings { crash_limit: (limit > 0).then_some(limit), ..Default::default() }
+}
+
 fn claim_settings(key_prefix: &str) -> ClaimSettings {
     ClaimSettings { key_prefix: key_prefix.to_owned(), ..ClaimSettings::default() }
 }
@@ -268,6 +323,9 @@
         book: parts.book.clone(),
         spread: parts.spread.clone(),
         proxy_address: addresses.proxy,
+        border: parts.border.clone(),
+        heartbeats: parts.heartbeats.clone(),
+        is_leaving: parts.is_leaving.clone(),
     }
 }
 
@@ -301,7 +359,7 @@
     let spread_parts = SpreadParts {
         held: parts.held.clone(),
         members: parts.members.clone(),
-        source: Arc::new(LedgerSource { ledger: parts.ledger.clone() }),
+        source: parts.border.source(&parts.ledger),
         contacts: Some(Arc::new(contacts)),
         acks: Arc::new(BookSink { book: parts.book.clone() }),
         notices: Some(Arc::new(QuarantineNotices { board: parts.quarantine.clone() })),
@@ -316,9 +374,31 @@
         proxy: instance.name.clone(),
         data_centre: instance.data_centre.clone(),
         region: instance.region.clone(),
+        tuning: table_tuning(settings),
     }
 }
 
+fn table_tuning(settings: &DaemonSettings) -> TableTuning {
+    let placing = &settings.placing;
+    let placement = PlacementSettings {
+        order: match placing.order {
+            PlacingOrder::Draw => PlacementOrder::Draw,
+            PlacingOrder::Soonest => PlacementOrder::Soonest,
+        },
+        warm_up: Duration::from_millis(placing.warm_up_ms),
+        ..PlacementSettings::default()
+    };
+    let retry = RetrySettings {
+        deposit: placing.retry_deposit,
+        cap: placing.retry_burst * 1000,
+        floor: placing.retry_floor,
+        is_shared: placing.retry_shared,
+        free_moves: placing.free_moves,
+        ..RetrySettings::default()
+    };
+    TableTuning { placement, retry }
+}
+
 fn server_limits(settings: &DaemonSettings) -> ServerLimits {
     // The settings' bound of 1024 fits.
     let queue = settings.guard.queue as u32;
@@ -326,6 +406,8 @@
         guard: admitting::GuardSettings {
             short_queue: queue,
             long_queue: queue / 2,
+            retry_least: Duration::from_millis(settings.guard.retry_least_ms),
+            retry_spread: Duration::from_millis(settings.guard.retry_spread_ms),
             ..admitting::GuardSettings::default()
         },
         pacer: PacerSettings { limit: settings.guard.connections, ..PacerSettings::default() },
@@ -343,6 +425,8 @@
         guard,
         counters: parts.counters.clone(),
         max_body_bytes: settings.guard.max_body_bytes,
+        words: parts.border.words.clone(),
+        own_service: parts.own_service.clone(),
     }
 }
 
@@ -353,5 +437,6 @@
         quarantine: parts.quarantine.clone(),
         claims: Some(Arc::new(BookGate { book: parts.claims.clone() })),
         counters: parts.counters.clone(),
+        words: parts.border.words.clone(),
     }
 }
--- a/components/daemon/src/lib.rs
+++ b/components/daemon/src/lib.rs
@@ -1,5 +1,6 @@
 //! Wires the parts of one daemon together.
 
+mod border;
 mod claims;
 mod contacts;
 mod daemon;
--- a/components/daemon/src/port.rs
+++ b/components/daemon/src/port.rs
@@ -3,19 +3,27 @@
 use std::{
     collections::BTreeMap,
     net::{IpAddr, SocketAddr},
-    sync::{Arc, OnceLock},
-    time::Instant,
+    sync::{
+        Arc, Mutex, MutexGuard, OnceLock, PoisonError,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::{Duration, Instant},
 };
 
 use async_trait::async_trait;
 use sk_ledger::{Ledger, SubmitError};
-use sk_member::{EndpointRecord, EndpointStatus, MemberBoard, MemberRecord, MemberTable};
+use sk_member::{
+    EndpointRecord, EndpointStatus, HeartbeatBook, HeartbeatVerdict, MemberBoard, MemberRecord,
+    MemberTable, ServerHeartbeat,
+};
 use sk_model::{ChangeRecord, ChangeRequest, ConfigSnapshot, ProxyId, TeamName, Version};
 use sk_ops::{
-    HeldView, MAX_SERVICES, OperatorPort, OpsError, ServerAnnouncement, StateDump, TeamRecord,
-    TeamView,
+    HeldView, MAX_SERVICES, OperatorPort, OpsError, ServerAnnouncement, ServerBeat, ServerState,
+    StateDump, TeamRecord, TeamView,
+};
+use sk_proxy::{
+    LocalServer, LocalServers, ProxyCounters, QuarantineBoard, SharedTable, process_now,
 };
-use sk_proxy::{LocalServer, LocalServers, ProxyCounters, QuarantineBoard, SharedTable};
 use sk_report::{
     ChangeReport, FleetReport, KnownProxy, ReportBook, ReportError, make_change_report,
     make_report, read_acks, read_times,
@@ -24,6 +32,7 @@
 use sk_store::SharedStore;
 
 use crate::{
+    border::PlatformBorder,
     reach::ReachClock,
     records::{read_team, store_error, write_team},
     tasks::{publish_endpoints, unix_now},
@@ -47,6 +56,11 @@
     /// Set once the control thread runs.
     pub(crate) spread: Arc<OnceLock<StateReader>>,
     pub(crate) proxy_address: SocketAddr,
+    pub(crate) border: Arc<PlatformBorder>,
+    /// Which heartbeats of the local backend server are news.
+    pub(crate) heartbeats: Arc<Mutex<HeartbeatBook>>,
+    /// Whether this daemon was told to stop.
+    pub(crate) is_leaving: Arc<AtomicBool>,
 }
 
 #[async_trait]
@@ -64,6 +78,10 @@
     }
 
     async fn submit(&self, request: ChangeRequest) -> Result<ChangeRecord, OpsError> {
+        if self.border.is_external() {
+            let reason = "the platform's operator writes this fleet's configuration".to_owned();
+            return Err(OpsError::Forbidden { reason });
+        }
         let now = unix_now();
         let record = self.ledger.submit(&request, now).await;
         let record = record.map_err(|err| match err {
@@ -84,8 +102,7 @@
     }
 
     async fn newest(&self) -> Result<HeldView, OpsError> {
-        let snapshot = self.ledger.load(&self.held.current()).await;
-        let snapshot = snapshot.map_err(|err| OpsError::from_ledger(&err, unix_now()))?;
+        let snapshot = self.accepted().await?;
         Ok(view_snapshot(&snapshot))
     }
 
@@ -95,11 +112,10 @@
     }
 
     async fn report(&self) -> Result<FleetReport, OpsError> {
-        let snapshot = self.ledger.load(&self.held.current()).await;
-        let snapshot = snapshot.map_err(|err| OpsError::from_ledger(&err, unix_now()))?;
+        let snapshot = self.accepted().await?;
         let acks = read_acks(&self.store, &self.key_prefix).await;
         let acks = acks.map_err(report_error)?;
-        Ok(make_report(snapshot.root.change, &self.known_proxies(), &acks))
+        Ok(make_report(snapshot.root.change.clone(), &self.known_proxies(), &acks))
     }
 
     async fn change_report(&self, version: Version) -> Result<ChangeReport, OpsError> {
@@ -143,13 +159,84 @@
         };
         let readmit = |table: &mut MemberTable| table.readmit_server(&endpoint.server);
         self.members.update(readmit, |()| false);
-        self.servers.announce(LocalServer { endpoint, address, announced: Instant::now() });
+        let (name, announced) = (endpoint.server.clone(), Instant::now());
+        self.servers.announce(LocalServer { name, endpoint, address, announced, warm_up: None });
         publish_endpoints(&self.servers, &self.members);
         Ok(())
     }
+
+    fn ready(&self) -> Option<Version> {
+        let version = self.held.status().version;
+        let is_ready = self.held.is_ready() && !self.is_leaving.load(Ordering::Acquire);
+        (is_ready && version > 0).then_some(version)
+    }
+
+    fn beat(&self, name: &str, beat: ServerBeat, address: SocketAddr) -> Result<(), OpsError> {
+        let heartbeat = ServerHeartbeat {
+            name: name.to_owned(),
+            born: beat.born.unwrap_or_default(),
+            sequence: beat.sequence,
+            service: self.border.service_path(&beat.service),
+            address,
+            slots: beat.slots,
+            status: match beat.state {
+                ServerState::Ready => EndpointStatus::Ready,
+                ServerState::Draining => EndpointStatus::Draining,
+            },
+            warm_up: Duration::from_millis(beat.warm_up_left),
+        };
+        match self.heartbeats().judge(&heartbeat, process_now()) {
+            HeartbeatVerdict::News => self.take_heartbeat(heartbeat),
+            HeartbeatVerdict::Stale => log::info!("ops: a late heartbeat of {name} says nothing."),
+        }
+        Ok(())
+    }
+
+    fn leave(&self, name: &str) -> Result<(), OpsError> {
+        let process = self.heartbeats().leave(name, unix_now(), process_now());
+        log::info!("ops: server {name} said good-bye.");
+        if process.is_some_and(|process| self.servers.retire(&process)) {
+            publish_endpoints(&self.servers, &self.members);
+        }
+        Ok(())
+    }
 }
 
 impl DaemonPort {
+    /// Gives the newest accepted configuration, as far as it can be known here.
+    async fn accepted(&self) -> Result<Arc<ConfigSnapshot>, OpsError> {
+        if self.border.is_external() {
+            return Ok(self.held.newest());
+        }
+        let snapshot = self.ledger.load(&self.held.current()).await;
+        snapshot.map(Arc::new).map_err(|err| OpsError::from_ledger(&err, unix_now()))
+    }
+
+    fn heartbeats(&self) -> MutexGuard<'_, HeartbeatBook> {
+        self.heartbeats.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Enters a server as its heartbeat says. The heartbeat is acknowledged after this, so that an
+    /// acknowledged drain holds at the guard, by which alone the server gets requests.
+    fn take_heartbeat(&self, heartbeat: ServerHeartbeat) {
+        let server = heartbeat.process();
+        self.members.update(|table| table.readmit_server(&server), |()| false);
+        let endpoint = EndpointRecord {
+            service: heartbeat.service,
+            server,
+            slots: heartbeat.slots,
+            status: heartbeat.status,
+        };
+        self.servers.announce(LocalServer {
+            name: heartbeat.name,
+            endpoint,
+            address: heartbeat.address,
+            announced: Instant::now(),
+            warm_up: Some(heartbeat.warm_up),
+        });
+        publish_endpoints(&self.servers, &self.members);
+    }
+
     fn known_proxies(&self) -> BTreeMap<ProxyId, KnownProxy> {
         let known = |record: &MemberRecord| KnownProxy {
             data_centre: record.data_centre.clone(),
--- a/components/daemon/src/tasks.rs
+++ b/components/daemon/src/tasks.rs
@@ -13,9 +13,6 @@
 use sk_spread::HeldConfig;
 use sk_store::SharedStore;
 
-/// Time between writes of reports: long enough to gather a data centre's acknowledgements of one
-/// change into few writes, short beside the seconds in which a manager expects them.
-const FLUSH_INTERVAL: Duration = Duration::from_millis(300);
 /// Time between looks for backend servers that no longer announce themselves.
 const EXPIRE_INTERVAL: Duration = Duration::from_millis(200);
 
@@ -94,9 +91,9 @@
 }
 
 /// Keeps acknowledgements in the platform.
-pub(crate) async fn flush_reports(book: Arc<ReportBook>, store: SharedStore) {
+pub(crate) async fn flush_reports(book: Arc<ReportBook>, store: SharedStore, pause: Duration) {
     loop {
-        tokio::time::sleep(FLUSH_INTERVAL).await;
+        tokio::time::sleep(pause).await;
         if let Err(err) = book.flush(&store).await {
             log::warn!("report: {err}.");
         }
--- a/components/decide/src/placing.rs
+++ b/components/decide/src/placing.rs
@@ -19,7 +19,7 @@
 
 pub use crate::placing::call::{CallOutcome, PlacedCall};
 pub use crate::placing::gauge::{EndpointGauge, EndpointState};
-pub use crate::placing::settings::PlacementSettings;
+pub use crate::placing::settings::{PlacementOrder, PlacementSettings};
 
 mod call;
 mod draw;
--- a/components/decide/src/placing/settings.rs
+++ b/components/decide/src/placing/settings.rs
@@ -2,9 +2,22 @@
 
 use std::time::Duration;
 
+/// How an endpoint is chosen among those that may take a request.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum PlacementOrder {
+    /// The nearest data centre that is not loaded, and in it the better of two drawn by share. Made
+    /// for work of a few milliseconds, where looking further costs as much as the work.
+    #[default]
+    Draw,
+    /// Where the answer is expected first. Made for work that is long beside a round trip.
+    Soonest,
+}
+
 /// Settings of placing, the same for all services of a daemon.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct PlacementSettings {
+    /// How an endpoint is chosen. Default draw.
+    pub order: PlacementOrder,
     /// Load of a tier, as our requests in flight per share, at which requests begin to spill to
     /// the next. Default 0.7: above it queues form at some server.
     pub spill_start: f64,
@@ -46,6 +59,7 @@
 impl Default for PlacementSettings {
     fn default() -> Self {
         Self {
+            order: PlacementOrder::Draw,
             spill_start: 0.7,
             spill_full: 1.0,
             cold_share: 0.1,
--- a/components/decide/src/quarantine.rs
+++ b/components/decide/src/quarantine.rs
@@ -39,11 +39,21 @@
     pub keep: Duration,
     /// Requests kept at most. Default 1024, about 200 KB: two crashes a day leave some 24 each.
     pub capacity: usize,
+    /// Crashes with a request in flight, without a success since, after which it is refused.
+    /// Default none: a suspect runs alone instead. To run one alone, a server must be emptied, and
+    /// where work takes a quarter of a second and all slots are in use, that costs a dozen
+    /// requests for each suspect; a second or third crash tells almost as much.
+    pub crash_limit: Option<u32>,
 }
 
 impl Default for QuarantineSettings {
     fn default() -> Self {
-        Self { hold: Duration::from_secs(600), keep: Duration::from_secs(3600), capacity: 1024 }
+        Self {
+            hold: Duration::from_secs(600),
+            keep: Duration::from_secs(3600),
+            capacity: 1024,
+            crash_limit: None,
+        }
     }
 }
 
@@ -97,6 +107,9 @@
     pub fn judge(&self, fingerprint: Fingerprint, now: Duration) -> QuarantineVerdict {
         let Some(record) = self.records.get(&fingerprint) else { return QuarantineVerdict::Clear };
         let since = now.saturating_sub(self.settings.keep);
+        if let Some(limit) = self.settings.crash_limit {
+            return self.judge_crashes(record, limit, now);
+        }
         match record.convicted_at(since).map(|at| (at + self.settings.hold).saturating_sub(now)) {
             Some(left) if !left.is_zero() => QuarantineVerdict::Refused(left),
             _ if record.is_suspect(since) => QuarantineVerdict::TryAlone,
@@ -104,6 +117,21 @@
         }
     }
 
+    /// Refuses a request whose crashes have reached the limit, and lets any other run.
+    fn judge_crashes(
+        &self,
+        record: &SuspectRecord,
+        limit: u32,
+        now: Duration,
+    ) -> QuarantineVerdict {
+        let since = now.saturating_sub(self.settings.keep);
+        let left = (record.last_crash() + self.settings.hold).saturating_sub(now);
+        match record.crash_count(since) >= limit as usize && !left.is_zero() {
+            true => QuarantineVerdict::Refused(left),
+            false => QuarantineVerdict::Clear,
+        }
+    }
+
     /// Takes note of a crash. Several copies of one request in flight count as that request alone.
     pub fn record_crash(&mut self, report: &CrashReport<'_>) {
         let mut fingerprints = report.in_flight.to_vec();
--- a/components/decide/src/quarantine/record.rs
+++ b/components/decide/src/quarantine/record.rs
@@ -97,6 +97,11 @@
             .last()
     }
 
+    /// Counts the crashes since `since` that stand against the request.
+    pub fn crash_count(&self, since: Duration) -> usize {
+        self.standing(since).count()
+    }
+
     /// Tells whether any crash since `since` stands against the request.
     pub fn is_suspect(&self, since: Duration) -> bool {
         self.standing(since).next().is_some()
--- a/components/decide/src/retrying.rs
+++ b/components/decide/src/retrying.rs
@@ -30,6 +30,9 @@
     /// No byte can have reached the server, or its guard says it did not pass the request on.
     #[display("not-run")]
     NotRun,
+    /// A server got it and said that it did not run it.
+    #[display("turned-away")]
+    TurnedAway,
     /// The server ran it and its answer is a failure.
     #[display("ran")]
     Ran,
@@ -53,6 +56,13 @@
     /// Thousandths the budget can hold. Default 20 000: the burst when one server of five goes
     /// with its 12 slots in use.
     pub cap: u64,
+    /// Whether the cap and the floor are those of the whole fleet, of which each daemon holds its
+    /// part. Default no. Without it, a hundred daemons that lose a server at one moment send it a
+    /// hundred times the retries that one may.
+    pub is_shared: bool,
+    /// Attempts that no server took in, and that are made again elsewhere without drawing on the
+    /// budget. Default 0. Such an attempt costs the fleet a message and a server nothing.
+    pub free_moves: u8,
     /// Delay before a retry.
     pub backoff: BackoffSettings,
 }
@@ -61,7 +71,15 @@
     fn default() -> Self {
         let backoff =
             BackoffSettings { cap: Duration::from_millis(250), ..BackoffSettings::default() };
-        Self { max_retries: 2, deposit: 100, floor: 1000, cap: 20_000, backoff }
+        Self {
+            max_retries: 2,
+            deposit: 100,
+            floor: 1000,
+            cap: 20_000,
+            is_shared: false,
+            free_moves: 0,
+            backoff,
+        }
     }
 }
 
@@ -75,6 +93,8 @@
     tokens: AtomicU64,
     /// Milliseconds up to which the floor is paid in.
     paid_until: AtomicU64,
+    /// Daemons that share the cap and the floor.
+    fleet: AtomicU64,
 }
 
 impl RetryBudget {
@@ -84,6 +104,17 @@
             settings,
             tokens: AtomicU64::new(settings.cap),
             paid_until: AtomicU64::new(whole_millis(now)),
+            fleet: AtomicU64::new(1),
+        }
+    }
+
+    /// Sets how many daemons there are, where they share the cap and the floor.
+    pub fn set_fleet(&self, daemons: usize) {
+        if self.settings.is_shared {
+            let daemons = u64::try_from(daemons).unwrap_or(u64::MAX).max(1);
+            self.fleet.store(daemons, Ordering::Relaxed);
+            // A full budget of a daemon that knew of no other one is more than its part.
+            self.pay_in(0);
         }
     }
 
@@ -111,7 +142,7 @@
     }
 
     fn pay_in(&self, amount: u64) {
-        let cap = self.settings.cap;
+        let cap = self.settings.cap / self.fleet.load(Ordering::Relaxed);
         let paid = |held: u64| Some(held.saturating_add(amount).min(cap));
         // The closure always gives a value, so the update cannot fail.
         let _ = self.tokens.fetch_update(Ordering::Relaxed, Ordering::Relaxed, paid);
@@ -122,7 +153,9 @@
         // `fetch_max` gives each millisecond to one thread only, so none is paid in twice.
         let before = self.paid_until.fetch_max(now, Ordering::Relaxed);
         // A difference of totals: rounding each short step down would lose the floor whole.
-        let total = |millis: u64| millis.saturating_mul(self.settings.floor) / 1000;
+        let floor = self.settings.floor;
+        let share = 1000 * self.fleet.load(Ordering::Relaxed);
+        let total = |millis: u64| millis.saturating_mul(floor) / share;
         self.pay_in(total(now).saturating_sub(total(before)));
     }
 }
@@ -136,6 +169,8 @@
     pub is_repeatable: bool,
     /// Retries of this layer so far.
     pub own_retries: u8,
+    /// Attempts so far that were moved elsewhere without drawing on the budget.
+    pub moves: u8,
     /// Retries of layers above, as the request brought them.
     pub retried_above: u8,
     /// Time left for the request.
@@ -169,6 +204,8 @@
 pub enum RetryVerdict {
     /// Try again after this time, at another endpoint.
     Retry(Duration),
+    /// Try again at once at another endpoint: no server took the attempt in.
+    Move,
     /// Answer with the failure.
     GiveUp(GiveUpReason),
 }
@@ -182,11 +219,17 @@
 ) -> RetryVerdict {
     let settings = budget.settings();
     let delay = settings.backoff.delay(u32::from(attempt.own_retries), rng);
-    let ran = attempt.outcome != RunOutcome::NotRun;
+    let may_have_run = matches!(attempt.outcome, RunOutcome::Ran | RunOutcome::Unknown);
+    let is_unsent = attempt.outcome == RunOutcome::NotRun;
     let needed = delay.saturating_add(attempt.expected);
     match attempt {
-        _ if ran && !attempt.is_repeatable => RetryVerdict::GiveUp(GiveUpReason::MayHaveRun),
+        _ if may_have_run && !attempt.is_repeatable => {
+            RetryVerdict::GiveUp(GiveUpReason::MayHaveRun)
+        }
         _ if attempt.retried_above > 0 => RetryVerdict::GiveUp(GiveUpReason::RetriedAbove),
+        _ if is_unsent && attempt.moves < settings.free_moves && !attempt.remaining.is_zero() => {
+            RetryVerdict::Move
+        }
         _ if attempt.own_retries >= settings.max_retries => {
             RetryVerdict::GiveUp(GiveUpReason::RetriesSpent)
         }
--- a/components/decide/tests/model/mod.rs
+++ b/components/decide/tests/model/mod.rs
@@ -359,6 +359,7 @@
             outcome: RunOutcome::NotRun,
             is_repeatable: false,
             own_retries: self.calls[index].tries,
+            moves: 0,
             retried_above: 0,
             remaining: self.deadline(index).saturating_sub(self.now),
             expected: self.load_of(index).service,
@@ -369,6 +370,7 @@
                 self.calls[index].tries += 1;
                 self.push(self.now + delay, Event::Attempt(index));
             }
+            RetryVerdict::Move => unreachable!("the model's settings have no free moves"),
             RetryVerdict::GiveUp(_) => self.end(index, false),
         }
     }
--- a/components/decide/tests/retry_storm.rs
+++ b/components/decide/tests/retry_storm.rs
@@ -42,6 +42,7 @@
         outcome: RunOutcome::Ran,
         is_repeatable: true,
         own_retries,
+        moves: 0,
         retried_above: context.retried_above,
         remaining: context.remaining,
         expected: Duration::ZERO,
@@ -59,6 +60,7 @@
         sends += sends_below(&next, below, rng);
         match may_retry(&failed(context, retries), budget, now, rng) {
             RetryVerdict::Retry(_) => retries += 1,
+            RetryVerdict::Move => panic!("every attempt draws on the budget by default"),
             RetryVerdict::GiveUp(_) => return sends,
         }
     }
@@ -109,6 +111,7 @@
         &mut rng,
     ) {
         RetryVerdict::Retry(delay) => assert!(wanted.is_none() && delay <= millis(20)),
+        RetryVerdict::Move => panic!("every attempt draws on the budget by default"),
         RetryVerdict::GiveUp(reason) => assert_eq!(Some(reason), wanted),
     };
     check(first, Some(GiveUpReason::MayHaveRun));
--- a/components/ledger/tests/first_change.rs
+++ b/components/ledger/tests/first_change.rs
@@ -11,7 +11,7 @@
     let ledger = Ledger::new(Arc::new(FakeStore::new()), LedgerSettings::default());
     let empty = ledger.load(&ConfigSnapshot::default()).await.expect("an empty ledger");
     assert_eq!(empty, ConfigSnapshot::default());
-    let service = SettingBody::Service(ServiceSetting { description: String::new() });
+    let service = SettingBody::Service(ServiceSetting::default());
     let request = ChangeRequest {
         change_id: "c1".to_owned(),
         team: "ledvica".to_owned(),
--- a/components/measure/src/config.rs
+++ b/components/measure/src/config.rs
@@ -1,8 +1,6 @@
 //! A configuration of the size that decides the design.
 
-use sk_model::{
-    ChangeRequest, RouteSetting, ServiceSetting, SettingBody, SettingWrites, WorkClass,
-};
+use sk_model::{ChangeRequest, RouteSetting, ServiceSetting, SettingBody, SettingWrites};
 
 /// Services, one a team, as the users' letter gives them.
 pub const SERVICES: usize = 69;
@@ -23,19 +21,16 @@
 
 fn route(index: usize, number: usize, deadline_ms: u64) -> SettingBody {
     SettingBody::Route(RouteSetting {
-        host: None,
-        prefix: format!("/{}/{number}", team(index)),
-        service: service(index),
         repeatable: number == 0,
-        class: WorkClass::Short,
         deadline_ms,
+        ..RouteSetting::new(format!("/{}/{number}", team(index)), service(index))
     })
 }
 
 /// Makes the first change of a team: its service and routes.
 pub fn first_change(index: usize) -> ChangeRequest {
     let description = format!("Service {index} of the measured fleet");
-    let body = SettingBody::Service(ServiceSetting { description });
+    let body = SettingBody::Service(ServiceSetting { description, connections: None });
     let mut writes = SettingWrites::from([(service(index), Some(body))]);
     for number in 0..ROUTES {
         let path = format!("/{}/routes/{number}", team(index));
--- a/components/model/src/lib.rs
+++ b/components/model/src/lib.rs
@@ -14,8 +14,9 @@
 pub use ack::{ProxyAck, RejectedVersion};
 pub use change::{ChangeRecord, ChangeRequest, SettingWrites, make_writes};
 pub use declaration::{
-    DeclarationError, DeclarationFault, MAX_DECLARATION_BYTES, RouteSetting, ServiceSetting,
-    SettingBody, ValueSetting, WorkClass, parse_declaration,
+    DeclarationError, DeclarationFault, LimitSetting, MAX_DECLARATION_BYTES, RouteKind,
+    RouteSetting, ServiceSetting, SettingBody, SplitPart, ValueSetting, WorkClass,
+    parse_declaration,
 };
 pub use hash::{content_hash, hash_json, is_hash};
 pub use path::{
--- a/components/model/src/validate.rs
+++ b/components/model/src/validate.rs
@@ -89,10 +89,10 @@
     let mut claims: BTreeMap<(Option<&str>, &str), &SettingPath> = BTreeMap::new();
     for (path, body) in trees.values().flat_map(|tree| &tree.settings) {
         let SettingBody::Route(route) = body else { continue };
-        if !services.contains(&route.service) {
+        for (service, _) in route.targets().filter(|(service, _)| !services.contains(service)) {
             faults.push(ConfigFault::MissingService {
                 route: path.clone(),
-                service: route.service.clone(),
+                service: service.clone(),
             });
         }
         if let Some(first) = claims.insert((route.host.as_deref(), &route.prefix), path) {
--- a/components/model/tests/declaration_round.rs
+++ b/components/model/tests/declaration_round.rs
@@ -21,11 +21,10 @@
             let service = SERVICES[service].to_owned();
             SettingBody::Route(RouteSetting {
                 host,
-                prefix,
-                service,
                 repeatable,
                 class,
                 deadline_ms,
+                ..RouteSetting::new(prefix, service)
             })
         },
     )
@@ -33,8 +32,10 @@
 
 fn any_body() -> impl Strategy<Value = SettingBody> {
     prop_oneof![
-        any::<String>()
-            .prop_map(|description| SettingBody::Service(ServiceSetting { description })),
+        any::<String>().prop_map(|description| SettingBody::Service(ServiceSetting {
+            description,
+            connections: None
+        })),
         any::<String>().prop_map(|text| SettingBody::Value(ValueSetting { text })),
         any_route(),
     ]
@@ -43,7 +44,7 @@
 fn any_settings() -> impl Strategy<Value = SettingMap> {
     btree_map("/t/[ab]/[a-c]", any_body(), 0..8).prop_map(|mut settings| {
         for service in SERVICES {
-            let body = SettingBody::Service(ServiceSetting { description: String::new() });
+            let body = SettingBody::Service(ServiceSetting::default());
             settings.insert(service.to_owned(), body);
         }
         settings
@@ -89,15 +90,21 @@
 
 #[test]
 fn faults_name_place() {
-    fault_of("", expect!["1:1: `kind` is missing or no text; allowed: service, route, value"]);
+    fault_of(
+        "",
+        expect!["1:1: `kind` is missing or no text; allowed: service, route, value, limits"],
+    );
     fault_of(
         "\nkind = 3\n",
-        expect!["2:1: `kind` is missing or no text; allowed: service, route, value"],
+        expect!["2:1: `kind` is missing or no text; allowed: service, route, value, limits"],
+    );
+    fault_of(
+        "kind = \"rout\"\n",
+        expect!["1:8: `kind` is rout; allowed: service, route, value, limits"],
     );
-    fault_of("kind = \"rout\"\n", expect!["1:8: `kind` is rout; allowed: service, route, value"]);
     fault_of(
         "kind = \"service\"\n\ncolour = \"red\"\n",
-        expect!["3:1: unknown field `colour`, expected `description`"],
+        expect!["3:1: unknown field `colour`, expected `description` or `connections`"],
     );
     fault_of(
         "kind = \"value\"\ntext = 7\n",
--- a/components/ops/src/announcement.rs
+++ b/components/ops/src/announcement.rs
@@ -7,7 +7,7 @@
 
 use sk_model::check_path;
 
-use crate::{OpsError, ServerAnnouncement};
+use crate::{OpsError, ServerAnnouncement, ServerBeat};
 
 /// Slots a server may claim. None would never be given work, and more than the largest server has
 /// would switch the guard's bound off.
@@ -52,6 +52,30 @@
     }
 }
 
+/// Checks a heartbeat of the server `name` and gives the address the server listens at.
+///
+/// # Errors
+///
+/// Returns what [`check_announcement`] does for the same faults.
+pub fn check_beat(
+    name: &str,
+    beat: &ServerBeat,
+    sender: IpAddr,
+    own: &[IpAddr],
+) -> Result<SocketAddr, OpsError> {
+    let malformed = |reason: &dyn ToString| OpsError::Malformed { reason: reason.to_string() };
+    let address = beat.address.parse::<SocketAddr>();
+    let address = address.map_err(|_| malformed(&"`address`; allowed: IP and port"))?;
+    match beat {
+        _ if !is_local(sender, own) => Err(not_local("heartbeat came from")),
+        _ if !is_local(address.ip(), own) => Err(not_local("`address` is")),
+        _ if !is_server(name) => Err(malformed(&"the id; allowed: 1 to 64 of A-Z a-z 0-9 - _ . :")),
+        _ if beat.service.is_empty() => Err(malformed(&"`service`; allowed: a name")),
+        beat if !SLOT_RULE.contains(&beat.slots) => Err(malformed(&"`slots`; allowed: 1 to 10000")),
+        _ => Ok(address),
+    }
+}
+
 fn not_local(what: &str) -> OpsError {
     OpsError::Forbidden { reason: format!("{what} another instance; allowed: this one") }
 }
--- a/components/ops/src/error.rs
+++ b/components/ops/src/error.rs
@@ -56,6 +56,9 @@
         /// The id to ask for.
         change_id: ChangeId,
     },
+    /// The daemon holds no configuration yet, or is leaving.
+    #[error("the daemon is not ready")]
+    NotReady,
     /// There is no such thing.
     #[error("{what} does not exist")]
     NotFound {
@@ -107,7 +110,7 @@
             Self::Raced { .. } | Self::IdReused { .. } => ErrorStatusCode::CONFLICT,
             Self::Invalid { .. } => ErrorStatusCode::UNPROCESSABLE_ENTITY,
             Self::Malformed { .. } => ErrorStatusCode::BAD_REQUEST,
-            Self::NotAccepted { .. } => ErrorStatusCode::SERVICE_UNAVAILABLE,
+            Self::NotAccepted { .. } | Self::NotReady => ErrorStatusCode::SERVICE_UNAVAILABLE,
             Self::Unknown { .. } => ErrorStatusCode::GATEWAY_TIMEOUT,
             Self::NotFound { .. } => ErrorStatusCode::NOT_FOUND,
             Self::Internal { .. } => ErrorStatusCode::INTERNAL_SERVER_ERROR,
--- a/components/ops/src/lib.rs
+++ b/components/ops/src/lib.rs
@@ -8,11 +8,11 @@
 mod wire;
 
 pub use access::{hash_token, is_token};
-pub use announcement::{MAX_SERVICES, check_announcement};
+pub use announcement::{MAX_SERVICES, check_announcement, check_beat};
 pub use error::OpsError;
 pub use port::{OperatorPort, SharedPort};
 pub use server::{OpsHandle, start_ops};
 pub use wire::{
-    ControlView, HeldView, PeerView, RequestView, ServerAnnouncement, ServerView, StateDump,
-    TeamRecord, TeamView,
+    BeatAnswer, ControlView, HeldView, PeerView, ReadyView, RequestView, ServerAnnouncement,
+    ServerBeat, ServerState, ServerView, StateDump, TeamRecord, TeamView,
 };
--- a/components/ops/src/port.rs
+++ b/components/ops/src/port.rs
@@ -9,7 +9,7 @@
 use sk_model::{ChangeRecord, ChangeRequest, TeamName, Version};
 use sk_report::{ChangeReport, FleetReport};
 
-use crate::{HeldView, OpsError, ServerAnnouncement, StateDump, TeamRecord};
+use crate::{HeldView, OpsError, ServerAnnouncement, ServerBeat, StateDump, TeamRecord};
 
 /// A port shared by the interface's handlers.
 pub type SharedPort = Arc<dyn OperatorPort>;
@@ -54,6 +54,15 @@
     /// Gives the IPs that the daemon is known by, besides loopback.
     fn own_ips(&self) -> Vec<IpAddr>;
 
+    /// Gives the version in force, none while the daemon must not be given requests.
+    fn ready(&self) -> Option<Version>;
+
+    /// Takes a checked heartbeat of the local backend server `name`, which listens at `address`.
+    fn beat(&self, name: &str, beat: ServerBeat, address: SocketAddr) -> Result<(), OpsError>;
+
+    /// Takes the good-bye of the local backend server `name`.
+    fn leave(&self, name: &str) -> Result<(), OpsError>;
+
     /// Takes a checked announcement of the local backend server, which listens at `address`.
     fn announce(
         &self,
--- a/components/ops/src/server.rs
+++ b/components/ops/src/server.rs
@@ -5,7 +5,7 @@
 use dropshot::{
     ApiDescription, ConfigDropshot, HttpResponseError, HttpResponseOk,
     HttpResponseUpdatedNoContent, HttpServer, Path, Query, RequestContext, ServerBuilder,
-    TypedBody, endpoint,
+    TypedBody, UntypedBody, endpoint,
 };
 use http::header;
 use schemars::JsonSchema;
@@ -15,8 +15,10 @@
 use sk_report::{ChangeReport, FleetReport};
 
 use crate::{
-    HeldView, OpsError, ServerAnnouncement, SharedPort, StateDump, TeamRecord, access::is_token,
-    announcement::check_announcement,
+    BeatAnswer, HeldView, OpsError, ReadyView, ServerAnnouncement, ServerBeat, SharedPort,
+    StateDump, TeamRecord,
+    access::is_token,
+    announcement::{check_announcement, check_beat},
 };
 
 /// A change holds at most one subtree, which fits a platform value; JSON escapes may double it.
@@ -75,6 +77,9 @@
     api.register(get_state)?;
     api.register(put_team)?;
     api.register(put_server)?;
+    api.register(get_ready)?;
+    api.register(post_beat)?;
+    api.register(post_leave)?;
     Ok(api)
 }
 
@@ -253,3 +258,43 @@
     request.context().announce(announcement, address)?;
     Ok(HttpResponseUpdatedNoContent())
 }
+
+#[derive(Deserialize, JsonSchema)]
+struct ServerPath {
+    id: String,
+}
+
+/// Tells whether callers may be sent here: a configuration is in force and the daemon stays.
+#[endpoint { method = GET, path = "/v1/ready" }]
+async fn get_ready(request: OpsRequest) -> OpsResult<ReadyView> {
+    match request.context().ready() {
+        Some(version) => Ok(HttpResponseOk(ReadyView { version })),
+        None => Err(OpsError::NotReady),
+    }
+}
+
+/// Takes a heartbeat of the local backend server.
+#[endpoint { method = POST, path = "/v1/servers/{id}/heartbeat" }]
+async fn post_beat(
+    request: OpsRequest,
+    path: Path<ServerPath>,
+    body: UntypedBody,
+) -> OpsResult<BeatAnswer> {
+    let id = path.into_inner().id;
+    let beat: ServerBeat = serde_json::from_slice(body.as_bytes()).map_err(|err| {
+        // Another writer's heartbeat: it names no server, and the others hold.
+        log::warn!("ops: a heartbeat of {id:?} cannot be read: {err}.");
+        OpsError::Malformed { reason: err.to_string() }
+    })?;
+    let sender = request.request.remote_addr().ip();
+    let address = check_beat(&id, &beat, sender, &request.context().own_ips())?;
+    request.context().beat(&id, beat, address)?;
+    Ok(HttpResponseOk(BeatAnswer::default()))
+}
+
+/// Takes the good-bye of the local backend server.
+#[endpoint { method = POST, path = "/v1/servers/{id}/leave" }]
+async fn post_leave(request: OpsRequest, path: Path<ServerPath>) -> OpsResult<BeatAnswer> {
+    request.context().leave(&path.into_inner().id)?;
+    Ok(HttpResponseOk(BeatAnswer::default()))
+}
--- a/components/ops/src/wire.rs
+++ b/components/ops/src/wire.rs
@@ -26,6 +26,49 @@
     pub is_draining: bool,
 }
 
+/// A heartbeat of the local backend server, in the platform's form. Fields that are not listed are
+/// of no use here.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+pub struct ServerBeat {
+    /// Service it runs, as the platform names it.
+    pub service: String,
+    /// Where it listens, as IP and port.
+    pub address: String,
+    /// Requests it works on at once, 1 to 10000.
+    pub slots: u32,
+    /// Whether it takes new work.
+    pub state: ServerState,
+    /// Milliseconds for which it is still slow after its start.
+    #[serde(default)]
+    pub warm_up_left: u64,
+    /// Counts its heartbeats.
+    pub sequence: u64,
+    /// Start of its process in milliseconds since the epoch, on its own clock.
+    #[serde(default)]
+    pub born: Option<UnixMillis>,
+}
+
+/// Whether a backend server takes new work.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[serde(rename_all = "kebab-case")]
+pub enum ServerState {
+    /// Takes new work.
+    Ready,
+    /// Finishes what it has.
+    Draining,
+}
+
+/// Answer to a heartbeat or a good-bye that was taken.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+pub struct BeatAnswer {}
+
+/// Answer of a daemon that is ready.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+pub struct ReadyView {
+    /// Version of the configuration in force.
+    pub version: Version,
+}
+
 /// A team as the platform keeps it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields)]
--- a/components/ops/tests/common/mod.rs
+++ b/components/ops/tests/common/mod.rs
@@ -16,8 +16,8 @@
 use async_trait::async_trait;
 use sk_model::{ChangeRecord, ChangeRequest, TeamName, Version};
 use sk_ops::{
-    HeldView, OperatorPort, OpsError, OpsHandle, ServerAnnouncement, StateDump, TeamRecord,
-    hash_token, start_ops,
+    HeldView, OperatorPort, OpsError, OpsHandle, ServerAnnouncement, ServerBeat, StateDump,
+    TeamRecord, hash_token, start_ops,
 };
 use sk_report::{ChangeReport, FleetReport};
 use tokio::runtime::Runtime;
@@ -124,6 +124,18 @@
         vec![Ipv4Addr::new(10, 0, 0, 7).into()]
     }
 
+    fn ready(&self) -> Option<Version> {
+        None
+    }
+
+    fn beat(&self, _: &str, _: ServerBeat, _: SocketAddr) -> Result<(), OpsError> {
+        Ok(())
+    }
+
+    fn leave(&self, _: &str) -> Result<(), OpsError> {
+        Ok(())
+    }
+
     fn announce(&self, _: ServerAnnouncement, _: SocketAddr) -> Result<(), OpsError> {
         self.write();
         Ok(())
--- a/components/proxy/src/attempt.rs
+++ b/components/proxy/src/attempt.rs
@@ -7,7 +7,7 @@
 use sk_decide::{
     deadline::{CallContext, DescendError},
     placing::{CallOutcome, EndpointId, PlaceRequest, PlacedCall},
-    retrying::{FailedAttempt, RetryVerdict, RunOutcome, may_retry},
+    retrying::{FailedAttempt, GiveUpReason, RetryVerdict, RunOutcome, may_retry},
 };
 use tokio::time::Instant;
 
@@ -33,6 +33,10 @@
 pub(crate) struct AttemptLog {
     tried: Vec<EndpointId>,
     retries: u8,
+    /// Attempts that no server took in, made again elsewhere outside the budget.
+    moves: u8,
+    /// Attempts that a server got, or may have got.
+    arrivals: u8,
     /// Whether an attempt that ended may have run.
     pub(crate) may_have_run: bool,
     /// The attempt under way.
@@ -93,7 +97,7 @@
         };
         log.tried.push(placed.endpoint());
         log.running = Some(RunningAttempt { placed, began: Instant::now() });
-        let message = attempt_message(request, body, service, endpoint, &call);
+        let message = attempt_message(context, request, body, service, endpoint, &call);
         let response = send(context, endpoint, message).await;
         if let (Some(load), Some(id)) = (load_of(&response), log.tried.last()) {
             service.placement.hint(*id, load, process_now());
@@ -102,14 +106,16 @@
             AttemptEnd::Answered(response) => return response,
             AttemptEnd::Failed(failure) => failure,
         };
-        let wait = match retry_wait(context, service, request, log, &failure) {
-            Some(wait) => wait,
-            None => return failure.response,
-        };
-        context.counters.count_retry();
-        log.retries += 1;
+        match next_step(context, service, request, log, &failure) {
+            RetryVerdict::GiveUp(_) => return failure.response,
+            RetryVerdict::Move => log.moves += 1,
+            RetryVerdict::Retry(wait) => {
+                context.counters.count_retry();
+                log.retries += 1;
+                tokio::time::sleep(wait).await;
+            }
+        }
         last = Some(failure.response);
-        tokio::time::sleep(wait).await;
     }
 }
 
@@ -135,14 +141,16 @@
 }
 
 fn attempt_message(
+    context: &ForwardContext,
     request: &EntryRequest,
     body: ProxyBody,
     service: &TableService,
     endpoint: &TableEndpoint,
-    context: &CallContext,
+    call: &CallContext,
 ) -> AttemptMessage {
     let (name, server) = (service.name.clone(), endpoint.server.clone());
-    let call = GuardCall::new(name, server, context, &request.traits);
+    let from = context.own_service.load().as_ref().map(|from| Arc::from(from.as_str()));
+    let call = GuardCall::new(name, server, from, call, &request.traits);
     AttemptMessage { request: request.head().map(|()| body), call }
 }
 
@@ -201,12 +209,15 @@
         running.placed.finish(end, latency, process_now());
     }
     log.may_have_run |= outcome != RequestOutcome::NotRun;
+    if outcome != RequestOutcome::NotRun || kind == Some(RefusalKind::TurnedAway) {
+        log.arrivals += 1;
+    }
     let is_local = kind.is_none_or(RefusalKind::is_local);
     let response = match request.body.has_overrun() {
         true => own_answer(StatusCode::PAYLOAD_TOO_LARGE, outcome, RefusalKind::TooLarge),
         false => response,
     };
-    AttemptEnd::Failed(AttemptFailure { response, outcome: outcome.to_run(), is_local })
+    AttemptEnd::Failed(AttemptFailure { response, outcome: outcome.to_run(kind), is_local })
 }
 
 /// Gives the time that the guard measured, so that distance does not count as slowness.
@@ -257,31 +268,33 @@
     )
 }
 
-/// Gives the wait before the next attempt, if there may be one.
-fn retry_wait(
+/// Decides whether there is a next attempt, and when.
+fn next_step(
     context: &ForwardContext,
     service: &TableService,
     request: &EntryRequest,
     log: &AttemptLog,
     failure: &AttemptFailure,
-) -> Option<Duration> {
+) -> RetryVerdict {
     if !failure.is_local || !request.body.is_whole() {
-        return None;
+        return RetryVerdict::GiveUp(GiveUpReason::MayHaveRun);
+    }
+    if request.max_attempts.is_some_and(|most| log.arrivals >= most) {
+        return RetryVerdict::GiveUp(GiveUpReason::RetriesSpent);
     }
     let attempt = FailedAttempt {
         outcome: failure.outcome,
         is_repeatable: request.traits.is_repeatable,
         own_retries: log.retries,
+        moves: log.moves,
         retried_above: request.call.retried_above,
         remaining: request.left(),
         expected: Duration::ZERO,
     };
-    match may_retry(&attempt, &service.budget, process_now(), &mut rand::rng()) {
-        RetryVerdict::Retry(wait) => Some(wait),
-        RetryVerdict::GiveUp(reason) => {
-            context.counters.count_denied();
-            log::debug!("proxy: no retry for {}: {reason}.", service.name);
-            None
-        }
+    let verdict = may_retry(&attempt, &service.budget, process_now(), &mut rand::rng());
+    if let RetryVerdict::GiveUp(reason) = verdict {
+        context.counters.count_denied();
+        log::debug!("proxy: no retry for {}: {reason}.", service.name);
     }
+    verdict
 }
--- a/components/proxy/src/call.rs
+++ b/components/proxy/src/call.rs
@@ -27,6 +27,8 @@
     /// The server's process that was chosen. Another one at the same place refuses the request: it
     /// was placed by what its predecessor could take.
     pub(crate) server: Arc<str>,
+    /// Service beside the daemon of entry, for the server to know where the request began.
+    pub(crate) from: Option<Arc<str>>,
     /// Microseconds left.
     remaining_us: u64,
     hops: u8,
@@ -62,12 +64,14 @@
     pub(crate) fn new(
         service: Arc<str>,
         server: Arc<str>,
+        from: Option<Arc<str>>,
         context: &CallContext,
         traits: &CallTraits,
     ) -> Self {
         Self {
             service,
             server,
+            from,
             remaining_us: u64::try_from(context.remaining.as_micros()).unwrap_or(u64::MAX),
             hops: context.hops,
             retried: context.retried_above,
--- a/components/proxy/src/entry.rs
+++ b/components/proxy/src/entry.rs
@@ -5,6 +5,7 @@
 use http::{Method, Request, StatusCode, Version, header, request::Parts};
 use hyper::body::Incoming;
 use sk_decide::deadline::CallContext;
+use sk_model::{RouteKind, RouteSetting};
 use tokio::time::Instant;
 
 use crate::{
@@ -28,6 +29,8 @@
     pub(crate) call: CallContext,
     pub(crate) began: Instant,
     pub(crate) traits: CallTraits,
+    /// Servers that it may be sent to, where the route bounds them.
+    pub(crate) max_attempts: Option<u8>,
 }
 
 /// Refuses what is never carried.
@@ -81,7 +84,7 @@
         clean_head(&mut parts, host);
         body.set_length(&mut parts.headers);
         let traits = describe(&parts, &body, route, origin);
-        Ok(Self { parts, body, call, began, traits })
+        Ok(Self { parts, body, call, began, traits, max_attempts: route.setting.max_attempts })
     }
 
     /// Makes the head of one attempt.
@@ -146,13 +149,23 @@
     };
     CallTraits {
         class: route.setting.class,
-        // A caller that gives a key says that its request must run once, whatever the route says.
-        is_repeatable: is_safe(&parts.method) || (route.setting.repeatable && key.is_none()),
+        is_repeatable: is_repeatable(&parts.method, route.setting, key.is_some()),
         fingerprint,
         source: CallSource { team: route.team, caller: origin.key() },
     }
 }
 
+/// Tells whether a request may run twice. Where the route names its kind, that alone decides: a
+/// `GET` may confirm something, and a `POST` may only ask. Else the method and the route tell, and
+/// a caller that gives a key says that its request must run once.
+fn is_repeatable(method: &Method, route: &RouteSetting, has_key: bool) -> bool {
+    match route.kind {
+        Some(RouteKind::Safe | RouteKind::Download) => true,
+        Some(RouteKind::Unsafe) => false,
+        None => is_safe(method) || (route.repeatable && !has_key),
+    }
+}
+
 /// Tells whether a method only reads. `PUT` and `DELETE` are idempotent by RFC 9110, but a second
 /// run after another caller's change undoes that change, so they are repeated only where the route
 /// says so.
--- a/components/proxy/src/forward.rs
+++ b/components/proxy/src/forward.rs
@@ -2,10 +2,12 @@
 
 use std::{net::IpAddr, sync::Arc};
 
-use http::{Request, Response, StatusCode};
+use arc_swap::ArcSwapOption;
+use http::{Request, Response, StatusCode, header};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use sk_decide::placing::CallOutcome;
+use sk_model::ServiceName;
 use tokio::time::timeout_at;
 
 use crate::{
@@ -16,10 +18,11 @@
     entry::{CallOrigin, EntryRequest, check_carried, host_of},
     guard::{GuardContext, LOAD_HEADER, RAN_HEADER},
     headers::{is_nested, read_context},
-    outcome::{RefusalKind, RequestOutcome},
+    outcome::{RETRY_AFTER_MS_HEADER, RefusalKind, RequestOutcome},
     passed::{EntryCount, PassedBody},
     peers::PeerClient,
     table::{RouteMatch, RouteTable, SharedTable},
+    words::RequestWords,
 };
 
 /// What forwarding needs.
@@ -34,8 +37,15 @@
     pub counters: Arc<ProxyCounters>,
     /// Largest body of a request, in bytes.
     pub max_body_bytes: u64,
+    /// Headers that callers speak.
+    pub words: Arc<dyn RequestWords>,
+    /// Service beside this daemon, as the settings name it; servers are told where a request began.
+    pub own_service: OwnService,
 }
 
+/// The service beside a daemon, which changes with its settings.
+pub type OwnService = Arc<ArcSwapOption<ServiceName>>;
+
 /// Forwards one request of a caller at an address and streams its answer back.
 pub async fn forward(
     context: Arc<ForwardContext>,
@@ -46,6 +56,7 @@
     let mut response = forward_routed(&context, request, caller).await;
     response.headers_mut().remove(RAN_HEADER);
     response.headers_mut().remove(LOAD_HEADER);
+    context.words.write_answer(&mut response);
     let outcome = RequestOutcome::read(response.headers()).unwrap_or(RequestOutcome::Unknown);
     context.counters.count_outcome(outcome);
     response.map(|body| PassedBody::counted(body, count).boxed_unsync())
@@ -65,9 +76,10 @@
         return refuse_unrouted(context, &table);
     };
     let deadline = std::time::Duration::from_millis(route.setting.deadline_ms);
-    let call = read_context(request.headers(), deadline);
+    let call = read_context(request.headers(), &*context.words, deadline);
     let origin = origin_of(context, &request, caller);
-    let limit = context.max_body_bytes;
+    let limit = table.limits().map_or(u64::MAX, |limits| limits.max_body_bytes);
+    let limit = limit.min(context.max_body_bytes);
     match EntryRequest::read(request, host.as_deref(), &route, call, origin, limit).await {
         Ok(request) => forward_read(context, &route, request).await,
         Err(response) => count_own(context, *response),
@@ -93,11 +105,23 @@
     // An attempt before may have run even if the last one did not.
     if log.may_have_run && RequestOutcome::read(response.headers()) == Some(RequestOutcome::NotRun)
     {
-        RequestOutcome::Unknown.write(response.headers_mut());
+        tell_unknown(&mut response);
     }
     response
 }
 
+/// Takes back that a request did not run: an earlier attempt may have. A refusal's status and its
+/// time to return promise that nothing ran, and a caller would send the request again on its word.
+fn tell_unknown(response: &mut Response<ProxyBody>) {
+    if response.status() == StatusCode::SERVICE_UNAVAILABLE {
+        *response.status_mut() = StatusCode::BAD_GATEWAY;
+    }
+    let headers = response.headers_mut();
+    headers.remove(header::RETRY_AFTER);
+    headers.remove(RETRY_AFTER_MS_HEADER);
+    RequestOutcome::Unknown.write(headers);
+}
+
 fn time_out(context: &ForwardContext, log: &mut AttemptLog) -> Response<ProxyBody> {
     let response = match log.running.take() {
         Some(running) => {
--- a/components/proxy/src/guard.rs
+++ b/components/proxy/src/guard.rs
@@ -20,11 +20,12 @@
     clock::process_now,
     counters::ProxyCounters,
     gate::AdmitPermit,
-    headers::{strip_hop_headers, strip_own_headers, write_context},
+    headers::{strip_hop_headers, strip_own_headers},
     local::{GuardedServer, LocalServers},
     outcome::{EARLIER_STATUS_HEADER, RefusalKind, RequestOutcome},
     quarantine::{QuarantineBoard, examine},
-    served::{ServedBody, ServerExchange, is_unframed},
+    served::{ServedBody, ServerExchange},
+    words::{AnswerVerdict, RequestNote, RequestWords},
 };
 
 /// Header by which a caller says that a request must not run twice.
@@ -49,6 +50,8 @@
     pub claims: Option<Arc<dyn ClaimGate>>,
     /// Counts.
     pub counters: Arc<ProxyCounters>,
+    /// Headers that the server speaks.
+    pub words: Arc<dyn RequestWords>,
 }
 
 /// How far a request has come, for the answer at its deadline.
@@ -190,7 +193,8 @@
     mut admitted: AdmittedRequest,
     stage: &mut PassStage,
 ) -> Response<ProxyBody> {
-    let mut request = to_server(request, server, &left_of(call, admitted.deadline));
+    let attempt = context.words.attempt(request.headers()).cloned();
+    let mut request = to_server(context, request, server, call, admitted.deadline);
     loop {
         let mut sender = match server.pool.acquire().await {
             Ok(sender) => sender,
@@ -216,7 +220,12 @@
                     permit: admitted.permit,
                 };
                 let times = (admitted.admitted_at, admitted.deadline);
-                return answer(response, exchange, admitted.hold, times);
+                let (status, headers) = (response.status(), response.headers());
+                let note = context.words.read_answer(status, headers, attempt.as_ref());
+                return match note.verdict {
+                    AnswerVerdict::Sound => answer(response, exchange, admitted.hold, times),
+                    verdict => reject(verdict, exchange, admitted.hold).await,
+                };
             }
             Err(mut err) => match err.take_message() {
                 // The connection had closed while idle and took no byte of the request.
@@ -287,9 +296,9 @@
     if let Some(mut hold) = hold {
         hold.set(ClaimOutcome::Ran { status: response.status().as_u16() });
     }
-    if is_unframed(&response) || response.status().is_informational() {
-        log::warn!("guard: {} gives answers without a length.", exchange.server.id);
-        return lost_answer(RefusalKind::AnswerUnframed, RequestOutcome::Ran);
+    if response.status().is_informational() {
+        log::warn!("guard: {} switches protocols unasked.", exchange.server.id);
+        return lost_answer(RefusalKind::AnswerUnsound, RequestOutcome::Ran);
     }
     let headers = response.headers_mut();
     strip_answer(headers);
@@ -300,6 +309,32 @@
     response.map(|body| ServedBody::new(body, exchange, deadline).boxed_unsync())
 }
 
+/// Ends an exchange whose answer must not reach the caller. Its connection is closed, since what
+/// comes next on it may belong to another request.
+async fn reject(
+    verdict: AnswerVerdict,
+    exchange: ServerExchange,
+    hold: Option<ClaimHold>,
+) -> Response<ProxyBody> {
+    let load = exchange.server.gate.load_percent();
+    let id = &exchange.server.id;
+    let mut response = match verdict {
+        AnswerVerdict::NotExecuted => {
+            log::info!("guard: {id} turned a request away.");
+            if let Some(hold) = hold {
+                hold.give_back().await;
+            }
+            refuse(RefusalKind::TurnedAway)
+        }
+        verdict => {
+            log::warn!("guard: {id} gave an answer that is not its own: {verdict:?}.");
+            lost_answer(RefusalKind::AnswerUnsound, RequestOutcome::Unknown)
+        }
+    };
+    response.headers_mut().insert(LOAD_HEADER, load.into());
+    response
+}
+
 fn strip_answer(headers: &mut HeaderMap) {
     strip_hop_headers(headers);
     strip_own_headers(headers);
@@ -311,17 +346,24 @@
 }
 
 /// Makes the request that the server gets: its path alone as target, the caller's host, and what
-/// nested calls are to carry.
+/// the server is told in the platform's words.
 fn to_server(
+    context: &GuardContext,
     mut request: Request<ProxyBody>,
     server: &GuardedServer,
-    context: &CallContext,
+    call: &GuardCall,
+    deadline: Instant,
 ) -> Request<ProxyBody> {
     let path = request.uri().path_and_query().cloned();
     *request.uri_mut() = path.map_or_else(http::Uri::default, http::Uri::from);
     *request.version_mut() = http::Version::HTTP_11;
     let headers = request.headers_mut();
-    write_context(headers, context);
+    let note = RequestNote {
+        context: left_of(call, deadline),
+        server: &server.name,
+        from: call.from.as_deref(),
+    };
+    context.words.write_request(headers, &note);
     if !headers.contains_key(header::HOST) {
         headers.insert(header::HOST, server.host.clone());
     }
--- a/components/proxy/src/headers.rs
+++ b/components/proxy/src/headers.rs
@@ -5,6 +5,8 @@
 use http::{HeaderMap, HeaderName, HeaderValue, header};
 use sk_decide::deadline::CallContext;
 
+use crate::words::RequestWords;
+
 /// Header with the milliseconds that are left of a call. A service copies it into nested calls.
 pub const DEADLINE_HEADER: &str = "x-sapphirekeel-deadline-ms";
 /// Header with the hops a call has taken. A service copies it into nested calls.
@@ -88,14 +90,23 @@
 ///
 /// These headers may come from anyone: they can only bring the deadline nearer and the hop bound
 /// closer, so a false one harms its sender alone.
-pub(crate) fn read_context(headers: &HeaderMap, deadline: Duration) -> CallContext {
-    let number = |name| headers.get(name).and_then(|value| value.to_str().ok()?.parse().ok());
-    let remaining = number(DEADLINE_HEADER).map_or(deadline, Duration::from_millis);
-    let small = |name| number(name).map_or(0, |count: u64| u8::try_from(count).unwrap_or(u8::MAX));
+pub(crate) fn read_context(
+    headers: &HeaderMap,
+    words: &dyn RequestWords,
+    deadline: Duration,
+) -> CallContext {
+    let remaining = words.remaining(headers).unwrap_or(deadline);
+    let small =
+        |name| read_number(headers, name).map_or(0, |count| u8::try_from(count).unwrap_or(u8::MAX));
     let (hops, retried_above) = (small(HOPS_HEADER), small(RETRIED_HEADER));
     CallContext { remaining, hops, retried_above }.bounded_by(deadline)
 }
 
+/// Reads a header that holds a number.
+pub(crate) fn read_number(headers: &HeaderMap, name: &str) -> Option<u64> {
+    headers.get(name)?.to_str().ok()?.parse().ok()
+}
+
 /// Tells whether a call is nested: made by a service for a call that came through a daemon.
 pub(crate) fn is_nested(headers: &HeaderMap) -> bool {
     headers.get(HOPS_HEADER).is_some_and(|hops| hops.as_bytes() != b"0")
--- a/components/proxy/src/lib.rs
+++ b/components/proxy/src/lib.rs
@@ -26,13 +26,14 @@
 mod served;
 mod table;
 mod upload;
+mod words;
 
 pub use body::{BodyError, ProxyBody};
 pub use call::GuardToken;
 pub use claim::{AttemptId, ClaimGate, ClaimKey, ClaimOutcome, ClaimVerdict};
 pub use clock::process_now;
 pub use counters::{CounterView, ProxyCounters};
-pub use forward::{ForwardContext, forward};
+pub use forward::{ForwardContext, OwnService, forward};
 pub use guard::{GuardContext, guard};
 pub use headers::{DEADLINE_HEADER, HOPS_HEADER, RETRIED_HEADER};
 pub use local::{LocalServer, LocalServers, ServerLimits};
@@ -46,4 +47,6 @@
 pub use sk_decide::quarantine::SuspectRecord;
 pub use table::{
     RouteMatch, RouteTable, ServiceKey, SharedTable, TableEndpoint, TablePlace, TableService,
+    TableTuning,
 };
+pub use words::{AnswerNote, AnswerVerdict, OwnWords, RequestNote, RequestWords, ServerLoad};
--- a/components/proxy/src/local.rs
+++ b/components/proxy/src/local.rs
@@ -24,12 +24,16 @@
 /// A backend server beside this daemon.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct LocalServer {
+    /// How the server calls itself; a later process may use the name again.
+    pub name: String,
     /// What the other daemons learn of it.
     pub endpoint: EndpointRecord,
     /// Where it listens.
     pub address: SocketAddr,
     /// Last announcement.
     pub announced: Instant,
+    /// How much longer it is slow after its start; absent where only the limits tell.
+    pub warm_up: Option<Duration>,
 }
 
 /// Bounds for the backend servers beside a daemon.
@@ -47,6 +51,8 @@
 /// one's requests end against the old one.
 pub(crate) struct GuardedServer {
     pub(crate) id: ServerId,
+    /// How the server calls itself.
+    pub(crate) name: String,
     pub(crate) gate: Arc<AdmissionGate>,
     pub(crate) pool: Arc<ServerPool>,
     /// Host for requests that bring none.
@@ -107,6 +113,14 @@
                     self.guard_new(&server)
                 }
             };
+            // The address is this process's now: whatever else was there is gone.
+            servers.retain(|_, held| {
+                let is_other = held.server.address != server.address;
+                if !is_other {
+                    retire(&held.guarded);
+                }
+                is_other
+            });
             if is_draining(&server) {
                 guarded.is_leaving.store(true, Ordering::Release);
                 retire(&guarded);
@@ -115,6 +129,16 @@
         });
     }
 
+    /// Lets a server finish what it has and take no more, for the rest of its process's life, and
+    /// tells whether it is here.
+    pub fn retire(&self, id: &str) -> bool {
+        let held = self.current.load().values().find(|entry| entry.guarded.id == id).cloned();
+        let Some(mut entry) = held else { return false };
+        entry.server.endpoint.status = EndpointStatus::Draining;
+        self.announce(entry.server);
+        true
+    }
+
     /// Removes servers that have not announced themselves for `ttl`, and closes connections that
     /// have been idle for long.
     pub fn expire(&self, now: Instant, ttl: Duration) {
@@ -169,10 +193,17 @@
     }
 
     fn guard_new(&self, server: &LocalServer) -> Arc<GuardedServer> {
-        let settings = GuardSettings { slots: server.endpoint.slots, ..self.limits.guard };
+        let mut settings = GuardSettings { slots: server.endpoint.slots, ..self.limits.guard };
+        let mut started_at = process_now();
+        if let Some(warm_up) = server.warm_up {
+            settings.warm_up = warm_up;
+            // A guard takes a start at zero for that of a warm server.
+            started_at = if warm_up.is_zero() { Duration::ZERO } else { started_at };
+        }
         Arc::new(GuardedServer {
             id: server.endpoint.server.clone(),
-            gate: Arc::new(AdmissionGate::new(settings, process_now())),
+            name: server.name.clone(),
+            gate: Arc::new(AdmissionGate::new(settings, started_at)),
             pool: Arc::new(ServerPool::new(server.address, self.limits.pacer)),
             host: HeaderValue::from_str(&server.address.to_string())
                 .expect("an address makes a header"),
--- a/components/proxy/src/outcome.rs
+++ b/components/proxy/src/outcome.rs
@@ -54,8 +54,9 @@
         headers.insert(name, HeaderValue::from_static(self.as_str()));
     }
 
-    pub(crate) fn to_run(self) -> RunOutcome {
+    pub(crate) fn to_run(self, kind: Option<RefusalKind>) -> RunOutcome {
         match self {
+            Self::NotRun if kind == Some(RefusalKind::TurnedAway) => RunOutcome::TurnedAway,
             Self::NotRun => RunOutcome::NotRun,
             Self::Ran => RunOutcome::Ran,
             Self::Unknown => RunOutcome::Unknown,
@@ -132,8 +133,10 @@
     DeadlinePassed = "deadline-passed",
     /// The answer did not come back.
     AnswerLost = "answer-lost",
-    /// The answer has no length or end mark, so that a cut one would look complete.
-    AnswerUnframed = "answer-unframed",
+    /// The answer cannot be the server's whole answer to this request.
+    AnswerUnsound = "answer-unsound",
+    /// The server got the request and said that it did not run it.
+    TurnedAway = "turned-away",
 }
 
 impl RefusalKind {
--- a/components/proxy/src/served.rs
+++ b/components/proxy/src/served.rs
@@ -8,7 +8,6 @@
 };
 
 use bytes::Bytes;
-use http::{Response, header};
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use sk_decide::quarantine::Fingerprint;
 use tokio::time::{Instant, Sleep, sleep_until};
@@ -113,11 +112,3 @@
         self.inner.size_hint()
     }
 }
-
-/// Tells whether only the end of the connection ends the body. A server that dies in the middle of
-/// such an answer looks as if it had finished it.
-pub(crate) fn is_unframed(response: &Response<Incoming>) -> bool {
-    let body = response.body();
-    let is_chunked = response.headers().contains_key(header::TRANSFER_ENCODING);
-    !body.is_end_stream() && body.size_hint().exact().is_none() && !is_chunked
-}
--- a/components/proxy/src/table.rs
+++ b/components/proxy/src/table.rs
@@ -2,7 +2,10 @@
 
 use std::{
     collections::{BTreeMap, HashMap},
-    sync::Arc,
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
     time::Duration,
 };
 
@@ -18,7 +21,8 @@
 };
 use sk_member::{EndpointRecord, EndpointStatus, MemberRecord, MemberStatus};
 use sk_model::{
-    ConfigSnapshot, DataCentre, ProxyId, RouteSetting, ServiceName, SettingBody, Version, team_of,
+    ConfigSnapshot, DataCentre, LimitSetting, ProxyId, RouteSetting, ServiceName, SettingBody,
+    Version, team_of,
 };
 use slotmap::{SlotMap, new_key_type};
 
@@ -39,7 +43,7 @@
 pub type SharedTable = Arc<ArcSwap<RouteTable>>;
 
 /// Which daemon a table is for.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct TablePlace {
     /// The daemon.
     pub proxy: ProxyId,
@@ -47,6 +51,17 @@
     pub data_centre: DataCentre,
     /// Its region.
     pub region: String,
+    /// How requests are placed and tried again.
+    pub tuning: TableTuning,
+}
+
+/// How requests are placed and tried again, the same for all services.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct TableTuning {
+    /// Placing.
+    pub placement: PlacementSettings,
+    /// Trying again.
+    pub retry: RetrySettings,
 }
 
 /// A daemon whose backend server takes new work for a service.
@@ -75,11 +90,16 @@
     pub(crate) budget: Arc<RetryBudget>,
 }
 
+/// A service that takes a part of a route's requests, by weight.
+type RoutePart = (ServiceKey, u32);
+
 #[derive(Clone, Debug)]
 struct TableRoute {
     setting: RouteSetting,
     team: TeamKey,
-    service: ServiceKey,
+    parts: Vec<RoutePart>,
+    /// Requests divided so far, from a random start.
+    turn: Arc<AtomicU64>,
 }
 
 /// Routes, services and endpoints of one moment.
@@ -89,8 +109,9 @@
 pub struct RouteTable {
     version: Version,
     services: SlotMap<ServiceKey, TableService>,
-    /// Longest prefix first, and routes with a host before those without.
-    routes: Vec<TableRoute>,
+    /// Routes by host in lower case, those for any host under none; the longest prefix first.
+    routes: HashMap<Option<String>, Vec<TableRoute>>,
+    limits: Option<LimitSetting>,
 }
 
 /// The route that a request takes.
@@ -115,18 +136,26 @@
         place: &TablePlace,
         now: Duration,
     ) -> Self {
-        let mut found = find_endpoints(members);
+        let members: Vec<&MemberRecord> = members.collect();
+        let fleet = members.iter().filter(|record| record.is_present()).count();
+        let mut found = find_endpoints(members.into_iter());
         let mut services = SlotMap::with_key();
         let mut keys = BTreeMap::new();
         for (path, body) in snapshot.settings() {
             if matches!(body, SettingBody::Service(_)) {
                 let endpoints = found.remove(path.as_str()).unwrap_or_default();
                 let service = build_service(before, path, &endpoints, place, now);
+                service.budget.set_fleet(fleet);
                 keys.insert(path, services.insert(service));
             }
         }
         let routes = collect_routes(snapshot, &keys);
-        Self { version: snapshot.version(), services, routes }
+        let limits = snapshot.settings().filter_map(|(_, body)| match body {
+            SettingBody::Limits(limits) => Some(*limits),
+            _ => None,
+        });
+        let limits = limits.reduce(strictest);
+        Self { version: snapshot.version(), services, routes, limits }
     }
 
     /// Gives the version of the configuration the table was built from.
@@ -134,6 +163,11 @@
         self.version
     }
 
+    /// Gives the bounds on callers, where the configuration sets any.
+    pub fn limits(&self) -> Option<&LimitSetting> {
+        self.limits.as_ref()
+    }
+
     /// Lists the services.
     pub fn services(&self) -> impl Iterator<Item = &TableService> {
         self.services.values()
@@ -141,14 +175,50 @@
 
     /// Finds the route of a request: the longest prefix, a named host before any host.
     pub fn find(&self, host: Option<&str>, path: &str) -> Option<RouteMatch<'_>> {
-        let is_match = |route: &&TableRoute| {
-            is_prefix(&route.setting.prefix, path)
-                && route.setting.host.as_deref().is_none_or(|wanted| is_host(wanted, host))
+        let host = host.map(str::to_ascii_lowercase);
+        let bare = host.as_deref().and_then(|host| host.rsplit_once(':')).map(|(name, _)| name);
+        let named = host.as_deref().and_then(|host| self.longest(Some(host), path));
+        let named = named.or_else(|| self.longest(Some(bare?), path));
+        let any = self.longest(None, path);
+        // On equal prefixes the route that names the host holds.
+        let route = match (named, any) {
+            (Some(named), Some(any)) if any.setting.prefix.len() > named.setting.prefix.len() => {
+                any
+            }
+            (named, any) => named.or(any)?,
         };
-        let route = self.routes.iter().find(is_match)?;
-        let service = self.services.get(route.service)?;
+        let service = self.services.get(route.divide()?)?;
         Some(RouteMatch { setting: &route.setting, team: route.team, service })
     }
+
+    fn longest(&self, host: Option<&str>, path: &str) -> Option<&TableRoute> {
+        let routes = self.routes.get(&host.map(str::to_owned))?;
+        routes.iter().find(|route| is_prefix(&route.setting.prefix, path))
+    }
+}
+
+impl TableRoute {
+    /// Gives the service whose turn it is, in the proportion of the weights.
+    ///
+    /// Multiples of the golden ratio fall evenly on any interval, so a part has its share of every
+    /// few dozen requests already, where independent draws would be off by a tenth and more.
+    fn divide(&self) -> Option<ServiceKey> {
+        const GOLDEN: u64 = 0x9e37_79b9_7f4a_7c15;
+        if let [(service, _)] = self.parts[..] {
+            return Some(service);
+        }
+        let total: u64 = self.parts.iter().map(|(_, weight)| u64::from(*weight)).sum();
+        let turn = self.turn.fetch_add(1, Ordering::Relaxed).wrapping_mul(GOLDEN);
+        // The upper half of a product of two 64-bit numbers: a point below the total.
+        let mut point = ((u128::from(turn) * u128::from(total)) >> 64) as u64;
+        for (service, weight) in &self.parts {
+            match point.checked_sub(u64::from(*weight)) {
+                Some(rest) => point = rest,
+                None => return Some(*service),
+            }
+        }
+        None
+    }
 }
 
 impl TableService {
@@ -213,11 +283,11 @@
         found.iter().map(|(member, endpoint)| place_record(member, endpoint, place, now)).collect();
     let placement = match held {
         Some(held) => held.placement.rebuild(&records, now),
-        None => PlacementTable::new(PlacementSettings::default()).rebuild(&records, now),
+        None => PlacementTable::new(place.tuning.placement).rebuild(&records, now),
     };
     let budget = match held {
         Some(held) => held.budget.clone(),
-        None => Arc::new(RetryBudget::new(RetrySettings::default(), now)),
+        None => Arc::new(RetryBudget::new(place.tuning.retry, now)),
     };
     let name = held.map_or_else(|| Arc::from(name.as_str()), |held| held.name.clone());
     TableService { name, endpoints, placement: Arc::new(placement), budget }
@@ -267,29 +337,40 @@
 fn collect_routes(
     snapshot: &ConfigSnapshot,
     keys: &BTreeMap<&ServiceName, ServiceKey>,
-) -> Vec<TableRoute> {
-    let mut routes = Vec::new();
+) -> HashMap<Option<String>, Vec<TableRoute>> {
+    let mut routes: HashMap<Option<String>, Vec<TableRoute>> = HashMap::new();
     for (path, body) in snapshot.settings() {
+        let SettingBody::Route(setting) = body else { continue };
         // Validation refuses a route without its service; skipping it keeps the table sound even
         // if that ever failed.
-        if let SettingBody::Route(setting) = body
-            && let Some(service) = keys.get(&setting.service)
-        {
-            let team = stable_hash(&[team_of(path).as_bytes()]);
-            routes.push(TableRoute { setting: setting.clone(), team, service: *service });
-        }
+        let parts: Option<Vec<RoutePart>> = setting
+            .targets()
+            .map(|(service, weight)| Some((*keys.get(service)?, weight)))
+            .collect();
+        let Some(parts) = parts else { continue };
+        let route = TableRoute {
+            setting: setting.clone(),
+            team: stable_hash(&[team_of(path).as_bytes()]),
+            parts,
+            turn: Arc::new(AtomicU64::new(rand::random())),
+        };
+        let host = setting.host.as_deref().map(str::to_ascii_lowercase);
+        routes.entry(host).or_default().push(route);
+    }
+    for routes in routes.values_mut() {
+        routes.sort_by_key(|route| std::cmp::Reverse(route.setting.prefix.len()));
     }
-    routes.sort_by_key(|route| {
-        (std::cmp::Reverse(route.setting.prefix.len()), route.setting.host.is_none())
-    });
     routes
 }
 
-/// Compares hosts as names: without regard to case, and to the port if the route names none.
-fn is_host(wanted: &str, host: Option<&str>) -> bool {
-    let Some(host) = host else { return false };
-    let name = host.rsplit_once(':').map_or(host, |(name, _)| name);
-    wanted.eq_ignore_ascii_case(host) || wanted.eq_ignore_ascii_case(name)
+/// Gives bounds that keep both of two.
+fn strictest(one: LimitSetting, other: LimitSetting) -> LimitSetting {
+    LimitSetting {
+        max_head_bytes: one.max_head_bytes.min(other.max_head_bytes),
+        max_body_bytes: one.max_body_bytes.min(other.max_body_bytes),
+        head_timeout_ms: one.head_timeout_ms.min(other.head_timeout_ms),
+        idle_timeout_ms: one.idle_timeout_ms.min(other.idle_timeout_ms),
+    }
 }
 
 /// Matches at segment borders: `/board` covers `/board` and `/board/1` but not `/boards`.
--- a/components/proxy/tests/common/mod.rs
+++ b/components/proxy/tests/common/mod.rs
@@ -21,9 +21,9 @@
     ConfigSnapshot, RouteSetting, ServiceSetting, SettingBody, SnapshotRoot, TeamTree, WorkClass,
 };
 use sk_proxy::{
-    ClaimGate, ForwardContext, GuardContext, GuardToken, LocalServer, LocalServers, PeerClient,
-    ProxyCounters, QuarantineBoard, RefusalKind, RequestOutcome, RouteTable, ServeHandle,
-    ServerLimits, SharedTable, TablePlace, process_now, serve_forward, serve_guard,
+    ClaimGate, ForwardContext, GuardContext, GuardToken, LocalServer, LocalServers, OwnWords,
+    PeerClient, ProxyCounters, QuarantineBoard, RefusalKind, RequestOutcome, RouteTable,
+    ServeHandle, ServerLimits, SharedTable, TablePlace, process_now, serve_forward, serve_guard,
 };
 use sk_standin::{BackendHandle, BackendOptions, start_backend};
 use tokio::net::TcpListener;
@@ -123,7 +123,13 @@
         let (service, server) = (SERVICE.to_owned(), server.to_owned());
         let endpoint = EndpointRecord { service, server, slots: self.plan.slots, status };
         let announced = Instant::now();
-        self.daemons[daemon].servers.announce(LocalServer { endpoint, address, announced });
+        self.daemons[daemon].servers.announce(LocalServer {
+            name: endpoint.server.clone(),
+            endpoint,
+            address,
+            announced,
+            warm_up: None,
+        });
     }
 
     /// Brings the membership news to all daemons.
@@ -134,6 +140,7 @@
                 proxy: daemon.name.clone(),
                 data_centre: "lj1".to_owned(),
                 region: "slovenia".to_owned(),
+                ..TablePlace::default()
             };
             let before = daemon.table.load_full();
             let now = process_now();
@@ -183,6 +190,7 @@
         quarantine: Arc::default(),
         claims: plan.claims.clone(),
         counters: counters.clone(),
+        words: Arc::new(OwnWords),
     });
     let forward_context = ForwardContext {
         table: table.clone(),
@@ -190,6 +198,8 @@
         guard: guard_context.clone(),
         counters: counters.clone(),
         max_body_bytes: MAX_BODY_BYTES,
+        words: Arc::new(OwnWords),
+        own_service: Arc::default(),
     };
     TestDaemon {
         name: format!("daemon-{index}"),
@@ -212,15 +222,13 @@
     let deadline_ms = u64::try_from(deadline.as_millis()).expect("small deadline");
     let route = |prefix: &str, repeatable, class| {
         SettingBody::Route(RouteSetting {
-            host: None,
-            prefix: prefix.to_owned(),
-            service: SERVICE.to_owned(),
             repeatable,
             class,
             deadline_ms,
+            ..RouteSetting::new(prefix, SERVICE)
         })
     };
-    let service = SettingBody::Service(ServiceSetting { description: String::new() });
+    let service = SettingBody::Service(ServiceSetting::default());
     let settings = BTreeMap::from([
         (SERVICE.to_owned(), service),
         ("/team/routes/all".to_owned(), route("/", false, WorkClass::Short)),
--- a/components/proxy/tests/table_sound.rs
+++ b/components/proxy/tests/table_sound.rs
@@ -5,7 +5,7 @@
 use proptest::prelude::*;
 use sk_member::{EndpointRecord, EndpointStatus, MemberRecord, MemberStatus};
 use sk_model::{
-    ConfigSnapshot, RouteSetting, ServiceSetting, SettingBody, SnapshotRoot, TeamTree, WorkClass,
+    ConfigSnapshot, RouteSetting, ServiceSetting, SettingBody, SnapshotRoot, TeamTree,
     validate_trees,
 };
 use sk_proxy::{RouteTable, TablePlace};
@@ -18,12 +18,8 @@
 
 fn route(index: u8, service_index: u8) -> (String, SettingBody) {
     let body = RouteSetting {
-        host: None,
-        prefix: format!("/{index}"),
-        service: service(service_index),
-        repeatable: false,
-        class: WorkClass::Short,
         deadline_ms: 1_000,
+        ..RouteSetting::new(format!("/{index}"), service(service_index))
     };
     (format!("/team/routes/{index}"), SettingBody::Route(body))
 }
@@ -33,7 +29,7 @@
     let services = prop::collection::btree_set(0..SERVICES, 0..=usize::from(SERVICES));
     let routes = prop::collection::btree_map(0..4_u8, 0..SERVICES, 0..4);
     (services, routes).prop_map(|(services, routes)| {
-        let body = || SettingBody::Service(ServiceSetting { description: String::new() });
+        let body = || SettingBody::Service(ServiceSetting::default());
         let services = services.into_iter().map(|index| (service(index), body()));
         services.chain(routes.into_iter().map(|(index, to)| route(index, to))).collect()
     })
@@ -79,6 +75,7 @@
         proxy: "proxy0".to_owned(),
         data_centre: "lj1".to_owned(),
         region: "slovenia".to_owned(),
+        ..TablePlace::default()
     }
 }
 
@@ -133,7 +130,7 @@
     #[test]
     fn naive_dangles(is_reversed in any::<bool>()) {
         let mut writes = vec![
-            (service(1), SettingBody::Service(ServiceSetting { description: String::new() })),
+            (service(1), SettingBody::Service(ServiceSetting::default())),
             route(0, 1),
         ];
         if is_reversed {
--- a/components/settings/src/check.rs
+++ b/components/settings/src/check.rs
@@ -43,6 +43,7 @@
     )?;
     check_spread(&checker, settings)?;
     check_timers(&checker, settings)?;
+    check_placing(&checker, settings)?;
     let hash = &settings.operators.manager_sha256;
     checker.holds(
         "operators.manager_sha256",
@@ -81,7 +82,29 @@
         "1024 to 1073741824",
     )?;
     checker.range("guard.drain_ms", guard.drain_ms, 0..=600_000, "0 to 600000")?;
-    checker.range("guard.announce_ttl_ms", guard.announce_ttl_ms, 200..=60_000, "200 to 60000")
+    checker.range("guard.announce_ttl_ms", guard.announce_ttl_ms, 200..=60_000, "200 to 60000")?;
+    checker.range("guard.leave_ms", guard.leave_ms, 0..=60_000, "0 to 60000")?;
+    checker.range("guard.retry_least_ms", guard.retry_least_ms, 0..=60_000, "0 to 60000")?;
+    checker.range("guard.retry_spread_ms", guard.retry_spread_ms, 1..=60_000, "1 to 60000")?;
+    checker.holds(
+        "guard.crash_limit",
+        &guard.crash_limit.to_string(),
+        guard.crash_limit == 0 || (2..=4).contains(&guard.crash_limit),
+        "0, or 2 to 4",
+    )
+}
+
+fn check_placing(checker: &BoundChecker, settings: &DaemonSettings) -> Result<(), SettingsError> {
+    let placing = &settings.placing;
+    checker.range("placing.warm_up_ms", placing.warm_up_ms, 0..=600_000, "0 to 600000")?;
+    checker.range("placing.retry_deposit", placing.retry_deposit, 0..=1000, "0 to 1000")?;
+    checker.range("placing.retry_burst", placing.retry_burst, 0..=10_000, "0 to 10000")?;
+    checker.range("placing.retry_floor", placing.retry_floor, 0..=100_000, "0 to 100000")?;
+    let moves = u64::from(placing.free_moves);
+    checker.range("placing.free_moves", moves, 0..=16, "0 to 16")?;
+    checker.range("report.flush_ms", settings.report.flush_ms, 50..=600_000, "50 to 600000")?;
+    let threads = settings.instance.threads as u64;
+    checker.range("instance.threads", threads, 0..=64, "0 to 64")
 }
 
 struct BoundChecker<'a> {
@@ -127,12 +150,14 @@
     }
 
     fn addresses(&self, listen: &ListenSettings) -> Result<(), SettingsError> {
-        let named = [
+        let ready = listen.ready.map(|ready| ("listen.ready", ready));
+        let always = [
             ("listen.proxy", listen.proxy),
             ("listen.guard", listen.guard),
             ("listen.control", listen.control),
             ("listen.ops", listen.ops),
         ];
+        let named: Vec<(&str, SocketAddr)> = always.into_iter().chain(ready).collect();
         for (index, (first, address)) in named.iter().enumerate() {
             let clash = named[index + 1..].iter().find(|(_, other)| is_clash(*address, *other));
             if let Some((second, _)) = clash {
--- a/components/settings/src/daemon_settings.rs
+++ b/components/settings/src/daemon_settings.rs
@@ -30,6 +30,12 @@
     /// Who may change what.
     #[serde(default)]
     pub operators: OperatorSettings,
+    /// Where requests are placed and when they are tried again.
+    #[serde(default)]
+    pub placing: PlacingSettings,
+    /// Where reports are kept.
+    #[serde(default)]
+    pub report: ReportSettings,
     /// Where metrics go.
     #[serde(default)]
     pub metrics: MetricSettings,
@@ -45,6 +51,13 @@
     pub data_centre: DataCentre,
     /// Region of the data centre; the same rule as for the name.
     pub region: String,
+    /// Service of the backend server beside the daemon, as the platform names it: backend servers
+    /// are told where a call began. Absent tells them nothing.
+    #[serde(default)]
+    pub service: Option<String>,
+    /// Threads that carry requests, 1 to 64. Default 0, one for each core that the system shows.
+    #[serde(default)]
+    pub threads: usize,
 }
 
 /// Addresses the daemon listens at. Port 0 takes a free port, which the daemon prints.
@@ -59,12 +72,16 @@
     pub control: SocketAddr,
     /// Operators and announcements of the local backend server.
     pub ops: SocketAddr,
+    /// A second address for the same calls, for a platform that asks there whether the daemon is
+    /// ready. Absent for none.
+    pub ready: Option<SocketAddr>,
 }
 
 impl Default for ListenSettings {
     fn default() -> Self {
         let local = |port| SocketAddr::from((Ipv4Addr::LOCALHOST, port));
-        Self { proxy: local(7400), guard: local(7401), control: local(7402), ops: local(7403) }
+        let (proxy, guard) = (local(7400), local(7401));
+        Self { proxy, guard, control: local(7402), ops: local(7403), ready: None }
     }
 }
 
@@ -80,6 +97,20 @@
     /// Prefix of every key of this fleet, so that fleets can share a platform.
     #[serde(default = "default_key_prefix")]
     pub key_prefix: String,
+    /// Whose calls, configuration and headers are spoken. Default own.
+    #[serde(default)]
+    pub form: PlatformForm,
+}
+
+/// Whose calls, configuration and headers a daemon speaks.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum PlatformForm {
+    /// Sapphirekeel's own: teams change the configuration by way of the daemons.
+    #[default]
+    Own,
+    /// The users' platform: its operator writes the whole configuration into its store.
+    Objects,
 }
 
 fn default_platform_timeout_ms() -> u64 {
@@ -175,6 +206,17 @@
     /// Milliseconds without an announcement until the server counts as gone, 200 to 60000.
     /// Default 3000.
     pub announce_ttl_ms: u64,
+    /// Milliseconds for which a daemon that was told to stop goes on taking requests, so that
+    /// callers notice before they are refused, 0 to 60000. Default 300.
+    pub leave_ms: u64,
+    /// Shortest milliseconds after which a refused caller may return, 0 to 60000. Default 1000.
+    pub retry_least_ms: u64,
+    /// Milliseconds over which returns are spread, 1 to 60000. Default 2000.
+    pub retry_spread_ms: u64,
+    /// Crashes with the same request in flight after which it is held back, 2 to 4. Default 0: it
+    /// runs alone after its first crash, which tells it from the others most surely but costs
+    /// them the server while it runs.
+    pub crash_limit: u32,
 }
 
 impl Default for GuardSettings {
@@ -185,10 +227,78 @@
             max_body_bytes: 16 * 1024 * 1024,
             drain_ms: 30_000,
             announce_ttl_ms: 3_000,
+            leave_ms: 300,
+            retry_least_ms: 1_000,
+            retry_spread_ms: 2_000,
+            crash_limit: 0,
         }
     }
 }
 
+/// How an endpoint is chosen among those of a service.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum PlacingOrder {
+    /// The better of two drawn by share: for work of a few milliseconds.
+    #[default]
+    Draw,
+    /// Where the answer is expected first, and only where a slot is free while there is one: for
+    /// work that is long beside a round trip between daemons.
+    Soonest,
+}
+
+/// Where requests are placed and when they are tried again.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct PlacingSettings {
+    /// How an endpoint is chosen. Default draw.
+    pub order: PlacingOrder,
+    /// Milliseconds in which a new backend server is given its whole share, 0 to 600000. Default
+    /// 30000.
+    pub warm_up_ms: u64,
+    /// Retries that each request pays in for its service, in thousandths, 0 to 1000. Default 100.
+    pub retry_deposit: u64,
+    /// Retries that a service may be sent at once, 0 to 10000. Default 20.
+    pub retry_burst: u64,
+    /// Thousandths of a retry that a service without traffic gains a second, 0 to 100000. Default
+    /// 1000.
+    pub retry_floor: u64,
+    /// Whether burst and floor are those of the whole fleet, of which each daemon holds its part.
+    /// Default false.
+    pub retry_shared: bool,
+    /// Attempts that no backend server took in and that are made again elsewhere without drawing
+    /// on the retries, 0 to 16. Default 0.
+    pub free_moves: u8,
+}
+
+impl Default for PlacingSettings {
+    fn default() -> Self {
+        Self {
+            order: PlacingOrder::Draw,
+            warm_up_ms: 30_000,
+            retry_deposit: 100,
+            retry_burst: 20,
+            retry_floor: 1_000,
+            retry_shared: false,
+            free_moves: 0,
+        }
+    }
+}
+
+/// Where reports are kept.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct ReportSettings {
+    /// Milliseconds between writes of acknowledgements to the platform, 50 to 600000. Default 300.
+    pub flush_ms: u64,
+}
+
+impl Default for ReportSettings {
+    fn default() -> Self {
+        Self { flush_ms: 300 }
+    }
+}
+
 /// Who may change what.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
--- a/components/settings/src/lib.rs
+++ b/components/settings/src/lib.rs
@@ -10,7 +10,8 @@
 
 pub use daemon_settings::{
     DaemonSettings, GuardSettings, InstanceSettings, ListenSettings, MemberSettings,
-    MetricSettings, OperatorSettings, PeerSettings, PlatformSettings, SpreadMode, SpreadSettings,
+    MetricSettings, OperatorSettings, PeerSettings, PlacingOrder, PlacingSettings, PlatformForm,
+    PlatformSettings, ReportSettings, SpreadMode, SpreadSettings,
 };
 pub use error::SettingsError;
 pub use loopback::{LoopbackPlan, loopback_text};
--- a/components/spread/tests/common/mod.rs
+++ b/components/spread/tests/common/mod.rs
@@ -16,7 +16,7 @@
 use sk_member::{MemberBoard, MemberRecord, MemberStatus, choose_relays};
 use sk_model::{
     ConfigSnapshot, ProxyAck, RouteSetting, SettingBody, SnapshotRoot, TeamTree, TreeRef,
-    ValueSetting, Version, WorkClass,
+    ValueSetting, Version,
 };
 use sk_spread::{
     AckSink, ConfigSource, ContactBook, ContactMap, ControlMeter, HeldConfig, SourceError,
@@ -59,12 +59,8 @@
 pub fn dangling(version: Version) -> ConfigSnapshot {
     let mut snapshot = numbered(version);
     let route = SettingBody::Route(RouteSetting {
-        host: None,
-        prefix: "/board".to_owned(),
-        service: "/board/missing".to_owned(),
-        repeatable: false,
-        class: WorkClass::Short,
         deadline_ms: 1_000,
+        ..RouteSetting::new("/board", "/board/missing")
     });
     let mut tree = TeamTree::clone(&snapshot.trees["board"]);
     tree.settings.insert("/board/route".to_owned(), route);
--- /dev/null
+++ b/components/store/src/http_call.rs
@@ -0,0 +1,151 @@
+//! One HTTP call to the platform, and what is known of its end.
+
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Duration,
+};
+
+use arc_swap::ArcSwap;
+use bytes::Bytes;
+use http::{HeaderMap, Method, Request, Response, StatusCode, header};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use hyper_util::{
+    client::legacy::{Client, connect::HttpConnector},
+    rt::{TokioExecutor, TokioTimer},
+};
+
+use crate::{MAX_VALUE_BYTES, StoreError};
+
+/// Longest answer read. A listing of the fleet's reports stays far below it.
+const MAX_ANSWER_BYTES: usize = 64 * MAX_VALUE_BYTES;
+/// Time until a connection that cannot be opened counts as an outage.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+/// How long idle connections are kept, below the usual server timeout.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(20);
+/// When to come back where a refusal names no time.
+const DEFAULT_RETRY_AFTER: Duration = Duration::from_secs(1);
+/// Longest `Retry-After` that is believed; a wrong one would keep a daemon away for hours.
+const MAX_RETRY_AFTER: Duration = Duration::from_secs(30);
+
+type HttpClient = Client<HttpConnector, Full<Bytes>>;
+
+/// Makes HTTP calls to the platform over connections that it keeps.
+pub struct HttpCaller {
+    base: String,
+    client: ArcSwap<HttpClient>,
+    calls: AtomicU64,
+}
+
+/// An answer of the platform, read whole.
+#[derive(Clone, Debug)]
+pub struct CallAnswer {
+    /// Status of the answer.
+    pub status: StatusCode,
+    /// When a refused caller may come back.
+    pub retry_after: Duration,
+    /// Body of the answer.
+    pub body: Bytes,
+}
+
+impl HttpCaller {
+    /// Makes a caller for the platform at `address` (`host:port`).
+    pub fn new(address: &str) -> Self {
+        Self {
+            base: format!("http://{address}"),
+            client: ArcSwap::from_pointee(make_client()),
+            calls: AtomicU64::new(0),
+        }
+    }
+
+    /// Gives the number of calls made since the start.
+    pub fn calls(&self) -> u64 {
+        self.calls.load(Ordering::Relaxed)
+    }
+
+    /// Makes one call with a JSON body and reads its answer within `timeout`.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`StoreError::Unavailable`] where no byte can have reached the platform,
+    /// [`StoreError::Unknown`] where the answer was lost, and [`StoreError::Protocol`] for a path
+    /// that makes no request.
+    pub async fn call(
+        &self,
+        method: Method,
+        path: &str,
+        body: Bytes,
+        timeout: Duration,
+    ) -> Result<CallAnswer, StoreError> {
+        let request = Request::builder()
+            .method(method)
+            .uri(format!("{}{path}", self.base))
+            .header(header::CONTENT_TYPE, "application/json")
+            .body(Full::new(body))
+            .map_err(|err| StoreError::Protocol { reason: err.to_string() })?;
+        self.calls.fetch_add(1, Ordering::Relaxed);
+        let client = self.client.load_full();
+        match tokio::time::timeout(timeout, exchange(&client, request)).await {
+            Ok(answer) => answer,
+            Err(_) => {
+                self.renew(&client);
+                Err(StoreError::Unknown { reason: "no answer in time".to_owned() })
+            }
+        }
+    }
+
+    /// Drops all connections after a call without an answer.
+    ///
+    /// Open connections may have gone silent without a reset while new ones work. One would notice
+    /// as call after call that times out, since the pool hands out the next silent connection.
+    fn renew(&self, used: &Arc<HttpClient>) {
+        self.client.compare_and_swap(used, Arc::new(make_client()));
+    }
+}
+
+fn make_client() -> HttpClient {
+    let mut connector = HttpConnector::new();
+    connector.set_nodelay(true);
+    connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
+    Client::builder(TokioExecutor::new())
+        .pool_idle_timeout(IDLE_TIMEOUT)
+        .pool_timer(TokioTimer::new())
+        .build(connector)
+}
+
+async fn exchange(
+    client: &HttpClient,
+    request: Request<Full<Bytes>>,
+) -> Result<CallAnswer, StoreError> {
+    let response = client.request(request).await.map_err(|err| {
+        // Only a failed connect proves that no byte reached the platform.
+        let reason = format!("{err:?}");
+        match err.is_connect() {
+            true => StoreError::Unavailable { reason },
+            false => StoreError::Unknown { reason },
+        }
+    })?;
+    read_answer(response).await
+}
+
+async fn read_answer(response: Response<Incoming>) -> Result<CallAnswer, StoreError> {
+    let status = response.status();
+    let retry_after = read_retry_after(response.headers());
+    let body = Limited::new(response.into_body(), MAX_ANSWER_BYTES)
+        .collect()
+        .await
+        .map_err(|err| StoreError::Unknown { reason: err.to_string() })?
+        .to_bytes();
+    Ok(CallAnswer { status, retry_after, body })
+}
+
+/// Reads when to come back, in seconds, which may have a fraction.
+fn read_retry_after(headers: &HeaderMap) -> Duration {
+    let seconds = headers.get(header::RETRY_AFTER).and_then(|value| value.to_str().ok());
+    let seconds = seconds.and_then(|seconds| seconds.trim().parse().ok());
+    let wait = seconds.and_then(|seconds| Duration::try_from_secs_f64(seconds).ok());
+    wait.unwrap_or(DEFAULT_RETRY_AFTER).min(MAX_RETRY_AFTER)
+}
--- a/components/store/src/http_store.rs
+++ b/components/store/src/http_store.rs
@@ -4,88 +4,30 @@
 
 use async_trait::async_trait;
 use bytes::Bytes;
-use http::{Method, Request, Response, StatusCode, header};
-use http_body_util::{BodyExt, Full, Limited};
-use hyper::body::Incoming;
-use hyper_util::{
-    client::legacy::{Client, connect::HttpConnector},
-    rt::{TokioExecutor, TokioTimer},
-};
+use http::{Method, StatusCode};
 use serde::de::DeserializeOwned;
 
 use crate::{
-    MAX_VALUE_BYTES, ObjectStore, Revision, StoreError, StoredObject,
+    CallAnswer, HttpCaller, MAX_VALUE_BYTES, ObjectStore, Revision, StoreError, StoredObject,
     wire::{ConflictAnswer, ListAnswer, WriteAnswer, WriteBody},
 };
 
-/// Longest answer read. A listing of the fleet's reports stays far below it.
-const MAX_ANSWER_BYTES: usize = 64 * MAX_VALUE_BYTES;
-/// Time until a connection that cannot be opened counts as an outage.
-const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 /// Added to a watch's own timeout before its answer counts as lost.
 const WATCH_GRACE: Duration = Duration::from_secs(2);
-/// How long idle connections are kept, below the usual server timeout.
-const IDLE_TIMEOUT: Duration = Duration::from_secs(20);
-
 /// The platform's object API over HTTP.
 pub struct HttpStore {
-    base: String,
+    caller: HttpCaller,
     timeout: Duration,
-    client: Client<HttpConnector, Full<Bytes>>,
-}
-
-struct CallAnswer {
-    status: StatusCode,
-    retry_after: Duration,
-    body: Bytes,
 }
 
 impl HttpStore {
     /// Makes a client for the platform at `address` (`host:port`), with a bound on each call.
     pub fn new(address: &str, timeout: Duration) -> Self {
-        let mut connector = HttpConnector::new();
-        connector.set_nodelay(true);
-        connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
-        let client = Client::builder(TokioExecutor::new())
-            .pool_idle_timeout(IDLE_TIMEOUT)
-            .pool_timer(TokioTimer::new())
-            .build(connector);
-        Self { base: format!("http://{address}"), timeout, client }
-    }
-
-    async fn call(
-        &self,
-        method: Method,
-        path: &str,
-        body: Bytes,
-        timeout: Duration,
-    ) -> Result<CallAnswer, StoreError> {
-        let request = Request::builder()
-            .method(method)
-            .uri(format!("{}{path}", self.base))
-            .header(header::CONTENT_TYPE, "application/json")
-            .body(Full::new(body))
-            .map_err(|err| StoreError::Protocol { reason: err.to_string() })?;
-        match tokio::time::timeout(timeout, self.exchange(request)).await {
-            Ok(answer) => answer,
-            Err(_) => Err(StoreError::Unknown { reason: "no answer in time".to_owned() }),
-        }
-    }
-
-    async fn exchange(&self, request: Request<Full<Bytes>>) -> Result<CallAnswer, StoreError> {
-        let response = self.client.request(request).await.map_err(|err| {
-            // Only a failed connect proves that no byte reached the platform.
-            let reason = format!("{err:?}");
-            match err.is_connect() {
-                true => StoreError::Unavailable { reason },
-                false => StoreError::Unknown { reason },
-            }
-        })?;
-        read_answer(response).await
+        Self { caller: HttpCaller::new(address), timeout }
     }
 
     async fn write(&self, method: Method, path: &str, body: Bytes) -> Result<Bytes, StoreError> {
-        let answer = self.call(method, path, body, self.timeout).await?;
+        let answer = self.caller.call(method, path, body, self.timeout).await?;
         answer.success()
     }
 
@@ -109,19 +51,12 @@
     }
 }
 
-async fn read_answer(response: Response<Incoming>) -> Result<CallAnswer, StoreError> {
-    let status = response.status();
-    let seconds = response.headers().get(header::RETRY_AFTER);
-    let seconds = seconds.and_then(|value| value.to_str().ok()?.parse().ok()).unwrap_or(1);
-    let body = Limited::new(response.into_body(), MAX_ANSWER_BYTES)
-        .collect()
-        .await
-        .map_err(|err| StoreError::Unknown { reason: err.to_string() })?
-        .to_bytes();
-    Ok(CallAnswer { status, retry_after: Duration::from_secs(seconds), body })
+trait AnswerBody {
+    /// Gives the body of a success, or the failure that the status stands for.
+    fn success(self) -> Result<Bytes, StoreError>;
 }
 
-impl CallAnswer {
+impl AnswerBody for CallAnswer {
     fn success(self) -> Result<Bytes, StoreError> {
         match self.status {
             status if status.is_success() => Ok(self.body),
@@ -165,7 +100,7 @@
 impl ObjectStore for HttpStore {
     async fn get(&self, key: &str) -> Result<Option<StoredObject>, StoreError> {
         let path = format!("/v1/object?key={key}");
-        let answer = self.call(Method::GET, &path, Bytes::new(), self.timeout).await?;
+        let answer = self.caller.call(Method::GET, &path, Bytes::new(), self.timeout).await?;
         if answer.status == StatusCode::NOT_FOUND {
             return Ok(None);
         }
@@ -193,7 +128,7 @@
 
     async fn list(&self, prefix: &str) -> Result<Vec<StoredObject>, StoreError> {
         let path = format!("/v1/objects?prefix={prefix}");
-        let answer = self.call(Method::GET, &path, Bytes::new(), self.timeout).await?;
+        let answer = self.caller.call(Method::GET, &path, Bytes::new(), self.timeout).await?;
         Ok(decode::<ListAnswer>(&answer.success()?)?.objects)
     }
 
@@ -205,6 +140,7 @@
     ) -> Result<Option<StoredObject>, StoreError> {
         let path = format!("/v1/watch?key={key}&after={after}&timeout_ms={}", timeout.as_millis());
         let answer = self
+            .caller
             .call(Method::GET, &path, Bytes::new(), timeout.saturating_add(WATCH_GRACE))
             .await?;
         if answer.status == StatusCode::NO_CONTENT {
--- a/components/store/src/lib.rs
+++ b/components/store/src/lib.rs
@@ -6,10 +6,12 @@
 mod api;
 mod error;
 mod fake;
+mod http_call;
 mod http_store;
 pub mod wire;
 
 pub use api::{MAX_VALUE_BYTES, ObjectKey, ObjectStore, Revision, SharedStore, StoredObject};
 pub use error::StoreError;
 pub use fake::{FakeStore, WriteFault};
+pub use http_call::{CallAnswer, HttpCaller};
 pub use http_store::HttpStore;
--- a/src/bin/sapphirekeeld.rs
+++ b/src/bin/sapphirekeeld.rs
@@ -1,12 +1,20 @@
 //! The daemon: `sapphirekeeld SETTINGS.toml`.
 
-use std::path::PathBuf;
+use std::{
+    fs,
+    path::{Path, PathBuf},
+    time::Duration,
+};
 
 use anyhow::Context;
 use gumdrop::Options;
-use sk_daemon::start_daemon;
-use sk_settings::read_settings;
-use tokio::signal::unix::{SignalKind, signal};
+use sk_daemon::{DaemonHandle, start_daemon};
+use sk_settings::{DaemonSettings, read_settings};
+use tokio::signal::unix::{Signal, SignalKind, signal};
+
+/// Time between looks whether the settings have changed without a signal. A look reads one small
+/// file.
+const LOOK_INTERVAL: Duration = Duration::from_secs(1);
 
 #[derive(Debug, Options)]
 struct DaemonArgs {
@@ -17,13 +25,23 @@
     settings: PathBuf,
 }
 
-#[tokio::main]
-async fn main() -> anyhow::Result<()> {
+fn main() -> anyhow::Result<()> {
     env_logger::init();
     let args = DaemonArgs::parse_args_default_or_exit();
     let settings = read_settings(&args.settings)?;
+    let mut runtime = tokio::runtime::Builder::new_multi_thread();
+    runtime.enable_all();
+    if settings.instance.threads > 0 {
+        runtime.worker_threads(settings.instance.threads);
+    }
+    runtime.build()?.block_on(run(&args.settings, settings))
+}
+
+async fn run(file: &Path, settings: DaemonSettings) -> anyhow::Result<()> {
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
+    // Without a handler the signal ends the process, and with it all requests in flight.
+    let hangup = signal(SignalKind::hangup())?;
     let daemon = start_daemon(&settings).await.context("cannot start the daemon")?;
     let addresses = daemon.addresses();
     println!(
@@ -34,9 +52,31 @@
         _ = terminate.recv() => false,
         _ = interrupt.recv() => false,
         () = daemon.failed() => true,
+        () = follow_settings(&daemon, file, hangup) => true,
     };
     let is_clean = daemon.stop().await;
     anyhow::ensure!(!has_failed, "a part failed; the daemon has to be started again");
     anyhow::ensure!(is_clean, "requests in flight did not end within the bound");
     Ok(())
 }
+
+/// Reads the settings again on a signal, or when the file has changed without one. A file that is
+/// at fault changes nothing.
+async fn follow_settings(daemon: &DaemonHandle, file: &Path, mut hangup: Signal) {
+    let mut known = fs::read(file).ok();
+    loop {
+        let is_signalled = tokio::select! {
+            _ = hangup.recv() => true,
+            () = tokio::time::sleep(LOOK_INTERVAL) => false,
+        };
+        let found = fs::read(file).ok();
+        if found == known && !is_signalled {
+            continue;
+        }
+        known = found;
+        match read_settings(file) {
+            Ok(settings) => daemon.reload(&settings),
+            Err(err) => log::error!("daemon: settings are kept as they were: {err}."),
+        }
+    }
+}
--- a/tests/fleet_model.rs
+++ b/tests/fleet_model.rs
@@ -9,7 +9,7 @@
 use sk_ledger::{Ledger, LedgerSettings, SubmitError};
 use sk_model::{
     ChangeRequest, ConfigSnapshot, ProxyAck, RouteSetting, ServiceSetting, SettingBody,
-    SettingWrites, WorkClass, validate_trees,
+    SettingWrites, validate_trees,
 };
 use sk_report::{KnownProxy, ProxyState, ReportBook, make_report, read_acks};
 use sk_spread::{ConfigUpdate, HeldConfig, OfferOutcome, apply_update, make_update};
@@ -90,18 +90,14 @@
     let service_path = |index: usize| format!("/{}/service", team(index));
     if let Some(is_there) = service {
         let description = format!("change {number}");
-        let body = || SettingBody::Service(ServiceSetting { description });
+        let body = || SettingBody::Service(ServiceSetting { description, connections: None });
         writes.insert(service_path(own), is_there.then(body));
     }
     if let Some(to) = route {
         let body = |to: usize| {
             SettingBody::Route(RouteSetting {
-                host: None,
-                prefix: format!("/{}", team(own)),
-                service: service_path(to),
-                repeatable: false,
-                class: WorkClass::Short,
                 deadline_ms: 1_000 + number,
+                ..RouteSetting::new(format!("/{}", team(own)), service_path(to))
             })
         };
         writes.insert(format!("/{}/route", team(own)), to.map(body));
