logs, metrics: one JSON line a decision on standard output, histograms on the metrics address

Cause: on-call engineers have only logs and metrics, and the daemon wrote free text to standard error. Lines are bounded a second (sk-logs), never block, and a request's line names every attempt with its daemon, server, answer, load and time. Outages are told once when lost and once when back. Metrics by the prometheus crate. Also: open connections to the operators' interface no longer hold up a stop.

--- a/components/daemon/src/daemon.rs
+++ b/components/daemon/src/daemon.rs
@@ -45,6 +45,7 @@
     notices::QuarantineNotices,
     port::DaemonPort,
     reach::{ReachClock, watch_reach},
+    scrape::{ScrapeParts, serve_metrics},
     source::BookSink,
     tasks,
 };
@@ -62,6 +63,9 @@
     pub ops: SocketAddr,
 }
 
+/// Time for calls to the operators' interface to end at a stop.
+const OPS_STOP: Duration = Duration::from_millis(100);
+
 /// How long a stop takes.
 #[derive(Clone, Copy, Debug)]
 struct StopTimes {
@@ -92,6 +96,7 @@
     proxy: TcpListener,
     guard: TcpListener,
     control: std::net::TcpListener,
+    metrics: Option<TcpListener>,
 }
 
 /// Parts that are shared within one daemon.
@@ -148,7 +153,10 @@
     };
     let flush = Duration::from_millis(settings.report.flush_ms);
     let ttl = Duration::from_millis(settings.guard.announce_ttl_ms);
-    let tasks = vec![
+    let scrape = ScrapeParts { port: port.clone(), counters: parts.counters.clone() };
+    let scrape =
+        listeners.metrics.map(|listener| tokio::spawn(serve_metrics(listener, Arc::new(scrape))));
+    let mut tasks = vec![
         tokio::spawn(tasks::build_tables(
             parts.table.clone(),
             parts.held.clone(),
@@ -160,6 +168,7 @@
         tokio::spawn(tasks::flush_reports(parts.book.clone(), parts.store.clone(), flush)),
         tokio::spawn(send_metrics(settings.metrics.address, port, parts.counters.clone())),
     ];
+    tasks.extend(scrape);
     log::info!("daemon: {} runs at {}.", settings.instance.name, addresses.proxy);
     Ok(DaemonHandle {
         addresses,
@@ -215,7 +224,10 @@
         let left = end.saturating_duration_since(tokio::time::Instant::now());
         let forward = self.forward.stop(left).await;
         for ops in self.ops {
-            ops.stop().await;
+            // A caller that keeps its connection open must not keep the process alive.
+            if tokio::time::timeout(OPS_STOP, ops.stop()).await.is_err() {
+                log::info!("ops: connections were open at the end.");
+            }
         }
         self.tasks.iter().for_each(JoinHandle::abort);
         // The control thread is joined, which must not block a worker of this runtime.
@@ -229,6 +241,10 @@
 
 async fn bind_listeners(settings: &DaemonSettings) -> Result<BoundListeners, DaemonError> {
     let listen = &settings.listen;
+    let metrics = match settings.metrics.listen {
+        Some(address) => Some(bind("metrics.listen", address).await?),
+        None => None,
+    };
     let control = std::net::TcpListener::bind(listen.control).map_err(|source| {
         DaemonError::Bind { key: "listen.control", address: listen.control, source }
     })?;
@@ -236,6 +252,7 @@
         proxy: bind("listen.proxy", listen.proxy).await?,
         guard: bind("listen.guard", listen.guard).await?,
         control,
+        metrics,
     })
 }
 
--- a/components/daemon/src/lib.rs
+++ b/components/daemon/src/lib.rs
@@ -11,6 +11,7 @@
 mod port;
 mod reach;
 mod records;
+mod scrape;
 mod source;
 mod tasks;
 
--- /dev/null
+++ b/components/daemon/src/scrape.rs
@@ -0,0 +1,210 @@
+//! Metrics as text in the Prometheus format, served to whoever asks.
+//!
+//! | Name | Kind | Labels | Meaning |
+//! |---|---|---|---|
+//! | `sapphirekeel_request_seconds` | histogram | `service`, `outcome`, `stage` | time of requests; stages `whole`, `queue`, `server` |
+//! | `sapphirekeel_requests_total` | counter | `outcome` | callers' requests that ended here |
+//! | `sapphirekeel_refusals_total` | counter | `reason` | answers of the daemon's own, as entry and as guard |
+//! | `sapphirekeel_retries_total` | counter | | attempts after the first that drew on the retries |
+//! | `sapphirekeel_retries_denied_total` | counter | | failed attempts that were not tried again |
+//! | `sapphirekeel_cut_answers_total` | counter | | answers that ended in an error after their head |
+//! | `sapphirekeel_in_flight` | gauge | | callers' requests in this daemon |
+//! | `sapphirekeel_config_version` | gauge | | version in force |
+//! | `sapphirekeel_config_since_seconds` | gauge | | age of the version in force |
+//! | `sapphirekeel_source_away` | gauge | | 1 while the configuration source does not answer |
+//! | `sapphirekeel_members` | gauge | `status` | daemons known, by status |
+//! | `sapphirekeel_server_running`, `_queued`, `_slots` | gauge | `service` | the guard's counts |
+//! | `sapphirekeel_control_bytes_total` | counter | `direction` | bytes of control traffic |
+//! | `sapphirekeel_quarantined` | gauge | | requests held back for crashing servers |
+
+use std::{collections::BTreeMap, convert::Infallible, sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use http::{HeaderValue, Request, Response, StatusCode, header};
+use http_body_util::Full;
+use hyper::{body::Incoming, server::conn::http1, service::service_fn};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use prometheus::{Encoder, IntCounterVec, IntGaugeVec, Opts, Registry, TextEncoder};
+use sk_ops::{ServerView, SharedPort, StateDump};
+use sk_proxy::ProxyCounters;
+use thiserror::Error;
+use tokio::net::TcpListener;
+
+use crate::tasks::unix_now;
+
+const METRICS_PATH: &str = "/metrics";
+/// Time for a scraper to send its request; without a bound a connection that says nothing holds a
+/// file descriptor for good.
+const HEAD_TIMEOUT: Duration = Duration::from_secs(5);
+/// Pause after a failed accept, which usually means that no file descriptor is left.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(200);
+
+/// What metrics are made of.
+pub(crate) struct ScrapeParts {
+    pub(crate) port: SharedPort,
+    pub(crate) counters: Arc<ProxyCounters>,
+}
+
+/// Metrics that cannot be written as text.
+#[derive(Debug, Error)]
+#[error("metrics: {0}")]
+struct ScrapeError(#[from] prometheus::Error);
+
+/// Serves metrics until the daemon stops.
+pub(crate) async fn serve_metrics(listener: TcpListener, parts: Arc<ScrapeParts>) {
+    loop {
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(err) => {
+                log::warn!("metrics: cannot accept: {err}.");
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+                continue;
+            }
+        };
+        let parts = parts.clone();
+        let service = service_fn(move |request| {
+            let response = answer(&parts, &request);
+            async move { Ok::<_, Infallible>(response) }
+        });
+        let mut server = http1::Builder::new();
+        server.timer(TokioTimer::new()).header_read_timeout(HEAD_TIMEOUT).keep_alive(false);
+        tokio::spawn(server.serve_connection(TokioIo::new(stream), service));
+    }
+}
+
+fn answer(parts: &ScrapeParts, request: &Request<Incoming>) -> Response<Full<Bytes>> {
+    let (status, text) = match request.uri().path() {
+        METRICS_PATH => match write_metrics(parts) {
+            Ok(text) => (StatusCode::OK, text),
+            Err(err) => {
+                log::error!("{err}.");
+                (StatusCode::INTERNAL_SERVER_ERROR, Vec::new())
+            }
+        },
+        _ => (StatusCode::NOT_FOUND, Vec::new()),
+    };
+    let mut response = Response::new(Full::new(Bytes::from(text)));
+    *response.status_mut() = status;
+    let kind = HeaderValue::from_static("text/plain; version=0.0.4");
+    response.headers_mut().insert(header::CONTENT_TYPE, kind);
+    response
+}
+
+fn write_metrics(parts: &ScrapeParts) -> Result<Vec<u8>, ScrapeError> {
+    let registry = Registry::new();
+    add_counters(&registry, parts)?;
+    add_gauges(&registry, &parts.port.state())?;
+    let mut families = registry.gather();
+    families.extend(parts.counters.times().gather());
+    let mut text = Vec::new();
+    TextEncoder::new().encode(&families, &mut text)?;
+    Ok(text)
+}
+
+/// Metrics made anew for each scrape from counts that the parts hold anyway.
+struct MetricWriter<'a>(&'a Registry);
+
+impl MetricWriter<'_> {
+    fn counter(
+        &self,
+        name: &str,
+        help: &str,
+        label: &str,
+        values: &[(&str, u64)],
+    ) -> Result<(), prometheus::Error> {
+        let metric = IntCounterVec::new(Opts::new(name, help), &[label])?;
+        for (value, count) in values {
+            metric.with_label_values(&[*value]).inc_by(*count);
+        }
+        self.0.register(Box::new(metric))
+    }
+
+    fn gauge(
+        &self,
+        name: &str,
+        help: &str,
+        label: &str,
+        values: &[(&str, u64)],
+    ) -> Result<(), prometheus::Error> {
+        let metric = IntGaugeVec::new(Opts::new(name, help), &[label])?;
+        for (value, count) in values {
+            metric.with_label_values(&[*value]).set(i64::try_from(*count).unwrap_or(i64::MAX));
+        }
+        self.0.register(Box::new(metric))
+    }
+}
+
+/// Label of metrics that have a single value.
+const SCOPE: &str = "scope";
+const HERE: &str = "daemon";
+
+fn add_counters(registry: &Registry, parts: &ScrapeParts) -> Result<(), prometheus::Error> {
+    let writer = MetricWriter(registry);
+    let counts = parts.counters.view();
+    let outcomes = [("ran", counts.ran), ("not-run", counts.not_run), ("unknown", counts.unknown)];
+    writer.counter(
+        "sapphirekeel_requests_total",
+        "Callers' requests that ended here.",
+        "outcome",
+        &outcomes,
+    )?;
+    let refused: Vec<(&str, u64)> =
+        counts.refused.iter().map(|(reason, count)| (reason.as_str(), *count)).collect();
+    writer.counter(
+        "sapphirekeel_refusals_total",
+        "Answers of the daemon's own, as entry and as guard.",
+        "reason",
+        &refused,
+    )?;
+    let single = |name, help, count| writer.counter(name, help, SCOPE, &[(HERE, count)]);
+    single("sapphirekeel_retries_total", "Attempts that drew on the retries.", counts.retries)?;
+    single(
+        "sapphirekeel_retries_denied_total",
+        "Failed attempts that were not tried again.",
+        counts.retries_denied,
+    )?;
+    single(
+        "sapphirekeel_cut_answers_total",
+        "Answers that ended in an error after their head.",
+        counts.cut_answers,
+    )?;
+    writer.gauge(
+        "sapphirekeel_in_flight",
+        "Callers' requests in this daemon.",
+        SCOPE,
+        &[(HERE, counts.in_flight)],
+    )
+}
+
+fn add_gauges(registry: &Registry, state: &StateDump) -> Result<(), prometheus::Error> {
+    let writer = MetricWriter(registry);
+    let single = |name, help, count| writer.gauge(name, help, SCOPE, &[(HERE, count)]);
+    single("sapphirekeel_config_version", "Version in force.", state.version)?;
+    let age_ms = if state.since > 0 { unix_now().saturating_sub(state.since) } else { 0 };
+    single("sapphirekeel_config_since_seconds", "Age of the version in force.", age_ms / 1000)?;
+    let is_away = u64::from(state.control.source_fault.is_some());
+    single("sapphirekeel_source_away", "1 while the source does not answer.", is_away)?;
+    single("sapphirekeel_quarantined", "Requests held back.", state.quarantined)?;
+    let bytes = [("sent", state.control_sent), ("received", state.control_received)];
+    writer.counter(
+        "sapphirekeel_control_bytes_total",
+        "Bytes of control traffic.",
+        "direction",
+        &bytes,
+    )?;
+    let mut members: BTreeMap<&str, u64> = BTreeMap::new();
+    for peer in state.members.values() {
+        *members.entry(peer.status.as_str()).or_default() += 1;
+    }
+    let members: Vec<(&str, u64)> = members.into_iter().collect();
+    writer.gauge("sapphirekeel_members", "Daemons known, by status.", "status", &members)?;
+    let servers = |value: fn(&ServerView) -> u64| -> Vec<(&str, u64)> {
+        state.servers.iter().map(|(service, view)| (service.as_str(), value(view))).collect()
+    };
+    let running = servers(|server| u64::from(server.running.iter().sum::<u32>()));
+    let queued = servers(|server| u64::from(server.queued.iter().sum::<u32>()));
+    let slots = servers(|server| u64::from(server.open_slots));
+    writer.gauge("sapphirekeel_server_running", "Requests at the server.", "service", &running)?;
+    writer.gauge("sapphirekeel_server_queued", "Requests in the queue.", "service", &queued)?;
+    writer.gauge("sapphirekeel_server_slots", "Slots of the server.", "service", &slots)
+}
--- a/components/daemon/src/tasks.rs
+++ b/components/daemon/src/tasks.rs
@@ -6,6 +6,7 @@
     time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
 
+use sk_logs::OutageLog;
 use sk_member::{LocalMark, MemberBoard, MemberMarks, MemberRecord, MemberView};
 use sk_model::{ServiceName, UnixMillis};
 use sk_proxy::{LocalServers, RouteTable, SharedTable, TablePlace, process_now};
@@ -92,10 +93,12 @@
 
 /// Keeps acknowledgements in the platform.
 pub(crate) async fn flush_reports(book: Arc<ReportBook>, store: SharedStore, pause: Duration) {
+    let outage = OutageLog::new("report", "the platform's store");
     loop {
         tokio::time::sleep(pause).await;
-        if let Err(err) = book.flush(&store).await {
-            log::warn!("report: {err}.");
+        match book.flush(&store).await {
+            Ok(()) => outage.back(),
+            Err(err) => outage.lost(&err),
         }
     }
 }
--- a/components/proxy/src/attempt.rs
+++ b/components/proxy/src/attempt.rs
@@ -21,6 +21,7 @@
     guard::{LOAD_HEADER, RAN_HEADER, pass},
     outcome::{RefusalKind, RequestOutcome},
     passed::PassedBody,
+    story::TryNote,
     table::{TableEndpoint, TableService},
 };
 
@@ -41,6 +42,22 @@
     pub(crate) may_have_run: bool,
     /// The attempt under way.
     pub(crate) running: Option<RunningAttempt>,
+    /// The attempts that ended, for the log.
+    pub(crate) tries: Vec<TryNote>,
+}
+
+impl AttemptLog {
+    fn note(&mut self, endpoint: &TableEndpoint, response: &Response<ProxyBody>) {
+        let took = self.running.as_ref().map_or(Duration::ZERO, |running| running.began.elapsed());
+        self.tries.push(TryNote {
+            proxy: endpoint.proxy.clone(),
+            server: endpoint.server.clone(),
+            status: response.status(),
+            kind: RefusalKind::read(response.headers()),
+            load: load_percent(response),
+            took,
+        });
+    }
 }
 
 /// An attempt that was sent and has no answer yet.
@@ -99,6 +116,7 @@
         log.running = Some(RunningAttempt { placed, began: Instant::now() });
         let message = attempt_message(context, request, body, service, endpoint, &call);
         let response = send(context, endpoint, message).await;
+        log.note(endpoint, &response);
         if let (Some(load), Some(id)) = (load_of(&response), log.tried.last()) {
             service.placement.hint(*id, load, process_now());
         }
@@ -171,11 +189,11 @@
             response.map(|body| CheckedBody::new(body, version).boxed_unsync())
         }
         Err(err) if err.is_connect() => {
-            log::info!("proxy: {} cannot be reached.", endpoint.proxy);
+            log::debug!("proxy: {} cannot be reached.", endpoint.proxy);
             count_own(context, refuse(RefusalKind::Unreachable))
         }
         Err(err) => {
-            log::info!("proxy: lost an answer of {}: {err}.", endpoint.proxy);
+            log::debug!("proxy: lost an answer of {}: {err}.", endpoint.proxy);
             let kind = RefusalKind::AnswerLost;
             count_own(context, lost_answer(kind, RequestOutcome::Unknown))
         }
@@ -228,8 +246,11 @@
 
 /// Gives the load that the guard counted when it answered, from 0 to 1.
 fn load_of(response: &Response<ProxyBody>) -> Option<f64> {
-    let percent: u32 = response.headers().get(LOAD_HEADER)?.to_str().ok()?.parse().ok()?;
-    Some(f64::from(percent.min(100)) / 100.0)
+    Some(f64::from(load_percent(response)?.min(100)) / 100.0)
+}
+
+fn load_percent(response: &Response<ProxyBody>) -> Option<u32> {
+    response.headers().get(LOAD_HEADER)?.to_str().ok()?.parse().ok()
 }
 
 /// Tells what an answer says of the endpoint, or nothing where it speaks of the request alone.
--- a/components/proxy/src/counters.rs
+++ b/components/proxy/src/counters.rs
@@ -7,7 +7,10 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::outcome::{RefusalKind, RequestOutcome};
+use crate::{
+    outcome::{RefusalKind, RequestOutcome},
+    times::RequestTimes,
+};
 
 /// Counts of one daemon since its start. Relaxed atomics: a dump may be a request behind.
 #[derive(Debug)]
@@ -18,6 +21,7 @@
     retries: AtomicU64,
     retries_denied: AtomicU64,
     cut_answers: AtomicU64,
+    times: RequestTimes,
 }
 
 impl Default for ProxyCounters {
@@ -29,6 +33,7 @@
             retries: AtomicU64::new(0),
             retries_denied: AtomicU64::new(0),
             cut_answers: AtomicU64::new(0),
+            times: RequestTimes::default(),
         }
     }
 }
@@ -55,6 +60,11 @@
 }
 
 impl ProxyCounters {
+    /// Gives the histograms of requests' times.
+    pub fn times(&self) -> &RequestTimes {
+        &self.times
+    }
+
     /// Gives the counts.
     pub fn view(&self) -> CounterView {
         let counted = RefusalKind::ALL.iter().zip(&self.refusals);
--- a/components/proxy/src/forward.rs
+++ b/components/proxy/src/forward.rs
@@ -21,7 +21,9 @@
     outcome::{RETRY_AFTER_MS_HEADER, RefusalKind, RequestOutcome},
     passed::{EntryCount, PassedBody},
     peers::PeerClient,
+    story::RequestStory,
     table::{RouteMatch, RouteTable, SharedTable},
+    times::TimeStage,
     words::RequestWords,
 };
 
@@ -46,6 +48,9 @@
 /// The service beside a daemon, which changes with its settings.
 pub type OwnService = Arc<ArcSwapOption<ServiceName>>;
 
+/// Label of requests that no route leads to a service.
+const NO_SERVICE: &str = "none";
+
 /// Forwards one request of a caller at an address and streams its answer back.
 pub async fn forward(
     context: Arc<ForwardContext>,
@@ -53,35 +58,55 @@
     caller: IpAddr,
 ) -> Response<ProxyBody> {
     let count = EntryCount::new(context.counters.clone());
-    let mut response = forward_routed(&context, request, caller).await;
+    let mut story = begin_story(&context, &request, caller);
+    let mut response = forward_routed(&context, request, caller, &mut story).await;
     response.headers_mut().remove(RAN_HEADER);
     response.headers_mut().remove(LOAD_HEADER);
+    story.write(&response);
     context.words.write_answer(&mut response);
     let outcome = RequestOutcome::read(response.headers()).unwrap_or(RequestOutcome::Unknown);
     context.counters.count_outcome(outcome);
+    let service = story.service.as_deref().unwrap_or(NO_SERVICE);
+    let (times, took) = (context.counters.times(), story.took());
+    times.observe(service, outcome.as_str(), TimeStage::Whole, took);
     response.map(|body| PassedBody::counted(body, count).boxed_unsync())
 }
 
+fn begin_story(
+    context: &ForwardContext,
+    request: &Request<Incoming>,
+    caller: IpAddr,
+) -> RequestStory {
+    let attempt = context.words.attempt(request.headers()).cloned();
+    let (method, host) = (request.method().clone(), host_of(request));
+    RequestStory::new(attempt, caller, method, host, request.uri().path())
+}
+
 async fn forward_routed(
     context: &ForwardContext,
     request: Request<Incoming>,
     caller: IpAddr,
+    story: &mut RequestStory,
 ) -> Response<ProxyBody> {
     if let Err(response) = check_carried(&request) {
         return count_own(context, *response);
     }
     let table = context.table.load_full();
+    story.version = table.version();
     let host = host_of(&request);
     let Some(route) = table.find(host.as_deref(), request.uri().path()) else {
         return refuse_unrouted(context, &table);
     };
     let deadline = std::time::Duration::from_millis(route.setting.deadline_ms);
     let call = read_context(request.headers(), &*context.words, deadline);
+    story.service = Some(route.service.name.clone());
+    story.deadline = Some(call.remaining);
+    (story.rank, story.goal_ms) = (route.setting.rank, route.setting.goal_ms);
     let origin = origin_of(context, &request, caller);
     let limit = table.limits().map_or(u64::MAX, |limits| limits.max_body_bytes);
     let limit = limit.min(context.max_body_bytes);
     match EntryRequest::read(request, host.as_deref(), &route, call, origin, limit).await {
-        Ok(request) => forward_read(context, &route, request).await,
+        Ok(request) => forward_read(context, &route, request, story).await,
         Err(response) => count_own(context, *response),
     }
 }
@@ -94,6 +119,7 @@
     context: &ForwardContext,
     route: &RouteMatch<'_>,
     mut request: EntryRequest,
+    story: &mut RequestStory,
 ) -> Response<ProxyBody> {
     let deadline = request.began + request.call.remaining;
     let mut log = AttemptLog::default();
@@ -102,6 +128,7 @@
         Ok(response) => response,
         Err(_) => time_out(context, &mut log),
     };
+    story.tries = std::mem::take(&mut log.tries);
     // An attempt before may have run even if the last one did not.
     if log.may_have_run && RequestOutcome::read(response.headers()) == Some(RequestOutcome::NotRun)
     {
--- a/components/proxy/src/guard.rs
+++ b/components/proxy/src/guard.rs
@@ -25,6 +25,7 @@
     outcome::{EARLIER_STATUS_HEADER, RefusalKind, RequestOutcome},
     quarantine::{QuarantineBoard, examine},
     served::{ServedBody, ServerExchange},
+    times::TimeStage,
     words::{AnswerVerdict, RequestNote, RequestWords},
 };
 
@@ -125,7 +126,12 @@
         verdict => verdict == QuarantineVerdict::TryAlone,
     };
     let offer = guard_request(call, deadline, alone);
-    let permit = match server.gate.admit(&offer).await {
+    let offered_at = Instant::now();
+    let admitted = server.gate.admit(&offer).await;
+    let (times, waited) = (context.counters.times(), offered_at.elapsed());
+    let outcome = if admitted.is_ok() { "admitted" } else { "refused" };
+    times.observe(&call.service, outcome, TimeStage::Queue, waited);
+    let permit = match admitted {
         Ok(permit) => permit,
         Err(Refusal { reason, retry_after }) => {
             return refuse_until(server.refusal_kind(reason), retry_after);
@@ -219,11 +225,15 @@
                     sender,
                     permit: admitted.permit,
                 };
-                let times = (admitted.admitted_at, admitted.deadline);
+                let span = (admitted.admitted_at, admitted.deadline);
                 let (status, headers) = (response.status(), response.headers());
                 let note = context.words.read_answer(status, headers, attempt.as_ref());
+                let took = admitted.admitted_at.elapsed();
+                let outcome = if status.is_server_error() { "failed" } else { "answered" };
+                let times = context.counters.times();
+                times.observe(&call.service, outcome, TimeStage::Server, took);
                 return match note.verdict {
-                    AnswerVerdict::Sound => answer(response, exchange, admitted.hold, times),
+                    AnswerVerdict::Sound => answer(response, exchange, admitted.hold, span),
                     verdict => reject(verdict, exchange, admitted.hold).await,
                 };
             }
--- a/components/proxy/src/lib.rs
+++ b/components/proxy/src/lib.rs
@@ -24,7 +24,9 @@
 mod quarantine;
 mod serve;
 mod served;
+mod story;
 mod table;
+mod times;
 mod upload;
 mod words;
 
@@ -49,4 +51,5 @@
     RouteMatch, RouteTable, ServiceKey, SharedTable, TableEndpoint, TablePlace, TableService,
     TableTuning,
 };
+pub use times::{RequestTimes, TimeStage};
 pub use words::{AnswerNote, AnswerVerdict, OwnWords, RequestNote, RequestWords, ServerLoad};
--- a/components/proxy/src/local.rs
+++ b/components/proxy/src/local.rs
@@ -110,9 +110,17 @@
                 }
                 held => {
                     held.iter().for_each(|held| retire(&held.guarded));
+                    log::info!(
+                        slots = server.endpoint.slots,
+                        address:% = server.address;
+                        "guard: server {} of {} is here.", server.endpoint.server, service
+                    );
                     self.guard_new(&server)
                 }
             };
+            if is_draining(&server) && !guarded.is_leaving.load(Ordering::Acquire) {
+                log::info!("guard: server {} takes no new work.", server.endpoint.server);
+            }
             if is_draining(&server) {
                 guarded.is_leaving.store(true, Ordering::Release);
                 retire(&guarded);
@@ -187,6 +195,8 @@
             servers.retain(|_, entry| {
                 let is_kept = is_kept(entry);
                 if !is_kept {
+                    let silent_ms = entry.server.announced.elapsed().as_millis() as u64;
+                    log::info!(silent_ms; "guard: server {} is out.", entry.guarded.id);
                     retire(&entry.guarded);
                 }
                 is_kept
--- a/components/settings/src/check.rs
+++ b/components/settings/src/check.rs
@@ -21,7 +21,7 @@
     checker.name("instance.name", &settings.instance.name)?;
     checker.name("instance.data_centre", &settings.instance.data_centre)?;
     checker.name("instance.region", &settings.instance.region)?;
-    checker.addresses(&settings.listen)?;
+    checker.addresses(&settings.listen, settings.metrics.listen)?;
     checker.range(
         "platform.timeout_ms",
         settings.platform.timeout_ms,
@@ -103,6 +103,10 @@
     let moves = u64::from(placing.free_moves);
     checker.range("placing.free_moves", moves, 0..=16, "0 to 16")?;
     checker.range("report.flush_ms", settings.report.flush_ms, 50..=600_000, "50 to 600000")?;
+    let lines = &settings.logs;
+    let (routine, failures) = (u64::from(lines.routine_lines), u64::from(lines.failure_lines));
+    checker.range("logs.routine_lines", routine, 1..=100_000, "1 to 100000")?;
+    checker.range("logs.failure_lines", failures, 1..=100_000, "1 to 100000")?;
     let threads = settings.instance.threads as u64;
     checker.range("instance.threads", threads, 0..=64, "0 to 64")
 }
@@ -149,15 +153,21 @@
         self.holds(key, name, is_name, NAME_RULE)
     }
 
-    fn addresses(&self, listen: &ListenSettings) -> Result<(), SettingsError> {
+    fn addresses(
+        &self,
+        listen: &ListenSettings,
+        metrics: Option<SocketAddr>,
+    ) -> Result<(), SettingsError> {
         let ready = listen.ready.map(|ready| ("listen.ready", ready));
+        let metrics = metrics.map(|metrics| ("metrics.listen", metrics));
         let always = [
             ("listen.proxy", listen.proxy),
             ("listen.guard", listen.guard),
             ("listen.control", listen.control),
             ("listen.ops", listen.ops),
         ];
-        let named: Vec<(&str, SocketAddr)> = always.into_iter().chain(ready).collect();
+        let named: Vec<(&str, SocketAddr)> =
+            always.into_iter().chain(ready).chain(metrics).collect();
         for (index, (first, address)) in named.iter().enumerate() {
             let clash = named[index + 1..].iter().find(|(_, other)| is_clash(*address, *other));
             if let Some((second, _)) = clash {
--- a/components/settings/src/daemon_settings.rs
+++ b/components/settings/src/daemon_settings.rs
@@ -39,6 +39,9 @@
     /// Where metrics go.
     #[serde(default)]
     pub metrics: MetricSettings,
+    /// How much is logged.
+    #[serde(default)]
+    pub logs: LogSettings,
 }
 
 /// Which instance this is and where it stands.
@@ -313,4 +316,23 @@
 pub struct MetricSettings {
     /// Address that takes statsd datagrams; absent sends none.
     pub address: Option<SocketAddr>,
+    /// Address at which metrics are served as text in the Prometheus format, at `/metrics`; absent
+    /// for none.
+    pub listen: Option<SocketAddr>,
+}
+
+/// How much is logged. The levels are those of the variable `RUST_LOG`.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct LogSettings {
+    /// Routine lines written in a second, 1 to 100000; the others are counted. Default 50.
+    pub routine_lines: u32,
+    /// Lines about failures written in a second, 1 to 100000. Default 200.
+    pub failure_lines: u32,
+}
+
+impl Default for LogSettings {
+    fn default() -> Self {
+        Self { routine_lines: 50, failure_lines: 200 }
+    }
 }
--- a/components/settings/src/lib.rs
+++ b/components/settings/src/lib.rs
@@ -9,7 +9,7 @@
 mod loopback;
 
 pub use daemon_settings::{
-    DaemonSettings, GuardSettings, InstanceSettings, ListenSettings, MemberSettings,
+    DaemonSettings, GuardSettings, InstanceSettings, ListenSettings, LogSettings, MemberSettings,
     MetricSettings, OperatorSettings, PeerSettings, PlacingOrder, PlacingSettings, PlatformForm,
     PlatformSettings, ReportSettings, SpreadMode, SpreadSettings,
 };
--- a/components/spread/src/driver.rs
+++ b/components/spread/src/driver.rs
@@ -7,6 +7,7 @@
     time::Duration,
 };
 
+use sk_logs::OutageLog;
 use sk_member::{LivenessMonitor, MemberBoard, MonitorOptions};
 use tokio::{
     net::TcpListener,
@@ -199,6 +200,7 @@
         held: parts.held,
         members: parts.members,
         source: parts.source,
+        source_outage: OutageLog::new("spread", "the configuration source"),
         contacts: parts.contacts,
         acks: parts.acks,
         ack_batch: Default::default(),
--- a/components/spread/src/news.rs
+++ b/components/spread/src/news.rs
@@ -39,6 +39,7 @@
             let mut is_refuted = false;
             for record in records {
                 let proxy = record.proxy.clone();
+                note_change(table.records().get(&proxy).map(|held| &**held), &record);
                 match table.merge(record) {
                     MergeOutcome::Newer if proxy != *own => {
                         newer.extend(table.records().get(&proxy).cloned());
@@ -106,6 +107,30 @@
     }
 }
 
+/// Writes a line where a daemon came, came again or changed what it takes.
+fn note_change(held: Option<&MemberRecord>, record: &MemberRecord) {
+    let is_newer = held.is_none_or(|held| record.rank() > held.rank());
+    let is_same = held.is_some_and(|held| {
+        (held.status, held.incarnation) == (record.status, record.incarnation)
+            && held.endpoints == record.endpoints
+    });
+    if !is_newer || is_same {
+        return;
+    }
+    let servers: Vec<String> = record
+        .endpoints
+        .iter()
+        .map(|endpoint| format!("{} {} {}", endpoint.service, endpoint.server, endpoint.status))
+        .collect();
+    log::info!(
+        status:% = record.status,
+        incarnation = record.incarnation,
+        sequence = record.sequence,
+        servers = servers.join("; ").as_str();
+        "spread: {} says what it is.", record.proxy
+    );
+}
+
 /// Passes the own record on as soon as it changes.
 pub(crate) async fn pass_own_record(node: &Rc<SpreadNode>) {
     let mut views = node.members.subscribe();
--- a/components/spread/src/node.rs
+++ b/components/spread/src/node.rs
@@ -8,6 +8,7 @@
 };
 
 use capnp::{Error, ErrorKind};
+use sk_logs::OutageLog;
 use sk_member::{MemberBoard, MemberRecord, MemberView};
 use sk_model::{ConfigSnapshot, ContentHash, ProxyId, UnixMillis, Version};
 use tokio::sync::{Semaphore, mpsc, oneshot, watch};
@@ -44,6 +45,7 @@
     pub(crate) held: Arc<HeldConfig>,
     pub(crate) members: Arc<MemberBoard>,
     pub(crate) source: Arc<dyn ConfigSource>,
+    pub(crate) source_outage: OutageLog,
     pub(crate) contacts: Option<Arc<dyn ContactBook>>,
     pub(crate) acks: Arc<dyn AckSink>,
     pub(crate) ack_batch: AckBatch,
--- a/components/spread/src/watch.rs
+++ b/components/spread/src/watch.rs
@@ -17,10 +17,11 @@
 
 /// Longest wait of one watch at the configuration source.
 const WATCH_TIMEOUT: Duration = Duration::from_secs(20);
-/// First pause after the source failed, and the longest one. With 18 relays the cap means nine
-/// calls a second at a source that is away, and a delay of at most four seconds once it is back.
+/// First pause after the source failed, and the longest one. With 18 relays the cap means 36 calls a
+/// second at a source that is away, a fiftieth of its rate, and a delay of at most a second once it
+/// is back: a version is to be in force two seconds after its acknowledgement.
 const FIRST_PAUSE: Duration = Duration::from_millis(250);
-const LONGEST_PAUSE: Duration = Duration::from_secs(4);
+const LONGEST_PAUSE: Duration = Duration::from_secs(1);
 /// Wait of a look at the source for others that want one too. A lone start is late by it.
 const GATHER_PAUSE: Duration = Duration::from_millis(100);
 /// The same after a look within the last second. In a herd restart it bounds the reads of one relay
@@ -57,6 +58,7 @@
     let after = if seen.version() > newest.version() { seen.clone() } else { newest };
     match node.source.wait_newer(&after, WATCH_TIMEOUT).await {
         Ok(snapshot) => {
+            node.source_outage.back();
             node.stats.note_source(None);
             pause.reset();
             if let Some(snapshot) = snapshot {
@@ -65,7 +67,7 @@
             }
         }
         Err(err) => {
-            log::warn!("spread: {err}.");
+            node.source_outage.lost(&err);
             node.stats.note_source(Some(err.reason));
             tokio::time::sleep(pause.next(rand::random())).await;
         }
@@ -101,12 +103,13 @@
     node.stats.count_read();
     let outcome = match node.source.load(&node.held.newest()).await {
         Err(err) => {
-            log::warn!("spread: {err}.");
+            node.source_outage.lost(&err);
             node.stats.note_source(Some(err.reason));
             return ConfirmOutcome::Away;
         }
         Ok(snapshot) => node.offer(snapshot, PLATFORM, VersionOrigin::Source),
     };
+    node.source_outage.back();
     node.stats.note_source(None);
     match outcome {
         OfferOutcome::Rejected(_) => ConfirmOutcome::Refused,
--- a/src/bin/sapphirekeeld.rs
+++ b/src/bin/sapphirekeeld.rs
@@ -9,6 +9,7 @@
 use anyhow::Context;
 use gumdrop::Options;
 use sk_daemon::{DaemonHandle, start_daemon};
+use sk_logs::{LineLimits, start_logs};
 use sk_settings::{DaemonSettings, read_settings};
 use tokio::signal::unix::{Signal, SignalKind, signal};
 
@@ -26,9 +27,12 @@
 }
 
 fn main() -> anyhow::Result<()> {
-    env_logger::init();
     let args = DaemonArgs::parse_args_default_or_exit();
     let settings = read_settings(&args.settings)?;
+    let limits =
+        LineLimits { routine: settings.logs.routine_lines, failures: settings.logs.failure_lines };
+    // Kept to the end: dropping it writes the last lines.
+    let _logs = start_logs(limits)?;
     let mut runtime = tokio::runtime::Builder::new_multi_thread();
     runtime.enable_all();
     if settings.instance.threads > 0 {
@@ -55,6 +59,7 @@
         () = follow_settings(&daemon, file, hangup) => true,
     };
     let is_clean = daemon.stop().await;
+    log::info!(is_clean, has_failed; "daemon: stopped.");
     anyhow::ensure!(!has_failed, "a part failed; the daemon has to be started again");
     anyhow::ensure!(is_clean, "requests in flight did not end within the bound");
     Ok(())
--- a/tests/border_logs.rs
+++ b/tests/border_logs.rs
@@ -2,8 +2,6 @@
 
 mod common;
 
-use std::fs;
-
 use common::{
     MANAGER_TOKEN, TEAM_TOKEN, TestDirectory, TestProcess, operate, platform_address, render,
     start_platform,
@@ -30,7 +28,7 @@
     let place = directory.0.display();
     let program = env!("CARGO_BIN_EXE_sapphirekeeld");
     // The shell gives way to the daemon, so that signals reach it.
-    let run = format!("RUST_LOG={levels} exec {program} {place}/daemon.toml 2> {place}/log");
+    let run = format!("RUST_LOG={levels} exec {program} {place}/daemon.toml");
     TestProcess::start("sh", &["-c", &run])
 }
 
@@ -56,18 +54,25 @@
         let output = operate(&ops, token, &[&args[..], &[&format!("change-{name}")], &by].concat());
         assert_eq!(output.status.code(), Some(code), "{name}: {}", render(&output));
     }
-    assert!(daemon.terminate().0.success());
-    let log = fs::read_to_string(directory.0.join("log")).expect("log");
-    assert!(log.contains("ops: change change-good is version 1."), "{log}");
-    assert!(log.contains("ops: change \"change-bad\" ended with status 422."), "{log}");
+    let (status, log) = daemon.terminate();
+    assert!(status.success());
+    let messages: Vec<String> = log.lines().map(message_of).collect();
+    let said = messages.join("\n");
+    assert!(said.contains("ops: change change-good is version 1."), "{log}");
+    assert!(said.contains("ops: change \"change-bad\" ended with status 422."), "{log}");
     let hashes = [hash, sk_ops::hash_token(MANAGER_TOKEN)];
     let hidden = [SECRET, BODY_WORDS, TEAM_TOKEN, MANAGER_TOKEN, "wrong token"];
     for hidden in hidden.into_iter().chain(hashes.iter().map(String::as_str)) {
         assert!(!log.contains(hidden), "{hidden}: {log}");
     }
-    for line in log.lines() {
-        let message = line.split_once("] ").map_or(line, |(_, message)| message);
+    for message in &messages {
         let part = message.split_once(": ").map(|(part, _)| part);
-        assert!(part.is_some_and(|part| PARTS.contains(&part)), "{line}");
+        assert!(part.is_some_and(|part| PARTS.contains(&part)), "{message}");
     }
 }
+
+/// Reads the message of a line, each of which is one JSON object.
+fn message_of(line: &str) -> String {
+    let line: serde_json::Value = serde_json::from_str(line).expect("a line is one object");
+    line["msg"].as_str().expect("a line has a message").to_owned()
+}
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -10,6 +10,8 @@
     io::{BufRead, BufReader, Read},
     path::{Path, PathBuf},
     process::{Child, Command, ExitStatus, Output, Stdio},
+    sync::{Arc, Mutex, mpsc},
+    thread::JoinHandle,
     time::{Duration, Instant},
 };
 
@@ -25,6 +27,9 @@
 pub struct TestProcess {
     child: Child,
     pub ready: String,
+    /// All other lines that it prints, as a thread reads them.
+    printed: Arc<Mutex<String>>,
+    reader: Option<JoinHandle<()>>,
 }
 
 impl TestProcess {
@@ -35,17 +40,27 @@
             .stderr(Stdio::inherit())
             .spawn()
             .expect("program starts");
-        let mut ready = String::new();
-        let stdout = child.stdout.as_mut().expect("stdout is piped");
-        // Byte by byte, so that nothing after the first line is taken from later readers.
-        let mut byte = [0];
-        while stdout.read(&mut byte).expect("process says where it listens") == 1
-            && byte[0] != b'\n'
-        {
-            ready.push(char::from(byte[0]));
-        }
-        assert!(!ready.is_empty(), "{program} ended before it was ready");
-        Self { child, ready }
+        let stdout = child.stdout.take().expect("stdout is piped");
+        let printed = Arc::<Mutex<String>>::default();
+        let (say, said) = mpsc::channel();
+        let kept = printed.clone();
+        let reader = std::thread::spawn(move || {
+            let mut say = Some(say);
+            for line in BufReader::new(stdout).lines().map_while(Result::ok) {
+                // Logs are JSON objects; the one line that is none says where the process listens.
+                match say.take_if(|_| !line.starts_with('{')) {
+                    Some(say) => say.send(line).expect("the test waits for the line"),
+                    None => {
+                        let mut kept = kept.lock().expect("no reader panics");
+                        kept.push_str(&line);
+                        kept.push('\n');
+                    }
+                }
+            }
+        });
+        let ready = said.recv_timeout(WAIT_BOUND);
+        let ready = ready.unwrap_or_else(|_| panic!("{program} ended before it was ready"));
+        Self { child, ready, printed, reader: Some(reader) }
     }
 
     /// Gives the word after `name=`.
@@ -86,11 +101,15 @@
             assert!(begin.elapsed() < WAIT_BOUND, "process does not end");
             std::thread::sleep(POLL_INTERVAL);
         };
-        let mut rest = String::new();
-        if let Some(mut stdout) = self.child.stdout.take() {
-            let _ = stdout.read_to_string(&mut rest);
+        if let Some(reader) = self.reader.take() {
+            reader.join().expect("the reader ends with the process");
         }
-        (status, rest)
+        (status, self.printed())
+    }
+
+    /// Gives what the process has printed so far, but for the line that says where it listens.
+    pub fn printed(&self) -> String {
+        self.printed.lock().expect("no reader panics").clone()
     }
 
     /// Gives how the process ended, none while it runs.
