--- a/components/decide/src/placing/soonest.rs
+++ b/components/decide/src/placing/soonest.rs
@@ -29,6 +29,9 @@
 /// Time that a certain failure is worth, for an endpoint's part of failures: about the whole that a
 /// caller has for an answer, since a failed request has to be run again or is lost.
 const FAILURE_PENALTY: Duration = Duration::from_secs(2);
+/// Part of failures up to which an endpoint counts as sound: one failure a moment ago. One that
+/// fails more often is not taken for being near.
+const SOUND_FAILURES: f64 = 0.2;
 /// Portion of the usual work by which costs are varied at random, so that daemons that all know the
 /// same do not all send to the same server.
 const SPREAD: f64 = 0.3;
@@ -78,7 +81,9 @@
         // A cold server takes about twice as long.
         let work = work.div_f64(gauge.warmth(&self.settings, now).max(0.5));
         let wait = gauge.wait(now);
-        let is_in_time = request.goal.is_some_and(|goal| wait + work.mul_f64(SAFE_FACTOR) <= goal);
+        let failures = gauge.failure_part(now);
+        let is_in_time = failures <= SOUND_FAILURES
+            && request.goal.is_some_and(|goal| wait + work.mul_f64(SAFE_FACTOR) <= goal);
         let distance = match entry.record.distance {
             EndpointDistance::SameCentre => Duration::ZERO,
             EndpointDistance::SameRegion if is_in_time => REGION_PENALTY,
@@ -86,7 +91,7 @@
             EndpointDistance::OtherRegion => OTHER_REGION_PENALTY,
         };
         let late = if is_in_time { Duration::ZERO } else { LATE_PENALTY };
-        let failures = FAILURE_PENALTY.mul_f64(gauge.failure_part(now));
+        let failures = FAILURE_PENALTY.mul_f64(failures);
         wait + work + distance + late + failures
     }
 
--- a/components/proxy/src/attempt.rs
+++ b/components/proxy/src/attempt.rs
@@ -9,6 +9,7 @@
     placing::{CallOutcome, EndpointId, PlaceRequest, PlacedCall, PlacementOrder},
     retrying::{FailedAttempt, GiveUpReason, RetryVerdict, RunOutcome, may_retry},
 };
+use sk_model::WorkClass;
 use tokio::time::Instant;
 
 use crate::{
@@ -52,11 +53,13 @@
 }
 
 impl AttemptLog {
-    /// Tells whether the next attempt may wait for a slot. A body that can be sent once only must
-    /// not be spent on a look for one.
+    /// Tells whether the next attempt may wait for a slot. Long work may at once: its large answers
+    /// are worth a wait in the own data centre while the goal is met there. A body that can be sent
+    /// once only must not be spent on a look for a slot.
     fn may_queue(&self, service: &TableService, request: &EntryRequest) -> bool {
         let looks = service.placement.settings().order == PlacementOrder::Soonest;
-        !looks || self.pass == PlacePass::Queue || !request.body.is_whole()
+        let is_long = request.traits.class == WorkClass::Long;
+        !looks || is_long || self.pass == PlacePass::Queue || !request.body.is_whole()
     }
 
     /// Goes on to queue, where no slot was free, and tells whether that is new.
