--- a/components/decide/src/admitting.rs
+++ b/components/decide/src/admitting.rs
@@ -79,6 +79,11 @@
 /// were served in time at two.
 const OVERTAKING: u32 = 2;
 
+/// Factor on the work ahead in the order of urgency, for more urgent work that comes later. Calls
+/// that other requests wait for take up to two fifths of a server in a burst; with the work ahead
+/// alone, one confirmation in ten was refused only after it had waited out its time.
+const LATER_WORK: f64 = 1.5;
+
 /// Where an admitted request stands.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum CallStage {
@@ -169,12 +174,13 @@
         }
         let class = request.class;
         let service = self.service_time(request, now);
+        let latest_start = self.latest_start(request, service, now);
         let ticket = self.calls.insert(GuardedCall {
             class,
             flow: request.flow,
             stage: CallStage::Queued,
             work: request.work,
-            latest_start: request.deadline.saturating_sub(service),
+            latest_start,
         });
         self.note_short_demand(class, now);
         match request.alone {
@@ -193,6 +199,27 @@
         }
     }
 
+    /// Hands back the least urgent of the waiting requests, not run, where the queue is full and a
+    /// more urgent one comes. To be called before [`AdmissionGuard::offer`].
+    ///
+    /// Made for a queue that a burst of long work has filled. A call that another request waits for
+    /// would be refused, and with it the work that its caller has done already.
+    pub fn make_room(&mut self, request: &GuardRequest, now: Duration) -> Released {
+        let mut released = Released::default();
+        let class = request.class;
+        let is_full = self.queued(class) >= self.settings.queue_limit(class);
+        if self.settings.order == QueueOrder::Fair || !request.may_queue || !is_full {
+            return released;
+        }
+        let service = self.service_time(request, now);
+        let queue = &mut self.urgent[class_index(class)];
+        if let Some(ticket) = queue.pop_behind(urgency_of(request), service, now) {
+            self.calls.remove(ticket);
+            released.refused.push((ticket, RefusalReason::QueueFull));
+        }
+        released
+    }
+
     /// Refuses all new requests from now on and hands back the queued ones, not run, so that they
     /// can be placed elsewhere. Running ones go on.
     pub fn drain(&mut self) -> Released {
@@ -282,6 +309,20 @@
         }
     }
 
+    /// Gives the last moment at which a waiting request is started: while the usual service time is
+    /// left before the deadline, and in the order of urgency no later than half a goal after the
+    /// goal. One that waits on behind those that can be in time is refused in the end, and had better
+    /// be told while it can come back.
+    fn latest_start(&self, request: &GuardRequest, service: Duration, now: Duration) -> Duration {
+        let by_deadline = request.deadline.saturating_sub(service);
+        match (self.settings.order, request.goal) {
+            (QueueOrder::Urgent, Some(goal)) if goal > now => {
+                by_deadline.min(goal + (goal - now) / 2)
+            }
+            _ => by_deadline,
+        }
+    }
+
     /// Tells why a request cannot wait in the order of urgency, if so.
     ///
     /// Made for a service that gets more than it can do for seconds. Whoever is queued beyond the
@@ -294,12 +335,16 @@
         let service = self.service_time(request, now);
         // A goal that has passed already says nothing about what can still be had.
         let goal = request.goal.filter(|goal| *goal > now);
+        // Work that comes later and is more urgent goes before it.
+        let wait = wait.mul_f64(LATER_WORK);
         match goal {
             _ if self.queued(class) >= self.settings.queue_limit(class) => {
                 Some(self.full_reason(now))
             }
             _ if now + wait + service > request.deadline => Some(RefusalReason::DeadlineTooNear),
-            Some(goal) if now + wait + service > goal => Some(RefusalReason::GoalMissed),
+            Some(goal) if now + wait + service > goal && wait > (goal - now) / 2 => {
+                Some(RefusalReason::GoalMissed)
+            }
             _ => None,
         }
     }
--- a/components/decide/src/admitting/urgency.rs
+++ b/components/decide/src/admitting/urgency.rs
@@ -65,6 +65,19 @@
         Some(self.calls.swap_remove(index).ticket)
     }
 
+    /// Takes out the least urgent request, where a new one is more urgent.
+    pub(super) fn pop_behind(
+        &mut self,
+        urgency: Urgency,
+        work: Duration,
+        now: Duration,
+    ) -> Option<Ticket> {
+        let own = order_key(urgency, work, self.turn + 1, now);
+        let last = self.calls.iter().enumerate().max_by_key(|(_, call)| call.key(now));
+        let index = last.filter(|(_, call)| call.key(now) > own).map(|(index, _)| index)?;
+        Some(self.calls.swap_remove(index).ticket)
+    }
+
     pub(super) fn remove(&mut self, ticket: Ticket) {
         self.calls.retain(|call| call.ticket != ticket);
     }
--- a/components/proxy/src/gate.rs
+++ b/components/proxy/src/gate.rs
@@ -147,6 +147,8 @@
         request: &GuardRequest,
     ) -> Result<(AdmitPermit, Option<WaitReceiver>), Refusal> {
         let mut state = self.lock();
+        let released = state.guard.make_room(request, process_now());
+        state.deliver(released);
         let admission = state.guard.offer(request, process_now(), &mut rand::rng());
         match admission {
             Admission::Refused(refusal) => Err(refusal),
