admitting: expect the first free slot, not half of them; play a burst by urgency

With half of the mean as the time to a free slot, 96 of 1,710 calls were refused by urgency. soonest_answer plays speeds, waits, distance and failures of endpoints.

--- a/components/decide/src/admitting.rs
+++ b/components/decide/src/admitting.rs
@@ -356,13 +356,21 @@
         let service = self.service_time(request, now);
         let urgency = urgency_of(request);
         let ahead = self.urgent[class_index(class)].work_ahead(urgency, service, now);
-        let running: Duration = self.calls.values().map(|call| self.work_left(call, now)).sum();
         let slots = match class {
             WorkClass::Long => self.long_limit(now),
             WorkClass::Short => self.slots(now),
         };
-        // A slot is free when the first of the running requests ends, and so on: half the mean.
-        (ahead + running / 2) / slots.max(1)
+        self.first_free(now) + ahead / slots.max(1)
+    }
+
+    /// Gives the time until the first of the running requests is expected to end. What is left of
+    /// `n` requests is spread evenly up to twice its mean, and the least of `n` such times is at a
+    /// part of `n + 1` of that. Half the mean, which is the time until half of them have ended,
+    /// refused one call in eighteen in a burst that could have had the next slot.
+    fn first_free(&self, now: Duration) -> Duration {
+        let running = self.running_count();
+        let left: Duration = self.calls.values().map(|call| self.work_left(call, now)).sum();
+        left * 2 / (running * (running + 1)).max(1)
     }
 
     /// Gives how long a request that may queue would wait for a slot, for whoever chooses among
@@ -377,8 +385,7 @@
             .filter(|call| call.stage == CallStage::Queued)
             .map(|call| self.work_time(call.work, call.class, now))
             .sum();
-        let running: Duration = self.calls.values().map(|call| self.work_left(call, now)).sum();
-        (queued + running / 2) / self.slots(now).max(1)
+        self.first_free(now) + queued / self.slots(now).max(1)
     }
 
     fn work_left(&self, call: &GuardedCall, now: Duration) -> Duration {
--- /dev/null
+++ b/components/decide/tests/soonest_answer.rs
@@ -0,0 +1,132 @@
+//! Placing by the expected answer, on servers that differ in speed.
+
+use std::{sync::Arc, time::Duration};
+
+use rand::{SeedableRng, rngs::StdRng};
+use sk_decide::{
+    WorkClass,
+    placing::{
+        CallOutcome, EndpointDistance, EndpointRecord, PlaceRequest, PlacementOrder,
+        PlacementSettings, PlacementTable,
+    },
+};
+
+const GOAL: Duration = Duration::from_millis(600);
+
+fn millis(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+fn table(distances: &[EndpointDistance]) -> Arc<PlacementTable> {
+    let settings = PlacementSettings {
+        order: PlacementOrder::Soonest,
+        warm_up: Duration::ZERO,
+        ..PlacementSettings::default()
+    };
+    let record = |(index, distance): (usize, &EndpointDistance)| EndpointRecord {
+        id: index as u64,
+        incarnation: 1,
+        slots: 12,
+        distance: *distance,
+        age: Duration::from_secs(60),
+    };
+    let records: Vec<EndpointRecord> = distances.iter().enumerate().map(record).collect();
+    Arc::new(PlacementTable::new(settings).rebuild(&records, Duration::ZERO))
+}
+
+const ANY: PlaceRequest<'static> = PlaceRequest {
+    class: WorkClass::Short,
+    exclude: &[],
+    may_probe: true,
+    wants_slot: true,
+    goal: Some(GOAL),
+};
+
+/// Ends a request at a given endpoint by leaving only that one to choose.
+fn teach(
+    table: &Arc<PlacementTable>,
+    id: u64,
+    outcome: CallOutcome,
+    took: Duration,
+    now: Duration,
+) {
+    let others: Vec<u64> = (0..table.len() as u64).filter(|other| *other != id).collect();
+    let request = PlaceRequest { exclude: &others, wants_slot: false, ..ANY };
+    let mut rng = StdRng::seed_from_u64(1);
+    let placed = table.choose(&request, now, &mut rng).expect("the one that is left");
+    placed.finish(outcome, took, now);
+}
+
+/// Counts where a hundred requests go.
+fn count(table: &Arc<PlacementTable>, request: &PlaceRequest<'_>, now: Duration) -> Vec<u32> {
+    let mut rng = StdRng::seed_from_u64(2);
+    let mut counts = vec![0; table.len()];
+    for _ in 0..100 {
+        if let Ok(placed) = table.choose(request, now, &mut rng) {
+            counts[placed.endpoint() as usize] += 1;
+        }
+    }
+    counts
+}
+
+/// Servers of one service differ threefold in speed. Half of the callers of the slow one would miss
+/// their goal while the fast one is idle.
+#[test]
+fn fast_first() {
+    let table = table(&[EndpointDistance::SameCentre; 3]);
+    let now = Duration::from_secs(5);
+    for (id, took) in [(0, 150), (1, 320), (2, 450)] {
+        (0..8).for_each(|_| teach(&table, id, CallOutcome::Success, millis(took), now));
+    }
+    assert_eq!(count(&table, &ANY, now), [100, 0, 0]);
+    // It says that it has no slot free: the next best is looked at, and waited for by nobody.
+    table.note_wait(0, millis(80), now);
+    assert_eq!(count(&table, &ANY, now), [0, 100, 0]);
+    // What it said is over when the wait is.
+    assert_eq!(count(&table, &ANY, now + millis(90)), [100, 0, 0]);
+}
+
+/// No server has a slot free. The request waits where wait and work together are least, and not
+/// where the work alone is.
+#[test]
+fn least_sum() {
+    let table = table(&[EndpointDistance::SameCentre; 2]);
+    let now = Duration::from_secs(5);
+    for (id, took, wait) in [(0, 150, 400), (1, 250, 50)] {
+        (0..8).for_each(|_| teach(&table, id, CallOutcome::Success, millis(took), now));
+        table.note_wait(id, millis(wait), now);
+    }
+    assert_eq!(count(&table, &ANY, now), [0, 0], "none is free");
+    let queueing = PlaceRequest { wants_slot: false, ..ANY };
+    assert_eq!(count(&table, &queueing, now), [0, 100]);
+}
+
+/// Bytes between data centres are dear. While the goal is met near by, nothing is sent far; where
+/// it would be missed near by, callers go before bytes.
+#[test]
+fn near_in_time() {
+    let table = table(&[EndpointDistance::SameCentre, EndpointDistance::SameRegion]);
+    let now = Duration::from_secs(5);
+    for (id, took) in [(0, 300), (1, 150)] {
+        (0..8).for_each(|_| teach(&table, id, CallOutcome::Success, millis(took), now));
+    }
+    assert_eq!(count(&table, &ANY, now), [100, 0]);
+    let hurried = PlaceRequest { goal: Some(millis(350)), ..ANY };
+    assert_eq!(count(&table, &hurried, now), [0, 100]);
+}
+
+/// A server fails half of its requests while it looks healthy and is near. Callers of requests that
+/// run once only would lose every second one.
+#[test]
+fn failing_avoided() {
+    let table = table(&[EndpointDistance::SameCentre, EndpointDistance::SameRegion]);
+    let now = Duration::from_secs(5);
+    for index in 0..12 {
+        let outcome = if index % 2 == 0 { CallOutcome::Success } else { CallOutcome::Failure };
+        teach(&table, 0, outcome, millis(100), now);
+        teach(&table, 1, CallOutcome::Success, millis(200), now);
+    }
+    assert_eq!(count(&table, &ANY, now), [0, 100]);
+    // It is tried again when the failures are some time ago.
+    assert_eq!(count(&table, &ANY, now + Duration::from_secs(10)), [100, 0]);
+}
