--- a/components/daemon/src/daemon.rs
+++ b/components/daemon/src/daemon.rs
@@ -369,6 +369,7 @@
         repair_interval: Duration::from_millis(settings.spread.repair_interval_ms),
         relays: settings.spread.relays,
         max_fetches: settings.spread.max_fetches,
+        start_window: Duration::from_millis(settings.spread.start_window_ms),
         heartbeat: Duration::from_millis(settings.member.heartbeat_ms),
         suspect_after: Duration::from_millis(settings.member.suspect_ms),
     };
--- a/components/proxy/src/lib.rs
+++ b/components/proxy/src/lib.rs
@@ -24,6 +24,7 @@
 mod quarantine;
 mod serve;
 mod served;
+mod sockets;
 mod story;
 mod table;
 mod times;
--- a/components/proxy/src/peers.rs
+++ b/components/proxy/src/peers.rs
@@ -9,7 +9,7 @@
     rt::{TokioExecutor, TokioTimer},
 };
 
-use crate::{body::ProxyBody, call::GuardToken};
+use crate::{body::ProxyBody, call::GuardToken, sockets::watch_client};
 
 /// Time for a connection to another instance. Five round trips between regions; an instance that
 /// is gone answers nothing at all.
@@ -48,6 +48,7 @@
         let mut connector = HttpConnector::new();
         connector.set_nodelay(true);
         connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
+        watch_client(&mut connector);
         let client = Client::builder(TokioExecutor::new())
             .timer(TokioTimer::new())
             .pool_timer(TokioTimer::new())
--- a/components/proxy/src/pool.rs
+++ b/components/proxy/src/pool.rs
@@ -12,7 +12,7 @@
 use thiserror::Error;
 use tokio::{net::TcpStream, sync::Notify};
 
-use crate::{body::ProxyBody, clock::process_now};
+use crate::{body::ProxyBody, clock::process_now, sockets::watch_silence};
 
 /// Time for a connection to open. The server is on the same instance: it answers in a fraction of
 /// a millisecond or is not there.
@@ -137,6 +137,7 @@
         let stream = connect.await.map_err(|_| ConnectError::Timeout)??;
         // A small request must not wait for the acknowledgement of the one before.
         stream.set_nodelay(true)?;
+        watch_silence(&stream);
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(MAX_HEAD_BYTES)
             .handshake(TokioIo::new(stream))
--- a/components/proxy/src/serve.rs
+++ b/components/proxy/src/serve.rs
@@ -17,6 +17,7 @@
     rt::{TokioExecutor, TokioIo, TokioTimer},
     server::{conn::auto, graceful::GracefulShutdown},
 };
+use sk_model::LimitSetting;
 use tokio::{net::TcpListener, sync::watch, task::JoinHandle};
 
 use crate::{
@@ -26,12 +27,14 @@
     guard::{GuardContext, guard},
     headers::is_nested,
     outcome::RefusalKind,
+    sockets::watch_silence,
 };
 
 /// Pause after a failed accept, which usually means that no file descriptor is left.
 const ACCEPT_RETRY: Duration = Duration::from_millis(50);
-/// Time for a caller to send a whole head. Without a bound, connections that send a byte now and
-/// then would hold all file descriptors.
+/// Time for a caller to stay idle and then to send a whole head, where the configuration sets no
+/// limits. Without a bound, connections that send a byte now and then would hold all file
+/// descriptors.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
 /// Time between the first refusal and the end of connections. Whoever still sends hears of the
 /// refusal and goes elsewhere. A request that met the end of its connection instead would be lost
@@ -117,7 +120,9 @@
 /// Serves callers.
 pub fn serve_forward(listener: TcpListener, context: Arc<ForwardContext>) -> ServeHandle {
     let server = build_server(ENTRY_HEAD_BYTES, ENTRY_STREAMS, ENTRY_RESETS);
-    serve(listener, server, move |request, caller| forward(context.clone(), request, caller))
+    let table = context.table.clone();
+    let idle = move || table.load().limits().map_or(HEAD_TIMEOUT, idle_limit);
+    serve(listener, server, idle, move |request, caller| forward(context.clone(), request, caller))
 }
 
 /// Serves other daemons on behalf of the local backend server.
@@ -126,7 +131,14 @@
     // Counted over the life of a connection: bodies that cross with an early refusal count, so that
     // a connection between two daemons would break every thousand refusals.
     server.http2().max_local_error_reset_streams(None);
-    serve(listener, server, move |request, _| guard(context.clone(), request))
+    serve(listener, server, || HEAD_TIMEOUT, move |request, _| guard(context.clone(), request))
+}
+
+/// Gives how long a caller's connection may be without a whole head. The library's timer runs from
+/// the end of the answer before, so it has to hold both limits: closed sooner, a connection that its
+/// caller has a right to would meet the next request with its end.
+fn idle_limit(limits: &LimitSetting) -> Duration {
+    Duration::from_millis(limits.idle_timeout_ms.saturating_add(limits.head_timeout_ms))
 }
 
 type ServerBuilder = auto::Builder<TokioExecutor>;
@@ -149,24 +161,26 @@
     server
 }
 
-fn serve<H, F>(listener: TcpListener, server: ServerBuilder, handle: H) -> ServeHandle
+fn serve<L, H, F>(listener: TcpListener, server: ServerBuilder, idle: L, handle: H) -> ServeHandle
 where
+    L: Fn() -> Duration + Send + 'static,
     H: Fn(Request<Incoming>, IpAddr) -> F + Clone + Send + 'static,
     F: Future<Output = Response<ProxyBody>> + Send + 'static,
 {
     let stop = watch::Sender::new(false);
     let switch = Arc::new(DrainSwitch::default());
-    let accept = accept_forever(listener, server, handle, switch.clone(), stop.subscribe());
+    let accept = accept_forever(listener, (server, idle), handle, switch.clone(), stop.subscribe());
     ServeHandle { switch, stop, task: tokio::spawn(accept) }
 }
 
-async fn accept_forever<H, F>(
+async fn accept_forever<L, H, F>(
     listener: TcpListener,
-    server: ServerBuilder,
+    (mut server, idle): (ServerBuilder, L),
     handle: H,
     switch: Arc<DrainSwitch>,
     mut stopped: watch::Receiver<bool>,
 ) where
+    L: Fn() -> Duration + Send + 'static,
     H: Fn(Request<Incoming>, IpAddr) -> F + Clone + Send + 'static,
     F: Future<Output = Response<ProxyBody>> + Send + 'static,
 {
@@ -186,11 +200,14 @@
         };
         // Small answers must not wait for the peer's delayed acknowledgement.
         let _ = stream.set_nodelay(true);
+        watch_silence(&stream);
         let (handle, switch) = (handle.clone(), switch.clone());
         let service = service_fn(move |request| {
             let answer = answer(&handle, &switch, request, caller);
             async move { Ok::<_, Infallible>(answer.await) }
         });
+        // Limits may have changed since the connection before.
+        server.http1().header_read_timeout(idle());
         let connection = server.serve_connection(TokioIo::new(stream), service).into_owned();
         let connection = graceful.watch(connection);
         tokio::spawn(async move {
--- /dev/null
+++ b/components/proxy/src/sockets.rs
@@ -0,0 +1,44 @@
+//! Finding out that a connection has gone silent.
+//!
+//! A peer that lost its power, a cut link or a middle box that forgot a connection sends no reset. A
+//! request on such a connection would wait for its whole deadline, and the next one on the same
+//! connection again. Short keep-alive probes end it within seconds, on idle connections too, so that
+//! a request that may repeat is tried elsewhere while its caller still waits.
+
+use std::time::Duration;
+
+use hyper_util::client::legacy::connect::HttpConnector;
+use socket2::{SockRef, TcpKeepalive};
+use tokio::net::TcpStream;
+
+/// Idle time before the first probe, and time between probes. A probe is a packet of 40 bytes: even
+/// a hundred connections cost less than the heartbeats.
+const PROBE_INTERVAL: Duration = Duration::from_secs(1);
+/// Probes without an answer that end a connection: one lost packet does not.
+const PROBES: u32 = 2;
+/// Time without an acknowledgement after which sent bytes count as lost. Above the pause of a peer
+/// that is stopped for a moment, below what callers wait for an answer.
+const UNACKNOWLEDGED_LIMIT: Duration = Duration::from_millis(2_500);
+
+/// Sets probes on a connection. A system that lacks one of the options works without.
+pub(crate) fn watch_silence(stream: &TcpStream) {
+    let keepalive = TcpKeepalive::new()
+        .with_time(PROBE_INTERVAL)
+        .with_interval(PROBE_INTERVAL)
+        .with_retries(PROBES);
+    let socket = SockRef::from(stream);
+    let set = socket
+        .set_tcp_keepalive(&keepalive)
+        .and_then(|()| socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_LIMIT)));
+    if let Err(err) = set {
+        log::debug!("proxy: no keep-alive probes on a connection: {err}.");
+    }
+}
+
+/// Sets probes on the connections that a client will open.
+pub(crate) fn watch_client(connector: &mut HttpConnector) {
+    connector.set_keepalive(Some(PROBE_INTERVAL));
+    connector.set_keepalive_interval(Some(PROBE_INTERVAL));
+    connector.set_keepalive_retries(Some(PROBES));
+    connector.set_tcp_user_timeout(Some(UNACKNOWLEDGED_LIMIT));
+}
--- a/components/settings/src/check.rs
+++ b/components/settings/src/check.rs
@@ -58,6 +58,8 @@
     checker.range("spread.fan_out", spread.fan_out as u64, 1..=64, "1 to 64")?;
     let repair_ms = spread.repair_interval_ms;
     checker.range("spread.repair_interval_ms", repair_ms, 100..=60_000, "100 to 60000")?;
+    let window = spread.start_window_ms;
+    checker.range("spread.start_window_ms", window, 20..=60_000, "20 to 60000")?;
     checker.range("spread.relays", spread.relays as u64, 1..=8, "1 to 8")?;
     checker.range("spread.max_fetches", spread.max_fetches as u64, 1..=64, "1 to 64")
 }
--- a/components/settings/src/daemon_settings.rs
+++ b/components/settings/src/daemon_settings.rs
@@ -161,6 +161,10 @@
     pub relays: usize,
     /// Snapshots a daemon serves to peers at once, 1 to 64; more are told to come back. Default 4.
     pub max_fetches: usize,
+    /// Milliseconds over which the daemons of a fleet that starts at once spread their own reads of
+    /// the platform, 20 to 60000. Default 2000: most then get the configuration from a relay. A
+    /// small fleet is ready sooner with less, for one read a daemon.
+    pub start_window_ms: u64,
 }
 
 impl Default for SpreadSettings {
@@ -171,6 +175,7 @@
             repair_interval_ms: 2_000,
             relays: 2,
             max_fetches: 4,
+            start_window_ms: 2_000,
         }
     }
 }
--- a/components/settings/tests/bad_settings.rs
+++ b/components/settings/tests/bad_settings.rs
@@ -34,7 +34,7 @@
     refusal(
         &format!("{GOOD}\n[spread]\nfanout = 3\n"),
         expect![
-            "daemon.toml:14:1: unknown field `fanout`, expected one of `mode`, `fan_out`, `repair_interval_ms`, `relays`, `max_fetches`"
+            "daemon.toml:14:1: unknown field `fanout`, expected one of `mode`, `fan_out`, `repair_interval_ms`, `relays`, `max_fetches`, `start_window_ms`"
         ],
     );
 }
@@ -84,3 +84,48 @@
         refusal(&text, expect!["daemon.toml:11:10: `secret`: invalid type, expected a string"]);
     }
 }
+
+/// Each new bound is told with its key, so that a mistake is mended without a look at the code.
+#[test]
+fn named_bounds() {
+    let mut told = String::new();
+    for (section, line) in [
+        ("logs", "routine_lines = 0"),
+        ("logs", "failure_lines = 100001"),
+        ("guard", "crash_limit = 1"),
+        ("guard", "leave_ms = 60001"),
+        ("placing", "retry_deposit = 1001"),
+        ("placing", "free_moves = 17"),
+        ("placing", "order = \"best\""),
+        ("report", "flush_ms = 1"),
+        ("spread", "start_window_ms = 1"),
+        ("metrics", "listen = \"nowhere\""),
+    ] {
+        let text = format!("{GOOD}\n[{section}]\n{line}\n");
+        let err = parse_settings(Path::new("daemon.toml"), &text).expect_err("bad settings");
+        told.push_str(&format!("{err}\n"));
+    }
+    expect![[r#"
+        daemon.toml:14:1: `logs.routine_lines` is 0; allowed: 1 to 100000
+        daemon.toml:14:1: `logs.failure_lines` is 100001; allowed: 1 to 100000
+        daemon.toml:14:1: `guard.crash_limit` is 1; allowed: 0, or 2 to 4
+        daemon.toml:14:1: `guard.leave_ms` is 60001; allowed: 0 to 60000
+        daemon.toml:14:1: `placing.retry_deposit` is 1001; allowed: 0 to 1000
+        daemon.toml:14:1: `placing.free_moves` is 17; allowed: 0 to 16
+        daemon.toml:14:9: `order`: unknown variant `best`, expected `draw` or `soonest`
+        daemon.toml:14:1: `report.flush_ms` is 1; allowed: 50 to 600000
+        daemon.toml:14:1: `spread.start_window_ms` is 1; allowed: 20 to 60000
+        daemon.toml:14:10: `listen`: invalid socket address syntax
+    "#]]
+    .assert_eq(&told);
+}
+
+/// Metrics at an address that callers use would stop one of the two listeners.
+#[test]
+fn metrics_clash() {
+    let text = format!(
+        "{GOOD}\n[listen]\nproxy = \"127.0.0.1:80\"\n[metrics]\nlisten = \"127.0.0.1:80\"\n"
+    );
+    let err = parse_settings(Path::new("daemon.toml"), &text).expect_err("bad settings");
+    assert!(err.to_string().contains("`listen.proxy` and `metrics.listen`"), "{err}");
+}
--- a/components/spread/src/options.rs
+++ b/components/spread/src/options.rs
@@ -33,6 +33,9 @@
     pub heartbeat: Duration,
     /// Time without a heartbeat until a neighbour is suspected.
     pub suspect_after: Duration,
+    /// Time over which the daemons of a fleet that starts at once spread their own reads of the
+    /// configuration source, where nobody else has read it for them.
+    pub start_window: Duration,
 }
 
 impl Default for SpreadOptions {
@@ -47,6 +50,7 @@
             max_fetches: 4,
             heartbeat: Duration::from_millis(500),
             suspect_after: Duration::from_secs(2),
+            start_window: Duration::from_secs(2),
         }
     }
 }
--- a/components/spread/src/start.rs
+++ b/components/spread/src/start.rs
@@ -15,13 +15,6 @@
     pass::VersionOrigin,
 };
 
-/// Time, beyond the shortest, that a starting daemon leaves the platform to others. In a herd restart the times
-/// are spread over it, so that the first ones read the platform and all later ones get it
-/// from them; a daemon whose peers are all away is late by it.
-const START_WINDOW: Duration = Duration::from_secs(2);
-/// Shortest such time: joining and choosing relays takes that long in a herd restart, and whoever
-/// reads earlier reads because it has not met the others yet.
-const START_LEAST: Duration = Duration::from_secs(1);
 /// Time for which the relays must have stayed the same before a starting daemon takes itself for
 /// one and reads the platform. In a herd restart each daemon is a relay by its own first view.
 const RELAY_SETTLED: Duration = Duration::from_millis(600);
@@ -32,6 +25,8 @@
 /// their way to the platform may be cut, so it has to read; but after an outage in which everything
 /// restarted, hundreds wait like this, and each that reads holds nothing yet and reads all.
 const LATE_PAUSE: Duration = Duration::from_secs(10);
+/// The same in windows, for a fleet whose window is short.
+const LATE_WINDOWS: u32 = 5;
 /// Longest pause between rounds while the platform is away and nobody reachable knows a version.
 const OUTAGE_PAUSE: Duration = Duration::from_secs(5);
 /// Members asked for what they hold before the platform is read.
@@ -56,8 +51,14 @@
 
 /// Asks relays, and in the end the platform itself, until this daemon holds what it must.
 pub(crate) async fn settle_start(node: &Rc<SpreadNode>, mut stage: watch::Receiver<JoinStage>) {
-    let window_end = Instant::now() + START_LEAST + drawn(START_WINDOW);
-    let mut late = window_end + drawn(LATE_PAUSE);
+    // In a herd restart the times are spread over the window, so that the first ones read the
+    // platform and all later ones get it from them; a daemon whose peers are all away is late by
+    // it. At least half of it passes first: whoever reads earlier reads because it has not met the
+    // others yet.
+    let window = node.options.start_window;
+    let window_end = Instant::now() + window / 2 + drawn(window);
+    let late_pause = LATE_PAUSE.min(window * LATE_WINDOWS);
+    let mut late = window_end + drawn(late_pause);
     let mut pause = RetryPause::new(FIRST_PAUSE, LONGEST_PAUSE);
     // Nobody can be asked before the first round of joining is over.
     let trying = stage.wait_for(|stage| *stage != JoinStage::Trying);
@@ -65,7 +66,10 @@
     while !node.held.is_ready() {
         let stage = *stage.borrow();
         let answer = match stage {
-            JoinStage::Met => ask_relays(node).await,
+            // A relay that is gone answers nothing, and must not hold up the rest of the start.
+            JoinStage::Met => {
+                tokio::time::timeout(window, ask_relays(node)).await.unwrap_or(RelayAnswer::Silent)
+            }
             _ => RelayAnswer::Silent,
         };
         let may_read = match answer {
@@ -76,7 +80,7 @@
             RelayAnswer::Waiting => Instant::now() >= late,
         };
         if may_read {
-            late = Instant::now() + jittered(LATE_PAUSE);
+            late = Instant::now() + jittered(late_pause);
             if read_platform(node).await {
                 return;
             }
@@ -121,7 +125,8 @@
 
 fn is_settled_relay(node: &SpreadNode) -> bool {
     let relays = node.relays.borrow();
-    relays.rank.is_some() && relays.since.elapsed() >= RELAY_SETTLED
+    let settled = RELAY_SETTLED.min(node.options.start_window / 2);
+    relays.rank.is_some() && relays.since.elapsed() >= settled
 }
 
 /// Asks the data centre's relays to look at the platform, until one has.
