--- a/components/decide/src/deadline.rs
+++ b/components/decide/src/deadline.rs
@@ -20,6 +20,16 @@
 /// Shortest time worth sending a call with. Less than this passes on the network alone.
 pub const MIN_REMAINING: Duration = Duration::from_millis(2);
 
+/// Time after the deadline for which the daemon beside a server waits for its last word. A server
+/// stops at the same deadline and says so; cut off a moment before, it could not.
+pub const GUARD_GRACE: Duration = Duration::from_millis(40);
+/// Time after the deadline for which the daemon of entry waits for the other one's word, which may
+/// be that nothing ran. Twice [`GUARD_GRACE`]: a round trip and a busy core.
+pub const ENTRY_GRACE: Duration = Duration::from_millis(80);
+/// Time after the deadline for the rest of an answer whose head came in time. Work that is done is
+/// delivered; only an answer that has stopped to come is cut.
+pub const BODY_GRACE: Duration = Duration::from_secs(2);
+
 /// What a call carries from hop to hop.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct CallContext {
--- a/components/proxy/src/attempt.rs
+++ b/components/proxy/src/attempt.rs
@@ -5,7 +5,7 @@
 use http::{Request, Response, StatusCode};
 use http_body_util::BodyExt;
 use sk_decide::{
-    deadline::DescendError,
+    deadline::{BODY_GRACE, DescendError},
     placing::{CallOutcome, EndpointId, PlaceRequest, PlacedCall, PlacementOrder},
     retrying::{FailedAttempt, GiveUpReason, RetryVerdict, RunOutcome, may_retry},
 };
@@ -277,7 +277,8 @@
         && !(is_trouble(response.status()) && request.traits.is_repeatable);
     if is_wanted || kind == Some(RefusalKind::AlreadyRan) {
         let (placed, counters) = (running.placed, context.counters.clone());
-        let body = |body| PassedBody::placed(body, placed, end, latency, deadline, counters);
+        let until = deadline + BODY_GRACE;
+        let body = |body| PassedBody::placed(body, placed, end, latency, until, counters);
         return AttemptEnd::Answered(response.map(|inner| body(inner).boxed_unsync()));
     }
     if let Some(end) = end {
--- a/components/proxy/src/forward.rs
+++ b/components/proxy/src/forward.rs
@@ -6,7 +6,7 @@
 use http::{Request, Response, StatusCode, header};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
-use sk_decide::placing::CallOutcome;
+use sk_decide::{deadline::ENTRY_GRACE, placing::CallOutcome};
 use sk_model::ServiceName;
 use tokio::time::timeout_at;
 
@@ -125,7 +125,7 @@
     let deadline = request.began + request.call.remaining;
     let mut log = AttemptLog::default();
     let answer = answer_request(context, route.service, &mut request, &mut log, deadline);
-    let mut response = match timeout_at(deadline, answer).await {
+    let mut response = match timeout_at(deadline + ENTRY_GRACE, answer).await {
         Ok(response) => response,
         Err(_) => time_out(context, &mut log),
     };
--- a/components/proxy/src/guard.rs
+++ b/components/proxy/src/guard.rs
@@ -7,7 +7,7 @@
 use hyper::body::Incoming;
 use sk_decide::{
     admitting::{GuardRequest, Refusal},
-    deadline::CallContext,
+    deadline::{BODY_GRACE, CallContext, GUARD_GRACE},
     quarantine::QuarantineVerdict,
 };
 use tokio::time::Instant;
@@ -98,7 +98,7 @@
     let deadline = Instant::now() + call.context().remaining;
     let mut stage = PassStage::Waiting;
     let passed = pass_admitted(&context, request, &call, deadline, &mut stage);
-    let response = match tokio::time::timeout_at(deadline, passed).await {
+    let response = match tokio::time::timeout_at(deadline + GUARD_GRACE, passed).await {
         Ok(response) => response,
         // Dropping the exchange has closed its connection, which tells the server to give up, and
         // a late answer has no way left to any caller.
@@ -331,7 +331,7 @@
     let took = u64::try_from(admitted_at.elapsed().as_micros()).unwrap_or(u64::MAX);
     headers.insert(RAN_HEADER, took.into());
     write_load(headers, &exchange.server);
-    response.map(|body| ServedBody::new(body, exchange, deadline).boxed_unsync())
+    response.map(|body| ServedBody::new(body, exchange, deadline + BODY_GRACE).boxed_unsync())
 }
 
 /// Ends an exchange whose answer must not reach the caller. Its connection is closed, since what
