--- a/components/daemon/src/daemon.rs
+++ b/components/daemon/src/daemon.rs
@@ -66,6 +66,10 @@
 /// Time for calls to the operators' interface to end at a stop.
 const OPS_STOP: Duration = Duration::from_millis(100);
 
+/// Time for the news that the local backend server cannot be reached here any longer: to reach all
+/// daemons, and for work of a few hundred milliseconds that is on its way to end.
+const GUARD_NOTICE: Duration = Duration::from_millis(900);
+
 /// How long a stop takes.
 #[derive(Clone, Copy, Debug)]
 struct StopTimes {
@@ -214,10 +218,14 @@
     pub async fn stop(mut self) -> bool {
         log::info!("daemon: leaving.");
         self.is_leaving.store(true, Ordering::Release);
-        self.members.update(|table| table.set_status(MemberStatus::Leaving), |changed| *changed);
         self.forward.leave();
+        // The server beside this daemon runs on. Until callers are gone the others go on using it:
+        // with a third of a fleet on its way out, the servers' loss is what callers would notice.
+        let notice = self.times.leave.min(GUARD_NOTICE);
+        tokio::time::sleep(self.times.leave - notice).await;
+        self.members.update(|table| table.set_status(MemberStatus::Leaving), |changed| *changed);
         self.guard.leave();
-        tokio::time::sleep(self.times.leave).await;
+        tokio::time::sleep(notice).await;
         let end = tokio::time::Instant::now() + self.times.drain;
         self.forward.refuse_new();
         let guard = self.guard.stop(self.times.drain).await;
