--- a/components/logs/src/output.rs
+++ b/components/logs/src/output.rs
@@ -60,7 +60,7 @@
     let (writer, worker) = builder.finish(writer);
     let dropped = writer.error_counter();
     let inner = env_logger::Builder::from_env(Env::default().default_filter_or(DEFAULT_LEVELS))
-        .format(|out, record| write_line(out, record))
+        .format(write_line)
         .target(Target::Pipe(Box::new(writer)))
         .build();
     let level = inner.filter();
--- a/tests/request_logs.rs
+++ b/tests/request_logs.rs
@@ -15,9 +15,8 @@
     let mut found = None;
     wait_for("the request's line", || {
         let printed = daemon.printed();
-        let lines = printed.lines().filter_map(|line| serde_json::from_str::<Value>(line).ok());
-        found =
-            lines.filter(|line| line["msg"] == "proxy: answered." && line["path"] == path).last();
+        let mut lines = printed.lines().filter_map(|line| serde_json::from_str::<Value>(line).ok());
+        found = lines.rfind(|line| line["msg"] == "proxy: answered." && line["path"] == path);
         found.is_some()
     });
     found.expect("a line")
