--- a/components/decide/src/placing.rs
+++ b/components/decide/src/placing.rs
@@ -191,6 +191,14 @@
         }
     }
 
+    /// Takes note of the part of failures that an endpoint's guard sees. It can only raise what this
+    /// daemon has seen itself, and fades like that.
+    pub fn note_failing(&self, id: EndpointId, part: f64, now: Duration) {
+        if let Some(entry) = self.entries.iter().find(|entry| entry.record.id == id) {
+            entry.gauge.raise_failures(part, now);
+        }
+    }
+
     /// Gives the settings.
     pub fn settings(&self) -> &PlacementSettings {
         &self.settings
--- a/components/decide/src/placing/gauge.rs
+++ b/components/decide/src/placing/gauge.rs
@@ -132,6 +132,14 @@
         self.failure_at.store(micros(now), Ordering::Relaxed);
     }
 
+    /// Raises the part of failures to what another one has seen.
+    pub(super) fn raise_failures(&self, part: f64, now: Duration) {
+        if part > self.failure_part(now) {
+            self.failure_part.store((part.clamp(0.0, 1.0) * 1000.0) as u32, Ordering::Relaxed);
+            self.failure_at.store(micros(now), Ordering::Relaxed);
+        }
+    }
+
     /// Gives the part of failures among the last requests, from 0 to 1. It fades while none come,
     /// so that a server that failed is tried again.
     pub(super) fn failure_part(&self, now: Duration) -> f64 {
--- a/components/decide/src/placing/soonest.rs
+++ b/components/decide/src/placing/soonest.rs
@@ -32,6 +32,10 @@
 /// Part of failures up to which an endpoint counts as sound: one failure a moment ago. One that
 /// fails more often is not taken for being near.
 const SOUND_FAILURES: f64 = 0.2;
+/// Part of failures from which a free slot says nothing: a server that fails at once always has one,
+/// and would draw the requests that the others have no room for. It still gets some while the others
+/// make callers wait for long.
+const FAILING: f64 = 0.25;
 /// Portion of the usual work by which costs are varied at random, so that daemons that all know the
 /// same do not all send to the same server.
 const SPREAD: f64 = 0.3;
@@ -53,7 +57,7 @@
         let wanted = self.entries.iter().enumerate().filter(|(_, entry)| {
             super::is_wanted(entry, request)
                 && !entry.gauge.is_aside()
-                && (!request.wants_slot || entry.gauge.wait(now) <= FREE_WAIT)
+                && (!request.wants_slot || is_free(entry, now))
         });
         let mut best: Option<(Duration, usize)> = None;
         for (index, entry) in wanted {
@@ -103,3 +107,8 @@
         known.get(known.len() / 2).copied().unwrap_or_default()
     }
 }
+
+/// Tells whether an endpoint has a slot free for work that it will likely do.
+fn is_free(entry: &TableEntry, now: Duration) -> bool {
+    entry.gauge.wait(now) <= FREE_WAIT && entry.gauge.failure_part(now) < FAILING
+}
--- a/components/decide/tests/soonest_answer.rs
+++ b/components/decide/tests/soonest_answer.rs
@@ -130,3 +130,31 @@
     // It is tried again when the failures are some time ago.
     assert_eq!(count(&table, &ANY, now + Duration::from_secs(10)), [100, 0]);
 }
+
+/// A guard sees its server fail before this daemon has lost a request there. Waiting for failures of
+/// its own, each daemon of a fleet would lose two requests to find out the same.
+#[test]
+fn told_of_failures() {
+    let table = table(&[EndpointDistance::SameCentre, EndpointDistance::SameRegion]);
+    let now = Duration::from_secs(5);
+    for (id, took) in [(0, 100), (1, 200)] {
+        (0..8).for_each(|_| teach(&table, id, CallOutcome::Success, millis(took), now));
+    }
+    table.note_failing(0, 0.4, now);
+    assert_eq!(count(&table, &ANY, now), [0, 100]);
+    assert_eq!(count(&table, &ANY, now + Duration::from_secs(10)), [100, 0]);
+}
+
+/// Two servers reset every connection at once, and the others have no slot free. The two are always
+/// free, so that all that the others cannot take would go there and fail, and the retries with it.
+#[test]
+fn failing_is_not_free() {
+    let table = table(&[EndpointDistance::SameCentre; 2]);
+    let now = Duration::from_secs(5);
+    (0..8).for_each(|_| teach(&table, 0, CallOutcome::Success, millis(200), now));
+    (0..8).for_each(|_| teach(&table, 1, CallOutcome::Failure, millis(2), now));
+    table.note_wait(0, millis(150), now);
+    assert_eq!(count(&table, &ANY, now), [0, 0], "no slot is worth having");
+    let queueing = PlaceRequest { wants_slot: false, ..ANY };
+    assert_eq!(count(&table, &queueing, now), [100, 0], "they wait at the one that works");
+}
--- a/components/proxy/src/attempt.rs
+++ b/components/proxy/src/attempt.rs
@@ -19,7 +19,7 @@
     clock::process_now,
     entry::EntryRequest,
     forward::{ForwardContext, count_own},
-    guard::{LOAD_HEADER, RAN_HEADER, WAIT_HEADER, pass},
+    guard::{FAILING_HEADER, LOAD_HEADER, RAN_HEADER, WAIT_HEADER, pass},
     headers::read_number,
     outcome::{RefusalKind, RequestOutcome},
     passed::PassedBody,
@@ -188,6 +188,9 @@
     if let Some(wait) = read_number(response.headers(), WAIT_HEADER) {
         service.placement.note_wait(id, Duration::from_micros(wait), now);
     }
+    if let Some(permille) = read_number(response.headers(), FAILING_HEADER) {
+        service.placement.note_failing(id, permille as f64 / 1000.0, now);
+    }
 }
 
 fn place(service: &TableService, request: &EntryRequest, log: &AttemptLog) -> Option<PlacedCall> {
--- a/components/proxy/src/forward.rs
+++ b/components/proxy/src/forward.rs
@@ -16,7 +16,7 @@
     body::ProxyBody,
     counters::ProxyCounters,
     entry::{CallOrigin, EntryRequest, check_carried, host_of},
-    guard::{GuardContext, LOAD_HEADER, RAN_HEADER, WAIT_HEADER},
+    guard::{FAILING_HEADER, GuardContext, LOAD_HEADER, RAN_HEADER, WAIT_HEADER},
     headers::{is_nested, read_context},
     outcome::{RETRY_AFTER_MS_HEADER, RefusalKind, RequestOutcome},
     passed::{EntryCount, PassedBody},
@@ -63,6 +63,7 @@
     response.headers_mut().remove(RAN_HEADER);
     response.headers_mut().remove(LOAD_HEADER);
     response.headers_mut().remove(WAIT_HEADER);
+    response.headers_mut().remove(FAILING_HEADER);
     story.write(&response);
     context.words.write_answer(&mut response);
     let outcome = RequestOutcome::read(response.headers()).unwrap_or(RequestOutcome::Unknown);
--- a/components/proxy/src/guard.rs
+++ b/components/proxy/src/guard.rs
@@ -41,6 +41,10 @@
 /// Header with the microseconds that a request would wait for a slot, between daemons.
 pub(crate) const WAIT_HEADER: &str = "x-sapphirekeel-wait-us";
 
+/// Header with the part of failures among the server's last requests, in thousandths, between
+/// daemons. The guard sees all of them; each entry would have to lose some of its own to find out.
+pub(crate) const FAILING_HEADER: &str = "x-sapphirekeel-failing";
+
 /// What the guard needs.
 pub struct GuardContext {
     /// Backend servers beside this daemon.
@@ -247,6 +251,7 @@
                 let outcome = if status.is_server_error() { "failed" } else { "answered" };
                 let times = context.counters.times();
                 times.observe(&call.service, outcome, TimeStage::Server, took);
+                server.note_end(status.is_server_error());
                 return match note.verdict {
                     AnswerVerdict::Sound => answer(response, exchange, admitted.hold, span),
                     verdict => reject(verdict, exchange, admitted.hold).await,
@@ -306,10 +311,13 @@
 ) -> Response<ProxyBody> {
     // A body that failed is the caller's doing and says nothing of the server.
     if !err.is_user() {
+        server.note_end(true);
         permit.note_broken();
         examine(context.quarantine.clone(), context.servers.clone(), server.clone());
     }
-    lost_answer(RefusalKind::AnswerLost, RequestOutcome::Unknown)
+    let mut response = lost_answer(RefusalKind::AnswerLost, RequestOutcome::Unknown);
+    write_load(response.headers_mut(), server);
+    response
 }
 
 fn answer(
@@ -352,6 +360,7 @@
         }
         verdict => {
             log::warn!("guard: {id} gave an answer that is not its own: {verdict:?}.");
+            exchange.server.note_end(true);
             lost_answer(RefusalKind::AnswerUnsound, RequestOutcome::Unknown)
         }
     };
@@ -364,6 +373,7 @@
     let wait = u64::try_from(server.gate.wait_hint().as_micros()).unwrap_or(u64::MAX);
     headers.insert(LOAD_HEADER, server.gate.load_percent().into());
     headers.insert(WAIT_HEADER, wait.into());
+    headers.insert(FAILING_HEADER, server.failing_permille().into());
 }
 
 fn strip_answer(headers: &mut HeaderMap) {
--- a/components/proxy/src/local.rs
+++ b/components/proxy/src/local.rs
@@ -5,7 +5,7 @@
     net::SocketAddr,
     sync::{
         Arc, Mutex, PoisonError,
-        atomic::{AtomicBool, Ordering},
+        atomic::{AtomicBool, AtomicU32, Ordering},
     },
     time::{Duration, Instant},
 };
@@ -21,6 +21,10 @@
 
 use crate::{clock::process_now, gate::AdmissionGate, outcome::RefusalKind, pool::ServerPool};
 
+/// Weight of a request in the part of failures, as a divisor: some twelve requests, a quarter of a
+/// second of a busy server.
+const FAILING_WEIGHT: u32 = 12;
+
 /// A backend server beside this daemon.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct LocalServer {
@@ -61,6 +65,8 @@
     pub(crate) is_leaving: AtomicBool,
     /// Whether the server drains or has gone, so that its end is no crash.
     pub(crate) is_retired: AtomicBool,
+    /// Failures among the last requests, in thousandths.
+    pub(crate) failing: AtomicU32,
     /// Whether someone is already finding out whether the server died.
     pub(crate) is_examined: AtomicBool,
 }
@@ -221,6 +227,7 @@
                 .expect("an address makes a header"),
             is_leaving: AtomicBool::new(false),
             is_retired: AtomicBool::new(false),
+            failing: AtomicU32::new(0),
             is_examined: AtomicBool::new(false),
         })
     }
@@ -245,6 +252,19 @@
         !self.is_examined.swap(true, Ordering::AcqRel)
     }
 
+    /// Notes how a request that was sent ended.
+    pub(crate) fn note_end(&self, is_failure: bool) {
+        let sample = if is_failure { 1000 } else { 0 };
+        let mean = |held: u32| Some((held * (FAILING_WEIGHT - 1) + sample) / FAILING_WEIGHT);
+        // The closure always gives a value, so the update cannot fail.
+        let _ = self.failing.fetch_update(Ordering::Relaxed, Ordering::Relaxed, mean);
+    }
+
+    /// Gives the part of failures among the last requests, in thousandths.
+    pub(crate) fn failing_permille(&self) -> u32 {
+        self.failing.load(Ordering::Relaxed)
+    }
+
     /// Gives the reason for a refusal by the gate. A gate also drains when its server is gone, which
     /// need not be final: a server that was paused announces itself again as the same process.
     pub(crate) fn refusal_kind(&self, reason: RefusalReason) -> RefusalKind {
