--- a/components/daemon/src/daemon.rs
+++ b/components/daemon/src/daemon.rs
@@ -10,25 +10,16 @@
 };
 
 use arc_swap::ArcSwapOption;
-use sk_claim::{ClaimBook, ClaimSettings};
-use sk_decide::{
-    admitting,
-    pacing::PacerSettings,
-    placing::{PlacementOrder, PlacementSettings},
-    quarantine::QuarantineSettings,
-    retrying::RetrySettings,
-};
+use sk_claim::ClaimBook;
 use sk_ledger::{Ledger, LedgerSettings};
 use sk_member::{HeartbeatBook, MemberBoard, MemberRecord, MemberStatus};
-use sk_model::ServiceName;
 use sk_ops::{OpsHandle, SharedPort, start_ops};
 use sk_proxy::{
     ForwardContext, GuardContext, GuardToken, LocalServers, OwnService, PeerClient, ProxyCounters,
-    QuarantineBoard, ServeHandle, ServerLimits, SharedTable, TablePlace, TableTuning,
-    serve_forward, serve_guard,
+    QuarantineBoard, ServeHandle, SharedTable, serve_forward, serve_guard,
 };
 use sk_report::ReportBook;
-use sk_settings::{DaemonSettings, PlacingOrder, SpreadMode};
+use sk_settings::{DaemonSettings, SpreadMode};
 use sk_spread::{
     ControlMeter, HeldConfig, PassMode, SpreadHandle, SpreadOptions, SpreadParts, StateReader,
     start_spread,
@@ -43,6 +34,9 @@
     error::DaemonError,
     metrics::send_metrics,
     notices::QuarantineNotices,
+    options::{
+        claim_settings, fleet_secret, own_service, quarantine_settings, server_limits, table_place,
+    },
     port::DaemonPort,
     reach::{ReachClock, watch_reach},
     scrape::{ScrapeParts, serve_metrics},
@@ -300,19 +294,6 @@
     }
 }
 
-fn own_service(border: &PlatformBorder, settings: &DaemonSettings) -> Option<ServiceName> {
-    settings.instance.service.as_deref().map(|service| border.service_path(service))
-}
-
-fn quarantine_settings(settings: &DaemonSettings) -> QuarantineSettings {
-    let limit = settings.guard.crash_limit;
-    QuarantineSettings { crash_limit: (limit > 0).then_some(limit), ..Default::default() }
-}
-
-fn claim_settings(key_prefix: &str) -> ClaimSettings {
-    ClaimSettings { key_prefix: key_prefix.to_owned(), ..ClaimSettings::default() }
-}
-
 fn own_record(settings: &DaemonSettings, addresses: DaemonAddresses) -> MemberRecord {
     MemberRecord {
         proxy: settings.instance.name.clone(),
@@ -354,13 +335,6 @@
     }
 }
 
-/// Gives what daemons prove to each other. It holds the key prefix too: of two fleets that were
-/// given one secret by mistake, a daemon that took over an address of the other one's would else be
-/// let in there, with another history under the same versions.
-fn fleet_secret(settings: &DaemonSettings) -> String {
-    format!("{} {}", settings.platform.key_prefix, settings.peers.secret)
-}
-
 fn run_spread(
     settings: &DaemonSettings,
     parts: &DaemonParts,
@@ -394,56 +368,6 @@
     start_spread(options, listener, spread_parts).map_err(DaemonError::Spread)
 }
 
-fn table_place(settings: &DaemonSettings) -> TablePlace {
-    let instance = &settings.instance;
-    TablePlace {
-        proxy: instance.name.clone(),
-        data_centre: instance.data_centre.clone(),
-        region: instance.region.clone(),
-        tuning: table_tuning(settings),
-    }
-}
-
-fn table_tuning(settings: &DaemonSettings) -> TableTuning {
-    let placing = &settings.placing;
-    let placement = PlacementSettings {
-        order: match placing.order {
-            PlacingOrder::Draw => PlacementOrder::Draw,
-            PlacingOrder::Soonest => PlacementOrder::Soonest,
-        },
-        warm_up: Duration::from_millis(placing.warm_up_ms),
-        ..PlacementSettings::default()
-    };
-    let retry = RetrySettings {
-        deposit: placing.retry_deposit,
-        cap: placing.retry_burst * 1000,
-        floor: placing.retry_floor,
-        is_shared: placing.retry_shared,
-        free_moves: placing.free_moves,
-        ..RetrySettings::default()
-    };
-    TableTuning { placement, retry }
-}
-
-fn server_limits(settings: &DaemonSettings) -> ServerLimits {
-    // The settings' bound of 1024 fits.
-    let queue = settings.guard.queue as u32;
-    ServerLimits {
-        guard: admitting::GuardSettings {
-            order: match settings.placing.order {
-                PlacingOrder::Draw => admitting::QueueOrder::Fair,
-                PlacingOrder::Soonest => admitting::QueueOrder::Urgent,
-            },
-            short_queue: queue,
-            long_queue: queue / 2,
-            retry_least: Duration::from_millis(settings.guard.retry_least_ms),
-            retry_spread: Duration::from_millis(settings.guard.retry_spread_ms),
-            ..admitting::GuardSettings::default()
-        },
-        pacer: PacerSettings { limit: settings.guard.connections, ..PacerSettings::default() },
-    }
-}
-
 fn forward_context(
     settings: &DaemonSettings,
     parts: &DaemonParts,
--- a/components/daemon/src/lib.rs
+++ b/components/daemon/src/lib.rs
@@ -8,6 +8,7 @@
 mod error;
 mod metrics;
 mod notices;
+mod options;
 mod port;
 mod reach;
 mod records;
--- /dev/null
+++ b/components/decide/src/admitting/urgent.rs
@@ -0,0 +1,143 @@
+//! Admission in the order of urgency.
+
+use std::time::Duration;
+
+use crate::WorkClass;
+use crate::admitting::{
+    AdmissionGuard, CallStage, GuardRequest, GuardedCall, QueueOrder, RefusalReason, Released,
+    Urgency,
+};
+use crate::class_index;
+
+/// Factor on the work ahead in the order of urgency, for more urgent work that comes later. Calls
+/// that other requests wait for take up to two fifths of a server in a burst; with the work ahead
+/// alone, one confirmation in ten was refused only after it had waited out its time.
+const LATER_WORK: f64 = 1.5;
+
+impl AdmissionGuard {
+    /// Hands back the least urgent of the waiting requests, not run, where the queue is full and a
+    /// more urgent one comes. To be called before [`AdmissionGuard::offer`].
+    ///
+    /// Made for a queue that a burst of long work has filled. A call that another request waits for
+    /// would be refused, and with it the work that its caller has done already.
+    pub fn make_room(&mut self, request: &GuardRequest, now: Duration) -> Released {
+        let mut released = Released::default();
+        let class = request.class;
+        let is_full = self.queued(class) >= self.settings.queue_limit(class);
+        if self.settings.order == QueueOrder::Fair || !request.may_queue || !is_full {
+            return released;
+        }
+        let service = self.service_time(request, now);
+        let queue = &mut self.urgent[class_index(class)];
+        if let Some(ticket) = queue.pop_behind(urgency_of(request), service, now) {
+            self.calls.remove(ticket);
+            released.refused.push((ticket, RefusalReason::QueueFull));
+        }
+        released
+    }
+
+    /// Gives the last moment at which a waiting request is started: while the usual service time is
+    /// left before the deadline, and in the order of urgency no later than half a goal after the
+    /// goal. One that waits on behind those that can be in time is refused in the end, and had better
+    /// be told while it can come back.
+    pub(super) fn latest_start(
+        &self,
+        request: &GuardRequest,
+        service: Duration,
+        now: Duration,
+    ) -> Duration {
+        let by_deadline = request.deadline.saturating_sub(service);
+        match (self.settings.order, request.goal) {
+            (QueueOrder::Urgent, Some(goal)) if goal > now => {
+                by_deadline.min(goal + (goal - now) / 2)
+            }
+            _ => by_deadline,
+        }
+    }
+
+    /// Tells why a request cannot wait in the order of urgency, if so.
+    ///
+    /// Made for a service that gets more than it can do for seconds. Whoever is queued beyond the
+    /// goal is answered late, and so is everyone behind: the servers work at their limit and nobody
+    /// is served in time. Refused at once, it can come back when the burst is over, and those that
+    /// are kept are in time.
+    pub(super) fn urgent_reason(
+        &self,
+        request: &GuardRequest,
+        now: Duration,
+    ) -> Option<RefusalReason> {
+        let class = request.class;
+        let wait = self.urgent_wait(request, now);
+        let service = self.service_time(request, now);
+        // A goal that has passed already says nothing about what can still be had.
+        let goal = request.goal.filter(|goal| *goal > now);
+        // Work that comes later and is more urgent goes before it.
+        let wait = wait.mul_f64(LATER_WORK);
+        match goal {
+            _ if self.queued(class) >= self.settings.queue_limit(class) => {
+                Some(self.full_reason(now))
+            }
+            _ if now + wait + service > request.deadline => Some(RefusalReason::DeadlineTooNear),
+            Some(goal) if now + wait + service > goal && wait > (goal - now) / 2 => {
+                Some(RefusalReason::GoalMissed)
+            }
+            _ => None,
+        }
+    }
+
+    /// Gives the time that a request would wait for a slot now, in the order of urgency: what is
+    /// left of the work that runs and the work that goes before, over the slots of its class.
+    fn urgent_wait(&self, request: &GuardRequest, now: Duration) -> Duration {
+        let class = request.class;
+        let service = self.service_time(request, now);
+        let urgency = urgency_of(request);
+        let ahead = self.urgent[class_index(class)].work_ahead(urgency, service, now);
+        let slots = match class {
+            WorkClass::Long => self.long_limit(now),
+            WorkClass::Short => self.slots(now),
+        };
+        self.first_free(now) + ahead / slots.max(1)
+    }
+
+    /// Gives the time until the first of the running requests is expected to end. What is left of
+    /// `n` requests is spread evenly up to twice its mean, and the least of `n` such times is at a
+    /// part of `n + 1` of that. Half the mean, which is the time until half of them have ended,
+    /// refused one call in eighteen in a burst that could have had the next slot.
+    fn first_free(&self, now: Duration) -> Duration {
+        let running = self.running_count();
+        let left: Duration = self.calls.values().map(|call| self.work_left(call, now)).sum();
+        left * 2 / (running * (running + 1)).max(1)
+    }
+
+    /// Gives how long a request that may queue would wait for a slot, for whoever chooses among
+    /// servers. Zero while a slot is free.
+    pub fn wait_hint(&self, now: Duration) -> Duration {
+        if self.running_count() < self.slots(now) {
+            return Duration::ZERO;
+        }
+        let queued: Duration = self
+            .calls
+            .values()
+            .filter(|call| call.stage == CallStage::Queued)
+            .map(|call| self.work_time(call.work, call.class, now))
+            .sum();
+        self.first_free(now) + queued / self.slots(now).max(1)
+    }
+
+    fn work_left(&self, call: &GuardedCall, now: Duration) -> Duration {
+        match call.stage {
+            CallStage::Running(since) => {
+                let usual = self.work_time(call.work, call.class, now);
+                // One that has outlasted its estimate has as much before it as one on average.
+                let left = usual.saturating_sub(now.saturating_sub(since));
+                left.max(usual / 4)
+            }
+            CallStage::Queued | CallStage::AwaitsEmpty => Duration::ZERO,
+        }
+    }
+}
+
+/// Gives how urgent a request is.
+pub(super) fn urgency_of(request: &GuardRequest) -> Urgency {
+    Urgency { rank: request.rank, due: request.goal.unwrap_or(request.deadline) }
+}
