Logs: why an attempt ended and what a refusal was decided by

Missing were the figures of a guard's estimate, attempts still open at a timeout, callers that left, the reason against a further attempt, cut answers, an empty retry budget and suspects held back. Now the line of a request holds each attempt with the guard's figures, open attempts, and gave_up; a caller that leaves gets a line of its own.

--- a/components/decide/src/admitting.rs
+++ b/components/decide/src/admitting.rs
@@ -19,7 +19,7 @@
 use crate::backoff::draw_between;
 use crate::{CLASSES, WorkClass, class_index};
 
-pub use crate::admitting::outcome::{Admission, Refusal, RefusalReason, Released};
+pub use crate::admitting::outcome::{Admission, AdmitFigures, Refusal, RefusalReason, Released};
 pub use crate::admitting::settings::{GuardSettings, QueueOrder};
 pub use crate::admitting::urgency::Urgency;
 
@@ -167,7 +167,9 @@
         rng: &mut (impl Rng + ?Sized),
     ) -> Admission {
         if let Some(reason) = self.refusal_reason(request, now) {
-            return Admission::Refused(self.refuse(reason, now, rng));
+            let figures = self.figures(request, now);
+            let refusal = Refusal { figures, ..self.refuse(reason, now, rng) };
+            return Admission::Refused(refusal);
         }
         let class = request.class;
         let service = self.service_time(request, now);
@@ -231,7 +233,7 @@
             _ => settings.retry_least,
         };
         let retry_after = draw_between(least, least + settings.retry_spread, rng);
-        Refusal { reason, retry_after }
+        Refusal { reason, retry_after, figures: None }
     }
 
     /// Tells whether a request runs as a trial with the server kept empty beside it. Asked when the
@@ -259,6 +261,25 @@
         (busy / full).min(1.0)
     }
 
+    /// Gives what a decision on a request that could wait is made by. One that may not wait is only
+    /// told whether a slot is free.
+    fn figures(&self, request: &GuardRequest, now: Duration) -> Option<AdmitFigures> {
+        let wait = match self.settings.order {
+            _ if !request.may_queue => return None,
+            QueueOrder::Fair => self.expected_wait(request, now),
+            QueueOrder::Urgent => self.urgent_wait(request, now),
+        };
+        Some(AdmitFigures {
+            work: self.service_time(request, now),
+            wait,
+            left: request.deadline.saturating_sub(now),
+            goal: request.goal.map(|goal| goal.saturating_sub(now)),
+            running: self.running_count(),
+            slots: self.slots(now),
+            queued: self.queued(request.class),
+        })
+    }
+
     /// Tells why a request cannot be taken, if so.
     fn refusal_reason(&self, request: &GuardRequest, now: Duration) -> Option<RefusalReason> {
         let class = request.class;
--- a/components/decide/src/admitting/outcome.rs
+++ b/components/decide/src/admitting/outcome.rs
@@ -42,6 +42,31 @@
     pub reason: RefusalReason,
     /// When the caller may come back, spread between callers.
     pub retry_after: Duration,
+    /// What it was decided by, where it was decided at the arrival.
+    pub figures: Option<AdmitFigures>,
+}
+
+/// What the guard knew when it decided on a request, for whoever asks why.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+#[display(
+    "work {} wait {} left {} goal {} running {running}/{slots} queued {queued}",
+    work.as_millis(), wait.as_millis(), left.as_millis(), goal.map_or(0, |goal| goal.as_millis())
+)]
+pub struct AdmitFigures {
+    /// Usual service time of such work.
+    pub work: Duration,
+    /// Expected wait for a slot.
+    pub wait: Duration,
+    /// Time to the deadline.
+    pub left: Duration,
+    /// Time to the response-time goal, where there is one.
+    pub goal: Option<Duration>,
+    /// Requests that ran.
+    pub running: u32,
+    /// Slots of the server.
+    pub slots: u32,
+    /// Requests of its class in the queue.
+    pub queued: u32,
 }
 
 /// What becomes of an offered request.
--- a/components/decide/src/admitting/urgent.rs
+++ b/components/decide/src/admitting/urgent.rs
@@ -87,7 +87,7 @@
 
     /// Gives the time that a request would wait for a slot now, in the order of urgency: what is
     /// left of the work that runs and the work that goes before, over the slots of its class.
-    fn urgent_wait(&self, request: &GuardRequest, now: Duration) -> Duration {
+    pub(super) fn urgent_wait(&self, request: &GuardRequest, now: Duration) -> Duration {
         let class = request.class;
         let service = self.service_time(request, now);
         let urgency = urgency_of(request);
--- a/components/decide/src/retrying.rs
+++ b/components/decide/src/retrying.rs
@@ -197,6 +197,18 @@
     /// The service's budget is empty.
     #[error("the retry budget of the service is empty")]
     BudgetSpent,
+    /// Every endpoint would answer the same.
+    #[error("the refusal holds at every endpoint")]
+    Final,
+    /// The body was passed on as it came and cannot be sent again.
+    #[error("the body has been sent and is not kept")]
+    BodySent,
+    /// As many servers as the route allows have had the request.
+    #[error("the route allows no more servers")]
+    ServersSpent,
+    /// No other endpoint may take it now.
+    #[error("no other endpoint takes it")]
+    NoEndpoint,
 }
 
 /// What becomes of a failed attempt.
--- a/components/proxy/src/attempt.rs
+++ b/components/proxy/src/attempt.rs
@@ -17,14 +17,14 @@
     body::{CheckedBody, ProxyBody},
     call::{AttemptTerms, GuardCall},
     clock::process_now,
+    context::{ForwardContext, count_own},
     entry::EntryRequest,
-    forward::{ForwardContext, count_own},
-    guard::{FAILING_HEADER, LOAD_HEADER, RAN_HEADER, WAIT_HEADER, pass},
-    headers::read_number,
+    guard::pass,
+    hints::ReadHints,
     outcome::{RefusalKind, RequestOutcome},
     passed::PassedBody,
-    story::TryNote,
     table::{TableEndpoint, TableService},
+    tries::{TryNote, TryTarget},
 };
 
 /// Shortest time for which a late answer is held against an endpoint. Less says more of the caller,
@@ -49,7 +49,9 @@
     /// The attempt under way.
     pub(crate) running: Option<RunningAttempt>,
     /// The attempts that ended, for the log.
-    pub(crate) tries: Vec<TryNote>,
+    tries: Vec<TryNote>,
+    /// Why there was no further attempt, for the log.
+    pub(crate) gave_up: Option<GiveUpReason>,
 }
 
 impl AttemptLog {
@@ -68,16 +70,24 @@
         std::mem::replace(&mut self.pass, PlacePass::Queue) == PlacePass::FreeSlot
     }
 
-    fn note(&mut self, endpoint: &TableEndpoint, response: &Response<ProxyBody>) {
-        let took = self.running.as_ref().map_or(Duration::ZERO, |running| running.began.elapsed());
-        self.tries.push(TryNote {
-            proxy: endpoint.proxy.clone(),
-            server: endpoint.server.clone(),
-            status: response.status(),
-            kind: RefusalKind::read(response.headers()),
-            load: load_percent(response),
-            took,
-        });
+    fn note(&mut self, response: &Response<ProxyBody>) {
+        if let Some(running) = &self.running {
+            let took = running.began.elapsed();
+            self.tries.push(TryNote::answered(running.target.clone(), response, took));
+        }
+    }
+
+    /// Notes an attempt that is given up without an answer.
+    pub(crate) fn note_open(&mut self, running: &RunningAttempt) {
+        self.tries.push(TryNote::open(running.target.clone(), running.began.elapsed()));
+    }
+
+    /// Takes the attempts for the log, one that still runs last.
+    pub(crate) fn take_tries(&mut self) -> Vec<TryNote> {
+        if let Some(running) = self.running.take() {
+            self.note_open(&running);
+        }
+        std::mem::take(&mut self.tries)
     }
 }
 
@@ -93,6 +103,7 @@
 
 /// An attempt that was sent and has no answer yet.
 pub(crate) struct RunningAttempt {
+    target: TryTarget,
     placed: PlacedCall,
     began: Instant,
 }
@@ -135,6 +146,7 @@
             if log.begin_queueing() {
                 continue;
             }
+            log.gave_up = Some(GiveUpReason::NoEndpoint);
             return last.unwrap_or_else(|| count_own(context, refuse(RefusalKind::NoEndpoint)));
         };
         let elapsed = request.began.elapsed();
@@ -150,11 +162,12 @@
             return last.unwrap_or_else(|| count_own(context, refuse(RefusalKind::NoEndpoint)));
         };
         let id = placed.endpoint();
-        log.running = Some(RunningAttempt { placed, began: Instant::now() });
+        let target = TryTarget::new(endpoint);
+        log.running = Some(RunningAttempt { target, placed, began: Instant::now() });
         let message = attempt_message(context, request, body, service, endpoint, &terms);
         let response = send(context, endpoint, message).await;
-        log.note(endpoint, &response);
-        note_load(service, id, &response);
+        log.note(&response);
+        note_hints(service, id, &ReadHints::read(response.headers()));
         if RefusalKind::read(response.headers()) == Some(RefusalKind::Busy) {
             log.running = None;
             log.busy.push(id);
@@ -167,7 +180,10 @@
             AttemptEnd::Failed(failure) => failure,
         };
         match next_step(context, service, request, log, &failure) {
-            RetryVerdict::GiveUp(_) => return failure.response,
+            RetryVerdict::GiveUp(reason) => {
+                log.gave_up = Some(reason);
+                return failure.response;
+            }
             RetryVerdict::Move => log.moves += 1,
             RetryVerdict::Retry(wait) => {
                 context.counters.count_retry();
@@ -180,16 +196,16 @@
 }
 
 /// Notes what an endpoint's guard says of its load.
-fn note_load(service: &TableService, id: EndpointId, response: &Response<ProxyBody>) {
+fn note_hints(service: &TableService, id: EndpointId, hints: &ReadHints) {
     let now = process_now();
-    if let Some(load) = load_of(response) {
-        service.placement.hint(id, load, now);
+    if let Some(percent) = hints.load {
+        service.placement.hint(id, f64::from(percent.min(100)) / 100.0, now);
     }
-    if let Some(wait) = read_number(response.headers(), WAIT_HEADER) {
-        service.placement.note_wait(id, Duration::from_micros(wait), now);
+    if let Some(wait) = hints.wait {
+        service.placement.note_wait(id, wait, now);
     }
-    if let Some(permille) = read_number(response.headers(), FAILING_HEADER) {
-        service.placement.note_failing(id, permille as f64 / 1000.0, now);
+    if let Some(permille) = hints.failing {
+        service.placement.note_failing(id, f64::from(permille) / 1000.0, now);
     }
 }
 
@@ -275,7 +291,9 @@
     let outcome = RequestOutcome::read(response.headers()).unwrap_or(RequestOutcome::Unknown);
     let kind = RefusalKind::read(response.headers());
     let end = call_outcome(&response, outcome, kind);
-    let latency = latency_of(&response).unwrap_or_else(|| running.began.elapsed());
+    // The time that the guard measured, so that distance does not count as slowness.
+    let ran = ReadHints::read(response.headers()).ran;
+    let latency = ran.unwrap_or_else(|| running.began.elapsed());
     let is_wanted = outcome == RequestOutcome::Ran
         && !(is_trouble(response.status()) && request.traits.is_repeatable);
     if is_wanted || kind == Some(RefusalKind::AlreadyRan) {
@@ -299,21 +317,6 @@
     AttemptEnd::Failed(AttemptFailure { response, outcome: outcome.to_run(kind), is_local })
 }
 
-/// Gives the time that the guard measured, so that distance does not count as slowness.
-fn latency_of(response: &Response<ProxyBody>) -> Option<Duration> {
-    let micros = response.headers().get(RAN_HEADER)?.to_str().ok()?.parse().ok()?;
-    Some(Duration::from_micros(micros))
-}
-
-/// Gives the load that the guard counted when it answered, from 0 to 1.
-fn load_of(response: &Response<ProxyBody>) -> Option<f64> {
-    Some(f64::from(load_percent(response)?.min(100)) / 100.0)
-}
-
-fn load_percent(response: &Response<ProxyBody>) -> Option<u32> {
-    response.headers().get(LOAD_HEADER)?.to_str().ok()?.parse().ok()
-}
-
 /// Tells what an answer says of the endpoint, or nothing where it speaks of the request alone.
 fn call_outcome(
     response: &Response<ProxyBody>,
@@ -358,11 +361,14 @@
     log: &AttemptLog,
     failure: &AttemptFailure,
 ) -> RetryVerdict {
-    if !failure.is_local || !request.body.is_whole() {
-        return RetryVerdict::GiveUp(GiveUpReason::MayHaveRun);
+    if !failure.is_local {
+        return RetryVerdict::GiveUp(GiveUpReason::Final);
+    }
+    if !request.body.is_whole() {
+        return RetryVerdict::GiveUp(GiveUpReason::BodySent);
     }
     if request.max_attempts.is_some_and(|most| log.arrivals >= most) {
-        return RetryVerdict::GiveUp(GiveUpReason::RetriesSpent);
+        return RetryVerdict::GiveUp(GiveUpReason::ServersSpent);
     }
     let attempt = FailedAttempt {
         outcome: failure.outcome,
@@ -374,9 +380,13 @@
         expected: Duration::ZERO,
     };
     let verdict = may_retry(&attempt, &service.budget, process_now(), &mut rand::rng());
-    if let RetryVerdict::GiveUp(reason) = verdict {
-        context.counters.count_denied();
-        log::debug!("proxy: no retry for {}: {reason}.", service.name);
+    match verdict {
+        RetryVerdict::GiveUp(reason) => {
+            context.counters.count_denied();
+            service.note_budget(reason == GiveUpReason::BudgetSpent);
+        }
+        RetryVerdict::Retry(_) => service.note_budget(false),
+        RetryVerdict::Move => {}
     }
     verdict
 }
--- /dev/null
+++ b/components/proxy/src/exchange.rs
@@ -0,0 +1,235 @@
+//! One exchange with the local backend server.
+
+use std::sync::Arc;
+
+use http::{HeaderMap, Request, Response, header};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use sk_decide::deadline::{BODY_GRACE, CallContext};
+use tokio::time::Instant;
+
+use crate::{
+    answer::{lost_answer, refuse},
+    body::ProxyBody,
+    call::GuardCall,
+    claim::{ClaimHold, ClaimOutcome},
+    context::GuardContext,
+    gate::AdmitPermit,
+    headers::{strip_hop_headers, strip_own_headers},
+    hints::write_ran,
+    local::GuardedServer,
+    outcome::{RefusalKind, RequestOutcome},
+    quarantine::examine,
+    served::{ServedBody, ServerExchange},
+    times::TimeStage,
+    words::{AnswerVerdict, RequestNote},
+};
+
+/// How far a request has come, for the answer at its deadline.
+pub(crate) enum PassStage {
+    /// The server has been sent nothing.
+    Waiting,
+    /// The server may have it, by this permit.
+    Sent,
+}
+
+/// A request that may be sent now, with all that must be given back when it ends.
+pub(crate) struct AdmittedRequest {
+    pub(crate) permit: AdmitPermit,
+    pub(crate) hold: Option<ClaimHold>,
+    pub(crate) admitted_at: Instant,
+    pub(crate) deadline: Instant,
+}
+
+/// Sends an admitted request to the server and gives its answer, or one that tells what is known.
+pub(crate) async fn send(
+    context: &Arc<GuardContext>,
+    server: &Arc<GuardedServer>,
+    request: Request<ProxyBody>,
+    call: &GuardCall,
+    mut admitted: AdmittedRequest,
+    stage: &mut PassStage,
+) -> Response<ProxyBody> {
+    let attempt = context.words.attempt(request.headers()).cloned();
+    let mut request = to_server(context, request, server, call, admitted.deadline);
+    loop {
+        let mut sender = match server.pool.acquire().await {
+            Ok(sender) => sender,
+            Err(err) => {
+                log::info!("guard: {}: {err}.", server.id);
+                examine(context.quarantine.clone(), context.servers.clone(), server.clone());
+                return not_run(admitted, RefusalKind::ServerUnreachable).await;
+            }
+        };
+        // A process that was paused wakes here with a request whose caller was told long ago that
+        // its end is unknown. It could still run, but nobody waits for it.
+        if admitted.deadline <= Instant::now() {
+            return not_run(admitted, RefusalKind::DeadlineTooNear).await;
+        }
+        admitted.note_sent(call, stage);
+        match sender.try_send_request(request).await {
+            Ok(response) => {
+                let exchange = ServerExchange {
+                    context: context.clone(),
+                    server: server.clone(),
+                    fingerprint: call.fingerprint,
+                    sender,
+                    permit: admitted.permit,
+                };
+                let span = (admitted.admitted_at, admitted.deadline);
+                let (status, headers) = (response.status(), response.headers());
+                let verdict = context.words.read_answer(status, headers, attempt.as_ref());
+                let took = admitted.admitted_at.elapsed();
+                let outcome = if status.is_server_error() { "failed" } else { "answered" };
+                let times = context.counters.times();
+                times.observe(&call.service, outcome, TimeStage::Server, took);
+                let is_own = matches!(verdict, AnswerVerdict::Sound | AnswerVerdict::NotExecuted);
+                server.note_end(status.is_server_error() || !is_own);
+                return match verdict {
+                    AnswerVerdict::Sound => answer(response, exchange, admitted.hold, span),
+                    verdict => reject(verdict, exchange, admitted.hold).await,
+                };
+            }
+            Err(mut err) => match err.take_message() {
+                // The connection had closed while idle and took no byte of the request.
+                Some(unsent) => {
+                    request = unsent;
+                    admitted.note_unsent(stage);
+                }
+                None => {
+                    let err = err.into_error();
+                    log::info!("guard: {} lost an answer: {err}.", server.id);
+                    return lost(context, server, &admitted.permit, &err);
+                }
+            },
+        }
+    }
+}
+
+impl AdmittedRequest {
+    fn note_sent(&mut self, call: &GuardCall, stage: &mut PassStage) {
+        *stage = PassStage::Sent;
+        self.permit.note_sent(call.fingerprint);
+        self.set_claim(ClaimOutcome::Unknown);
+    }
+
+    fn note_unsent(&mut self, stage: &mut PassStage) {
+        *stage = PassStage::Waiting;
+        self.permit.note_unsent();
+        self.set_claim(ClaimOutcome::NotRun);
+    }
+
+    fn set_claim(&mut self, outcome: ClaimOutcome) {
+        if let Some(hold) = &mut self.hold {
+            hold.set(outcome);
+        }
+    }
+}
+
+/// Ends an admitted request that was not sent.
+async fn not_run(admitted: AdmittedRequest, kind: RefusalKind) -> Response<ProxyBody> {
+    drop(admitted.permit);
+    if let Some(hold) = admitted.hold {
+        hold.give_back().await;
+    }
+    refuse(kind)
+}
+
+/// Ends a request whose connection broke before the head of an answer.
+fn lost(
+    context: &Arc<GuardContext>,
+    server: &Arc<GuardedServer>,
+    permit: &AdmitPermit,
+    err: &hyper::Error,
+) -> Response<ProxyBody> {
+    // A body that failed is the caller's doing and says nothing of the server.
+    if !err.is_user() {
+        server.note_end(true);
+        permit.note_broken();
+        examine(context.quarantine.clone(), context.servers.clone(), server.clone());
+    }
+    let mut response = lost_answer(RefusalKind::AnswerLost, RequestOutcome::Unknown);
+    server.hints().write(response.headers_mut());
+    response
+}
+
+fn answer(
+    mut response: Response<Incoming>,
+    exchange: ServerExchange,
+    hold: Option<ClaimHold>,
+    (admitted_at, deadline): (Instant, Instant),
+) -> Response<ProxyBody> {
+    if let Some(mut hold) = hold {
+        hold.set(ClaimOutcome::Ran { status: response.status().as_u16() });
+    }
+    if response.status().is_informational() {
+        log::warn!("guard: {} switches protocols unasked.", exchange.server.id);
+        return lost_answer(RefusalKind::AnswerUnsound, RequestOutcome::Ran);
+    }
+    let headers = response.headers_mut();
+    strip_answer(headers);
+    RequestOutcome::Ran.write(headers);
+    write_ran(headers, admitted_at.elapsed());
+    exchange.server.hints().write(headers);
+    response.map(|body| ServedBody::new(body, exchange, deadline + BODY_GRACE).boxed_unsync())
+}
+
+/// Ends an exchange whose answer must not reach the caller. Its connection is closed, since what
+/// comes next on it may belong to another request.
+async fn reject(
+    verdict: AnswerVerdict,
+    exchange: ServerExchange,
+    hold: Option<ClaimHold>,
+) -> Response<ProxyBody> {
+    let id = &exchange.server.id;
+    let mut response = match verdict {
+        AnswerVerdict::NotExecuted => {
+            log::info!("guard: {id} turned a request away.");
+            if let Some(hold) = hold {
+                hold.give_back().await;
+            }
+            refuse(RefusalKind::TurnedAway)
+        }
+        verdict => {
+            log::warn!("guard: {id} gave an answer that is not its own: {verdict:?}.");
+            lost_answer(RefusalKind::AnswerUnsound, RequestOutcome::Unknown)
+        }
+    };
+    exchange.server.hints().write(response.headers_mut());
+    response
+}
+
+fn strip_answer(headers: &mut HeaderMap) {
+    strip_hop_headers(headers);
+    strip_own_headers(headers);
+}
+
+fn left_of(call: &GuardCall, deadline: Instant) -> CallContext {
+    let remaining = deadline.saturating_duration_since(Instant::now());
+    CallContext { remaining, ..call.context() }
+}
+
+/// Makes the request that the server gets: its path alone as target, the caller's host, and what
+/// the server is told in the platform's words.
+fn to_server(
+    context: &GuardContext,
+    mut request: Request<ProxyBody>,
+    server: &GuardedServer,
+    call: &GuardCall,
+    deadline: Instant,
+) -> Request<ProxyBody> {
+    let path = request.uri().path_and_query().cloned();
+    *request.uri_mut() = path.map_or_else(http::Uri::default, http::Uri::from);
+    *request.version_mut() = http::Version::HTTP_11;
+    let headers = request.headers_mut();
+    let note = RequestNote {
+        context: left_of(call, deadline),
+        server: &server.name,
+        from: call.from.as_deref(),
+    };
+    context.words.write_request(headers, &note);
+    if !headers.contains_key(header::HOST) {
+        headers.insert(header::HOST, server.host.clone());
+    }
+    request
+}
--- a/components/proxy/src/forward.rs
+++ b/components/proxy/src/forward.rs
@@ -1,53 +1,28 @@
 //! From a caller to the daemon beside a backend server.
 
-use std::{net::IpAddr, sync::Arc};
+use std::{net::IpAddr, sync::Arc, time::Duration};
 
-use arc_swap::ArcSwapOption;
 use http::{Request, Response, StatusCode, header};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use sk_decide::{deadline::ENTRY_GRACE, placing::CallOutcome};
-use sk_model::ServiceName;
 use tokio::time::timeout_at;
 
 use crate::{
     answer::{lost_answer, own_answer, refuse},
     attempt::{AttemptLog, answer_request},
     body::ProxyBody,
-    counters::ProxyCounters,
+    context::{ForwardContext, count_own},
     entry::{CallOrigin, EntryRequest, check_carried, host_of},
-    guard::{FAILING_HEADER, GuardContext, LOAD_HEADER, RAN_HEADER, WAIT_HEADER},
     headers::{is_nested, read_context},
+    hints::strip_hints,
     outcome::{RETRY_AFTER_MS_HEADER, RefusalKind, RequestOutcome},
     passed::{EntryCount, PassedBody},
-    peers::PeerClient,
     story::RequestStory,
-    table::{RouteMatch, RouteTable, SharedTable},
+    table::{RouteMatch, RouteTable},
     times::TimeStage,
-    words::RequestWords,
 };
 
-/// What forwarding needs.
-pub struct ForwardContext {
-    /// The table in force.
-    pub table: SharedTable,
-    /// Connections to other daemons' guards.
-    pub peers: PeerClient,
-    /// The guard of this very daemon.
-    pub guard: Arc<GuardContext>,
-    /// Counts.
-    pub counters: Arc<ProxyCounters>,
-    /// Largest body of a request, in bytes.
-    pub max_body_bytes: u64,
-    /// Headers that callers speak.
-    pub words: Arc<dyn RequestWords>,
-    /// Service beside this daemon, as the settings name it; servers are told where a request began.
-    pub own_service: OwnService,
-}
-
-/// The service beside a daemon, which changes with its settings.
-pub type OwnService = Arc<ArcSwapOption<ServiceName>>;
-
 /// Label of requests that no route leads to a service.
 const NO_SERVICE: &str = "none";
 
@@ -57,14 +32,12 @@
     request: Request<Incoming>,
     caller: IpAddr,
 ) -> Response<ProxyBody> {
-    let count = EntryCount::new(context.counters.clone());
+    let mut count = EntryCount::new(context.counters.clone());
     let mut story = begin_story(&context, &request, caller);
     let mut response = forward_routed(&context, request, caller, &mut story).await;
-    response.headers_mut().remove(RAN_HEADER);
-    response.headers_mut().remove(LOAD_HEADER);
-    response.headers_mut().remove(WAIT_HEADER);
-    response.headers_mut().remove(FAILING_HEADER);
+    strip_hints(response.headers_mut());
     story.write(&response);
+    count.name(story.attempt());
     context.words.write_answer(&mut response);
     let outcome = RequestOutcome::read(response.headers()).unwrap_or(RequestOutcome::Unknown);
     context.counters.count_outcome(outcome);
@@ -99,7 +72,7 @@
     let Some(route) = table.find(host.as_deref(), request.uri().path()) else {
         return refuse_unrouted(context, &table);
     };
-    let deadline = std::time::Duration::from_millis(route.setting.deadline_ms);
+    let deadline = Duration::from_millis(route.setting.deadline_ms);
     let call = read_context(request.headers(), &*context.words, deadline);
     story.service = Some(route.service.name.clone());
     story.deadline = Some(call.remaining);
@@ -124,13 +97,12 @@
     story: &mut RequestStory,
 ) -> Response<ProxyBody> {
     let deadline = request.began + request.call.remaining;
-    let mut log = AttemptLog::default();
-    let answer = answer_request(context, route.service, &mut request, &mut log, deadline);
+    let log = &mut story.log;
+    let answer = answer_request(context, route.service, &mut request, log, deadline);
     let mut response = match timeout_at(deadline + ENTRY_GRACE, answer).await {
         Ok(response) => response,
-        Err(_) => time_out(context, &mut log),
+        Err(_) => time_out(context, log),
     };
-    story.tries = std::mem::take(&mut log.tries);
     // An attempt before may have run even if the last one did not.
     if log.may_have_run && RequestOutcome::read(response.headers()) == Some(RequestOutcome::NotRun)
     {
@@ -154,6 +126,7 @@
 fn time_out(context: &ForwardContext, log: &mut AttemptLog) -> Response<ProxyBody> {
     let response = match log.running.take() {
         Some(running) => {
+            log.note_open(&running);
             running.end_late(CallOutcome::Failure);
             lost_answer(RefusalKind::DeadlinePassed, RequestOutcome::Unknown)
         }
@@ -174,14 +147,3 @@
     let service = is_nested(request.headers()).then(|| context.guard.servers.first_service());
     service.flatten().map_or(CallOrigin::Outside(caller), CallOrigin::Nested)
 }
-
-/// Counts an answer that this daemon made as entry.
-pub(crate) fn count_own(
-    context: &ForwardContext,
-    response: Response<ProxyBody>,
-) -> Response<ProxyBody> {
-    if let Some(kind) = RefusalKind::read(response.headers()) {
-        context.counters.count_refusal(kind);
-    }
-    response
-}
--- a/components/proxy/src/gate.rs
+++ b/components/proxy/src/gate.rs
@@ -100,15 +100,10 @@
         state.deliver(released);
     }
 
-    /// Gives the load in percent: none without requests, a hundred with all slots taken and the
-    /// queue half full.
-    pub(crate) fn load_percent(&self) -> u32 {
-        (self.lock().guard.load(process_now()) * 100.0).round() as u32
-    }
-
-    /// Gives how long a request would wait for a slot now.
-    pub(crate) fn wait_hint(&self) -> Duration {
-        self.lock().guard.wait_hint(process_now())
+    /// Gives the load in percent and how long a request would wait for a slot now.
+    pub(crate) fn load_and_wait(&self) -> (u32, Duration) {
+        let (state, now) = (self.lock(), process_now());
+        ((state.guard.load(now) * 100.0).round() as u32, state.guard.wait_hint(now))
     }
 
     /// Gives the counts.
--- a/components/proxy/src/headers.rs
+++ b/components/proxy/src/headers.rs
@@ -2,7 +2,10 @@
 
 use std::time::Duration;
 
-use http::{HeaderMap, HeaderName, HeaderValue, header};
+use http::{
+    HeaderMap, HeaderName, HeaderValue,
+    header::{self, AsHeaderName},
+};
 use sk_decide::deadline::CallContext;
 
 use crate::words::RequestWords;
@@ -14,6 +17,9 @@
 /// Header with the retries of the layers above. A service copies it into nested calls.
 pub const RETRIED_HEADER: &str = "x-sapphirekeel-retried";
 
+/// Header by which a caller says that a request must not run twice.
+pub(crate) const KEY_HEADER: &str = "idempotency-key";
+
 const OWN_PREFIX: &str = "x-sapphirekeel-";
 /// Headers that RFC 9110, section 7.6.1, keeps to one hop, and the older ones of the same kind.
 const HOP_HEADERS: [HeaderName; 8] = [
@@ -103,7 +109,7 @@
 }
 
 /// Reads a header that holds a number.
-pub(crate) fn read_number(headers: &HeaderMap, name: &str) -> Option<u64> {
+pub(crate) fn read_number(headers: &HeaderMap, name: impl AsHeaderName) -> Option<u64> {
     headers.get(name)?.to_str().ok()?.parse().ok()
 }
 
--- a/components/proxy/src/lib.rs
+++ b/components/proxy/src/lib.rs
@@ -10,12 +10,15 @@
 mod call;
 mod claim;
 mod clock;
+mod context;
 mod counters;
 mod entry;
+mod exchange;
 mod forward;
 mod gate;
 mod guard;
 mod headers;
+mod hints;
 mod local;
 mod outcome;
 mod passed;
@@ -28,6 +31,7 @@
 mod story;
 mod table;
 mod times;
+mod tries;
 mod upload;
 mod words;
 
@@ -35,9 +39,10 @@
 pub use call::GuardToken;
 pub use claim::{AttemptId, ClaimGate, ClaimKey, ClaimOutcome, ClaimVerdict};
 pub use clock::process_now;
+pub use context::{ForwardContext, GuardContext, OwnService};
 pub use counters::{CounterView, ProxyCounters};
-pub use forward::{ForwardContext, OwnService, forward};
-pub use guard::{GuardContext, guard};
+pub use forward::forward;
+pub use guard::guard;
 pub use headers::{DEADLINE_HEADER, HOPS_HEADER, RETRIED_HEADER};
 pub use local::{LocalServer, LocalServers, ServerLimits};
 pub use outcome::{
@@ -53,4 +58,4 @@
     TableTuning,
 };
 pub use times::{RequestTimes, TimeStage};
-pub use words::{AnswerNote, AnswerVerdict, OwnWords, RequestNote, RequestWords, ServerLoad};
+pub use words::{AnswerVerdict, OwnWords, RequestNote, RequestWords};
--- a/components/proxy/src/local.rs
+++ b/components/proxy/src/local.rs
@@ -19,7 +19,10 @@
 use sk_member::{EndpointRecord, EndpointStatus, ServerId};
 use sk_model::ServiceName;
 
-use crate::{clock::process_now, gate::AdmissionGate, outcome::RefusalKind, pool::ServerPool};
+use crate::{
+    clock::process_now, gate::AdmissionGate, hints::ServerHints, outcome::RefusalKind,
+    pool::ServerPool,
+};
 
 /// Weight of a request in the part of failures, as a divisor: some twelve requests, a quarter of a
 /// second of a busy server.
@@ -260,9 +263,10 @@
         let _ = self.failing.fetch_update(Ordering::Relaxed, Ordering::Relaxed, mean);
     }
 
-    /// Gives the part of failures among the last requests, in thousandths.
-    pub(crate) fn failing_permille(&self) -> u32 {
-        self.failing.load(Ordering::Relaxed)
+    /// Gives how loaded the server is.
+    pub(crate) fn hints(&self) -> ServerHints {
+        let (load, wait) = self.gate.load_and_wait();
+        ServerHints { load, wait, failing: self.failing.load(Ordering::Relaxed) }
     }
 
     /// Gives the reason for a refusal by the gate. A gate also drains when its server is gone, which
--- a/components/proxy/src/passed.rs
+++ b/components/proxy/src/passed.rs
@@ -9,6 +9,7 @@
 };
 
 use bytes::Bytes;
+use http::HeaderValue;
 use hyper::body::{Body, Frame, SizeHint};
 use sk_decide::placing::{CallOutcome, PlacedCall};
 use tokio::time::{Instant, Sleep, sleep_until};
@@ -17,21 +18,31 @@
     body::{BodyError, ProxyBody},
     clock::process_now,
     counters::ProxyCounters,
+    story::text_of,
 };
 
 /// Counts a caller's request as in flight until it is dropped with the end of its answer.
-pub(crate) struct EntryCount(Arc<ProxyCounters>);
+pub(crate) struct EntryCount {
+    counters: Arc<ProxyCounters>,
+    /// The caller's id of the attempt.
+    attempt: Option<HeaderValue>,
+}
 
 impl EntryCount {
     pub(crate) fn new(counters: Arc<ProxyCounters>) -> Self {
         counters.enter();
-        Self(counters)
+        Self { counters, attempt: None }
+    }
+
+    /// Sets the id under which the log tells of an answer that is cut.
+    pub(crate) fn name(&mut self, attempt: Option<HeaderValue>) {
+        self.attempt = attempt;
     }
 }
 
 impl Drop for EntryCount {
     fn drop(&mut self) {
-        self.0.leave();
+        self.counters.leave();
     }
 }
 
@@ -127,6 +138,10 @@
                 Poll::Ready(Some(Ok(frame)))
             }
             Some(Err(err)) => {
+                if let Some(count) = &self.count {
+                    let attempt = text_of(count.attempt.as_ref());
+                    log::warn!(attempt; "proxy: an answer was cut after its head: {err}.");
+                }
                 self.end_cut();
                 Poll::Ready(Some(Err(err)))
             }
--- a/components/proxy/src/serve.rs
+++ b/components/proxy/src/serve.rs
@@ -23,8 +23,9 @@
 use crate::{
     answer::refuse_until,
     body::ProxyBody,
-    forward::{ForwardContext, forward},
-    guard::{GuardContext, guard},
+    context::{ForwardContext, GuardContext},
+    forward::forward,
+    guard::guard,
     headers::is_nested,
     outcome::RefusalKind,
     sockets::watch_silence,
--- a/components/proxy/src/served.rs
+++ b/components/proxy/src/served.rs
@@ -13,7 +13,7 @@
 use tokio::time::{Instant, Sleep, sleep_until};
 
 use crate::{
-    body::BodyError, gate::AdmitPermit, guard::GuardContext, local::GuardedServer,
+    body::BodyError, context::GuardContext, gate::AdmitPermit, local::GuardedServer,
     pool::ServerSender, quarantine::examine,
 };
 
--- a/components/proxy/src/story.rs
+++ b/components/proxy/src/story.rs
@@ -3,41 +3,20 @@
 //! The line holds every attempt with the daemon and server it went to, what that answered and how
 //! long it took, so that the cause of a failure stands where its caller met it.
 
-use std::{fmt, net::IpAddr, sync::Arc, time::Duration};
+use std::{net::IpAddr, sync::Arc, time::Duration};
 
-use http::{HeaderValue, Method, Response, StatusCode};
-use sk_model::{ProxyId, Version};
+use http::{HeaderValue, Method, Response};
+use sk_model::Version;
 use tokio::time::Instant;
 
 use crate::{
+    attempt::AttemptLog,
     body::ProxyBody,
     outcome::{RefusalKind, RequestOutcome},
 };
 
-/// One attempt and its end.
-#[derive(Clone, Debug)]
-pub(crate) struct TryNote {
-    pub(crate) proxy: ProxyId,
-    pub(crate) server: Arc<str>,
-    pub(crate) status: StatusCode,
-    pub(crate) kind: Option<RefusalKind>,
-    /// The guard's load in percent when it answered.
-    pub(crate) load: Option<u32>,
-    pub(crate) took: Duration,
-}
-
-impl fmt::Display for TryNote {
-    fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(out, "{}/{} {}", self.proxy, self.server, self.status.as_u16())?;
-        if let Some(kind) = self.kind {
-            write!(out, " {}", kind.as_str())?;
-        }
-        if let Some(load) = self.load {
-            write!(out, " load {load}%")?;
-        }
-        write!(out, " {}ms", self.took.as_millis())
-    }
-}
+/// Text of a field that there is nothing for.
+const NONE: &str = "-";
 
 /// A request from its arrival on.
 pub(crate) struct RequestStory {
@@ -51,11 +30,14 @@
     pub(crate) service: Option<Arc<str>>,
     /// Time that the caller and the route left at the arrival.
     pub(crate) deadline: Option<Duration>,
-    pub(crate) tries: Vec<TryNote>,
+    /// What has been tried.
+    pub(crate) log: AttemptLog,
     /// Rank of the route.
     pub(crate) rank: u8,
     /// Response-time goal of the route.
     pub(crate) goal_ms: Option<u64>,
+    /// Whether the line is written.
+    is_written: bool,
 }
 
 impl RequestStory {
@@ -76,9 +58,10 @@
             version: 0,
             service: None,
             deadline: None,
-            tries: Vec::new(),
+            log: AttemptLog::default(),
             rank: 0,
             goal_ms: None,
+            is_written: false,
         }
     }
 
@@ -87,36 +70,84 @@
         self.began.elapsed()
     }
 
-    /// Writes the line: as a failure where the caller got one.
-    pub(crate) fn write(&self, response: &Response<ProxyBody>) {
+    /// Gives the caller's id of the attempt, for a line that is written later.
+    pub(crate) fn attempt(&self) -> Option<HeaderValue> {
+        self.attempt.clone()
+    }
+
+    /// Writes the line of an answer: as a failure where the caller got one.
+    pub(crate) fn write(&mut self, response: &Response<ProxyBody>) {
         let outcome = RequestOutcome::read(response.headers()).unwrap_or(RequestOutcome::Unknown);
         let is_failed = outcome != RequestOutcome::Ran || response.status().is_server_error();
-        let level = if is_failed { log::Level::Warn } else { log::Level::Info };
-        if !log::log_enabled!(level) {
+        let end = StoryEnd {
+            level: if is_failed { log::Level::Warn } else { log::Level::Info },
+            text: "answered",
+            status: response.status().as_u16(),
+            outcome: outcome.as_str(),
+            reason: RefusalKind::read(response.headers()).map_or(NONE, RefusalKind::as_str),
+        };
+        self.write_end(&end);
+    }
+
+    fn write_end(&mut self, end: &StoryEnd) {
+        self.is_written = true;
+        if !log::log_enabled!(end.level) {
             return;
         }
-        let attempt = self.attempt.as_ref().and_then(|id| id.to_str().ok()).unwrap_or("-");
-        let reason = RefusalKind::read(response.headers()).map_or("-", RefusalKind::as_str);
-        let tries: Vec<String> = self.tries.iter().map(TryNote::to_string).collect();
+        let tries = self.log.take_tries();
+        let tries: Vec<String> = tries.iter().map(ToString::to_string).collect();
+        let gave_up = self.log.gave_up.map(|reason| reason.to_string());
         let deadline_ms = self.deadline.map_or(0, |left| left.as_millis() as u64);
         log::log!(
-            level,
-            attempt,
+            end.level,
+            attempt = text_of(self.attempt.as_ref()),
             caller:% = self.caller,
             method = self.method.as_str(),
-            host = self.host.as_deref().unwrap_or("-"),
+            host = self.host.as_deref().unwrap_or(NONE),
             path = self.path.as_str(),
             version = self.version,
-            service = self.service.as_deref().unwrap_or("-"),
-            status = response.status().as_u16(),
-            outcome = outcome.as_str(),
-            reason,
+            service = self.service.as_deref().unwrap_or(NONE),
+            status = end.status,
+            outcome = end.outcome,
+            reason = end.reason,
             tries = tries.join("; ").as_str(),
+            gave_up = gave_up.as_deref().unwrap_or(NONE),
             rank = self.rank,
             goal_ms = self.goal_ms.unwrap_or_default(),
             deadline_ms,
             took_ms = self.took().as_millis() as u64;
-            "proxy: answered."
+            "proxy: {}.", end.text
         );
     }
 }
+
+/// How a request ended for its caller.
+struct StoryEnd {
+    level: log::Level,
+    text: &'static str,
+    status: u16,
+    outcome: &'static str,
+    reason: &'static str,
+}
+
+impl Drop for RequestStory {
+    /// Writes the line of a caller that left: the request's work is dropped where it stands, and
+    /// without this a caller's complaint would find no line at all.
+    fn drop(&mut self) {
+        if !self.is_written {
+            let left = StoryEnd {
+                level: log::Level::Info,
+                text: "caller left",
+                status: 0,
+                outcome: RequestOutcome::Unknown.as_str(),
+                reason: NONE,
+            };
+            self.write_end(&left);
+        }
+    }
+}
+
+/// Gives a caller's id as text.
+pub(crate) fn text_of(attempt: Option<&HeaderValue>) -> &str {
+    attempt.and_then(|id| id.to_str().ok()).unwrap_or(NONE)
+}
--- a/components/proxy/src/table.rs
+++ b/components/proxy/src/table.rs
@@ -4,7 +4,7 @@
     collections::{BTreeMap, HashMap},
     sync::{
         Arc,
-        atomic::{AtomicU64, Ordering},
+        atomic::{AtomicBool, AtomicU64, Ordering},
     },
     time::Duration,
 };
@@ -88,6 +88,8 @@
     pub(crate) placement: Arc<PlacementTable>,
     /// Retries the service may still be sent.
     pub(crate) budget: Arc<RetryBudget>,
+    /// Whether the budget was empty when last asked, so that the log tells of each change once.
+    is_spent: Arc<AtomicBool>,
 }
 
 /// A service that takes a part of a route's requests, by weight.
@@ -102,6 +104,15 @@
     turn: Arc<AtomicU64>,
 }
 
+/// Routes by host, each list with the longest prefix first.
+#[derive(Clone, Debug, Default)]
+struct RouteMap {
+    /// Those that name a host, in lower case.
+    named: HashMap<String, Vec<TableRoute>>,
+    /// Those for any host.
+    any: Vec<TableRoute>,
+}
+
 /// Routes, services and endpoints of one moment.
 ///
 /// Routes hold keys into the table's own services, so none can point at a service it lacks.
@@ -109,8 +120,7 @@
 pub struct RouteTable {
     version: Version,
     services: SlotMap<ServiceKey, TableService>,
-    /// Routes by host in lower case, those for any host under none; the longest prefix first.
-    routes: HashMap<Option<String>, Vec<TableRoute>>,
+    routes: RouteMap,
     limits: Option<LimitSetting>,
 }
 
@@ -177,9 +187,9 @@
     pub fn find(&self, host: Option<&str>, path: &str) -> Option<RouteMatch<'_>> {
         let host = host.map(str::to_ascii_lowercase);
         let bare = host.as_deref().and_then(|host| host.rsplit_once(':')).map(|(name, _)| name);
-        let named = host.as_deref().and_then(|host| self.longest(Some(host), path));
-        let named = named.or_else(|| self.longest(Some(bare?), path));
-        let any = self.longest(None, path);
+        let of_host = |host: Option<&str>| longest(self.routes.named.get(host?)?, path);
+        let named = of_host(host.as_deref()).or_else(|| of_host(bare));
+        let any = longest(&self.routes.any, path);
         // On equal prefixes the route that names the host holds.
         let route = match (named, any) {
             (Some(named), Some(any)) if any.setting.prefix.len() > named.setting.prefix.len() => {
@@ -190,11 +200,6 @@
         let service = self.services.get(route.divide()?)?;
         Some(RouteMatch { setting: &route.setting, team: route.team, service })
     }
-
-    fn longest(&self, host: Option<&str>, path: &str) -> Option<&TableRoute> {
-        let routes = self.routes.get(&host.map(str::to_owned))?;
-        routes.iter().find(|route| is_prefix(&route.setting.prefix, path))
-    }
 }
 
 impl TableRoute {
@@ -222,6 +227,15 @@
 }
 
 impl TableService {
+    /// Notes whether the retry budget was found empty.
+    pub(crate) fn note_budget(&self, is_spent: bool) {
+        match self.is_spent.swap(is_spent, Ordering::Relaxed) {
+            was if was == is_spent => {}
+            false => log::warn!("proxy: the retry budget of {} is empty.", self.name),
+            true => log::info!("proxy: the retry budget of {} is paid in again.", self.name),
+        }
+    }
+
     /// Gives the whole retries that the service may still be sent.
     pub fn retries_left(&self) -> u64 {
         self.budget.left()
@@ -290,7 +304,8 @@
         None => Arc::new(RetryBudget::new(place.tuning.retry, now)),
     };
     let name = held.map_or_else(|| Arc::from(name.as_str()), |held| held.name.clone());
-    TableService { name, endpoints, placement: Arc::new(placement), budget }
+    let is_spent = held.map(|held| held.is_spent.clone()).unwrap_or_default();
+    TableService { name, endpoints, placement: Arc::new(placement), budget, is_spent }
 }
 
 fn make_endpoint(
@@ -337,8 +352,8 @@
 fn collect_routes(
     snapshot: &ConfigSnapshot,
     keys: &BTreeMap<&ServiceName, ServiceKey>,
-) -> HashMap<Option<String>, Vec<TableRoute>> {
-    let mut routes: HashMap<Option<String>, Vec<TableRoute>> = HashMap::new();
+) -> RouteMap {
+    let mut routes = RouteMap::default();
     for (path, body) in snapshot.settings() {
         let SettingBody::Route(setting) = body else { continue };
         // Validation refuses a route without its service; skipping it keeps the table sound even
@@ -354,11 +369,13 @@
             parts,
             turn: Arc::new(AtomicU64::new(rand::random())),
         };
-        let host = setting.host.as_deref().map(str::to_ascii_lowercase);
-        routes.entry(host).or_default().push(route);
+        match &setting.host {
+            Some(host) => routes.named.entry(host.to_ascii_lowercase()).or_default().push(route),
+            None => routes.any.push(route),
+        }
     }
-    for routes in routes.values_mut() {
-        routes.sort_by_key(|route| std::cmp::Reverse(route.setting.prefix.len()));
+    for list in routes.named.values_mut().chain([&mut routes.any]) {
+        list.sort_by_key(|route| std::cmp::Reverse(route.setting.prefix.len()));
     }
     routes
 }
@@ -373,6 +390,11 @@
     }
 }
 
+/// Gives the route with the longest prefix that covers a path.
+fn longest<'a>(routes: &'a [TableRoute], path: &str) -> Option<&'a TableRoute> {
+    routes.iter().find(|route| is_prefix(&route.setting.prefix, path))
+}
+
 /// Matches at segment borders: `/board` covers `/board` and `/board/1` but not `/boards`.
 fn is_prefix(prefix: &str, path: &str) -> bool {
     let rest = path.strip_prefix(prefix);
--- a/components/proxy/src/words.rs
+++ b/components/proxy/src/words.rs
@@ -34,26 +34,6 @@
     Unproven,
 }
 
-/// What a server says of its load.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct ServerLoad {
-    /// Requests it runs.
-    pub running: u32,
-    /// Requests it has queued itself.
-    pub queued: u32,
-    /// Requests it runs at once.
-    pub slots: u32,
-}
-
-/// What an answer's head says beside its status.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct AnswerNote {
-    /// What the answer is.
-    pub verdict: AnswerVerdict,
-    /// The server's load, where it tells.
-    pub load: Option<ServerLoad>,
-}
-
 /// The headers of one platform. An implementation translates and decides nothing.
 pub trait RequestWords: Debug + Send + Sync {
     /// Gives the id of the caller's attempt, as servers repeat it in their answers.
@@ -71,7 +51,7 @@
         status: StatusCode,
         headers: &HeaderMap,
         attempt: Option<&HeaderValue>,
-    ) -> AnswerNote;
+    ) -> AnswerVerdict;
 
     /// Brings an answer into the caller's words; one of the daemon's own bears a
     /// [`RefusalKind`](crate::RefusalKind) in its headers.
@@ -100,8 +80,8 @@
         _status: StatusCode,
         _headers: &HeaderMap,
         _attempt: Option<&HeaderValue>,
-    ) -> AnswerNote {
-        AnswerNote { verdict: AnswerVerdict::Sound, load: None }
+    ) -> AnswerVerdict {
+        AnswerVerdict::Sound
     }
 
     fn write_answer(&self, _response: &mut Response<ProxyBody>) {}
--- a/components/store/src/http_call.rs
+++ b/components/store/src/http_call.rs
@@ -1,12 +1,6 @@
 //! One HTTP call to the platform, and what is known of its end.
 
-use std::{
-    sync::{
-        Arc,
-        atomic::{AtomicU64, Ordering},
-    },
-    time::Duration,
-};
+use std::{sync::Arc, time::Duration};
 
 use arc_swap::ArcSwap;
 use bytes::Bytes;
@@ -37,7 +31,6 @@
 pub struct HttpCaller {
     base: String,
     client: ArcSwap<HttpClient>,
-    calls: AtomicU64,
 }
 
 /// An answer of the platform, read whole.
@@ -54,16 +47,7 @@
 impl HttpCaller {
     /// Makes a caller for the platform at `address` (`host:port`).
     pub fn new(address: &str) -> Self {
-        Self {
-            base: format!("http://{address}"),
-            client: ArcSwap::from_pointee(make_client()),
-            calls: AtomicU64::new(0),
-        }
-    }
-
-    /// Gives the number of calls made since the start.
-    pub fn calls(&self) -> u64 {
-        self.calls.load(Ordering::Relaxed)
+        Self { base: format!("http://{address}"), client: ArcSwap::from_pointee(make_client()) }
     }
 
     /// Makes one call with a JSON body and reads its answer within `timeout`.
@@ -86,7 +70,6 @@
             .header(header::CONTENT_TYPE, "application/json")
             .body(Full::new(body))
             .map_err(|err| StoreError::Protocol { reason: err.to_string() })?;
-        self.calls.fetch_add(1, Ordering::Relaxed);
         let client = self.client.load_full();
         match tokio::time::timeout(timeout, exchange(&client, request)).await {
             Ok(answer) => answer,
