--- a/components/claim/src/book.rs
+++ b/components/claim/src/book.rs
@@ -3,10 +3,9 @@
 use std::{
     collections::HashMap,
     sync::{Mutex, PoisonError},
-    time::{SystemTime, UNIX_EPOCH},
 };
 
-use sk_model::UnixMillis;
+use sk_model::unix_now;
 use sk_store::SharedStore;
 use tokio::sync::{mpsc, oneshot};
 
@@ -134,8 +133,3 @@
         | ClaimWish::GiveBack { key, .. } => key,
     }
 }
-
-fn unix_now() -> UnixMillis {
-    let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-    now.as_millis() as UnixMillis
-}
--- a/components/claim/src/commit.rs
+++ b/components/claim/src/commit.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use serde::de::DeserializeOwned;
-use sk_decide::backoff::{BackoffSettings, draw_between};
+use sk_decide::backoff::{BackoffSettings, draw_around};
 use sk_model::{ContentHash, UnixMillis, content_hash};
 use sk_store::{ObjectKey, Revision, SharedStore, StoreError};
 
@@ -194,7 +194,7 @@
 
 /// Spreads the pause over half to one and a half of it, so that partitions do not write in step.
 fn linger_pause(linger: Duration) -> Duration {
-    draw_between(linger / 2, linger * 3 / 2, &mut rand::rng())
+    draw_around(linger, &mut rand::rng())
 }
 
 /// Gives how long to stay away after tries that lost against another writer: on average the
--- a/components/daemon/src/daemon.rs
+++ b/components/daemon/src/daemon.rs
@@ -297,13 +297,13 @@
 fn own_record(settings: &DaemonSettings, addresses: DaemonAddresses) -> MemberRecord {
     MemberRecord {
         proxy: settings.instance.name.clone(),
-        incarnation: tasks::unix_now(),
+        incarnation: sk_model::unix_now(),
         sequence: 1,
         status: MemberStatus::Alive,
         data_centre: settings.instance.data_centre.clone(),
         region: settings.instance.region.clone(),
-        control: addresses.control,
-        guard: addresses.guard,
+        control: settings.listen.advertised_control.unwrap_or(addresses.control),
+        guard: settings.listen.advertised_guard.unwrap_or(addresses.guard),
         endpoints: Vec::new(),
     }
 }
--- a/components/daemon/src/dump.rs
+++ b/components/daemon/src/dump.rs
@@ -9,7 +9,7 @@
 use sk_proxy::{ProxyCounters, QuarantineBoard, RouteTable};
 use sk_spread::SpreadState;
 
-use crate::{port::DaemonPort, tasks::unix_now};
+use crate::port::DaemonPort;
 
 impl DaemonPort {
     /// Gathers the state of this daemon.
@@ -44,7 +44,7 @@
 
 fn count_quarantined(board: &QuarantineBoard) -> u64 {
     let hold = QuarantineSettings::default().hold;
-    let since = Duration::from_millis(unix_now()).saturating_sub(hold);
+    let since = Duration::from_millis(sk_model::unix_now()).saturating_sub(hold);
     let entries = board.entries();
     entries.iter().filter(|record| record.convicted_at(since).is_some()).count() as u64
 }
--- a/components/daemon/src/options.rs
+++ b/components/daemon/src/options.rs
@@ -61,7 +61,7 @@
     };
     let retry = RetrySettings {
         deposit: placing.retry_deposit,
-        cap: placing.retry_burst * 1000,
+        cap: placing.retry_burst * (1000 - placing.retry_margin),
         floor: placing.retry_floor,
         is_shared: placing.retry_shared,
         free_moves: placing.free_moves,
--- a/components/daemon/src/port.rs
+++ b/components/daemon/src/port.rs
@@ -16,7 +16,7 @@
     EndpointRecord, EndpointStatus, HeartbeatBook, HeartbeatVerdict, MemberBoard, MemberRecord,
     MemberTable, ServerHeartbeat,
 };
-use sk_model::{ChangeRecord, ChangeRequest, ConfigSnapshot, ProxyId, TeamName, Version};
+use sk_model::{ChangeRecord, ChangeRequest, ConfigSnapshot, ProxyId, TeamName, Version, unix_now};
 use sk_ops::{
     HeldView, MAX_SERVICES, OperatorPort, OpsError, ServerAnnouncement, ServerBeat, ServerState,
     StateDump, TeamRecord, TeamView,
@@ -35,7 +35,7 @@
     border::PlatformBorder,
     reach::ReachClock,
     records::{read_team, store_error, write_team},
-    tasks::{publish_endpoints, unix_now},
+    tasks::publish_endpoints,
 };
 
 /// The parts that operators' calls reach.
--- a/components/daemon/src/reach.rs
+++ b/components/daemon/src/reach.rs
@@ -8,8 +8,6 @@
 use sk_member::{LocalMark, MemberBoard, MemberMarks, MemberRecord, MemberView};
 use sk_model::{ProxyId, UnixMillis};
 
-use crate::tasks::unix_now;
-
 /// When each daemon that is not reachable was first seen so.
 #[derive(Default)]
 pub(crate) struct ReachClock {
@@ -24,7 +22,7 @@
     }
 
     fn observe(&self, view: &MemberView, marks: &MemberMarks) {
-        let now = unix_now();
+        let now = sk_model::unix_now();
         let is_lost = |record: &MemberRecord| {
             !record.is_present() || marks.get(&record.proxy) == Some(&LocalMark::Unreachable)
         };
--- a/components/daemon/src/records.rs
+++ b/components/daemon/src/records.rs
@@ -46,7 +46,7 @@
             Err(err) => return Err(store_error(&err)),
         }
     }
-    Err(OpsError::NotAccepted { retry_at: crate::tasks::unix_now() + RETRY_MS })
+    Err(OpsError::NotAccepted { retry_at: sk_model::unix_now() + RETRY_MS })
 }
 
 fn team_key(prefix: &str, team: &str) -> String {
@@ -56,7 +56,7 @@
 /// Turns a failure of the platform into a refusal for operators.
 pub(crate) fn store_error(err: &StoreError) -> OpsError {
     match err.is_transient() {
-        true => OpsError::NotAccepted { retry_at: crate::tasks::unix_now() + RETRY_MS },
+        true => OpsError::NotAccepted { retry_at: sk_model::unix_now() + RETRY_MS },
         false => OpsError::Internal { reason: err.to_string() },
     }
 }
--- a/components/daemon/src/scrape.rs
+++ b/components/daemon/src/scrape.rs
@@ -30,8 +30,6 @@
 use thiserror::Error;
 use tokio::net::TcpListener;
 
-use crate::tasks::unix_now;
-
 const METRICS_PATH: &str = "/metrics";
 /// Time for a scraper to send its request; without a bound a connection that says nothing holds a
 /// file descriptor for good.
@@ -180,7 +178,7 @@
     let writer = MetricWriter(registry);
     let single = |name, help, count| writer.gauge(name, help, SCOPE, &[(HERE, count)]);
     single("sapphirekeel_config_version", "Version in force.", state.version)?;
-    let age_ms = if state.since > 0 { unix_now().saturating_sub(state.since) } else { 0 };
+    let age_ms = if state.since > 0 { sk_model::unix_now().saturating_sub(state.since) } else { 0 };
     single("sapphirekeel_config_since_seconds", "Age of the version in force.", age_ms / 1000)?;
     let is_away = u64::from(state.control.source_fault.is_some());
     single("sapphirekeel_source_away", "1 while the source does not answer.", is_away)?;
--- a/components/daemon/src/tasks.rs
+++ b/components/daemon/src/tasks.rs
@@ -3,12 +3,12 @@
 use std::{
     collections::BTreeSet,
     sync::Arc,
-    time::{Duration, Instant, SystemTime, UNIX_EPOCH},
+    time::{Duration, Instant},
 };
 
 use sk_logs::OutageLog;
 use sk_member::{LocalMark, MemberBoard, MemberMarks, MemberRecord, MemberView};
-use sk_model::{ServiceName, UnixMillis};
+use sk_model::ServiceName;
 use sk_proxy::{LocalServers, RouteTable, SharedTable, TablePlace, process_now};
 use sk_report::ReportBook;
 use sk_spread::HeldConfig;
@@ -17,12 +17,6 @@
 /// Time between looks for backend servers that no longer announce themselves.
 const EXPIRE_INTERVAL: Duration = Duration::from_millis(200);
 
-/// Milliseconds since the epoch, on this instance's clock.
-pub(crate) fn unix_now() -> UnixMillis {
-    let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-    now.as_millis() as UnixMillis
-}
-
 /// Rebuilds the table whenever the configuration or the members change.
 pub(crate) async fn build_tables(
     table: SharedTable,
--- a/components/decide/src/backoff.rs
+++ b/components/decide/src/backoff.rs
@@ -37,6 +37,12 @@
     }
 }
 
+/// Spreads a mean evenly over half to one and a half of it, for tasks that recur: a fleet that was
+/// started in one second would else do them in step for ever.
+pub fn draw_around(mean: Duration, rng: &mut (impl Rng + ?Sized)) -> Duration {
+    draw_between(mean / 2, mean * 3 / 2, rng)
+}
+
 /// Draws a duration uniformly from `low` to `high`, or gives `low` if the range is empty.
 pub fn draw_between(low: Duration, high: Duration, rng: &mut (impl Rng + ?Sized)) -> Duration {
     let span = high.saturating_sub(low);
--- a/components/decide/src/retrying.rs
+++ b/components/decide/src/retrying.rs
@@ -114,7 +114,8 @@
             let daemons = u64::try_from(daemons).unwrap_or(u64::MAX).max(1);
             self.fleet.store(daemons, Ordering::Relaxed);
             // A full budget of a daemon that knew of no other one is more than its part.
-            self.pay_in(0);
+            let part = self.settings.cap / daemons;
+            self.tokens.fetch_min(part.max(RETRY_COST), Ordering::Relaxed);
         }
     }
 
@@ -142,7 +143,10 @@
     }
 
     fn pay_in(&self, amount: u64) {
-        let cap = self.settings.cap / self.fleet.load(Ordering::Relaxed);
+        // Never below one retry: a part of less could not be spent at all, and of a hundred daemons
+        // with 45 retries between them none made any, however many requests paid in.
+        let part = self.settings.cap / self.fleet.load(Ordering::Relaxed);
+        let cap = part.max(RETRY_COST.min(self.settings.cap));
         let paid = |held: u64| Some(held.saturating_add(amount).min(cap));
         // The closure always gives a value, so the update cannot fail.
         let _ = self.tokens.fetch_update(Ordering::Relaxed, Ordering::Relaxed, paid);
--- a/components/decide/tests/retry_storm.rs
+++ b/components/decide/tests/retry_storm.rs
@@ -91,6 +91,32 @@
     ));
 }
 
+/// A server of a large fleet fails some of what it gets, and each daemon sees two of the failures.
+/// Shared among a hundred daemons the burst is less than a retry for each. Callers would get every
+/// failure, although requests enough have paid in for each to be tried again.
+#[test]
+fn many_daemons() {
+    const DAEMONS: usize = 100;
+    const ATTEMPTS: usize = 50;
+    let settings =
+        RetrySettings { cap: 45_000, deposit: 140, is_shared: true, ..Default::default() };
+    let mut rng = StdRng::seed_from_u64(3);
+    let budgets: Vec<_> =
+        (0..DAEMONS).map(|_| RetryBudget::new(settings, Duration::ZERO)).collect();
+    budgets.iter().for_each(|budget| budget.set_fleet(DAEMONS));
+    let context = CallContext::fresh(Duration::from_secs(5));
+    let mut granted = 0;
+    for budget in &budgets {
+        (0..ATTEMPTS).for_each(|_| budget.record_attempt());
+        for _ in 0..2 {
+            let verdict = may_retry(&failed(&context, 0), budget, Duration::ZERO, &mut rng);
+            granted += usize::from(matches!(verdict, RetryVerdict::Retry(_)));
+        }
+    }
+    assert_eq!(granted, DAEMONS, "one retry each");
+    assert!(granted * 1000 <= 45_000 + 140 * DAEMONS * ATTEMPTS, "what was paid in bounds them");
+}
+
 /// What may have run is not sent again, unless it may run twice. A caller would otherwise find a
 /// reservation made two times.
 #[test]
--- a/components/ledger/src/commit.rs
+++ b/components/ledger/src/commit.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use serde::Serialize;
+use sk_decide::backoff::BackoffSettings;
 use sk_model::{
     ChangeRecord, ChangeRequest, ConfigSnapshot, ContentHash, TeamTree, UnixMillis, Version,
     content_hash, validate_trees,
@@ -12,10 +13,9 @@
 
 use crate::{
     CorruptData, Ledger, LedgerEntry, LedgerHead, MAX_TEAMS, MalformedChange, SubmitError,
-    backoff::full_jitter,
     check::{check_request, record_of, request_digest},
+    error::ReadError,
     ledger::HeadRevision,
-    read::ReadError,
 };
 
 /// Most conflicting records named to an operator who lost a race. More would not be read.
@@ -122,8 +122,10 @@
     }
 
     async fn pause(&self, number: u32) {
+        // Operators whose commits meet on one head would with equal pauses meet there again.
         let (base, cap) = (self.settings.backoff_base, self.settings.backoff_cap);
-        tokio::time::sleep(full_jitter(base, cap, number, rand::random())).await;
+        let pause = BackoffSettings { base, cap }.delay(number, &mut rand::rng());
+        tokio::time::sleep(pause).await;
     }
 
     async fn try_commit(&self, attempt: &mut ChangeAttempt<'_>) -> Result<ChangeRecord, TryError> {
--- a/components/ledger/src/error.rs
+++ b/components/ledger/src/error.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use sk_model::{ChangeId, ChangeRecord, ConfigFault, PathError, SettingPath, TeamName, Version};
+use sk_store::StoreError;
 use thiserror::Error;
 
 use crate::{MAX_CHANGE_ID_BYTES, MAX_LABEL_BYTES, MAX_RECORD_BYTES, MAX_WRITES};
@@ -180,3 +181,18 @@
     #[error(transparent)]
     Corrupt(#[from] CorruptData),
 }
+
+/// Why a read gave nothing, before it is known whose answer it spoils.
+#[derive(Debug)]
+pub(crate) enum ReadError {
+    /// The platform failed.
+    Store(StoreError),
+    /// The platform's data is not the ledger's.
+    Corrupt(CorruptData),
+}
+
+impl From<CorruptData> for ReadError {
+    fn from(fault: CorruptData) -> Self {
+        Self::Corrupt(fault)
+    }
+}
--- a/components/ledger/src/ledger.rs
+++ b/components/ledger/src/ledger.rs
@@ -13,7 +13,7 @@
 
 use crate::{
     CorruptData, LedgerEntry, LedgerError, LedgerHead, LedgerSettings, SubmitError,
-    check::check_change_id, keys::KeySpace, read::ReadError,
+    check::check_change_id, error::ReadError, keys::KeySpace,
 };
 
 /// Most records of one read of history: 125 calls, a sixteenth of what the platform answers in a
--- a/components/ledger/src/lib.rs
+++ b/components/ledger/src/lib.rs
@@ -4,7 +4,6 @@
 //! else that the ledger writes is immutable and written before the head that refers to it. See
 //! `docs/design/ledger.md` for the ways weighed.
 
-mod backoff;
 mod check;
 mod commit;
 mod error;
@@ -14,7 +13,6 @@
 mod read;
 mod settings;
 
-pub use backoff::full_jitter;
 pub use check::{
     MAX_CHANGE_ID_BYTES, MAX_LABEL_BYTES, MAX_RECORD_BYTES, MAX_WRITES, record_of, request_digest,
 };
--- a/components/ledger/src/read.rs
+++ b/components/ledger/src/read.rs
@@ -8,29 +8,14 @@
 use sk_store::{StoreError, StoredObject};
 
 use crate::{
-    CHUNK_RECORDS, CorruptData, Ledger, LedgerEntry, LedgerError, LedgerHead, head::chunk_start,
-    ledger::HeadRevision,
+    CHUNK_RECORDS, CorruptData, Ledger, LedgerEntry, LedgerError, LedgerHead, error::ReadError,
+    head::chunk_start, ledger::HeadRevision,
 };
 
 /// Subtrees read at once. Eight bring a cold start with 69 teams from 69 round trips to nine, and
 /// a hundred daemons that start together still stay within the platform's connections.
 const CONCURRENT_READS: usize = 8;
 
-/// Why a read gave nothing, before it is known whose answer it spoils.
-#[derive(Debug)]
-pub(crate) enum ReadError {
-    /// The platform failed.
-    Store(StoreError),
-    /// The platform's data is not the ledger's.
-    Corrupt(CorruptData),
-}
-
-impl From<CorruptData> for ReadError {
-    fn from(fault: CorruptData) -> Self {
-        Self::Corrupt(fault)
-    }
-}
-
 impl Ledger {
     /// Reads the head, empty before the first commit.
     ///
--- a/components/measure/src/lib.rs
+++ b/components/measure/src/lib.rs
@@ -17,4 +17,5 @@
 pub use fleet::{FleetPlan, TestFleet};
 pub use load::{LoadPlan, measure_connections, measure_load};
 pub use members::{MemberFigures, measure_members};
+pub use process::{ChildProcess, ProcessSignal, ProcessUse};
 pub use spread::{SpreadPlan, measure_spread};
--- a/components/measure/src/process.rs
+++ b/components/measure/src/process.rs
@@ -1,8 +1,9 @@
 //! Child processes and what the kernel says of them.
 
 use std::{
+    fs::File,
     io::{BufRead, BufReader},
-    path::PathBuf,
+    path::{Path, PathBuf},
     process::{Child, Command, Stdio},
     time::Duration,
 };
@@ -18,6 +19,19 @@
     ready: String,
 }
 
+/// What a process can be told from outside.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ProcessSignal {
+    /// To end as planned.
+    Terminate,
+    /// To stand still.
+    Pause,
+    /// To go on.
+    Continue,
+    /// That its settings have changed.
+    Hangup,
+}
+
 /// Processor time and memory of a process.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct ProcessUse {
@@ -34,19 +48,59 @@
     ///
     /// Returns an error when it cannot start or ends before it says that it is ready.
     pub fn start(program: &str, args: &[&str]) -> anyhow::Result<Self> {
-        let path = sibling(program)?;
-        let mut child = Command::new(&path)
-            .args(args)
-            // One worker: hundreds of daemons share this machine, each has its own in the field.
-            .env("TOKIO_WORKER_THREADS", "1")
+        let mut child = command(program, args)?
             .stdout(Stdio::piped())
             .spawn()
-            .with_context(|| format!("cannot start {}", path.display()))?;
-        let mut ready = String::new();
+            .with_context(|| format!("cannot start {program}"))?;
         let stdout = child.stdout.take().context("stdout is piped")?;
-        BufReader::new(stdout).read_line(&mut ready)?;
-        anyhow::ensure!(!ready.is_empty(), "{program} ended before it was ready");
-        Ok(Self { child, ready: ready.trim_end().to_owned() })
+        let ready = read_ready(&mut BufReader::new(stdout), program)?;
+        Ok(Self { child, ready })
+    }
+
+    /// Starts a program and keeps all that it prints in a file.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when it cannot start, ends before it says that it is ready, or the file
+    /// cannot be written.
+    pub fn start_logged(program: &str, args: &[&str], log: &Path) -> anyhow::Result<Self> {
+        let file = File::create(log).with_context(|| format!("cannot write {}", log.display()))?;
+        let mut child = command(program, args)?
+            .stdout(Stdio::piped())
+            .stderr(file.try_clone()?)
+            .spawn()
+            .with_context(|| format!("cannot start {program}"))?;
+        let mut stdout = BufReader::new(child.stdout.take().context("stdout is piped")?);
+        let ready = read_ready(&mut stdout, program)?;
+        let mut file = file;
+        std::thread::spawn(move || {
+            if let Err(err) = std::io::copy(&mut stdout, &mut file) {
+                log::warn!("measure: the output of a process is lost: {err}.");
+            }
+        });
+        Ok(Self { child, ready })
+    }
+
+    /// Sends it a signal.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when it is gone.
+    pub fn signal(&self, signal: ProcessSignal) -> anyhow::Result<()> {
+        let signal = match signal {
+            ProcessSignal::Terminate => rustix::process::Signal::TERM,
+            ProcessSignal::Pause => rustix::process::Signal::STOP,
+            ProcessSignal::Continue => rustix::process::Signal::CONT,
+            ProcessSignal::Hangup => rustix::process::Signal::HUP,
+        };
+        let pid = rustix::process::Pid::from_child(&self.child);
+        Ok(rustix::process::kill_process(pid, signal)?)
+    }
+
+    /// Tells whether it has ended.
+    pub fn has_ended(&mut self) -> bool {
+        // An error means that it was waited for already.
+        !matches!(self.child.try_wait(), Ok(None))
     }
 
     /// Gives the word after `name=` of its first line.
@@ -99,8 +153,29 @@
     }
 }
 
+fn command(program: &str, args: &[&str]) -> anyhow::Result<Command> {
+    let mut command = Command::new(sibling(program)?);
+    // One worker: hundreds of daemons share this machine, each has its own in the field.
+    command.args(args).env("TOKIO_WORKER_THREADS", "1");
+    Ok(command)
+}
+
+/// Reads the line that says where the process listens; logs are JSON objects and may come first.
+fn read_ready(stdout: &mut impl BufRead, program: &str) -> anyhow::Result<String> {
+    loop {
+        let mut line = String::new();
+        stdout.read_line(&mut line)?;
+        anyhow::ensure!(!line.is_empty(), "{program} ended before it was ready");
+        if !line.starts_with('{') {
+            return Ok(line.trim_end().to_owned());
+        }
+    }
+}
+
 fn sibling(program: &str) -> anyhow::Result<PathBuf> {
     let own = std::env::current_exe()?;
     let folder = own.parent().context("program has a folder")?;
-    Ok(folder.join(program))
+    // Tests run from a folder below the one that holds the programs.
+    let found = [folder.join(program), folder.join("..").join(program)];
+    found.into_iter().find(|path| path.exists()).with_context(|| format!("{program} is not built"))
 }
--- a/components/model/src/lib.rs
+++ b/components/model/src/lib.rs
@@ -1,9 +1,10 @@
 //! Declarations, services, routes and whole configuration snapshots.
 //!
-//! Everything here is plain data with pure functions: no I/O and no clock.
+//! Everything here is plain data with pure functions, but for the one reader of the time of day.
 
 mod ack;
 mod change;
+mod clock;
 mod declaration;
 mod hash;
 mod path;
@@ -13,6 +14,7 @@
 
 pub use ack::{ProxyAck, RejectedVersion};
 pub use change::{ChangeRecord, ChangeRequest, SettingWrites, make_writes};
+pub use clock::{unix_now, unix_time};
 pub use declaration::{
     DeclarationError, DeclarationFault, LimitSetting, MAX_DECLARATION_BYTES, RouteKind,
     RouteSetting, ServiceSetting, SettingBody, SplitPart, ValueSetting, WorkClass,
--- a/components/proxy/src/attempt.rs
+++ b/components/proxy/src/attempt.rs
@@ -22,9 +22,10 @@
     guard::pass,
     hints::ReadHints,
     outcome::{RefusalKind, RequestOutcome},
-    passed::PassedBody,
+    passed::OpenCall,
     table::{TableEndpoint, TableService},
     tries::{TryNote, TryTarget},
+    watched::WatchedBody,
 };
 
 /// Shortest time for which a late answer is held against an endpoint. Less says more of the caller,
@@ -298,9 +299,10 @@
         && !(is_trouble(response.status()) && request.traits.is_repeatable);
     if is_wanted || kind == Some(RefusalKind::AlreadyRan) {
         let (placed, counters) = (running.placed, context.counters.clone());
-        let until = deadline + BODY_GRACE;
-        let body = |body| PassedBody::placed(body, placed, end, latency, until, counters);
-        return AttemptEnd::Answered(response.map(|inner| body(inner).boxed_unsync()));
+        let call = OpenCall { placed, outcome: end, latency, counters };
+        let until = Some(deadline + BODY_GRACE);
+        let body = |inner| WatchedBody::new(inner, call, until).boxed_unsync();
+        return AttemptEnd::Answered(response.map(body));
     }
     if let Some(end) = end {
         running.placed.finish(end, latency, process_now());
--- a/components/proxy/src/clock.rs
+++ b/components/proxy/src/clock.rs
@@ -2,7 +2,7 @@
 
 use std::{
     sync::LazyLock,
-    time::{Duration, Instant, SystemTime, UNIX_EPOCH},
+    time::{Duration, Instant},
 };
 
 use sha2::{Digest, Sha256};
@@ -17,11 +17,6 @@
     START.0.elapsed() + START.1
 }
 
-/// Gives the time since the Unix epoch, on this instance's clock.
-pub(crate) fn unix_time() -> Duration {
-    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default()
-}
-
 /// Hashes parts the same on every daemon and in every release.
 ///
 /// Each part is preceded by its length, so that parts cannot run into each other.
--- a/components/proxy/src/exchange.rs
+++ b/components/proxy/src/exchange.rs
@@ -20,8 +20,9 @@
     local::GuardedServer,
     outcome::{RefusalKind, RequestOutcome},
     quarantine::examine,
-    served::{ServedBody, ServerExchange},
+    served::ServerExchange,
     times::TimeStage,
+    watched::WatchedBody,
     words::{AnswerVerdict, RequestNote},
 };
 
@@ -171,7 +172,8 @@
     RequestOutcome::Ran.write(headers);
     write_ran(headers, admitted_at.elapsed());
     exchange.server.hints().write(headers);
-    response.map(|body| ServedBody::new(body, exchange, deadline + BODY_GRACE).boxed_unsync())
+    let until = Some(deadline + BODY_GRACE);
+    response.map(|body| WatchedBody::new(body, exchange, until).boxed_unsync())
 }
 
 /// Ends an exchange whose answer must not reach the caller. Its connection is closed, since what
--- a/components/proxy/src/forward.rs
+++ b/components/proxy/src/forward.rs
@@ -17,10 +17,11 @@
     headers::{is_nested, read_context},
     hints::strip_hints,
     outcome::{RETRY_AFTER_MS_HEADER, RefusalKind, RequestOutcome},
-    passed::{EntryCount, PassedBody},
+    passed::EntryCount,
     story::RequestStory,
     table::{RouteMatch, RouteTable},
     times::TimeStage,
+    watched::WatchedBody,
 };
 
 /// Label of requests that no route leads to a service.
@@ -44,7 +45,7 @@
     let service = story.service.as_deref().unwrap_or(NO_SERVICE);
     let (times, took) = (context.counters.times(), story.took());
     times.observe(service, outcome.as_str(), TimeStage::Whole, took);
-    response.map(|body| PassedBody::counted(body, count).boxed_unsync())
+    response.map(|body| WatchedBody::new(body, count, None).boxed_unsync())
 }
 
 fn begin_story(
@@ -73,7 +74,8 @@
         return refuse_unrouted(context, &table);
     };
     let deadline = Duration::from_millis(route.setting.deadline_ms);
-    let call = read_context(request.headers(), &*context.words, deadline);
+    let remaining = context.words.remaining(request.headers());
+    let call = read_context(request.headers(), remaining, deadline);
     story.service = Some(route.service.name.clone());
     story.deadline = Some(call.remaining);
     (story.rank, story.goal_ms) = (route.setting.rank, route.setting.goal_ms);
--- a/components/proxy/src/guard.rs
+++ b/components/proxy/src/guard.rs
@@ -20,7 +20,7 @@
     clock::process_now,
     context::GuardContext,
     exchange::{AdmittedRequest, PassStage, send},
-    headers::{KEY_HEADER, strip_hop_headers, strip_own_headers},
+    headers::{KEY_HEADER, header_text, strip_hop_headers, strip_own_headers},
     hints::write_figures,
     outcome::{EARLIER_STATUS_HEADER, RefusalKind, RequestOutcome},
     times::TimeStage,
@@ -123,7 +123,7 @@
 ) -> QuarantineVerdict {
     let verdict = context.quarantine.judge(call.fingerprint);
     let attempt = context.words.attempt(request.headers());
-    let attempt = attempt.and_then(|id| id.to_str().ok()).unwrap_or("-");
+    let attempt = header_text(attempt);
     let fingerprint = format_args!("{:x}", call.fingerprint);
     match verdict {
         QuarantineVerdict::Clear => {}
--- a/components/proxy/src/headers.rs
+++ b/components/proxy/src/headers.rs
@@ -8,8 +8,6 @@
 };
 use sk_decide::deadline::CallContext;
 
-use crate::words::RequestWords;
-
 /// Header with the milliseconds that are left of a call. A service copies it into nested calls.
 pub const DEADLINE_HEADER: &str = "x-sapphirekeel-deadline-ms";
 /// Header with the hops a call has taken. A service copies it into nested calls.
@@ -92,22 +90,28 @@
     }
 }
 
-/// Reads what a call carries, bounded by the deadline of its route.
-///
-/// These headers may come from anyone: they can only bring the deadline nearer and the hop bound
-/// closer, so a false one harms its sender alone.
+/// Reads what a call carries, bounded by the deadline of its route. `remaining` is how long the
+/// caller will wait, where it tells.
 pub(crate) fn read_context(
     headers: &HeaderMap,
-    words: &dyn RequestWords,
+    remaining: Option<Duration>,
     deadline: Duration,
 ) -> CallContext {
-    let remaining = words.remaining(headers).unwrap_or(deadline);
+    let remaining = remaining.unwrap_or(deadline);
     let small =
         |name| read_number(headers, name).map_or(0, |count| u8::try_from(count).unwrap_or(u8::MAX));
     let (hops, retried_above) = (small(HOPS_HEADER), small(RETRIED_HEADER));
     CallContext { remaining, hops, retried_above }.bounded_by(deadline)
 }
 
+/// Text of a field of the log that there is nothing for.
+pub(crate) const NO_TEXT: &str = "-";
+
+/// Gives a header's value as text for the log.
+pub(crate) fn header_text(value: Option<&HeaderValue>) -> &str {
+    value.and_then(|value| value.to_str().ok()).unwrap_or(NO_TEXT)
+}
+
 /// Reads a header that holds a number.
 pub(crate) fn read_number(headers: &HeaderMap, name: impl AsHeaderName) -> Option<u64> {
     headers.get(name)?.to_str().ok()?.parse().ok()
--- a/components/proxy/src/lib.rs
+++ b/components/proxy/src/lib.rs
@@ -33,6 +33,7 @@
 mod times;
 mod tries;
 mod upload;
+mod watched;
 mod words;
 
 pub use body::{BodyError, ProxyBody};
--- a/components/proxy/src/passed.rs
+++ b/components/proxy/src/passed.rs
@@ -1,24 +1,13 @@
-//! The answer to a caller on its way out of the daemon it entered by.
+//! What an answer to a caller holds on its way out of the daemon it entered by.
 
-use std::{
-    future::Future,
-    pin::Pin,
-    sync::Arc,
-    task::{Context, Poll, ready},
-    time::Duration,
-};
+use std::{sync::Arc, time::Duration};
 
-use bytes::Bytes;
 use http::HeaderValue;
-use hyper::body::{Body, Frame, SizeHint};
 use sk_decide::placing::{CallOutcome, PlacedCall};
-use tokio::time::{Instant, Sleep, sleep_until};
 
 use crate::{
-    body::{BodyError, ProxyBody},
-    clock::process_now,
-    counters::ProxyCounters,
-    story::text_of,
+    body::BodyError, clock::process_now, counters::ProxyCounters, headers::header_text,
+    watched::BodyHold,
 };
 
 /// Counts a caller's request as in flight until it is dropped with the end of its answer.
@@ -46,13 +35,22 @@
     }
 }
 
+impl BodyHold for EntryCount {
+    fn end_whole(self) {}
+
+    fn end_cut(self, err: &BodyError) {
+        let attempt = header_text(self.attempt.as_ref());
+        log::warn!(attempt; "proxy: an answer was cut after its head: {err}.");
+    }
+}
+
 /// A call in flight to an endpoint, with how its head was judged.
-struct OpenCall {
-    placed: PlacedCall,
-    outcome: Option<CallOutcome>,
-    latency: Duration,
-    deadline: Pin<Box<Sleep>>,
-    counters: Arc<ProxyCounters>,
+pub(crate) struct OpenCall {
+    pub(crate) placed: PlacedCall,
+    /// What the head says of the endpoint; none where it speaks of the request alone.
+    pub(crate) outcome: Option<CallOutcome>,
+    pub(crate) latency: Duration,
+    pub(crate) counters: Arc<ProxyCounters>,
 }
 
 impl OpenCall {
@@ -63,100 +61,14 @@
     }
 }
 
-/// An answer's body that keeps its request counted until its end.
-pub(crate) struct PassedBody {
-    inner: ProxyBody,
-    call: Option<OpenCall>,
-    count: Option<EntryCount>,
-}
-
-impl PassedBody {
-    /// Keeps a request counted as in flight in this daemon.
-    pub(crate) fn counted(inner: ProxyBody, count: EntryCount) -> Self {
-        Self { inner, call: None, count: Some(count) }
-    }
-
-    /// Keeps a request counted as in flight to its endpoint.
-    pub(crate) fn placed(
-        inner: ProxyBody,
-        placed: PlacedCall,
-        outcome: Option<CallOutcome>,
-        latency: Duration,
-        deadline: Instant,
-        counters: Arc<ProxyCounters>,
-    ) -> Self {
-        let deadline = Box::pin(sleep_until(deadline));
-        let call = OpenCall { placed, outcome, latency, deadline, counters };
-        let mut body = Self { inner, call: Some(call), count: None };
-        body.end_if_whole();
-        body
-    }
-
-    fn end_if_whole(&mut self) {
-        if self.inner.is_end_stream() {
-            self.end_whole();
-        }
-    }
-
-    fn end_whole(&mut self) {
-        self.count = None;
-        if let Some(call) = self.call.take() {
-            let outcome = call.outcome;
-            call.finish(outcome);
-        }
-    }
-
-    fn end_cut(&mut self) {
-        self.count = None;
-        if let Some(call) = self.call.take() {
-            call.counters.count_cut();
-            call.finish(Some(CallOutcome::Failure));
-        }
-    }
-
-    fn is_late(&mut self, context: &mut Context<'_>) -> bool {
-        let call = self.call.as_mut();
-        call.is_some_and(|call| call.deadline.as_mut().poll(context).is_ready())
-    }
-}
-
-impl Body for PassedBody {
-    type Data = Bytes;
-    type Error = BodyError;
-
-    fn poll_frame(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
-        if self.is_late(context) {
-            self.end_cut();
-            return Poll::Ready(Some(Err(BodyError::DeadlinePassed)));
-        }
-        match ready!(Pin::new(&mut self.inner).poll_frame(context)) {
-            Some(Ok(frame)) => {
-                self.end_if_whole();
-                Poll::Ready(Some(Ok(frame)))
-            }
-            Some(Err(err)) => {
-                if let Some(count) = &self.count {
-                    let attempt = text_of(count.attempt.as_ref());
-                    log::warn!(attempt; "proxy: an answer was cut after its head: {err}.");
-                }
-                self.end_cut();
-                Poll::Ready(Some(Err(err)))
-            }
-            None => {
-                self.end_whole();
-                Poll::Ready(None)
-            }
-        }
-    }
-
-    fn is_end_stream(&self) -> bool {
-        self.inner.is_end_stream()
+impl BodyHold for OpenCall {
+    fn end_whole(self) {
+        let outcome = self.outcome;
+        self.finish(outcome);
     }
 
-    fn size_hint(&self) -> SizeHint {
-        self.inner.size_hint()
+    fn end_cut(self, _err: &BodyError) {
+        self.counters.count_cut();
+        self.finish(Some(CallOutcome::Failure));
     }
 }
--- a/components/proxy/src/quarantine.rs
+++ b/components/proxy/src/quarantine.rs
@@ -11,9 +11,10 @@
 use sk_decide::quarantine::{
     CrashReport, Fingerprint, QuarantineSettings, QuarantineTable, QuarantineVerdict, SuspectRecord,
 };
+use sk_model::unix_time;
 
 use crate::{
-    clock::{stable_hash, unix_time},
+    clock::stable_hash,
     gate::ServerFlight,
     local::{GuardedServer, LocalServers},
 };
--- a/components/proxy/src/story.rs
+++ b/components/proxy/src/story.rs
@@ -12,12 +12,10 @@
 use crate::{
     attempt::AttemptLog,
     body::ProxyBody,
+    headers::{NO_TEXT, header_text},
     outcome::{RefusalKind, RequestOutcome},
 };
 
-/// Text of a field that there is nothing for.
-const NONE: &str = "-";
-
 /// A request from its arrival on.
 pub(crate) struct RequestStory {
     began: Instant,
@@ -84,7 +82,7 @@
             text: "answered",
             status: response.status().as_u16(),
             outcome: outcome.as_str(),
-            reason: RefusalKind::read(response.headers()).map_or(NONE, RefusalKind::as_str),
+            reason: RefusalKind::read(response.headers()).map_or(NO_TEXT, RefusalKind::as_str),
         };
         self.write_end(&end);
     }
@@ -100,18 +98,18 @@
         let deadline_ms = self.deadline.map_or(0, |left| left.as_millis() as u64);
         log::log!(
             end.level,
-            attempt = text_of(self.attempt.as_ref()),
+            attempt = header_text(self.attempt.as_ref()),
             caller:% = self.caller,
             method = self.method.as_str(),
-            host = self.host.as_deref().unwrap_or(NONE),
+            host = self.host.as_deref().unwrap_or(NO_TEXT),
             path = self.path.as_str(),
             version = self.version,
-            service = self.service.as_deref().unwrap_or(NONE),
+            service = self.service.as_deref().unwrap_or(NO_TEXT),
             status = end.status,
             outcome = end.outcome,
             reason = end.reason,
             tries = tries.join("; ").as_str(),
-            gave_up = gave_up.as_deref().unwrap_or(NONE),
+            gave_up = gave_up.as_deref().unwrap_or(NO_TEXT),
             rank = self.rank,
             goal_ms = self.goal_ms.unwrap_or_default(),
             deadline_ms,
@@ -140,14 +138,9 @@
                 text: "caller left",
                 status: 0,
                 outcome: RequestOutcome::Unknown.as_str(),
-                reason: NONE,
+                reason: NO_TEXT,
             };
             self.write_end(&left);
         }
     }
 }
-
-/// Gives a caller's id as text.
-pub(crate) fn text_of(attempt: Option<&HeaderValue>) -> &str {
-    attempt.and_then(|id| id.to_str().ok()).unwrap_or(NONE)
-}
--- a/components/settings/src/check.rs
+++ b/components/settings/src/check.rs
@@ -101,6 +101,7 @@
     checker.range("placing.warm_up_ms", placing.warm_up_ms, 0..=600_000, "0 to 600000")?;
     checker.range("placing.retry_deposit", placing.retry_deposit, 0..=1000, "0 to 1000")?;
     checker.range("placing.retry_burst", placing.retry_burst, 0..=10_000, "0 to 10000")?;
+    checker.range("placing.retry_margin", placing.retry_margin, 0..=900, "0 to 900")?;
     checker.range("placing.retry_floor", placing.retry_floor, 0..=100_000, "0 to 100000")?;
     let moves = u64::from(placing.free_moves);
     checker.range("placing.free_moves", moves, 0..=16, "0 to 16")?;
--- a/components/settings/src/daemon_settings.rs
+++ b/components/settings/src/daemon_settings.rs
@@ -78,13 +78,26 @@
     /// A second address for the same calls, for a platform that asks there whether the daemon is
     /// ready. Absent for none.
     pub ready: Option<SocketAddr>,
+    /// Address that other daemons are told for requests to the local backend server, where they
+    /// reach this instance by another one than it listens at. Absent for `guard`.
+    pub advertised_guard: Option<SocketAddr>,
+    /// The same for control traffic. Absent for `control`.
+    pub advertised_control: Option<SocketAddr>,
 }
 
 impl Default for ListenSettings {
     fn default() -> Self {
         let local = |port| SocketAddr::from((Ipv4Addr::LOCALHOST, port));
         let (proxy, guard) = (local(7400), local(7401));
-        Self { proxy, guard, control: local(7402), ops: local(7403), ready: None }
+        Self {
+            proxy,
+            guard,
+            control: local(7402),
+            ops: local(7403),
+            ready: None,
+            advertised_guard: None,
+            advertised_control: None,
+        }
     }
 }
 
@@ -269,6 +282,10 @@
     pub retry_deposit: u64,
     /// Retries that a service may be sent at once, 0 to 10000. Default 20.
     pub retry_burst: u64,
+    /// Thousandths of the burst that are kept back, 0 to 900. Default 0. For a burst that is
+    /// somebody else's bound: daemons learn of each other, and count what a call repeats, a moment
+    /// late.
+    pub retry_margin: u64,
     /// Thousandths of a retry that a service without traffic gains a second, 0 to 100000. Default
     /// 1000.
     pub retry_floor: u64,
@@ -287,6 +304,7 @@
             warm_up_ms: 30_000,
             retry_deposit: 100,
             retry_burst: 20,
+            retry_margin: 0,
             retry_floor: 1_000,
             retry_shared: false,
             free_moves: 0,
--- a/components/spread/src/acks.rs
+++ b/components/spread/src/acks.rs
@@ -85,7 +85,7 @@
             }
         }
         let is_told = current.iter().all(|relay| told.get(relay) == ack.as_ref());
-        let retry = pause.next(rand::random());
+        let retry = pause.next();
         if is_told {
             pause.reset();
         }
--- a/components/spread/src/backoff.rs
+++ b/components/spread/src/backoff.rs
@@ -2,52 +2,48 @@
 
 use std::time::Duration;
 
-/// Doublings of the first pause after which the cap holds in any case.
-const MAX_DOUBLINGS: u32 = 16;
+use sk_decide::backoff::{BackoffSettings, draw_around, draw_between};
 
 /// Pause of one kind of try, with full jitter.
 ///
-/// Made for a whole fleet whose tries fail at one moment, such as when the platform goes away.
-/// Equal pauses would bring all of them back in the same millisecond, again and again; a draw
-/// over the whole pause spreads them, doubling makes room for as many as there are, and the cap
-/// bounds how long one stays behind after the fault has ended.
+/// Made for a whole fleet whose tries fail at one moment, such as when the platform goes away. The
+/// cap bounds how long a daemon stays behind after the fault has ended.
 #[derive(Clone, Copy, Debug)]
-pub struct RetryPause {
-    base: Duration,
-    cap: Duration,
+pub(crate) struct RetryPause {
+    settings: BackoffSettings,
     failures: u32,
 }
 
 impl RetryPause {
     /// Makes one whose first pause is drawn from nothing to `base`, and no pause is over `cap`.
-    pub const fn new(base: Duration, cap: Duration) -> Self {
-        Self { base, cap, failures: 0 }
+    pub(crate) const fn new(base: Duration, cap: Duration) -> Self {
+        Self { settings: BackoffSettings { base, cap }, failures: 0 }
     }
 
-    /// Gives the pause after one more failure for a `draw` from 0 to 1.
-    pub fn next(&mut self, draw: f64) -> Duration {
-        let factor = 1 << self.failures.min(MAX_DOUBLINGS);
+    /// Draws the pause after one more failure.
+    pub(crate) fn next(&mut self) -> Duration {
+        let pause = self.settings.delay(self.failures, &mut rand::rng());
         self.failures = self.failures.saturating_add(1);
-        self.base.saturating_mul(factor).min(self.cap).mul_f64(draw.clamp(0.0, 1.0))
+        pause
     }
 
     /// Allows longer pauses from now on.
-    pub fn raise_cap(&mut self, cap: Duration) {
-        self.cap = self.cap.max(cap);
+    pub(crate) fn raise_cap(&mut self, cap: Duration) {
+        self.settings.cap = self.settings.cap.max(cap);
     }
 
     /// Begins again with the first pause, after a success.
-    pub fn reset(&mut self) {
+    pub(crate) fn reset(&mut self) {
         self.failures = 0;
     }
 }
 
 /// Spreads a mean pause over half to one and a half of it.
 pub(crate) fn jittered(mean: Duration) -> Duration {
-    mean.mul_f64(rand::random_range(0.5..1.5))
+    draw_around(mean, &mut rand::rng())
 }
 
 /// Draws a pause between nothing and `most`.
 pub(crate) fn drawn(most: Duration) -> Duration {
-    most.mul_f64(rand::random_range(0.0..=1.0))
+    draw_between(Duration::ZERO, most, &mut rand::rng())
 }
--- a/components/spread/src/fetch.rs
+++ b/components/spread/src/fetch.rs
@@ -195,10 +195,10 @@
             Ok(FetchOutcome::Refused) => return,
             Ok(FetchOutcome::Busy(busy)) => tokio::time::sleep(busy + drawn(busy)).await,
             Ok(_) if !node.lacks(want.version, want.mark) => return,
-            Ok(_) => tokio::time::sleep(pause.next(rand::random())).await,
+            Ok(_) => tokio::time::sleep(pause.next()).await,
             Err(err) => {
                 log::info!("spread: fetch from {from} failed: {err}.");
-                tokio::time::sleep(pause.next(rand::random())).await;
+                tokio::time::sleep(pause.next()).await;
             }
         }
         from = node.pick_near().unwrap_or(from);
--- a/components/spread/src/join.rs
+++ b/components/spread/src/join.rs
@@ -69,7 +69,7 @@
             // Another daemon may come to know this one meanwhile, which ends the wait too.
             let mut views = node.members.subscribe();
             let met = views.wait_for(|view| view.len() > 1);
-            let _ = tokio::time::timeout(pause.next(rand::random()), met).await;
+            let _ = tokio::time::timeout(pause.next(), met).await;
         }
     }
 }
--- a/components/spread/src/lib.rs
+++ b/components/spread/src/lib.rs
@@ -36,7 +36,6 @@
 #[path = "generated/peer_capnp.rs"]
 mod peer_capnp;
 
-pub use backoff::RetryPause;
 pub use counted::{ControlBytes, ControlMeter};
 pub use driver::{SpreadHandle, SpreadParts, StateReader, start_spread};
 pub use held::{HeldConfig, HeldStatus, OfferOutcome};
--- a/components/spread/src/node.rs
+++ b/components/spread/src/node.rs
@@ -4,13 +4,13 @@
     cell::{Cell, RefCell},
     rc::Rc,
     sync::Arc,
-    time::{Duration, SystemTime, UNIX_EPOCH},
+    time::Duration,
 };
 
 use capnp::{Error, ErrorKind};
 use sk_logs::OutageLog;
 use sk_member::{MemberBoard, MemberRecord, MemberView};
-use sk_model::{ConfigSnapshot, ContentHash, ProxyId, UnixMillis, Version};
+use sk_model::{ConfigSnapshot, ContentHash, ProxyId, Version, unix_now};
 use tokio::sync::{Semaphore, mpsc, oneshot, watch};
 
 use crate::{
@@ -219,8 +219,3 @@
     // that it could be mistaken for.
     hash.get(..16).and_then(|digits| u64::from_str_radix(digits, 16).ok()).unwrap_or_default()
 }
-
-pub(crate) fn unix_now() -> UnixMillis {
-    let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-    now.as_millis() as UnixMillis
-}
--- a/components/spread/src/start.rs
+++ b/components/spread/src/start.rs
@@ -88,7 +88,7 @@
         }
         let mut ready = node.held.ready();
         let is_ready = ready.wait_for(|is_ready| *is_ready);
-        let _ = tokio::time::timeout(pause.next(rand::random()), is_ready).await;
+        let _ = tokio::time::timeout(pause.next(), is_ready).await;
     }
 }
 
--- a/components/spread/src/watch.rs
+++ b/components/spread/src/watch.rs
@@ -69,7 +69,7 @@
         Err(err) => {
             node.source_outage.lost(&err);
             node.stats.note_source(Some(err.reason));
-            tokio::time::sleep(pause.next(rand::random())).await;
+            tokio::time::sleep(pause.next()).await;
         }
     }
 }
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -4,6 +4,8 @@
 
 use gumdrop::Options;
 
+use crate::utc::UtcTime;
+
 /// Operates a fleet: changes settings and reads reports.
 ///
 /// Exit codes: 0 done, 1 refused and nothing was done, 2 called wrongly, 3 outcome unknown.
@@ -159,7 +161,7 @@
 
 /// Prints who holds what since when; with --path, --team, --from, --since or --until, who wrote what.
 ///
-/// Needs the managers' token. Times are milliseconds since 1970-01-01 UTC.
+/// Needs the managers' token. Times are UTC; with --csv and --json milliseconds since 1970-01-01.
 #[derive(Debug, Options)]
 pub struct ReportArgs {
     /// Print this help
@@ -182,12 +184,12 @@
     /// Changes from a version on
     #[options(no_short, meta = "VERSION")]
     pub from: Option<u64>,
-    /// Changes accepted at this time or later, in milliseconds since 1970-01-01 UTC
-    #[options(no_short, meta = "UNIX_MS")]
-    pub since: Option<u64>,
-    /// Changes accepted before this time, in milliseconds since 1970-01-01 UTC
-    #[options(no_short, meta = "UNIX_MS")]
-    pub until: Option<u64>,
+    /// Changes accepted at this time or later: 2026-12-03T08:15:00Z, or Unix milliseconds
+    #[options(no_short, meta = "TIME")]
+    pub since: Option<UtcTime>,
+    /// Changes accepted before this time
+    #[options(no_short, meta = "TIME")]
+    pub until: Option<UtcTime>,
     /// One proxy only
     #[options(no_short)]
     pub proxy: Option<String>,
--- a/src/cmd/report.rs
+++ b/src/cmd/report.rs
@@ -10,6 +10,7 @@
 use crate::{
     cli::ReportArgs,
     client::{CallError, OpsClient},
+    utc::utc_text,
 };
 
 /// Prints the report that the arguments ask for.
@@ -96,8 +97,8 @@
 
 fn is_wanted(record: &ChangeRecord, args: &ReportArgs) -> bool {
     let mut paths = record.written.iter().chain(&record.withdrawn);
-    args.since.is_none_or(|since| record.accepted_at >= since)
-        && args.until.is_none_or(|until| record.accepted_at < until)
+    args.since.is_none_or(|since| record.accepted_at >= since.0)
+        && args.until.is_none_or(|until| record.accepted_at < until.0)
         && args.team.as_ref().is_none_or(|team| *team == record.team)
         && args.path.as_ref().is_none_or(|wanted| paths.any(|path| path == wanted))
 }
@@ -188,16 +189,16 @@
         text.push_str(&format!(", {milliseconds} ms after acceptance"));
     }
     text.push_str(&format!(
-        "\n\n{:<20} {:<12} {:<8} {:<14} {:<20} state\n",
+        "\n\n{:<20} {:<12} {:<8} {:<24} {:<20} state\n",
         "proxy", "data centre", "version", "since", "from"
     ));
     for proxy in report.proxies.iter().chain(&report.departed) {
         text.push_str(&format!(
-            "{:<20} {:<12} {:<8} {:<14} {:<20} {}\n",
+            "{:<20} {:<12} {:<8} {:<24} {:<20} {}\n",
             proxy.proxy,
             proxy.data_centre,
             proxy.version,
-            proxy.since,
+            utc_text(proxy.since),
             proxy.source,
             render_state(&proxy.state)
         ));
@@ -211,7 +212,7 @@
         ProxyState::Pending => "pending".to_owned(),
         ProxyState::Rejected { reason } => format!("rejected: {reason}"),
         ProxyState::Unreachable { unreachable_since } => {
-            format!("unreachable since {unreachable_since}")
+            format!("unreachable since {}", utc_text(*unreachable_since))
         }
         ProxyState::Unknown => "unknown".to_owned(),
     }
@@ -236,7 +237,7 @@
     let mut text = format!(
         "version {} at {} by {} of {}, revision {}, change {}\n",
         record.version,
-        record.accepted_at,
+        utc_text(record.accepted_at),
         record.author,
         record.team,
         record.revision,
--- a/src/main.rs
+++ b/src/main.rs
@@ -5,6 +5,7 @@
 mod cmd;
 mod declared;
 mod diff;
+mod utc;
 
 use std::process::ExitCode;
 
--- a/tests/cli_check.rs
+++ b/tests/cli_check.rs
@@ -140,3 +140,12 @@
     let output = run(&["check", "--help"], &directory);
     assert!(render(&output).contains("Any other name is refused"), "{}", render(&output));
 }
+
+#[test]
+fn bad_time() {
+    // A time that the command line took for something else would show changes of another day.
+    let directory = TestDirectory::new("check_time");
+    let output = run(&["report", "--until", "yesterday"], &directory);
+    assert_eq!(output.status.code(), Some(2));
+    assert!(render(&output).contains("neither milliseconds"), "{}", render(&output));
+}
--- a/tests/cli_session.rs
+++ b/tests/cli_session.rs
@@ -12,7 +12,7 @@
 };
 
 use common::{
-    DaemonPlan, MANAGER_TOKEN, TEAM_TOKEN, TestDirectory, TestProcess, in_force, operate,
+    DaemonPlan, MANAGER_TOKEN, TEAM_TOKEN, TestDirectory, TestProcess, in_force, is_utc, operate,
     platform_address, render, start_daemon, start_platform, wait_for,
 };
 use expect_test::expect_file;
@@ -57,7 +57,8 @@
 /// Replaces times, durations and the daemon a version came from, which differ from run to run.
 fn normalise(text: &str) -> String {
     let lines = text.lines().filter(|line| !is_progress(line));
-    lines.map(|line| hide_source(&hide_durations(&hide_times(line))) + "\n").collect()
+    let hide = |line: &str| hide_source(&hide_durations(&hide_times(&hide_utc(line))));
+    lines.map(|line| hide(line) + "\n").collect()
 }
 
 /// Tells whether a line is progress that a quick fleet skips.
@@ -65,6 +66,12 @@
     matches!(line, "in force on 0 of 2" | "in force on 1 of 2")
 }
 
+/// Replaces times like 2026-12-03T08:15:00.123Z, and only what has that form to the letter.
+fn hide_utc(line: &str) -> String {
+    let words = line.split(' ').map(|word| if is_utc(word) { "<utc>" } else { word });
+    words.collect::<Vec<_>>().join(" ")
+}
+
 fn hide_times(line: &str) -> String {
     let mut text = String::new();
     let mut rest = line;
@@ -221,6 +228,7 @@
     day.step(MANAGER_TOKEN, &["report", "--team", "ledvica", "--csv"]);
     day.step(MANAGER_TOKEN, &["report", "--since", "9000000000000"]);
     day.step(MANAGER_TOKEN, &["report", "--until", "1"]);
+    day.step(MANAGER_TOKEN, &["report", "--since", "2200-01-01T00:00:00Z"]);
     day.step(TEAM_TOKEN, &["report"]);
     day.step_json(TEAM_TOKEN, &["get", "ledvica", "--json"]);
     day.step_json(MANAGER_TOKEN, &["report", "--json"]);
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -285,3 +285,13 @@
     let count = |name: &str| report[name].as_u64().unwrap_or(0) as usize;
     (count("in_force"), count("total"))
 }
+
+/// Tells whether a word is a time in UTC with milliseconds, such as 2026-12-03T08:15:00.123Z.
+pub fn is_utc(word: &str) -> bool {
+    const FORM: &str = "0000-00-00T00:00:00.000Z";
+    let is_like = |(letter, form): (char, char)| match form {
+        '0' => letter.is_ascii_digit(),
+        form => letter == form,
+    };
+    word.len() == FORM.len() && word.chars().zip(FORM.chars()).all(is_like)
+}
--- a/tests/whole_path.rs
+++ b/tests/whole_path.rs
@@ -5,8 +5,8 @@
 use std::fmt::Write;
 
 use common::{
-    DaemonPlan, MANAGER_TOKEN, TEAM_TOKEN, TestDirectory, TestProcess, call, in_force, operate,
-    platform_address, render, start_backend, start_daemon, start_platform, wait_for,
+    DaemonPlan, MANAGER_TOKEN, TEAM_TOKEN, TestDirectory, TestProcess, call, in_force, is_utc,
+    operate, platform_address, render, start_backend, start_daemon, start_platform, wait_for,
 };
 use expect_test::expect_file;
 
@@ -22,9 +22,7 @@
     let mut lines = Vec::new();
     for line in text.lines() {
         let word = |word: &str| match word {
-            word if word.len() == 13 && word.bytes().all(|byte| byte.is_ascii_digit()) => {
-                "<time>       ".to_owned()
-            }
+            word if is_utc(word) => format!("{:<24}", "<time>"),
             word => word.to_owned(),
         };
         let line = line.split(' ').map(word).collect::<Vec<_>>().join(" ");
