--- a/components/decide/src/admitting.rs
+++ b/components/decide/src/admitting.rs
@@ -13,6 +13,7 @@
 use slotmap::{SlotMap, new_key_type};
 
 use crate::admitting::estimate::{DecayingPeak, ServiceEstimate};
+use crate::admitting::link::LinkRoom;
 use crate::admitting::queue::FlowQueue;
 use crate::admitting::urgency::UrgencyQueue;
 use crate::admitting::urgent::urgency_of;
@@ -24,6 +25,7 @@
 pub use crate::admitting::urgency::Urgency;
 
 mod estimate;
+mod link;
 mod outcome;
 mod queue;
 mod release;
@@ -138,8 +140,8 @@
     /// Slots that short work has lately used at once.
     short_peak: DecayingPeak,
     trial: TrialHold,
-    /// Large answers that wait for the link.
-    held_back: usize,
+    /// What long work leaves of the instance's link.
+    link: LinkRoom,
     is_draining: bool,
 }
 
@@ -157,7 +159,7 @@
             work_estimates: HashMap::new(),
             short_peak: DecayingPeak::default(),
             trial: TrialHold::None,
-            held_back: 0,
+            link: LinkRoom::default(),
             is_draining: false,
         }
     }
@@ -389,7 +391,7 @@
         let slots = self.slots(now);
         let share = self.settings.long_share_of(slots);
         let needed = self.short_peak.level(now).ceil() as u32 + 1;
-        share.max(slots.saturating_sub(needed)).max(1)
+        share.max(slots.saturating_sub(needed)).min(self.link.most()).max(1)
     }
 
     /// Tells whether a request of a class could start at once without passing one that waits.
@@ -399,11 +401,7 @@
     }
 
     fn may_start(&self, class: WorkClass, now: Duration) -> bool {
-        let within = match class {
-            WorkClass::Short => true,
-            // While answers wait for the link, more of them would hold slots and only wait longer.
-            WorkClass::Long => self.held_back == 0 && self.running[1] < self.long_limit(now),
-        };
+        let within = class == WorkClass::Short || self.running[1] < self.long_limit(now);
         self.trial == TrialHold::None && self.running_count() < self.slots(now) && within
     }
 
--- a/components/decide/src/admitting/release.rs
+++ b/components/decide/src/admitting/release.rs
@@ -22,6 +22,9 @@
             let took = now.saturating_sub(since);
             self.estimates[class_index(class)].add(took, now);
             self.note_work(work, took, now);
+            if class == WorkClass::Long {
+                self.link.note_end();
+            }
         }
         self.cancel(ticket, now)
     }
@@ -59,9 +62,11 @@
     /// Takes note of how many large answers wait for the instance's link, and gives those that leave
     /// the queue. To be called when the number changes.
     pub fn set_held_back(&mut self, answers: usize, now: Duration) -> Released {
-        match std::mem::replace(&mut self.held_back, answers) {
-            before if before > 0 && answers == 0 => self.expire(now),
-            _ => Released::default(),
+        let before = self.link.held_back();
+        self.link.set_held_back(answers, self.running[class_index(WorkClass::Long)]);
+        match answers < before {
+            true => self.expire(now),
+            false => Released::default(),
         }
     }
 
--- /dev/null
+++ b/components/decide/src/idling.rs
@@ -0,0 +1,42 @@
+//! How long a connection may have been idle for a request to be sent on it.
+//!
+//! Made for servers that forget idle connections without a word, and sooner than they say. Whatever is
+//! sent next is reset. A request that may repeat is then sent again and costs a round trip; one that may
+//! run once only is lost, since nobody can tell a reset before its run from one after it.
+
+use std::time::Duration;
+
+/// Longest idle time. Servers commonly close theirs after 5 s; a request sent at that very moment would
+/// be lost with an outcome that nobody knows.
+pub const IDLE_LIMIT: Duration = Duration::from_secs(4);
+/// Longest idle time for a request that may run once only. A busy server's connections wait for some
+/// tens of milliseconds; one that has waited for longer is opened anew, which costs a millisecond.
+const ONCE_LIMIT: Duration = Duration::from_millis(250);
+/// Time in which a limit that was lowered doubles.
+const RECOVERY: Duration = Duration::from_secs(5);
+
+/// What is trusted of one server's connections.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct IdleTrust {
+    /// A lowered limit, and when it was lowered.
+    lowered: Option<(Duration, Duration)>,
+}
+
+impl IdleTrust {
+    /// Gives how long a connection may have been idle at `now`.
+    pub fn limit(&self, is_repeatable: bool, now: Duration) -> Duration {
+        let usual = if is_repeatable { IDLE_LIMIT } else { ONCE_LIMIT };
+        let lowered = self.lowered.map(|(limit, at)| {
+            let doublings = now.saturating_sub(at).as_secs_f64() / RECOVERY.as_secs_f64();
+            // Far beyond the usual limit after a minute; bounded for the sake of the factor.
+            limit.mul_f64(doublings.min(20.0).exp2())
+        });
+        lowered.map_or(usual, |lowered| lowered.min(usual))
+    }
+
+    /// Notes that a connection which had been idle for a time was found dead.
+    pub fn note_stale(&mut self, idle: Duration, now: Duration) {
+        let limit = (idle / 2).min(self.limit(true, now));
+        self.lowered = Some((limit, now));
+    }
+}
--- a/components/decide/src/lib.rs
+++ b/components/decide/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod backoff;
 pub mod deadline;
 pub mod fetch_gate;
+pub mod idling;
 pub mod pacing;
 pub mod placing;
 pub mod quarantine;
--- /dev/null
+++ b/components/decide/tests/idle_trust.rs
@@ -0,0 +1,34 @@
+//! Connections that a server forgot.
+
+use std::time::Duration;
+
+use sk_decide::idling::{IDLE_LIMIT, IdleTrust};
+
+fn millis(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+/// A server forgets connections that were idle for a third of a second, though it says ten. The next
+/// request on one is reset; those that follow must not be sent on others as old, and once the server
+/// keeps them again, connections are used as before.
+#[test]
+fn forgetful_server() {
+    let mut trust = IdleTrust::default();
+    let now = millis(10_000);
+    assert_eq!(trust.limit(true, now), IDLE_LIMIT);
+    trust.note_stale(millis(340), now);
+    assert_eq!(trust.limit(true, now), millis(170));
+    assert!(trust.limit(true, now + millis(5_000)) <= millis(340));
+    assert_eq!(trust.limit(true, now + millis(60_000)), IDLE_LIMIT);
+}
+
+/// A confirmation on a connection that the server has forgotten is lost: nobody can tell whether it
+/// ran. It is sent on connections that were in use just now, whatever is known.
+#[test]
+fn run_once_work() {
+    let mut trust = IdleTrust::default();
+    let now = millis(10_000);
+    assert!(trust.limit(false, now) <= millis(250));
+    trust.note_stale(millis(100), now);
+    assert_eq!(trust.limit(false, now), millis(50));
+}
--- /dev/null
+++ b/components/decide/tests/link_bound.rs
@@ -0,0 +1,144 @@
+//! Admission of documents to a server that is quicker than its instance's link.
+
+use std::{collections::HashMap, time::Duration};
+
+use expect_test::expect;
+use rand::{SeedableRng, rngs::StdRng};
+use sk_decide::WorkClass;
+use sk_decide::admitting::{
+    Admission, AdmissionGuard, FlowKey, GuardRequest, GuardSettings, QueueOrder, Released, Ticket,
+};
+use sk_decide::transferring::{TransferId, TransferQueue, TransferTurn};
+
+const GOAL_MS: u64 = 800;
+const WORK_MS: u64 = 180;
+/// Milliseconds of the whole link that a document takes: 90 KB at 5 Mbit/s.
+const LINK_MS: f64 = 140.0;
+
+/// A document that was admitted: at the server, then on the link.
+struct Document {
+    came: u64,
+    ready_at: u64,
+    transfer: Option<TransferId>,
+    left: f64,
+}
+
+#[derive(Default)]
+struct Played {
+    asked: u32,
+    in_time: u32,
+    late: u32,
+    refused: u32,
+}
+
+fn offer_of(now: u64) -> GuardRequest {
+    let at = Duration::from_millis;
+    GuardRequest {
+        class: WorkClass::Long,
+        flow: FlowKey { team: 1, caller: 1 },
+        deadline: at(now + 4_000),
+        alone: false,
+        goal: Some(at(now + GOAL_MS)),
+        rank: 2,
+        work: 1,
+        may_queue: true,
+    }
+}
+
+/// Plays documents that come evenly, `per_second`, for ten seconds.
+fn play(per_second: u64, tells_guard: bool) -> Played {
+    let settings =
+        GuardSettings { order: QueueOrder::Urgent, long_queue: 48, ..GuardSettings::default() };
+    let mut guard = AdmissionGuard::new(settings, Duration::ZERO);
+    let mut line = TransferQueue::default();
+    let mut rng = StdRng::seed_from_u64(1);
+    let mut came = HashMap::<Ticket, u64>::new();
+    let mut open = HashMap::<Ticket, Document>::new();
+    let mut played = Played::default();
+    for now in 0..14_000_u64 {
+        let time = Duration::from_millis(now + 1);
+        let mut released = guard.expire(time);
+        if now < 10_000 && now % (1_000 / per_second) == 0 {
+            played.asked += 1;
+            match guard.offer(&offer_of(now + 1), time, &mut rng) {
+                Admission::Refused(_) => played.refused += 1,
+                Admission::Queued(ticket) => drop(came.insert(ticket, now)),
+                Admission::Run(ticket) => {
+                    came.insert(ticket, now);
+                    released.start.push(ticket);
+                }
+            }
+        }
+        begin(&mut released, now, &came, &mut open, &mut played);
+        let mut sending = Vec::new();
+        for (ticket, document) in &mut open {
+            if now >= document.ready_at {
+                let id = *document.transfer.get_or_insert_with(|| line.begin());
+                if line.ask(id, time) == TransferTurn::Go {
+                    sending.push(*ticket);
+                }
+            }
+        }
+        let mut ended = Vec::new();
+        for ticket in &sending {
+            let document = open.get_mut(ticket).expect("it is open");
+            document.left -= 1.0 / sending.len() as f64;
+            if document.left <= 0.0 {
+                ended.push(*ticket);
+            }
+        }
+        for ticket in ended {
+            let document = open.remove(&ticket).expect("it is open");
+            document.transfer.into_iter().for_each(|id| line.end(id));
+            match now - document.came <= GOAL_MS {
+                true => played.in_time += 1,
+                false => played.late += 1,
+            }
+            begin(&mut guard.finish(ticket, time), now, &came, &mut open, &mut played);
+        }
+        if tells_guard {
+            let mut released = guard.set_held_back(line.held_back(), time);
+            begin(&mut released, now, &came, &mut open, &mut played);
+        }
+    }
+    played
+}
+
+fn begin(
+    released: &mut Released,
+    now: u64,
+    came: &HashMap<Ticket, u64>,
+    open: &mut HashMap<Ticket, Document>,
+    played: &mut Played,
+) {
+    for ticket in released.start.drain(..) {
+        let (came, ready_at) = (came[&ticket], now + WORK_MS);
+        open.insert(ticket, Document { came, ready_at, transfer: None, left: LINK_MS });
+    }
+    played.refused += released.refused.drain(..).count() as u32;
+}
+
+/// Twelve documents a second come to a server that could do sixty, on a link that carries seven. A guard
+/// that sees free slots takes them in, and nearly all are late. One that is told that answers wait for
+/// the link keeps as many as it carries in time, and refuses the others while they can come back.
+#[test]
+fn quick_server() {
+    let told = |played: &Played| {
+        let Played { asked, in_time, late, refused } = played;
+        format!("of {asked}: {in_time} in time, {late} late, {refused} refused")
+    };
+    let (naive, informed) = (play(12, false), play(12, true));
+    assert!(informed.in_time > 2 * naive.in_time);
+    expect![[r#"
+        by slots: of 121: 7 in time, 74 late, 40 refused
+        by the link: of 121: 72 in time, 2 late, 47 refused
+    "#]]
+    .assert_eq(&format!("by slots: {}\nby the link: {}\n", told(&naive), told(&informed)));
+}
+
+/// The link is not full. Nothing is refused and nothing late, whatever the guard is told.
+#[test]
+fn room_enough() {
+    let played = play(4, true);
+    assert_eq!((played.late, played.refused), (0, 0));
+}
--- a/components/logs/src/lib.rs
+++ b/components/logs/src/lib.rs
@@ -7,6 +7,7 @@
 mod line;
 mod outage;
 mod output;
+mod paced;
 
 pub use budget::{LineBudget, LineClass, LineLimits, LineVerdict};
 pub use line::write_line;
--- a/components/logs/src/output.rs
+++ b/components/logs/src/output.rs
@@ -16,6 +16,7 @@
 use crate::{
     budget::{LineBudget, LineClass, LineLimits},
     line::write_line,
+    paced::PacedWriter,
 };
 
 /// Lines that wait for a reader. Some seconds of a busy daemon, and less than a megabyte; further
@@ -57,7 +58,7 @@
     limits: LineLimits,
 ) -> Result<LogGuard, SetLoggerError> {
     let builder = NonBlockingBuilder::default().lossy(true).buffered_lines_limit(WAITING_LINES);
-    let (writer, worker) = builder.finish(writer);
+    let (writer, worker) = builder.finish(PacedWriter::new(writer));
     let dropped = writer.error_counter();
     let inner = env_logger::Builder::from_env(Env::default().default_filter_or(DEFAULT_LEVELS))
         .format(write_line)
--- a/components/proxy/src/attempt.rs
+++ b/components/proxy/src/attempt.rs
@@ -32,6 +32,11 @@
 /// who gave the endpoint no chance.
 const FAIR_WAIT: Duration = Duration::from_millis(100);
 
+/// Looks for a free slot before a request queues. Where most servers are full, each further look costs
+/// two daemons a message at the very time at which they have none to spare: with 39 servers of a service
+/// a request would go round all of them. Those that are looked at are the best by what is known.
+const FREE_LOOKS: usize = 4;
+
 /// What has been tried for a request.
 #[derive(Default)]
 pub(crate) struct AttemptLog {
@@ -65,6 +70,14 @@
         !looks || is_long || self.pass == PlacePass::Queue || !request.body.is_whole()
     }
 
+    /// Leaves an endpoint out that has no slot free, and goes on to queue after enough of them.
+    fn note_busy(&mut self, id: EndpointId) {
+        self.busy.push(id);
+        if self.busy.len() >= FREE_LOOKS {
+            self.begin_queueing();
+        }
+    }
+
     /// Goes on to queue, where no slot was free, and tells whether that is new.
     fn begin_queueing(&mut self) -> bool {
         self.busy.clear();
@@ -182,7 +195,7 @@
         log.note_head(&hints);
         if RefusalKind::read(response.headers()) == Some(RefusalKind::Busy) {
             log.running = None;
-            log.busy.push(id);
+            log.note_busy(id);
             last = Some(response);
             continue;
         }
--- a/components/proxy/src/exchange.rs
+++ b/components/proxy/src/exchange.rs
@@ -2,15 +2,16 @@
 
 use std::sync::Arc;
 
+use bytes::Bytes;
 use http::{HeaderMap, Request, Response, header};
 use http_body_util::BodyExt;
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use sk_decide::deadline::{BODY_GRACE, CallContext};
 use tokio::time::Instant;
 
 use crate::{
     answer::{lost_answer, refuse},
-    body::ProxyBody,
+    body::{ProxyBody, whole_body},
     call::GuardCall,
     claim::{ClaimHold, ClaimOutcome},
     context::GuardContext,
@@ -19,6 +20,7 @@
     hints::write_ran,
     local::GuardedServer,
     outcome::{RefusalKind, RequestOutcome},
+    pool::AcquiredSender,
     quarantine::examine,
     served::ServerExchange,
     times::TimeStage,
@@ -54,15 +56,17 @@
 ) -> Response<ProxyBody> {
     let attempt = context.words.attempt(request.headers()).cloned();
     let mut request = to_server(context, request, server, call, admitted.deadline);
+    let mut spare = spare_of(&request, call);
     loop {
-        let mut sender = match server.pool.acquire().await {
-            Ok(sender) => sender,
-            Err(err) => {
-                log::info!("guard: {}: {err}.", server.id);
-                examine(context.quarantine.clone(), context.servers.clone(), server.clone());
-                return not_run(admitted, RefusalKind::ServerUnreachable).await;
-            }
-        };
+        let AcquiredSender { mut sender, idle } =
+            match server.pool.acquire(call.is_repeatable).await {
+                Ok(found) => found,
+                Err(err) => {
+                    log::info!("guard: {}: {err}.", server.id);
+                    examine(context.quarantine.clone(), context.servers.clone(), server.clone());
+                    return not_run(admitted, RefusalKind::ServerUnreachable).await;
+                }
+            };
         // A process that was paused wakes here with a request whose caller was told long ago that
         // its end is unknown. It could still run, but nobody waits for it.
         if admitted.deadline <= Instant::now() {
@@ -100,6 +104,17 @@
                 }
                 None => {
                     let err = err.into_error();
+                    let idle = idle.filter(|_| !err.is_user());
+                    if let Some(idle) = idle {
+                        server.pool.note_stale(idle);
+                    }
+                    // Once and at once: the server most likely forgot the connection.
+                    if let Some(again) = spare.take().filter(|_| idle.is_some()) {
+                        log::info!("guard: {} reset a connection that was idle: {err}.", server.id);
+                        request = again;
+                        admitted.note_unsent(stage);
+                        continue;
+                    }
                     log::info!("guard: {} lost an answer: {err}.", server.id);
                     return lost(context, server, &admitted.permit, &err);
                 }
@@ -108,6 +123,18 @@
     }
 }
 
+/// Gives a copy of a request that may be sent again as it is.
+fn spare_of(request: &Request<ProxyBody>, call: &GuardCall) -> Option<Request<ProxyBody>> {
+    let is_plain = call.is_repeatable && request.body().is_end_stream();
+    is_plain.then(|| {
+        let mut spare = Request::new(whole_body(Bytes::new()));
+        *spare.method_mut() = request.method().clone();
+        *spare.uri_mut() = request.uri().clone();
+        *spare.headers_mut() = request.headers().clone();
+        spare
+    })
+}
+
 impl AdmittedRequest {
     fn note_sent(&mut self, call: &GuardCall, stage: &mut PassStage) {
         *stage = PassStage::Sent;
--- a/components/proxy/src/peers.rs
+++ b/components/proxy/src/peers.rs
@@ -25,9 +25,9 @@
 /// Largest head of an answer, in bytes.
 const MAX_HEAD_BYTES: u32 = 64 * 1024;
 /// Bytes in flight of one answer. Bounds what a slow caller holds in memory here, and what a large
-/// answer puts before short ones on a slow link: 28 ms at 18 Mbit/s. Within a region, where a round
-/// trip takes two milliseconds, it still lets 30 megabytes a second through.
-const STREAM_WINDOW: u32 = 64 * 1024;
+/// answer puts before short ones on a slow link: 18 ms at 7.5 Mbit/s. Within a region, where a round
+/// trip takes two milliseconds, it still lets 8 megabytes a second through.
+const STREAM_WINDOW: u32 = 16 * 1024;
 /// Bytes in flight of all answers of one peer.
 const CONNECTION_WINDOW: u32 = 2 * 1024 * 1024;
 
--- a/components/proxy/src/pool.rs
+++ b/components/proxy/src/pool.rs
@@ -8,7 +8,10 @@
 
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
-use sk_decide::pacing::{ConnectPacer, ConnectVerdict, PacerSettings};
+use sk_decide::{
+    idling::{IDLE_LIMIT, IdleTrust},
+    pacing::{ConnectPacer, ConnectVerdict, PacerSettings},
+};
 use thiserror::Error;
 use tokio::{net::TcpStream, sync::Notify};
 
@@ -17,9 +20,6 @@
 /// Time for a connection to open. The server is on the same instance: it answers in a fraction of
 /// a millisecond or is not there.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
-/// Idle time after which a connection is closed. Servers commonly close theirs after 5 s; a request
-/// sent at that very moment would be lost with an outcome that nobody knows.
-const IDLE_LIMIT: Duration = Duration::from_secs(4);
 /// Largest head of an answer, in bytes.
 const MAX_HEAD_BYTES: usize = 64 * 1024;
 
@@ -40,6 +40,13 @@
 /// A connection that takes one request at a time.
 pub(crate) type ServerSender = SendRequest<ProxyBody>;
 
+/// A connection to send a request on.
+pub(crate) struct AcquiredSender {
+    pub(crate) sender: ServerSender,
+    /// How long it had been idle, none for one that was opened just now.
+    pub(crate) idle: Option<Duration>,
+}
+
 struct IdleConnection {
     sender: ServerSender,
     since: Instant,
@@ -48,6 +55,7 @@
 struct PoolState {
     idle: Vec<IdleConnection>,
     pacer: ConnectPacer,
+    trust: IdleTrust,
     is_closed: bool,
 }
 
@@ -65,26 +73,38 @@
     /// Makes a pool without connections.
     pub(crate) fn new(address: SocketAddr, settings: PacerSettings) -> Self {
         let pacer = ConnectPacer::new(settings);
-        let state = PoolState { idle: Vec::new(), pacer, is_closed: false };
+        let state =
+            PoolState { idle: Vec::new(), pacer, trust: IdleTrust::default(), is_closed: false };
         Self { address, state: Mutex::new(state), returned: Notify::new() }
     }
 
-    /// Gives an idle connection or opens one, paced and within the server's limit.
+    /// Gives an idle connection that is trusted for the request, or opens one, paced and within the
+    /// server's limit.
     ///
     /// # Errors
     ///
     /// Returns a [`ConnectError`] if the server takes no connection.
-    pub(crate) async fn acquire(self: &Arc<Self>) -> Result<ServerSender, ConnectError> {
+    pub(crate) async fn acquire(
+        self: &Arc<Self>,
+        is_repeatable: bool,
+    ) -> Result<AcquiredSender, ConnectError> {
         loop {
             let verdict = {
                 let mut state = self.lock();
-                if let Some(sender) = state.take_idle() {
-                    return Ok(sender);
+                if let Some(found) = state.take_idle(is_repeatable) {
+                    return Ok(found);
+                }
+                let verdict = state.pacer.ask(process_now());
+                if verdict == ConnectVerdict::Full && !state.idle.is_empty() {
+                    // The oldest is not trusted either, and makes room for a new one.
+                    drop(state.idle.remove(0));
                 }
-                state.pacer.ask(process_now())
+                verdict
             };
             match verdict {
-                ConnectVerdict::Open => return self.open().await,
+                ConnectVerdict::Open => {
+                    return Ok(AcquiredSender { sender: self.open().await?, idle: None });
+                }
                 ConnectVerdict::Full => self.returned.notified().await,
                 ConnectVerdict::Wait(wait) => tokio::select! {
                     () = tokio::time::sleep(wait) => (),
@@ -94,6 +114,11 @@
         }
     }
 
+    /// Takes note that a connection was found dead that had been idle for a time.
+    pub(crate) fn note_stale(&self, idle: Duration) {
+        self.lock().trust.note_stale(idle, process_now());
+    }
+
     /// Takes a connection back whose answer was read to its end.
     pub(crate) fn release(self: &Arc<Self>, mut sender: ServerSender) {
         let pool = self.clone();
@@ -167,10 +192,18 @@
 
 impl PoolState {
     /// Gives the connection used last, so that those not needed grow old and close.
-    fn take_idle(&mut self) -> Option<ServerSender> {
-        while let Some(idle) = self.idle.pop() {
-            if idle.sender.is_ready() && idle.since.elapsed() < IDLE_LIMIT {
-                return Some(idle.sender);
+    fn take_idle(&mut self, is_repeatable: bool) -> Option<AcquiredSender> {
+        let limit = self.trust.limit(is_repeatable, process_now());
+        while let Some(last) = self.idle.pop() {
+            let idle = last.since.elapsed();
+            match last.sender.is_ready() {
+                // All others have waited for longer still.
+                true if idle >= limit => {
+                    self.idle.push(last);
+                    return None;
+                }
+                true => return Some(AcquiredSender { sender: last.sender, idle: Some(idle) }),
+                false => {}
             }
         }
         None
--- a/components/proxy/src/serve.rs
+++ b/components/proxy/src/serve.rs
@@ -28,7 +28,7 @@
     guard::guard,
     headers::is_nested,
     outcome::RefusalKind,
-    sockets::watch_silence,
+    sockets::watch_accepted,
 };
 
 /// Pause after a failed accept, which usually means that no file descriptor is left.
@@ -60,7 +60,7 @@
 const STREAM_WINDOW: u32 = 256 * 1024;
 /// Bytes of one answer that wait here for the link. The rest waits at the server, whose slot stays
 /// taken, so that a link that is full counts like a full server.
-const SEND_BUFFER: usize = 32 * 1024;
+const SEND_BUFFER: usize = 16 * 1024;
 /// Bytes in flight of all bodies on one connection.
 const CONNECTION_WINDOW: u32 = 2 * 1024 * 1024;
 
@@ -204,7 +204,7 @@
         };
         // Small answers must not wait for the peer's delayed acknowledgement.
         let _ = stream.set_nodelay(true);
-        watch_silence(&stream);
+        watch_accepted(&stream);
         let (handle, switch) = (handle.clone(), switch.clone());
         let service = service_fn(move |request| {
             let answer = answer(&handle, &switch, request, caller);
--- a/components/proxy/src/sockets.rs
+++ b/components/proxy/src/sockets.rs
@@ -11,21 +11,33 @@
 use socket2::{SockRef, TcpKeepalive};
 use tokio::net::TcpStream;
 
-/// Idle time before the first probe, and time between probes. A probe is a packet of 40 bytes: even
-/// a hundred connections cost less than the heartbeats.
-const PROBE_INTERVAL: Duration = Duration::from_secs(1);
+/// Idle time before the first probe, and time between probes, on connections that this daemon opens. A
+/// daemon of a fleet of 76 holds one to each other, so that shorter pauses would cost more packets than
+/// the requests on them.
+const PROBE_INTERVAL: Duration = Duration::from_secs(2);
+/// The same on connections that others open. They find out by themselves whether their connection
+/// works; here probes only free what a peer without power has left behind.
+const ACCEPTED_INTERVAL: Duration = Duration::from_secs(10);
 /// Probes without an answer that end a connection: one lost packet does not.
 const PROBES: u32 = 2;
 /// Time without an acknowledgement after which sent bytes count as lost. Above the pause of a peer
 /// that is stopped for a moment, below what callers wait for an answer.
 const UNACKNOWLEDGED_LIMIT: Duration = Duration::from_millis(2_500);
 
-/// Sets probes on a connection. A system that lacks one of the options works without.
+/// Sets probes on a connection that was opened here.
 pub(crate) fn watch_silence(stream: &TcpStream) {
-    let keepalive = TcpKeepalive::new()
-        .with_time(PROBE_INTERVAL)
-        .with_interval(PROBE_INTERVAL)
-        .with_retries(PROBES);
+    set_probes(stream, PROBE_INTERVAL);
+}
+
+/// Sets probes on a connection that was accepted here.
+pub(crate) fn watch_accepted(stream: &TcpStream) {
+    set_probes(stream, ACCEPTED_INTERVAL);
+}
+
+/// Sets probes. A system that lacks one of the options works without.
+fn set_probes(stream: &TcpStream, interval: Duration) {
+    let keepalive =
+        TcpKeepalive::new().with_time(interval).with_interval(interval).with_retries(PROBES);
     let socket = SockRef::from(stream);
     let set = socket
         .set_tcp_keepalive(&keepalive)
--- a/components/proxy/tests/common/mod.rs
+++ b/components/proxy/tests/common/mod.rs
@@ -23,7 +23,8 @@
 use sk_proxy::{
     ClaimGate, ForwardContext, GuardContext, GuardToken, LocalServer, LocalServers, OwnWords,
     PeerClient, ProxyCounters, QuarantineBoard, RefusalKind, RequestOutcome, RouteTable,
-    ServeHandle, ServerLimits, SharedTable, TablePlace, process_now, serve_forward, serve_guard,
+    ServeHandle, ServerLimits, SharedTable, TablePlace, TableTuning, process_now, serve_forward,
+    serve_guard,
 };
 use sk_standin::{BackendHandle, BackendOptions, start_backend};
 use tokio::net::TcpListener;
@@ -44,6 +45,7 @@
     pub deadline: Duration,
     pub limits: ServerLimits,
     pub claims: Option<Arc<dyn ClaimGate>>,
+    pub tuning: TableTuning,
 }
 
 impl FleetPlan {
@@ -57,6 +59,7 @@
             deadline: Duration::from_secs(10),
             limits: ServerLimits::default(),
             claims: None,
+            tuning: TableTuning::default(),
         }
     }
 }
@@ -140,7 +143,7 @@
                 proxy: daemon.name.clone(),
                 data_centre: "lj1".to_owned(),
                 region: "slovenia".to_owned(),
-                ..TablePlace::default()
+                tuning: self.plan.tuning,
             };
             let before = daemon.table.load_full();
             let now = process_now();
--- a/components/soak/src/member.rs
+++ b/components/soak/src/member.rs
@@ -265,7 +265,7 @@
 retry_margin = 250
 retry_floor = 300
 retry_shared = true
-free_moves = 8
+free_moves = 4
 [report]
 flush_ms = 5000
 "#
