--- a/components/proxy/tests/few_looks.rs
+++ b/components/proxy/tests/few_looks.rs
@@ -25,7 +25,7 @@
     let filling: Vec<_> = (0..3 * SERVERS)
         .map(|number| {
             let (client, entry) = (client.clone(), fleet.daemons[1 + number % SERVERS].entry);
-            tokio::spawn(async move { get(&client, entry, "/?work_ms=700").await })
+            tokio::spawn(async move { get(&client, entry, "/?work_ms=1500").await })
         })
         .collect();
     let is_full = || fleet.backends.iter().all(|backend| backend.counts().running == 1);
@@ -35,7 +35,16 @@
         let counts = fleet.daemons.iter().map(|daemon| daemon.counters.view());
         counts.map(|view| view.refused.get(name).copied().unwrap_or_default()).sum()
     };
-    let before = busy();
+    // Until those that fill the servers have looked round themselves.
+    let mut before = busy();
+    loop {
+        tokio::time::sleep(Duration::from_millis(200)).await;
+        match busy() {
+            same if same == before => break,
+            more => before = more,
+        }
+    }
+    assert!(is_full(), "nothing has ended meanwhile");
     let answer = get(&client, entry, "/").await;
     assert_eq!(answer.status, 200, "it queues and is answered: {answer:?}");
     let looks = busy() - before;
