--- a/components/soak/src/lib.rs
+++ b/components/soak/src/lib.rs
@@ -8,6 +8,7 @@
 mod backend;
 mod callers;
 mod changes;
+mod checks;
 mod fleet;
 mod inject;
 mod link;
@@ -20,8 +21,8 @@
 mod run;
 mod watch;
 
+pub use checks::{SoakCheck, SoakCounts, Violation};
 pub use naive::PlantedFault;
 pub use plan::{FaultKind, ScheduledFault, SoakPlan, make_schedule};
-pub use report::{SoakReport, Violation};
+pub use report::SoakReport;
 pub use run::{run_planted, run_soak};
-pub use watch::SoakCheck;
--- a/components/soak/src/report.rs
+++ b/components/soak/src/report.rs
@@ -5,42 +5,11 @@
 use serde::Serialize;
 
 use crate::{
+    checks::{SoakCheck, SoakCounts, Violation},
     plan::{FaultKind, ScheduledFault},
-    watch::{SoakCheck, WatchEnd},
+    watch::WatchEnd,
 };
 
-/// Something that did not hold.
-#[derive(Clone, Debug, Serialize)]
-pub struct Violation {
-    /// What did not.
-    pub check: SoakCheck,
-    /// When, from the start of the run.
-    pub at: Duration,
-    /// What was seen.
-    pub text: String,
-}
-
-/// Counts of a run, as callers and servers saw it.
-#[derive(Clone, Debug, Default, Serialize)]
-pub struct SoakCounts {
-    /// Requests sent.
-    pub requests: u64,
-    /// Answered with a whole success.
-    pub served: u64,
-    /// Refused as not run.
-    pub refused: u64,
-    /// Answered with any other failure.
-    pub failed: u64,
-    /// Successes whose body ended early.
-    pub cut: u64,
-    /// Connections that ended without an answer.
-    pub broken: u64,
-    /// Callers that left before an answer.
-    pub left: u64,
-    /// Requests that reached servers, repeats counted.
-    pub arrivals: u64,
-}
-
 /// The report of one run.
 #[derive(Clone, Debug, Serialize)]
 pub struct SoakReport {
--- a/components/soak/src/watch.rs
+++ b/components/soak/src/watch.rs
@@ -9,11 +9,8 @@
     time::{Duration, Instant},
 };
 
-use derive_more::Display;
-use serde::Serialize;
-
 use crate::{
-    report::{SoakCounts, Violation},
+    checks::{SoakCheck, SoakCounts, Violation},
     requests::RequestKind,
 };
 
@@ -37,48 +34,6 @@
 /// Violations of one check that are told of; a broken check breaks hundreds of times.
 const TOLD: usize = 8;
 
-/// Something that must hold.
-#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize)]
-#[serde(rename_all = "kebab-case")]
-pub enum SoakCheck {
-    /// What may not be repeated runs once at most.
-    #[display("run-once")]
-    RunOnce,
-    /// What was answered with "not run" did not run and does not later.
-    #[display("true-refusal")]
-    TrueRefusal,
-    /// A success is the server's whole answer.
-    #[display("whole-answer")]
-    WholeAnswer,
-    /// An answer belongs to the request that it answers.
-    #[display("own-answer")]
-    OwnAnswer,
-    /// Servers run only what callers asked for.
-    #[display("asked-for")]
-    AskedFor,
-    /// One process never goes back to an older version.
-    #[display("never-older")]
-    NeverOlder,
-    /// A version is in force in time at daemons that nothing disturbs.
-    #[display("in-force")]
-    InForce,
-    /// A server that drains gets nothing after the bound.
-    #[display("drain-kept")]
-    DrainKept,
-    /// A planned stop cuts no request.
-    #[display("planned-stop")]
-    PlannedStop,
-    /// Repeats stay within the budget.
-    #[display("retry-budget")]
-    RetryBudget,
-    /// Callers are served again once all is calm.
-    #[display("recovery")]
-    Recovery,
-    /// No daemon ends by itself.
-    #[display("own-end")]
-    OwnEnd,
-}
-
 /// How a request ended for its caller.
 #[derive(Clone, Debug)]
 pub(crate) enum CallEnd {
--- a/components/spread/src/acks.rs
+++ b/components/spread/src/acks.rs
@@ -1,18 +1,17 @@
 //! Acknowledgements: a daemon's own word on what it holds, brought to the relays.
 
-use std::{cell::RefCell, collections::BTreeMap, rc::Rc, time::Duration};
+use std::{collections::BTreeMap, rc::Rc, time::Duration};
 
 use capnp::Error;
 use futures::future::join_all;
 use sk_model::ProxyAck;
-use tokio::sync::Notify;
 
 use crate::{
     backoff::{RetryPause, drawn},
     codec,
     node::{CALL_TIMEOUT, SpreadNode},
     peer_capnp::peer,
-    relays::RelayId,
+    relay_view::RelayId,
     state::CallKind,
 };
 
@@ -28,38 +27,12 @@
 /// Time in which a relay gathers acknowledgements before it gives them on in one piece.
 const BATCH_PAUSE: Duration = Duration::from_millis(100);
 
-/// Acknowledgements that came to this relay and are not given on yet, the last one per daemon.
-#[derive(Default)]
-pub(crate) struct AckBatch {
-    waiting: RefCell<BTreeMap<String, ProxyAck>>,
-    arrived: Notify,
-}
-
-impl AckBatch {
-    pub(crate) fn add(&self, acks: Vec<ProxyAck>) {
-        let mut waiting = self.waiting.borrow_mut();
-        for ack in acks {
-            let is_older = |held: &ProxyAck| ack_rank(held) <= ack_rank(&ack);
-            if waiting.get(&ack.proxy).is_none_or(is_older) {
-                waiting.insert(ack.proxy.clone(), ack);
-            }
-        }
-        self.arrived.notify_one();
-    }
-}
-
-/// Orders acknowledgements of one daemon, which may come out of order over two connections.
-fn ack_rank(ack: &ProxyAck) -> (u64, u64, u64) {
-    (ack.incarnation, ack.version, ack.rejected.as_ref().map_or(0, |rejected| rejected.version))
-}
-
 /// Gives on what has arrived, in batches.
 pub(crate) async fn flush_acks(node: &Rc<SpreadNode>) {
     loop {
-        node.ack_batch.arrived.notified().await;
+        node.ack_batch.arrived().await;
         tokio::time::sleep(BATCH_PAUSE).await;
-        let acks = node.ack_batch.waiting.take();
-        node.acks.note(acks.into_values().collect());
+        node.acks.note(node.ack_batch.take());
     }
 }
 
--- a/components/spread/src/fetch.rs
+++ b/components/spread/src/fetch.rs
@@ -11,9 +11,10 @@
     backoff::{RetryPause, drawn, jittered},
     codec,
     held::OfferOutcome,
-    node::{CALL_TIMEOUT, RootMark, SpreadNode, root_mark},
+    marks::{RootMark, root_mark},
+    node::{CALL_TIMEOUT, SpreadNode},
     options::PassMode,
-    pass::VersionOrigin,
+    orders::{FetchWant, VersionOrigin},
     peer_capnp::{fetch_answer, peer},
     state::CallKind,
     update::{TreeHashes, apply_update, tree_hashes},
@@ -32,14 +33,6 @@
 /// Longest pause that a peer may ask for; a faulty one must not put a daemon to sleep.
 const MAX_BUSY_PAUSE: Duration = Duration::from_secs(2);
 
-/// A version to fetch, and from whom.
-pub(crate) struct FetchWant {
-    pub(crate) version: Version,
-    pub(crate) mark: RootMark,
-    pub(crate) from: ProxyId,
-    pub(crate) origin: VersionOrigin,
-}
-
 /// What a fetch gave.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct FetchReply {
--- a/components/spread/src/held.rs
+++ b/components/spread/src/held.rs
@@ -9,7 +9,7 @@
 use sk_model::{ConfigSnapshot, ProxyId, RejectedVersion, UnixMillis, Version, validate_trees};
 use tokio::sync::watch;
 
-use crate::node::{RootMark, root_mark};
+use crate::marks::{RootMark, root_mark};
 
 /// Earlier snapshots kept as bases for deltas. Subtrees are shared, so each costs one root.
 const KEPT_BASES: usize = 16;
--- a/components/spread/src/join.rs
+++ b/components/spread/src/join.rs
@@ -9,8 +9,8 @@
 
 use crate::{
     backoff::{RetryPause, drawn, jittered},
+    connect::open_session,
     node::{CALL_TIMEOUT, SpreadNode},
-    session::open_session,
 };
 
 /// Addresses tried at once. Lists may name a whole fleet; a few that answer are enough.
--- a/components/spread/src/lib.rs
+++ b/components/spread/src/lib.rs
@@ -3,24 +3,30 @@
 //! Control traffic runs over capnp-rpc on a thread of its own; the request path never waits for it.
 //! `docs/design/spreading.md` tells how versions and records travel and why.
 
+mod ack_batch;
 mod acks;
 mod auth;
 mod backoff;
 mod codec;
+mod connect;
 mod counted;
 mod driver;
 mod fetch;
 mod gate;
 mod held;
 mod join;
+mod link_board;
 mod links;
+mod marks;
 mod neighbours;
 mod news;
 mod node;
 mod notices;
 mod options;
+mod orders;
 mod pass;
 mod pool;
+mod relay_view;
 mod relays;
 mod repair;
 mod server;
@@ -40,7 +46,8 @@
 pub use driver::{SpreadHandle, SpreadParts, StateReader, start_spread};
 pub use held::{HeldConfig, HeldStatus, OfferOutcome};
 pub use options::{PassMode, SpreadOptions};
-pub use pass::{PassPlan, PassStyle, VersionOrigin, plan_pass};
+pub use orders::VersionOrigin;
+pub use pass::{PassPlan, PassStyle, plan_pass};
 pub use source::{AckSink, ConfigSource, ContactBook, ContactMap, NoticeBoard, SourceError};
 pub use state::{CallKind, KindBytes, SpreadState};
 pub use update::{
--- /dev/null
+++ b/components/spread/src/link_board.rs
@@ -0,0 +1,60 @@
+//! The links of a daemon and what is decided over them.
+
+use std::{collections::BTreeMap, rc::Rc, time::Duration};
+
+use sk_member::{
+    LivenessMonitor, MemberRumor, MemberSuspicion, MemberView, MonitorEvent, RumorQueue,
+};
+use sk_model::ProxyId;
+use tokio::{sync::Notify, time::Instant};
+
+/// One link of this daemon.
+pub(crate) struct LinkState {
+    /// Wakes the link's task for news, or because the link was removed.
+    pub(crate) news: Notify,
+    /// Whether this side opens the connection and sends the heartbeats.
+    pub(crate) is_chosen: bool,
+}
+
+/// The links and what is decided over them.
+pub(crate) struct LinkBoard {
+    pub(crate) rumors: RumorQueue,
+    pub(crate) monitor: LivenessMonitor,
+    pub(crate) links: BTreeMap<ProxyId, Rc<LinkState>>,
+    start: Instant,
+}
+
+impl LinkBoard {
+    pub(crate) fn new(monitor: LivenessMonitor) -> Self {
+        Self { rumors: RumorQueue::new(), monitor, links: BTreeMap::new(), start: Instant::now() }
+    }
+
+    /// Gives the time on the monitor's clock.
+    pub(crate) fn now(&self) -> Duration {
+        self.start.elapsed()
+    }
+
+    /// Lets the monitor decide what is due.
+    pub(crate) fn tick(&mut self, view: &MemberView) -> Vec<MonitorEvent> {
+        let now = self.now();
+        self.monitor.tick(view, now)
+    }
+
+    /// Notes an observer's word and passes it on if it was new.
+    pub(crate) fn note_word(&mut self, word: MemberSuspicion, from: &ProxyId) {
+        let now = self.now();
+        if self.monitor.note(word.clone(), now) {
+            self.push(&MemberRumor::Suspicion(word), Some(from));
+        }
+    }
+
+    /// Queues news for every link but the one they came by.
+    pub(crate) fn push(&mut self, rumor: &MemberRumor, from: Option<&ProxyId>) {
+        self.rumors.push(rumor, from);
+        for (proxy, link) in &self.links {
+            if self.rumors.pending(proxy) > 0 {
+                link.news.notify_one();
+            }
+        }
+    }
+}
--- a/components/spread/src/links.rs
+++ b/components/spread/src/links.rs
@@ -1,22 +1,20 @@
 //! Links to the neighbours: heartbeats, and records passed on as they change.
 
 use std::{
-    collections::{BTreeMap, BTreeSet},
+    collections::BTreeSet,
     hash::{DefaultHasher, Hash, Hasher},
     rc::Rc,
     time::Duration,
 };
 
 use capnp::{Error, ErrorKind};
-use sk_member::{
-    LivenessMonitor, MemberRumor, MemberSuspicion, MemberView, MonitorEvent, OverlayPlan,
-    RumorQueue,
-};
+use sk_member::{MemberView, OverlayPlan};
 use sk_model::ProxyId;
 use tokio::{sync::Notify, time::Instant};
 
 use crate::{
     backoff::jittered,
+    link_board::LinkState,
     node::{CALL_TIMEOUT, SpreadNode},
     peer_capnp::{beat, peer},
     state::CallKind,
@@ -34,57 +32,6 @@
 /// digests differ for a moment; comparing at once would send the same records twice.
 const MAX_MISMATCHES: u32 = 2;
 
-/// One link of this daemon.
-struct LinkState {
-    /// Wakes the link's task for news, or because the link was removed.
-    news: Notify,
-    /// Whether this side opens the connection and sends the heartbeats.
-    is_chosen: bool,
-}
-
-/// The links and what is decided over them.
-pub(crate) struct LinkBoard {
-    rumors: RumorQueue,
-    monitor: LivenessMonitor,
-    links: BTreeMap<ProxyId, Rc<LinkState>>,
-    start: Instant,
-}
-
-impl LinkBoard {
-    pub(crate) fn new(monitor: LivenessMonitor) -> Self {
-        Self { rumors: RumorQueue::new(), monitor, links: BTreeMap::new(), start: Instant::now() }
-    }
-
-    /// Gives the time on the monitor's clock.
-    pub(crate) fn now(&self) -> Duration {
-        self.start.elapsed()
-    }
-
-    /// Lets the monitor decide what is due.
-    pub(crate) fn tick(&mut self, view: &MemberView) -> Vec<MonitorEvent> {
-        let now = self.now();
-        self.monitor.tick(view, now)
-    }
-
-    /// Notes an observer's word and passes it on if it was new.
-    pub(crate) fn note_word(&mut self, word: MemberSuspicion, from: &ProxyId) {
-        let now = self.now();
-        if self.monitor.note(word.clone(), now) {
-            self.push(&MemberRumor::Suspicion(word), Some(from));
-        }
-    }
-
-    /// Queues news for every link but the one they came by.
-    pub(crate) fn push(&mut self, rumor: &MemberRumor, from: Option<&ProxyId>) {
-        self.rumors.push(rumor, from);
-        for (proxy, link) in &self.links {
-            if self.rumors.pending(proxy) > 0 {
-                link.news.notify_one();
-            }
-        }
-    }
-}
-
 impl SpreadNode {
     pub(crate) fn link_names(&self) -> BTreeSet<ProxyId> {
         self.links.borrow().links.keys().cloned().collect()
--- a/components/spread/src/neighbours.rs
+++ b/components/spread/src/neighbours.rs
@@ -5,7 +5,7 @@
 use sk_member::{MemberRumor, MemberTable, MonitorEvent};
 use tokio::time::Instant;
 
-use crate::node::SpreadNode;
+use crate::{connect::sweep_sessions, node::SpreadNode};
 
 /// Time between looks at what the monitor has to decide.
 const TICK_PAUSE: Duration = Duration::from_millis(200);
@@ -24,7 +24,7 @@
             last_expiry = Instant::now();
             let now = node.links.borrow().now();
             node.members.update(|table| table.expire(now), |dropped| *dropped > 0);
-            node.pool.sweep(node);
+            sweep_sessions(node);
         }
     }
 }
--- a/components/spread/src/node.rs
+++ b/components/spread/src/node.rs
@@ -2,29 +2,24 @@
 
 use std::{
     cell::{Cell, RefCell},
-    rc::Rc,
     sync::Arc,
     time::Duration,
 };
 
-use capnp::{Error, ErrorKind};
 use sk_logs::OutageLog;
 use sk_member::{MemberBoard, MemberRecord, MemberView};
-use sk_model::{ConfigSnapshot, ContentHash, ProxyId, Version, unix_now};
+use sk_model::{ConfigSnapshot, ProxyId, Version, unix_now};
 use tokio::sync::{Semaphore, mpsc, oneshot, watch};
 
 use crate::{
-    acks::AckBatch,
+    ack_batch::AckBatch,
     counted::ControlMeter,
-    fetch::FetchWant,
     held::{HeldConfig, OfferOutcome},
-    links::LinkBoard,
+    link_board::LinkBoard,
     options::SpreadOptions,
-    pass::{PassOrder, VersionOrigin},
-    peer_capnp::peer,
+    orders::{ConfirmOutcome, FetchWant, PassOrder, VersionOrigin},
     pool::PeerPool,
-    relays::RelayView,
-    session::{PeerSession, open_session},
+    relay_view::RelayView,
     source::{AckSink, ConfigSource, ContactBook, NoticeBoard},
     state::SpreadStats,
 };
@@ -35,9 +30,6 @@
 /// hold up for long what another one could answer.
 pub(crate) const CALL_TIMEOUT: Duration = Duration::from_secs(2);
 
-/// First bytes of a root's hash: enough to notice that two daemons hold different contents.
-pub(crate) type RootMark = u64;
-
 /// What the parts of the control thread share. Used by that thread only.
 pub(crate) struct SpreadNode {
     pub(crate) options: SpreadOptions,
@@ -70,17 +62,6 @@
     pub(crate) expected: Cell<Version>,
 }
 
-/// What a look at the configuration source gave.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum ConfirmOutcome {
-    /// The newest accepted version is held.
-    Held,
-    /// The newest accepted version fails validation here.
-    Refused,
-    /// The source is away.
-    Away,
-}
-
 impl SpreadNode {
     /// Lists the records of the other members believed reachable.
     pub(crate) fn others(&self) -> Vec<Arc<MemberRecord>> {
@@ -169,53 +150,4 @@
             self.held.set_ready(unix_now());
         }
     }
-
-    /// Gives the open connection to a member, or opens one.
-    pub(crate) async fn session(self: &Rc<Self>, proxy: &str) -> Result<Rc<PeerSession>, Error> {
-        if let Some(session) = self.pool.get(proxy) {
-            return Ok(session);
-        }
-        let view = self.view();
-        let record = view.get(proxy).ok_or_else(|| Error::failed("unknown peer".to_owned()))?;
-        let session = open_session(self, record.control).await?;
-        // An address may be taken over by another daemon before its old owner's end is known.
-        match session.proxy == proxy {
-            true => Ok(session),
-            false => Err(Error::failed("another daemon answers there".to_owned())),
-        }
-    }
-
-    /// Makes a call to a member within `timeout`.
-    pub(crate) async fn call<T>(
-        self: &Rc<Self>,
-        proxy: &str,
-        timeout: Duration,
-        call: impl AsyncFnOnce(peer::Client) -> Result<T, Error>,
-    ) -> Result<T, Error> {
-        let attempt = async {
-            let session = self.session(proxy).await?;
-            session.touch();
-            call(session.client.clone()).await
-        };
-        let result = match tokio::time::timeout(timeout, attempt).await {
-            Ok(result) => result,
-            Err(_) => Err(Error::overloaded("call timed out".to_owned())),
-        };
-        // A refusal by the peer's code leaves the connection sound; after anything else the next
-        // call begins on a fresh one.
-        if let Err(err) = &result
-            && err.kind != ErrorKind::Failed
-            && let Some(session) = self.pool.get(proxy)
-        {
-            session.close();
-        }
-        result
-    }
-}
-
-/// Gives the mark of a root's hash.
-pub(crate) fn root_mark(hash: &ContentHash) -> RootMark {
-    // The first 16 digits of a hexadecimal SHA-256 always fit; a malformed hash matches nothing
-    // that it could be mistaken for.
-    hash.get(..16).and_then(|digits| u64::from_str_radix(digits, 16).ok()).unwrap_or_default()
 }
--- a/components/spread/src/pass.rs
+++ b/components/spread/src/pass.rs
@@ -1,17 +1,19 @@
 //! Passing a version on along the tree of the data centre.
 
-use std::{rc::Rc, sync::Arc, time::Duration};
+use std::{rc::Rc, time::Duration};
 
 use capnp::Error;
 use futures::future::{LocalBoxFuture, join_all};
 use sk_member::PushTree;
-use sk_model::{ConfigSnapshot, ProxyId};
+use sk_model::ProxyId;
 use tokio::sync::mpsc;
 
 use crate::{
     codec,
-    node::{SpreadNode, root_mark},
+    marks::root_mark,
+    node::SpreadNode,
     options::PassMode,
+    orders::{PassOrder, VersionOrigin},
     state::CallKind,
     update::{ConfigUpdate, make_update},
 };
@@ -30,25 +32,6 @@
 /// the same either way.
 const GATHER_DELAY: Duration = Duration::from_secs(1);
 
-/// How a daemon came by a version.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum VersionOrigin {
-    /// It watches the configuration source and saw it there.
-    Source,
-    /// It was pushed along the tree of `root`.
-    Pushed {
-        /// The daemon at which the tree begins.
-        root: ProxyId,
-    },
-    /// It was announced along the tree of `root`, and fetched.
-    Announced {
-        /// The daemon at which the tree begins.
-        root: ProxyId,
-    },
-    /// It was found by comparison with a peer, or at the start.
-    Found,
-}
-
 /// What is sent to the children in the tree.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum PassStyle {
@@ -102,13 +85,6 @@
     }
 }
 
-/// A version that is to be passed on.
-pub(crate) struct PassOrder {
-    pub(crate) base: Arc<ConfigSnapshot>,
-    pub(crate) newest: Arc<ConfigSnapshot>,
-    pub(crate) origin: VersionOrigin,
-}
-
 /// What all calls of one pass share.
 struct PassRun {
     node: Rc<SpreadNode>,
--- a/components/spread/src/pool.rs
+++ b/components/spread/src/pool.rs
@@ -1,10 +1,15 @@
 //! The open connections, by peer.
 
-use std::{cell::RefCell, collections::BTreeMap, rc::Rc, time::Duration};
+use std::{
+    cell::RefCell,
+    collections::{BTreeMap, BTreeSet},
+    rc::Rc,
+    time::Duration,
+};
 
 use sk_model::ProxyId;
 
-use crate::{node::SpreadNode, session::PeerSession};
+use crate::session::PeerSession;
 
 /// Time without a call after which a connection that is no link is closed. Longer than the pause
 /// between changes made in one go, so that a tree's connections serve all of them; short enough
@@ -39,9 +44,8 @@
         }
     }
 
-    /// Closes connections that are unused, forgets those that ended and reports lost peers.
-    pub(crate) fn sweep(&self, node: &SpreadNode) {
-        let links = node.link_names();
+    /// Closes connections that are unused and no links, and forgets those that ended.
+    pub(crate) fn sweep(&self, links: &BTreeSet<ProxyId>) -> PoolSweep {
         let mut sessions = self.sessions.borrow_mut();
         for session in sessions.iter() {
             let is_unused = session.idle() > IDLE_TIMEOUT && !links.contains(&session.proxy);
@@ -50,15 +54,22 @@
             }
         }
         sessions.retain(|session| !session.is_closed());
-        node.stats.set_sessions(sessions.len());
+        let mut swept = PoolSweep { open: sessions.len(), lost: Vec::new() };
         drop(sessions);
-        let mut lost = Vec::new();
         self.by_proxy.borrow_mut().retain(|proxy, session| {
             if session.is_lost() {
-                lost.push(proxy.clone());
+                swept.lost.push(proxy.clone());
             }
             !session.is_closed()
         });
-        lost.iter().for_each(|proxy| node.note_lost(proxy));
+        swept
     }
 }
+
+/// What a sweep has found.
+pub(crate) struct PoolSweep {
+    /// Connections that are open.
+    pub(crate) open: usize,
+    /// Peers whose connection ended without this side's wish.
+    pub(crate) lost: Vec<ProxyId>,
+}
--- a/components/spread/src/relays.rs
+++ b/components/spread/src/relays.rs
@@ -2,40 +2,19 @@
 
 use std::{rc::Rc, time::Duration};
 
-use sk_member::{Incarnation, choose_relays};
+use sk_member::choose_relays;
 use sk_model::ProxyId;
 use tokio::time::Instant;
 
-use crate::node::SpreadNode;
+use crate::{
+    node::SpreadNode,
+    relay_view::{RelayId, RelayView},
+};
 
 /// Pause before the relays are chosen again after members changed: a herd restart changes them
 /// hundreds of times a second, and each choice weighs the whole data centre.
 const CHOICE_PAUSE: Duration = Duration::from_millis(100);
 
-/// One chosen daemon. Its process is part of it: a relay that restarts under its old name has lost
-/// the acknowledgements that it had not kept yet, and must be told again.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub(crate) struct RelayId {
-    pub(crate) proxy: ProxyId,
-    pub(crate) incarnation: Incarnation,
-}
-
-/// The relays of this daemon's data centre, first choice first.
-#[derive(Clone, Debug)]
-pub(crate) struct RelayView {
-    pub(crate) relays: Vec<RelayId>,
-    /// Place of this daemon among them.
-    pub(crate) rank: Option<usize>,
-    /// Since when they are the same.
-    pub(crate) since: Instant,
-}
-
-impl Default for RelayView {
-    fn default() -> Self {
-        Self { relays: Vec::new(), rank: None, since: Instant::now() }
-    }
-}
-
 pub(crate) fn view_relays(node: &SpreadNode) -> RelayView {
     let view = node.view();
     let own = node.members.own();
--- a/components/spread/src/server.rs
+++ b/components/spread/src/server.rs
@@ -14,9 +14,9 @@
 use crate::{
     backoff::jittered,
     codec,
-    fetch::FetchWant,
-    node::{ConfirmOutcome, SpreadNode, root_mark},
-    pass::VersionOrigin,
+    marks::root_mark,
+    node::SpreadNode,
+    orders::{ConfirmOutcome, FetchWant, VersionOrigin},
     peer_capnp::{fetch_answer, fetch_request, peer, ticket},
     session::PeerSession,
     state::CallKind,
--- a/components/spread/src/session.rs
+++ b/components/spread/src/session.rs
@@ -1,44 +1,11 @@
-//! Connections to peers, each proved from both sides and used in both directions.
+//! An open connection to a peer.
 
-use std::{
-    cell::{Cell, RefCell},
-    net::SocketAddr,
-    rc::Rc,
-    sync::Arc,
-    time::Duration,
-};
+use std::{cell::Cell, rc::Rc, time::Duration};
 
-use capnp::{Error, message::ReaderOptions};
-use capnp_rpc::{RpcSystem, rpc_twoparty_capnp::Side, twoparty::VatNetwork};
 use sk_model::ProxyId;
-use tokio::{net::TcpStream, sync::Notify, time::Instant};
-use tokio_util::compat::{TokioAsyncReadCompatExt, TokioAsyncWriteCompatExt};
+use tokio::{sync::Notify, time::Instant};
 
-use crate::{
-    auth::{ProofSide, is_proof, make_nonce, make_proof},
-    codec,
-    counted::{ByteAllowance, CountedStream},
-    gate::GateServer,
-    node::SpreadNode,
-    peer_capnp::{gate, peer},
-    server::PeerServer,
-};
-
-/// Time until a peer that does not accept counts as unreachable.
-const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
-/// Time a connection may take to prove the secret. A proof takes two round trips; a stranger that
-/// connects and says nothing would otherwise hold a file descriptor for ever.
-const PROOF_TIMEOUT: Duration = Duration::from_secs(3);
-/// Connections at once that have proved nothing yet. A herd restart brings a seed hundreds in a
-/// second, each for a few milliseconds; refused ones come back after a jittered pause.
-const MAX_UNPROVEN: usize = 128;
-/// Time that an orderly end of a connection may take before it is dropped.
-const CLOSE_TIMEOUT: Duration = Duration::from_millis(500);
-/// Largest message from a peer in words of 8 bytes: 8 MB, the whole configuration of a fleet with
-/// several subtrees at the platform's bound of a megabyte. A larger one ends its connection.
-const MAX_MESSAGE_WORDS: usize = 1 << 20;
-/// Deepest nesting of a message; the schema needs five.
-const MAX_NESTING: i32 = 16;
+use crate::peer_capnp::peer;
 
 /// An open connection to a proven peer.
 pub(crate) struct PeerSession {
@@ -54,9 +21,9 @@
 /// Carries the wish to close to the task that runs the connection, and back that it has ended.
 #[derive(Default)]
 pub(crate) struct SessionSignal {
-    close: Notify,
-    is_closed: Cell<bool>,
-    is_lost: Cell<bool>,
+    pub(crate) close: Notify,
+    pub(crate) is_closed: Cell<bool>,
+    pub(crate) is_lost: Cell<bool>,
 }
 
 impl SessionSignal {
@@ -92,144 +59,3 @@
         self.link.close();
     }
 }
-
-/// Closes a connection that is not proven when its opening ends, also where a caller with less
-/// patience than [`PROOF_TIMEOUT`] drops it.
-///
-/// A connection left open would never be used or closed by this side: files would run out. The
-/// peer may have entered it among its own as the newest way here, and would get nothing but
-/// refusals over it, so that its heartbeats stay away although it runs.
-struct OpeningGuard(Option<SessionLink>);
-
-impl OpeningGuard {
-    fn keep(mut self) {
-        self.0 = None;
-    }
-}
-
-impl Drop for OpeningGuard {
-    fn drop(&mut self) {
-        if let Some(link) = &self.0 {
-            link.close();
-        }
-    }
-}
-
-/// Connects to a peer, proves the secret both ways and gives the session.
-pub(crate) async fn open_session(
-    node: &Rc<SpreadNode>,
-    address: SocketAddr,
-) -> Result<Rc<PeerSession>, Error> {
-    let connect = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
-    let stream = connect.map_err(|_| Error::overloaded("connect timed out".to_owned()))??;
-    let (mut system, link, allowance) = make_session(node, stream, Side::Client, None)?;
-    let gate: gate::Client = system.bootstrap(Side::Server);
-    tokio::task::spawn_local(run_session(node.clone(), system, link.clone()));
-    let opening = OpeningGuard(Some(link.clone()));
-    let proved = tokio::time::timeout(PROOF_TIMEOUT, prove(node, gate, &link)).await;
-    let session = proved.map_err(|_| Error::overloaded("proof timed out".to_owned()))??;
-    opening.keep();
-    allowance.lift();
-    node.pool.add(session.clone());
-    Ok(session)
-}
-
-async fn prove(
-    node: &Rc<SpreadNode>,
-    gate: gate::Client,
-    link: &SessionLink,
-) -> Result<Rc<PeerSession>, Error> {
-    let secret = node.options.secret.as_bytes();
-    let challenge = gate.challenge_request().send().promise.await?;
-    let callee = challenge.get()?.get_nonce()?;
-    let caller = make_nonce();
-    let back = Rc::new(PeerServer::new(node));
-    let mut request = gate.enter_request();
-    let mut params = request.get();
-    params.set_nonce(&caller);
-    params.set_proof(&make_proof(secret, ProofSide::Caller, &caller, callee));
-    params.set_proxy(&node.own_name);
-    params.set_peer(capnp_rpc::new_client_from_rc(back.clone()));
-    let response = request.send().promise.await?;
-    let response = response.get()?;
-    // Without this check, whoever took over a peer's address could feed configuration to us.
-    if !is_proof(secret, ProofSide::Callee, &caller, callee, response.get_proof()?) {
-        return Err(Error::failed("peer does not know the secret".to_owned()));
-    }
-    let proxy = codec::read_text(response.get_proxy()?)?;
-    let session = PeerSession::new(proxy, response.get_peer()?, link.clone());
-    back.open(&session);
-    Ok(session)
-}
-
-/// Serves one connection that a peer opened.
-pub(crate) fn serve_session(node: &Rc<SpreadNode>, stream: TcpStream) {
-    if node.unproven.get() >= MAX_UNPROVEN {
-        log::warn!("spread: refused a connection, {MAX_UNPROVEN} have proved nothing yet.");
-        return;
-    }
-    let server = Rc::new(GateServer::new(node));
-    let gate: gate::Client = capnp_rpc::new_client_from_rc(server.clone());
-    let (system, link, allowance) = match make_session(node, stream, Side::Server, Some(gate)) {
-        Ok(parts) => parts,
-        Err(err) => return log::debug!("spread: a session could not start: {err}."),
-    };
-    tokio::task::spawn_local(run_session(node.clone(), system, link.clone()));
-    let proven = server.attach(link.clone(), allowance);
-    node.unproven.set(node.unproven.get() + 1);
-    let node = node.clone();
-    tokio::task::spawn_local(async move {
-        let is_proven = tokio::time::timeout(PROOF_TIMEOUT, proven).await;
-        node.unproven.set(node.unproven.get() - 1);
-        if !matches!(is_proven, Ok(Ok(()))) {
-            link.close();
-        }
-    });
-}
-
-type SessionParts = (RpcSystem<Side>, SessionLink, Arc<ByteAllowance>);
-
-fn make_session(
-    node: &Rc<SpreadNode>,
-    stream: TcpStream,
-    side: Side,
-    gate: Option<gate::Client>,
-) -> Result<SessionParts, Error> {
-    stream.set_nodelay(true)?;
-    let allowance = ByteAllowance::unproven(side);
-    let stream = CountedStream::new(stream, node.meter.clone(), allowance.clone());
-    let (reader, writer) = tokio::io::split(stream);
-    let options = ReaderOptions {
-        traversal_limit_in_words: Some(MAX_MESSAGE_WORDS),
-        nesting_limit: MAX_NESTING,
-    };
-    let network = VatNetwork::new(reader.compat(), writer.compat_write(), side, options);
-    let system = RpcSystem::new(Box::new(network), gate.map(|gate| gate.client));
-    Ok((system, SessionLink::default(), allowance))
-}
-
-/// Runs a connection until it ends or is to be closed.
-async fn run_session(node: Rc<SpreadNode>, mut system: RpcSystem<Side>, link: SessionLink) {
-    let disconnector = RefCell::new(Some(system.get_disconnector()));
-    let result = tokio::select! {
-        result = &mut system => {
-            link.is_lost.set(true);
-            result
-        }
-        () = link.close.notified() => {
-            let closing = async {
-                if let Some(disconnector) = disconnector.take() {
-                    // The connection ends either way; a fault of its end changes nothing.
-                    let _ = disconnector.await;
-                }
-            };
-            let both = async { tokio::join!(&mut system, closing).0 };
-            tokio::time::timeout(CLOSE_TIMEOUT, both).await.unwrap_or(Ok(()))
-        }
-    };
-    if let Err(err) = result {
-        log::debug!("spread: a session ended: {err}.");
-    }
-    link.is_closed.set(true);
-    node.pool.sweep(&node);
-}
--- a/components/spread/src/start.rs
+++ b/components/spread/src/start.rs
@@ -11,8 +11,8 @@
     backoff::{RetryPause, drawn, jittered},
     fetch::{FetchOutcome, FetchReply},
     join::JoinStage,
-    node::{ConfirmOutcome, SpreadNode},
-    pass::VersionOrigin,
+    node::SpreadNode,
+    orders::{ConfirmOutcome, VersionOrigin},
 };
 
 /// Time for which the relays must have stayed the same before a starting daemon takes itself for
--- a/components/spread/src/state.rs
+++ b/components/spread/src/state.rs
@@ -13,7 +13,7 @@
 use serde::Serialize;
 use sk_model::{ProxyId, Version};
 
-use crate::relays::RelayView;
+use crate::relay_view::RelayView;
 
 /// Bytes in a word of the wire format.
 const WORD_BYTES: u64 = 8;
--- a/components/spread/src/watch.rs
+++ b/components/spread/src/watch.rs
@@ -11,8 +11,8 @@
 use crate::{
     backoff::RetryPause,
     held::OfferOutcome,
-    node::{ConfirmOutcome, PLATFORM, SpreadNode},
-    pass::VersionOrigin,
+    node::{PLATFORM, SpreadNode},
+    orders::{ConfirmOutcome, VersionOrigin},
 };
 
 /// Longest wait of one watch at the configuration source.
