--- a/components/claim/tests/at_most_once.rs
+++ b/components/claim/tests/at_most_once.rs
@@ -1,13 +1,10 @@
 //! At most one attempt of a key is ever granted, whatever the platform does.
 
-mod common;
-
 use std::{collections::BTreeMap, sync::Arc};
 
-use common::{UnrulyStore, WriteFate};
 use proptest::prelude::*;
 use sk_claim::{ClaimBook, ClaimSettings, ClaimVerdict, claim_key};
-use sk_store::{FakeStore, SharedStore};
+use sk_store::{CallFault, FakeStore, FaultStore, SharedStore};
 use tokio::task::JoinSet;
 
 fn settings() -> ClaimSettings {
@@ -20,19 +17,19 @@
     /// Attempts on keys, each at one of three daemons, all at once.
     Attempts(Vec<(usize, u8)>),
     /// Fates of the next writes.
-    Fates(Vec<WriteFate>),
+    Fates(Vec<CallFault>),
     /// The platform goes away or comes back.
     Outage(bool),
     /// A daemon restarts and forgets everything.
     Restart(usize),
 }
 
-fn fate() -> impl Strategy<Value = WriteFate> {
+fn fate() -> impl Strategy<Value = CallFault> {
     prop_oneof![
-        Just(WriteFate::Answered),
-        Just(WriteFate::AnswerLost),
-        Just(WriteFate::Lost),
-        (0..40_u64).prop_map(WriteFate::Late),
+        Just(CallFault::None),
+        Just(CallFault::LoseAnswer),
+        Just(CallFault::LoseRequest),
+        (0..40_u64).prop_map(CallFault::LateBy),
     ]
 }
 
@@ -48,16 +45,16 @@
 
 /// Counts grants by key over a whole sequence.
 async fn count_grants(steps: Vec<Step>) -> BTreeMap<u8, u32> {
-    let unruly = UnrulyStore::default();
-    let store: SharedStore = Arc::new(unruly.clone());
+    let unruly = FaultStore::interleaved();
+    let store: SharedStore = unruly.clone();
     let book = || Arc::new(ClaimBook::new(store.clone(), settings()));
     let mut books = [book(), book(), book()];
     let (mut grants, mut attempt) = (BTreeMap::new(), 0);
     for step in steps {
         match step {
-            Step::Outage(is_down) => unruly.fake.set_down(is_down),
+            Step::Outage(is_down) => unruly.inner.set_down(is_down),
             Step::Restart(daemon) => books[daemon] = book(),
-            Step::Fates(fates) => unruly.plan(fates),
+            Step::Fates(fates) => unruly.plan_more(&fates),
             Step::Attempts(attempts) => {
                 let mut tasks = JoinSet::new();
                 for (daemon, key) in attempts {
--- a/components/ledger/tests/call_counts.rs
+++ b/components/ledger/tests/call_counts.rs
@@ -4,10 +4,10 @@
 
 use std::{sync::Arc, time::Duration};
 
-use common::{FaultStore, quick_ledger, request, service, value};
+use common::{quick_ledger, request, service, value};
 use sk_ledger::{Ledger, LedgerSettings};
 use sk_model::ConfigSnapshot;
-use sk_store::FakeStore;
+use sk_store::{FakeStore, FaultStore};
 
 const TEAMS: usize = 69;
 
--- a/components/ledger/tests/long_history.rs
+++ b/components/ledger/tests/long_history.rs
@@ -4,9 +4,9 @@
 
 use std::sync::Arc;
 
-use common::{CallFault::Pause, FaultStore, quick_ledger, request, value};
+use common::{quick_ledger, request, value};
 use sk_ledger::{Ledger, SubmitError};
-use sk_store::ObjectStore;
+use sk_store::{CallFault::Pause, FaultStore, ObjectStore};
 
 async fn write_many(ledger: &Ledger, from: u64, count: u64) {
     for number in from..from + count {
@@ -57,7 +57,7 @@
     write_many(&ledger, 1, 1).await;
     let reader_store = FaultStore::new(&store.inner);
     let reader = quick_ledger(&reader_store);
-    reader_store.plan(&[common::CallFault::None, Pause]);
+    reader_store.plan(&[sk_store::CallFault::None, Pause]);
     let task = tokio::spawn(async move { reader.outcome("c1").await });
     if !reader_store.settle(&task).await {
         write_many(&ledger, 2, 30).await;
--- a/components/ledger/tests/lost_answers.rs
+++ b/components/ledger/tests/lost_answers.rs
@@ -4,17 +4,18 @@
 
 use std::sync::Arc;
 
-use common::{
-    CallFault::{Delay, LoseAnswer, LoseRequest, None as Fine, Outage, Pause},
-    FaultStore, quick_ledger, request, service, value,
-};
+use common::{quick_ledger, request, service, value};
 use sk_ledger::SubmitError;
 use sk_model::{ChangeRecord, ChangeRequest};
+use sk_store::{
+    CallFault::{Delay, LoseAnswer, LoseRequest, None as Fine, Outage, Pause},
+    FaultStore,
+};
 
 /// Calls of a first submit before the put of the head: two reads and the subtree.
 const BEFORE_PUT: usize = 3;
 
-fn at_put(faults: &[common::CallFault]) -> Vec<common::CallFault> {
+fn at_put(faults: &[sk_store::CallFault]) -> Vec<sk_store::CallFault> {
     [&[Fine; BEFORE_PUT], faults].concat()
 }
 
@@ -39,7 +40,7 @@
 
 /// Suspends a submit of `c1` after its put, which `fault` spoils, while `meanwhile` is accepted.
 async fn submit_around(
-    fault: common::CallFault,
+    fault: sk_store::CallFault,
     meanwhile: &[ChangeRequest],
 ) -> (Arc<FaultStore>, Result<ChangeRecord, SubmitError>) {
     let store = FaultStore::new(&Arc::default());
--- a/components/ledger/tests/naive/mod.rs
+++ b/components/ledger/tests/naive/mod.rs
@@ -11,7 +11,9 @@
 };
 use sk_store::{ObjectStore, StoreError};
 
-use crate::common::{FaultStore, quick_ledger};
+use sk_store::FaultStore;
+
+use crate::common::quick_ledger;
 
 const HEAD: &str = "sapphirekeel/head";
 
--- a/components/ledger/tests/newer_version.rs
+++ b/components/ledger/tests/newer_version.rs
@@ -4,8 +4,9 @@
 
 use std::{sync::Arc, time::Duration};
 
-use common::{FaultStore, quick_ledger, request, value};
+use common::{quick_ledger, request, value};
 use sk_model::ConfigSnapshot;
+use sk_store::FaultStore;
 
 #[tokio::test]
 async fn wakes_waiters() {
--- a/components/ledger/tests/operator_session.rs
+++ b/components/ledger/tests/operator_session.rs
@@ -4,10 +4,11 @@
 
 use std::{sync::Arc, time::Duration};
 
-use common::{CallFault, FaultStore, quick_ledger, request, route, service};
+use common::{quick_ledger, request, route, service};
 use expect_test::expect;
 use sk_ledger::{Ledger, SubmitError};
 use sk_model::{ChangeRecord, ChangeRequest, ConfigSnapshot};
+use sk_store::{CallFault, FaultStore};
 
 fn show_record(record: &ChangeRecord) -> String {
     serde_json::to_string(record).expect("JSON")
--- a/components/ledger/tests/racing_operators.rs
+++ b/components/ledger/tests/racing_operators.rs
@@ -8,7 +8,7 @@
     sync::Arc,
 };
 
-use common::{CallFault, FaultStore, quick_ledger, request, route, service, value};
+use common::{quick_ledger, request, route, service, value};
 use naive::{Acceptor, Answer, NaiveLedger, NaiveModel};
 use proptest::{
     prelude::*,
@@ -16,7 +16,7 @@
 };
 use sk_ledger::{CHUNK_RECORDS, SubmitError, record_of};
 use sk_model::{ChangeRequest, ConfigSnapshot, SettingBody};
-use sk_store::FakeStore;
+use sk_store::{CallFault, FakeStore, FaultStore};
 use tokio::{runtime, task::JoinHandle};
 
 const OPERATORS: usize = 3;
--- a/components/ledger/tests/request_bounds.rs
+++ b/components/ledger/tests/request_bounds.rs
@@ -4,10 +4,11 @@
 
 use std::sync::Arc;
 
-use common::{FaultStore, quick_ledger, request, value};
+use common::{quick_ledger, request, value};
 use expect_test::expect;
 use sk_ledger::SubmitError;
 use sk_model::{ChangeRequest, SettingBody};
+use sk_store::FaultStore;
 
 fn many(count: usize) -> impl Iterator<Item = (String, Option<SettingBody>)> {
     (0..count).map(|number| (format!("/one/{number:0>100}"), Some(value(number))))
--- a/components/ledger/tests/spoilt_platform.rs
+++ b/components/ledger/tests/spoilt_platform.rs
@@ -4,10 +4,10 @@
 
 use std::sync::Arc;
 
-use common::{FaultStore, quick_ledger, request, service, value};
+use common::{quick_ledger, request, service, value};
 use sk_ledger::{CorruptData, Ledger, LedgerError, SubmitError};
 use sk_model::ConfigSnapshot;
-use sk_store::{FakeStore, ObjectStore};
+use sk_store::{FakeStore, FaultStore, ObjectStore};
 
 async fn write_two(store: &Arc<FaultStore>) -> Arc<Ledger> {
     let ledger = quick_ledger(store);
--- a/components/store/src/lib.rs
+++ b/components/store/src/lib.rs
@@ -6,6 +6,7 @@
 mod api;
 mod error;
 mod fake;
+mod fault;
 mod http_call;
 mod http_store;
 pub mod wire;
@@ -13,5 +14,6 @@
 pub use api::{MAX_VALUE_BYTES, ObjectKey, ObjectStore, Revision, SharedStore, StoredObject};
 pub use error::StoreError;
 pub use fake::{FakeStore, WriteFault};
+pub use fault::{CallFault, FaultStore};
 pub use http_call::{CallAnswer, HttpCaller};
 pub use http_store::HttpStore;
