--- a/components/daemon/src/daemon.rs
+++ b/components/daemon/src/daemon.rs
@@ -15,8 +15,8 @@
 use sk_member::{HeartbeatBook, MemberBoard, MemberRecord, MemberStatus};
 use sk_ops::{OpsHandle, SharedPort, start_ops};
 use sk_proxy::{
-    ForwardContext, GuardContext, GuardToken, LocalServers, OwnService, PeerClient, ProxyCounters,
-    QuarantineBoard, ServeHandle, SharedTable, serve_forward, serve_guard,
+    FailedCalls, ForwardContext, GuardContext, GuardToken, LocalServers, OwnService, PeerClient,
+    ProxyCounters, QuarantineBoard, ServeHandle, SharedTable, serve_forward, serve_guard,
 };
 use sk_report::ReportBook;
 use sk_settings::{DaemonSettings, SpreadMode};
@@ -392,5 +392,6 @@
         claims: Some(Arc::new(BookGate { book: parts.claims.clone() })),
         counters: parts.counters.clone(),
         words: parts.border.words.clone(),
+        failed_calls: FailedCalls::default(),
     }
 }
--- a/components/decide/src/idling.rs
+++ b/components/decide/src/idling.rs
@@ -12,6 +12,10 @@
 /// Longest idle time for a request that may run once only. A busy server's connections wait for some
 /// tens of milliseconds; one that has waited for longer is opened anew, which costs a millisecond.
 const ONCE_LIMIT: Duration = Duration::from_millis(250);
+/// Idle time from which a reset is put down to it. On a connection that was in use just now it is the
+/// server's choice or its death, and says nothing of idle ones: with them counted, a server that lost
+/// answers got a new connection for nearly each request.
+pub const STALE_LEAST: Duration = Duration::from_millis(100);
 /// Time in which a limit that was lowered doubles.
 const RECOVERY: Duration = Duration::from_secs(5);
 
@@ -36,6 +40,9 @@
 
     /// Notes that a connection which had been idle for a time was found dead.
     pub fn note_stale(&mut self, idle: Duration, now: Duration) {
+        if idle < STALE_LEAST {
+            return;
+        }
         let limit = (idle / 2).min(self.limit(true, now));
         self.lowered = Some((limit, now));
     }
--- a/components/decide/tests/idle_trust.rs
+++ b/components/decide/tests/idle_trust.rs
@@ -32,3 +32,13 @@
     trust.note_stale(millis(100), now);
     assert_eq!(trust.limit(false, now), millis(50));
 }
+
+/// A server dies, or breaks off some of its answers. That says nothing of connections that wait, and
+/// must not make each request open one of its own.
+#[test]
+fn busy_reset() {
+    let mut trust = IdleTrust::default();
+    let now = millis(10_000);
+    trust.note_stale(millis(8), now);
+    assert_eq!(trust.limit(true, now), IDLE_LIMIT);
+}
--- a/components/proxy/src/context.rs
+++ b/components/proxy/src/context.rs
@@ -8,8 +8,8 @@
 
 use crate::{
     body::ProxyBody, call::GuardToken, claim::ClaimGate, counters::ProxyCounters,
-    local::LocalServers, outcome::RefusalKind, peers::PeerClient, quarantine::QuarantineBoard,
-    table::SharedTable, words::RequestWords,
+    failed_calls::FailedCalls, local::LocalServers, outcome::RefusalKind, peers::PeerClient,
+    quarantine::QuarantineBoard, table::SharedTable, words::RequestWords,
 };
 
 /// What forwarding needs.
@@ -48,6 +48,8 @@
     pub counters: Arc<ProxyCounters>,
     /// Headers that the server speaks.
     pub words: Arc<dyn RequestWords>,
+    /// Calls of the server that failed, for the lines of the requests they were made for.
+    pub failed_calls: FailedCalls,
 }
 
 /// Counts an answer that this daemon made as entry.
--- a/components/proxy/src/exchange.rs
+++ b/components/proxy/src/exchange.rs
@@ -6,7 +6,10 @@
 use http::{HeaderMap, Request, Response, header};
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
-use sk_decide::deadline::{BODY_GRACE, CallContext};
+use sk_decide::{
+    deadline::{BODY_GRACE, CallContext},
+    idling::STALE_LEAST,
+};
 use tokio::time::Instant;
 
 use crate::{
@@ -104,7 +107,7 @@
                 }
                 None => {
                     let err = err.into_error();
-                    let idle = idle.filter(|_| !err.is_user());
+                    let idle = idle.filter(|idle| *idle >= STALE_LEAST && !err.is_user());
                     if let Some(idle) = idle {
                         server.pool.note_stale(idle);
                     }
--- a/components/proxy/src/forward.rs
+++ b/components/proxy/src/forward.rs
@@ -49,13 +49,13 @@
 }
 
 fn begin_story(
-    context: &ForwardContext,
+    context: &Arc<ForwardContext>,
     request: &Request<Incoming>,
     caller: IpAddr,
 ) -> RequestStory {
     let attempt = context.words.attempt(request.headers()).cloned();
     let (method, host) = (request.method().clone(), host_of(request));
-    RequestStory::new(attempt, caller, method, host, request.uri().path())
+    RequestStory::new(context.clone(), attempt, caller, method, host, request.uri().path())
 }
 
 async fn forward_routed(
--- a/components/proxy/src/guard.rs
+++ b/components/proxy/src/guard.rs
@@ -21,7 +21,7 @@
     context::GuardContext,
     exchange::{AdmittedRequest, PassStage, send},
     headers::{KEY_HEADER, header_text, strip_hop_headers, strip_own_headers},
-    hints::{write_figures, write_held},
+    hints::{write_calls, write_figures, write_held},
     outcome::{EARLIER_STATUS_HEADER, RefusalKind, RequestOutcome},
     times::TimeStage,
 };
@@ -55,6 +55,8 @@
 ) -> Response<ProxyBody> {
     strip_hop_headers(request.headers_mut());
     strip_own_headers(request.headers_mut());
+    let attempt = context.words.attempt(request.headers());
+    let attempt = attempt.and_then(|id| id.to_str().ok()).map(str::to_owned);
     let arrived = Instant::now();
     let deadline = arrived + call.context().remaining;
     let mut stage = PassStage::Waiting;
@@ -71,6 +73,11 @@
     if let Some(kind) = RefusalKind::read(response.headers()) {
         context.counters.count_refusal(kind);
     }
+    if response.status().is_server_error()
+        && let Some(calls) = attempt.and_then(|attempt| context.failed_calls.take(&attempt))
+    {
+        write_calls(response.headers_mut(), &calls);
+    }
     write_held(response.headers_mut(), arrived.elapsed());
     response
 }
--- a/components/proxy/src/hints.rs
+++ b/components/proxy/src/hints.rs
@@ -87,6 +87,14 @@
     headers.insert(FIGURES_HEADER, text.expect("numbers and plain words make a header"));
 }
 
+/// Writes what became of the calls that a server made for a request.
+pub(crate) fn write_calls(headers: &mut HeaderMap, calls: &str) {
+    // A service's name that makes no header is left out; the line is poorer by it.
+    if let Ok(text) = HeaderValue::from_str(calls) {
+        headers.insert(FIGURES_HEADER, text);
+    }
+}
+
 /// Gives what a refusal was decided by.
 pub(crate) fn read_figures(headers: &HeaderMap) -> Option<&str> {
     headers.get(FIGURES_HEADER)?.to_str().ok()
--- a/components/proxy/src/story.rs
+++ b/components/proxy/src/story.rs
@@ -12,12 +12,14 @@
 use crate::{
     attempt::AttemptLog,
     body::ProxyBody,
+    context::ForwardContext,
     headers::{NO_TEXT, header_text},
     outcome::{RefusalKind, RequestOutcome},
 };
 
 /// A request from its arrival on.
 pub(crate) struct RequestStory {
+    context: Arc<ForwardContext>,
     began: Instant,
     attempt: Option<HeaderValue>,
     caller: IpAddr,
@@ -40,6 +42,7 @@
 
 impl RequestStory {
     pub(crate) fn new(
+        context: Arc<ForwardContext>,
         attempt: Option<HeaderValue>,
         caller: IpAddr,
         method: Method,
@@ -47,6 +50,7 @@
         path: &str,
     ) -> Self {
         Self {
+            context,
             began: Instant::now(),
             attempt,
             caller,
@@ -87,8 +91,21 @@
         self.write_end(&end);
     }
 
+    /// Tells the guard of a failed call of its server's, for the line of the request it was made for.
+    fn note_failed_call(&self, end: &StoryEnd) {
+        let words = &self.context.words;
+        let parent = self.attempt.as_ref().and_then(|attempt| words.parent(attempt));
+        if let Some(parent) = parent.filter(|_| !(200..300).contains(&end.status)) {
+            let service = self.service.as_deref().unwrap_or(NO_TEXT);
+            let (took, StoryEnd { text, status, reason, .. }) = (self.took().as_millis(), end);
+            let text = format!("its call to {service}: {text} {status} {reason} after {took}ms");
+            self.context.guard.failed_calls.note(parent, text);
+        }
+    }
+
     fn write_end(&mut self, end: &StoryEnd) {
         self.is_written = true;
+        self.note_failed_call(end);
         if !log::log_enabled!(end.level) {
             return;
         }
--- a/components/proxy/src/words.rs
+++ b/components/proxy/src/words.rs
@@ -39,6 +39,10 @@
     /// Gives the id of the caller's attempt, as servers repeat it in their answers.
     fn attempt<'a>(&self, headers: &'a HeaderMap) -> Option<&'a HeaderValue>;
 
+    /// Gives the id of the request that a server makes a call for, where the call's id tells. For the
+    /// log only.
+    fn parent<'a>(&self, attempt: &'a HeaderValue) -> Option<&'a str>;
+
     /// Gives how long the caller will wait, where it tells.
     fn remaining(&self, headers: &HeaderMap) -> Option<Duration>;
 
@@ -67,6 +71,10 @@
         None
     }
 
+    fn parent<'a>(&self, _attempt: &'a HeaderValue) -> Option<&'a str> {
+        None
+    }
+
     fn remaining(&self, headers: &HeaderMap) -> Option<Duration> {
         read_number(headers, crate::headers::DEADLINE_HEADER).map(Duration::from_millis)
     }
--- a/components/proxy/tests/common/mod.rs
+++ b/components/proxy/tests/common/mod.rs
@@ -21,8 +21,8 @@
     ConfigSnapshot, RouteSetting, ServiceSetting, SettingBody, SnapshotRoot, TeamTree, WorkClass,
 };
 use sk_proxy::{
-    ClaimGate, ForwardContext, GuardContext, GuardToken, LocalServer, LocalServers, OwnWords,
-    PeerClient, ProxyCounters, QuarantineBoard, RefusalKind, RequestOutcome, RouteTable,
+    ClaimGate, FailedCalls, ForwardContext, GuardContext, GuardToken, LocalServer, LocalServers,
+    OwnWords, PeerClient, ProxyCounters, QuarantineBoard, RefusalKind, RequestOutcome, RouteTable,
     ServeHandle, ServerLimits, SharedTable, TablePlace, TableTuning, process_now, serve_forward,
     serve_guard,
 };
@@ -188,6 +188,7 @@
     let (entry, guard) = (address(&forward_listener), address(&guard_listener));
     let (table, counters) = (SharedTable::default(), Arc::<ProxyCounters>::default());
     let guard_context = Arc::new(GuardContext {
+        failed_calls: FailedCalls::default(),
         servers: Arc::new(LocalServers::new(plan.limits)),
         token: GuardToken::new(SECRET),
         quarantine: Arc::default(),
