--- a/components/decide/src/placing/soonest.rs
+++ b/components/decide/src/placing/soonest.rs
@@ -20,6 +20,9 @@
 const REGION_PENALTY: Duration = Duration::from_secs(5);
 /// The same where no goal is met or set: some round trips.
 const LATE_REGION_PENALTY: Duration = Duration::from_millis(15);
+/// The same for long work. Its answers are large, and one that is late either way is as good to its
+/// caller from near by, up to about the goal once more.
+const LATE_LONG_PENALTY: Duration = Duration::from_secs(1);
 /// Time that another region is worth: more than any wait that callers accept.
 const OTHER_REGION_PENALTY: Duration = Duration::from_secs(10);
 /// Time by which an endpoint that is expected to miss the goal is behind all that meet it.
@@ -93,6 +96,7 @@
         let distance = match entry.record.distance {
             EndpointDistance::SameCentre => Duration::ZERO,
             EndpointDistance::SameRegion if is_in_time => REGION_PENALTY,
+            EndpointDistance::SameRegion if request.class == WorkClass::Long => LATE_LONG_PENALTY,
             EndpointDistance::SameRegion => LATE_REGION_PENALTY,
             EndpointDistance::OtherRegion => OTHER_REGION_PENALTY,
         };
--- a/components/decide/tests/soonest_answer.rs
+++ b/components/decide/tests/soonest_answer.rs
@@ -205,3 +205,29 @@
     open.note_head(Some(millis(2)), silent);
     assert_eq!(count(&table, &ANY, silent), [100, 0], "an answer shows that the way is open");
 }
+
+/// Documents are late everywhere, by half a second more near by than far away. Bytes that cross between
+/// data centres are dear, and the caller gets a late document either way; it comes from far only where
+/// it would be late by seconds.
+#[test]
+fn late_documents() {
+    let table = table(&[EndpointDistance::SameCentre, EndpointDistance::SameRegion]);
+    let now = Duration::from_secs(5);
+    let long = PlaceRequest { class: WorkClass::Long, wants_slot: false, ..ANY };
+    for (id, took) in [(0, 1_400), (1, 900)] {
+        for _ in 0..8 {
+            let others = [1 - id];
+            let request = PlaceRequest { exclude: &others, ..long };
+            let placed = table.choose(&request, now, &mut StdRng::seed_from_u64(1)).expect("one");
+            placed.finish(CallOutcome::Success, millis(took), now);
+        }
+    }
+    assert_eq!(count(&table, &long, now), [100, 0]);
+    let short = PlaceRequest { class: WorkClass::Short, ..long };
+    for (id, took) in [(0, 1_400), (1, 900)] {
+        (0..8).for_each(|_| teach(&table, id, CallOutcome::Success, millis(took), now));
+    }
+    assert_eq!(count(&table, &short, now), [0, 100], "short answers are cheap");
+    table.note_wait(0, millis(1_000), now);
+    assert_eq!(count(&table, &long, now), [0, 100]);
+}
