--- a/components/proxy/src/forward.rs
+++ b/components/proxy/src/forward.rs
@@ -42,7 +42,7 @@
     context.words.write_answer(&mut response);
     let outcome = RequestOutcome::read(response.headers()).unwrap_or(RequestOutcome::Unknown);
     context.counters.count_outcome(outcome);
-    let service = story.service.as_deref().unwrap_or(NO_SERVICE);
+    let service = story.service().unwrap_or(NO_SERVICE);
     let (times, took) = (context.counters.times(), story.took());
     times.observe(service, outcome.as_str(), TimeStage::Whole, took);
     response.map(|body| WatchedBody::new(body, count, None).boxed_unsync())
@@ -76,7 +76,7 @@
     let deadline = Duration::from_millis(route.setting.deadline_ms);
     let remaining = context.words.remaining(request.headers());
     let call = read_context(request.headers(), remaining, deadline);
-    story.service = Some(route.service.name.clone());
+    story.set_service(&route.service.name);
     story.deadline = Some(call.remaining);
     (story.rank, story.goal_ms) = (route.setting.rank, route.setting.goal_ms);
     let origin = origin_of(context, &request, caller);
