guard: what was sent again is never told as not run

Ruled out: the entry's own retries (one attempt stands in the line), the server's stand-in (one run, one 421). Now a resend leaves the request counted as sent, and a later "not run" becomes unknown (502).

--- a/components/proxy/src/exchange.rs
+++ b/components/proxy/src/exchange.rs
@@ -50,12 +50,36 @@
 
 /// Sends an admitted request to the server and gives its answer, or one that tells what is known.
 pub(crate) async fn send(
+    context: &Arc<GuardContext>,
+    server: &Arc<GuardedServer>,
+    request: Request<ProxyBody>,
+    call: &GuardCall,
+    admitted: AdmittedRequest,
+    stage: &mut PassStage,
+) -> Response<ProxyBody> {
+    let mut was_resent = false;
+    let response = send_on(context, server, request, call, admitted, stage, &mut was_resent).await;
+    // The server may have run what it first got, and died. If the process in its place turns the
+    // request away, the caller would be told that nothing ran.
+    match RequestOutcome::read(response.headers()) {
+        Some(RequestOutcome::NotRun) if was_resent => {
+            let mut response = lost_answer(RefusalKind::AnswerLost, RequestOutcome::Unknown);
+            server.hints().write(response.headers_mut());
+            response
+        }
+        _ => response,
+    }
+}
+
+/// Sends on one connection after the other until one takes the request.
+async fn send_on(
     context: &Arc<GuardContext>,
     server: &Arc<GuardedServer>,
     request: Request<ProxyBody>,
     call: &GuardCall,
     mut admitted: AdmittedRequest,
     stage: &mut PassStage,
+    was_resent: &mut bool,
 ) -> Response<ProxyBody> {
     let attempt = context.words.attempt(request.headers()).cloned();
     let mut request = to_server(context, request, server, call, admitted.deadline);
@@ -103,7 +127,9 @@
                 // The connection had closed while idle and took no byte of the request.
                 Some(unsent) => {
                     request = unsent;
-                    admitted.note_unsent(stage);
+                    if !*was_resent {
+                        admitted.note_unsent(stage);
+                    }
                 }
                 None => {
                     let err = err.into_error();
@@ -115,7 +141,7 @@
                     if let Some(again) = spare.take().filter(|_| idle.is_some()) {
                         log::info!("guard: {} reset a connection that was idle: {err}.", server.id);
                         request = again;
-                        admitted.note_unsent(stage);
+                        *was_resent = true;
                         continue;
                     }
                     log::info!("guard: {} lost an answer: {err}.", server.id);
--- a/tests/soak_short.rs
+++ b/tests/soak_short.rs
@@ -53,6 +53,20 @@
     assert!(output.status.success(), "{}", String::from_utf8_lossy(&output.stdout));
 }
 
+/// The same with other schedules, in which a server's process ended with a request that it ran on a
+/// connection that had been idle, and the process in its place turned the request away: the caller was
+/// told that it had not run.
+#[test]
+fn planned_resend() {
+    let directory = TestDirectory::new("soak_resend");
+    let faults = "daemon-term,server-drain,daemon-reload,config-storm";
+    let size = ["--minutes", "0.5", "--daemons", "5", "--callers", "16", "--faults", faults];
+    for seed in ["4005", "4007"] {
+        let output = soak(&directory, &["--seed", seed]).args(size).output().expect("it runs");
+        assert!(output.status.success(), "{}", String::from_utf8_lossy(&output.stdout));
+    }
+}
+
 /// Somebody interrupts a run. Daemons that went on running would disturb whatever is measured next
 /// on the machine.
 #[test]
