--- a/components/daemon/src/scrape.rs
+++ b/components/daemon/src/scrape.rs
@@ -24,7 +24,10 @@
 use http_body_util::Full;
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
-use prometheus::{Encoder, IntCounterVec, IntGaugeVec, Opts, Registry, TextEncoder};
+use prometheus::{
+    Encoder, IntCounterVec, IntGaugeVec, Opts, Registry, TextEncoder,
+    core::{MetricVec, MetricVecBuilder},
+};
 use sk_ops::{ServerView, SharedPort, StateDump};
 use sk_proxy::ProxyCounters;
 use thiserror::Error;
@@ -111,10 +114,7 @@
         values: &[(&str, u64)],
     ) -> Result<(), prometheus::Error> {
         let metric = IntCounterVec::new(Opts::new(name, help), &[label])?;
-        for (value, count) in values {
-            metric.with_label_values(&[*value]).inc_by(*count);
-        }
-        self.0.register(Box::new(metric))
+        self.add(metric, values, |metric, count| metric.inc_by(count))
     }
 
     fn gauge(
@@ -125,9 +125,19 @@
         values: &[(&str, u64)],
     ) -> Result<(), prometheus::Error> {
         let metric = IntGaugeVec::new(Opts::new(name, help), &[label])?;
-        for (value, count) in values {
-            metric.with_label_values(&[*value]).set(i64::try_from(*count).unwrap_or(i64::MAX));
-        }
+        self.add(metric, values, |metric, count| {
+            metric.set(i64::try_from(count).unwrap_or(i64::MAX))
+        })
+    }
+
+    /// Puts a count under each label's value and adds the metric.
+    fn add<B: MetricVecBuilder + 'static>(
+        &self,
+        metric: MetricVec<B>,
+        values: &[(&str, u64)],
+        put: impl Fn(&B::M, u64),
+    ) -> Result<(), prometheus::Error> {
+        values.iter().for_each(|(value, count)| put(&metric.with_label_values(&[*value]), *count));
         self.0.register(Box::new(metric))
     }
 }
--- a/components/proxy/src/attempt.rs
+++ b/components/proxy/src/attempt.rs
@@ -84,17 +84,11 @@
         std::mem::replace(&mut self.pass, PlacePass::Queue) == PlacePass::FreeSlot
     }
 
-    fn note(&mut self, response: &Response<ProxyBody>) {
-        if let Some(running) = &self.running {
-            let took = running.began.elapsed();
-            self.tries.push(TryNote::answered(running.target.clone(), response, took));
-        }
-    }
-
-    /// Notes the head of an answer for the record of the way to its endpoint.
-    fn note_head(&mut self, hints: &ReadHints) {
+    /// Notes an answer, with the time that its head spent on the way.
+    fn note(&mut self, response: &Response<ProxyBody>, hints: &ReadHints) {
         if let Some(running) = &mut self.running {
             let took = running.began.elapsed();
+            self.tries.push(TryNote::answered(running.target.clone(), response, hints, took));
             let transit = hints.held.map(|held| took.saturating_sub(held));
             running.placed.note_head(transit, process_now());
         }
@@ -189,10 +183,9 @@
         log.running = Some(RunningAttempt { target, placed, began: Instant::now() });
         let message = attempt_message(context, request, body, service, endpoint, &terms);
         let response = send(context, endpoint, message).await;
-        log.note(&response);
         let hints = ReadHints::read(response.headers());
+        log.note(&response, &hints);
         note_hints(service, id, &hints);
-        log.note_head(&hints);
         if RefusalKind::read(response.headers()) == Some(RefusalKind::Busy) {
             log.running = None;
             log.note_busy(id);
@@ -200,7 +193,7 @@
             continue;
         }
         log.tried.push(id);
-        let failure = match judge(context, request, log, response, deadline) {
+        let failure = match judge(context, request, log, (response, hints), deadline) {
             AttemptEnd::Answered(response) => return response,
             AttemptEnd::Failed(failure) => failure,
         };
@@ -306,7 +299,7 @@
     context: &ForwardContext,
     request: &EntryRequest,
     log: &mut AttemptLog,
-    response: Response<ProxyBody>,
+    (response, hints): (Response<ProxyBody>, ReadHints),
     deadline: Instant,
 ) -> AttemptEnd {
     let Some(running) = log.running.take() else {
@@ -317,8 +310,7 @@
     let kind = RefusalKind::read(response.headers());
     let end = call_outcome(&response, outcome, kind);
     // The time that the guard measured, so that distance does not count as slowness.
-    let ran = ReadHints::read(response.headers()).ran;
-    let latency = ran.unwrap_or_else(|| running.began.elapsed());
+    let latency = hints.ran.unwrap_or_else(|| running.began.elapsed());
     let is_wanted = outcome == RequestOutcome::Ran
         && !(is_trouble(response.status()) && request.traits.is_repeatable);
     if is_wanted || kind == Some(RefusalKind::AlreadyRan) {
--- a/components/proxy/src/exchange.rs
+++ b/components/proxy/src/exchange.rs
@@ -33,11 +33,14 @@
 };
 
 /// How far a request has come, for the answer at its deadline.
+#[derive(Clone, Copy, PartialEq, Eq)]
 pub(crate) enum PassStage {
     /// The server has been sent nothing.
     Waiting,
     /// The server may have it, by this permit.
     Sent,
+    /// The server may have had it twice. What becomes of the second one says nothing of the first.
+    Resent,
 }
 
 /// A request that may be sent now, with all that must be given back when it ends.
@@ -57,12 +60,11 @@
     admitted: AdmittedRequest,
     stage: &mut PassStage,
 ) -> Response<ProxyBody> {
-    let mut was_resent = false;
-    let response = send_on(context, server, request, call, admitted, stage, &mut was_resent).await;
+    let response = send_on(context, server, request, call, admitted, stage).await;
     // The server may have run what it first got, and died. If the process in its place turns the
     // request away, the caller would be told that nothing ran.
     match RequestOutcome::read(response.headers()) {
-        Some(RequestOutcome::NotRun) if was_resent => {
+        Some(RequestOutcome::NotRun) if *stage == PassStage::Resent => {
             let mut response = lost_answer(RefusalKind::AnswerLost, RequestOutcome::Unknown);
             server.hints().write(response.headers_mut());
             response
@@ -79,7 +81,6 @@
     call: &GuardCall,
     mut admitted: AdmittedRequest,
     stage: &mut PassStage,
-    was_resent: &mut bool,
 ) -> Response<ProxyBody> {
     let attempt = context.words.attempt(request.headers()).cloned();
     let mut request = to_server(context, request, server, call, admitted.deadline);
@@ -127,9 +128,7 @@
                 // The connection had closed while idle and took no byte of the request.
                 Some(unsent) => {
                     request = unsent;
-                    if !*was_resent {
-                        admitted.note_unsent(stage);
-                    }
+                    admitted.note_unsent(stage);
                 }
                 None => {
                     let err = err.into_error();
@@ -141,7 +140,7 @@
                     if let Some(again) = spare.take().filter(|_| idle.is_some()) {
                         log::info!("guard: {} reset a connection that was idle: {err}.", server.id);
                         request = again;
-                        *was_resent = true;
+                        *stage = PassStage::Resent;
                         continue;
                     }
                     log::info!("guard: {} lost an answer: {err}.", server.id);
@@ -166,12 +165,17 @@
 
 impl AdmittedRequest {
     fn note_sent(&mut self, call: &GuardCall, stage: &mut PassStage) {
-        *stage = PassStage::Sent;
+        if *stage != PassStage::Resent {
+            *stage = PassStage::Sent;
+        }
         self.permit.note_sent(call.fingerprint);
         self.set_claim(ClaimOutcome::Unknown);
     }
 
     fn note_unsent(&mut self, stage: &mut PassStage) {
+        if *stage == PassStage::Resent {
+            return;
+        }
         *stage = PassStage::Waiting;
         self.permit.note_unsent();
         self.set_claim(ClaimOutcome::NotRun);
--- a/components/proxy/src/guard.rs
+++ b/components/proxy/src/guard.rs
@@ -55,8 +55,7 @@
 ) -> Response<ProxyBody> {
     strip_hop_headers(request.headers_mut());
     strip_own_headers(request.headers_mut());
-    let attempt = context.words.attempt(request.headers());
-    let attempt = attempt.and_then(|id| id.to_str().ok()).map(str::to_owned);
+    let attempt = context.words.attempt(request.headers()).cloned();
     let arrived = Instant::now();
     let deadline = arrived + call.context().remaining;
     let mut stage = PassStage::Waiting;
@@ -67,14 +66,16 @@
         // a late answer has no way left to any caller.
         Err(_) => match stage {
             PassStage::Waiting => refuse(RefusalKind::DeadlineTooNear),
-            PassStage::Sent => lost_answer(RefusalKind::DeadlinePassed, RequestOutcome::Unknown),
+            PassStage::Sent | PassStage::Resent => {
+                lost_answer(RefusalKind::DeadlinePassed, RequestOutcome::Unknown)
+            }
         },
     };
     if let Some(kind) = RefusalKind::read(response.headers()) {
         context.counters.count_refusal(kind);
     }
     if response.status().is_server_error()
-        && let Some(calls) = attempt.and_then(|attempt| context.failed_calls.take(&attempt))
+        && let Some(calls) = context.failed_calls.take(header_text(attempt.as_ref()))
     {
         write_calls(response.headers_mut(), &calls);
     }
--- a/components/proxy/src/tries.rs
+++ b/components/proxy/src/tries.rs
@@ -55,10 +55,10 @@
     pub(crate) fn answered(
         target: TryTarget,
         response: &Response<ProxyBody>,
+        hints: &ReadHints,
         took: Duration,
     ) -> Self {
         let headers = response.headers();
-        let hints = ReadHints::read(headers);
         let end = TryEnd::Answered {
             status: response.status(),
             kind: RefusalKind::read(headers),
