guard: time that a call spent on a full link is taken off what it has left

A guard took the time left at its word, as it was when the call was sent; behind a link with over half a second of bytes waiting the call and the word of its caller's leaving come late together. Change: a call tells when it left by its sender's clock, and the guard learns the least difference of the two clocks; what a call took beyond that is taken off its time left and its goal. Measured: slow_link fails before (the server ran a call of 400 ms that was on its way for 700 ms) and passes after.

--- a/components/daemon/src/daemon.rs
+++ b/components/daemon/src/daemon.rs
@@ -393,5 +393,6 @@
         counters: parts.counters.clone(),
         words: parts.border.words.clone(),
         failed_calls: FailedCalls::default(),
+        trips: Default::default(),
     }
 }
--- a/components/decide/src/lib.rs
+++ b/components/decide/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod quarantine;
 pub mod retrying;
 pub mod transferring;
+pub mod trip;
 
 pub use sk_model::WorkClass;
 
--- /dev/null
+++ b/components/decide/tests/late_trips.rs
@@ -0,0 +1,47 @@
+//! Telling how long a message was on its way, without a common clock.
+
+use std::time::Duration;
+
+use sk_decide::trip::TripClocks;
+
+const CLOCK: u64 = 7;
+
+fn millis(count: u64) -> Duration {
+    Duration::from_millis(count)
+}
+
+/// A link fills with documents, and the calls behind them arrive over half a second after they left. The
+/// sender's clock is an hour ahead, so that no time can be compared; only that these took longer than
+/// others.
+#[test]
+fn full_link() {
+    let hour = Duration::from_secs(3600);
+    let mut clocks = TripClocks::default();
+    assert_eq!(clocks.note(CLOCK, hour, millis(5)), Duration::ZERO, "the first one known");
+    assert_eq!(clocks.note(CLOCK, hour + millis(100), millis(103)), Duration::ZERO);
+    let late = clocks.note(CLOCK, hour + millis(200), millis(803));
+    assert!(late >= millis(599) && late <= millis(600), "{late:?}");
+    let late = clocks.note(CLOCK, hour + millis(900), millis(904));
+    assert!(late <= millis(1), "the link is free again: {late:?}");
+}
+
+/// A daemon is replaced by another process, whose clock begins elsewhere. Its messages must not count as
+/// late by the difference of the two clocks.
+#[test]
+fn other_process() {
+    let mut clocks = TripClocks::default();
+    let _ = clocks.note(CLOCK, millis(500_000), millis(1000));
+    assert_eq!(clocks.note(CLOCK + 1, millis(10), millis(2000)), Duration::ZERO);
+}
+
+/// Two clocks drift apart by a tenth of a millisecond a second. After an hour without a restart, calls
+/// over a free link would be taken for late by a third of a second and refused.
+#[test]
+fn drifting_clocks() {
+    let mut clocks = TripClocks::default();
+    for second in 0..3600_u64 {
+        let now = Duration::from_secs(second) + Duration::from_micros(100 * second);
+        let late = clocks.note(CLOCK, Duration::from_secs(second), now);
+        assert!(late <= millis(1), "{late:?} after {second} s");
+    }
+}
--- a/components/proxy/src/call.rs
+++ b/components/proxy/src/call.rs
@@ -10,10 +10,13 @@
     admitting::{CallerKey, FlowKey, TeamKey, WorkKey},
     deadline::CallContext,
     quarantine::Fingerprint,
+    trip::{ClockId, TripClocks},
 };
 use sk_model::WorkClass;
 use subtle::ConstantTimeEq;
 
+use crate::clock::{clock_id, trip_now, whole_micros};
+
 const CALL_HEADER: &str = "x-sapphirekeel-call";
 const TOKEN_HEADER: &str = "x-sapphirekeel-token";
 /// What the token is made over, so that no other use of the secret gives the same bytes.
@@ -49,6 +52,9 @@
     pub(crate) work: WorkKey,
     /// Whether it may wait for a slot.
     pub(crate) may_queue: bool,
+    /// The sender's clock, and the microsecond by it at which this was sent.
+    clock: ClockId,
+    sent_us: u64,
 }
 
 /// Who a request is counted against.
@@ -95,7 +101,7 @@
             service,
             server,
             from,
-            remaining_us: u64::try_from(context.remaining.as_micros()).unwrap_or(u64::MAX),
+            remaining_us: whole_micros(context.remaining),
             hops: context.hops,
             retried: context.retried_above,
             class: traits.class,
@@ -103,13 +109,23 @@
             fingerprint: traits.fingerprint,
             team: traits.source.team,
             caller: traits.source.caller,
-            goal_us: goal.map(|goal| u64::try_from(goal.as_micros()).unwrap_or(u64::MAX)),
+            goal_us: goal.map(whole_micros),
             rank: traits.rank,
             work: traits.work,
             may_queue: terms.may_queue,
+            clock: clock_id(),
+            sent_us: whole_micros(trip_now()),
         }
     }
 
+    /// Takes off what the call lost on its way behind other bytes.
+    pub(crate) fn arrive(&mut self, clocks: &mut TripClocks) {
+        let late = clocks.note(self.clock, Duration::from_micros(self.sent_us), trip_now());
+        let late = whole_micros(late);
+        self.remaining_us = self.remaining_us.saturating_sub(late);
+        self.goal_us = self.goal_us.map(|goal| goal.saturating_sub(late));
+    }
+
     /// Gives the context of the call at its arrival.
     pub(crate) fn context(&self) -> CallContext {
         CallContext {
--- a/components/proxy/src/clock.rs
+++ b/components/proxy/src/clock.rs
@@ -5,7 +5,9 @@
     time::{Duration, Instant},
 };
 
+use rustix::time::{ClockId as SystemClock, clock_gettime};
 use sha2::{Digest, Sha256};
+use sk_decide::trip::ClockId;
 
 /// A second before the first reading, so that no reading is zero: a guard takes a start at zero as
 /// "warm".
@@ -17,6 +19,28 @@
     START.0.elapsed() + START.1
 }
 
+/// Names this process's clock to others. Drawn at random, so that the next process beside the same
+/// server, which may well have other times, is not taken for this one.
+static CLOCK_ID: LazyLock<ClockId> = LazyLock::new(rand::random);
+
+/// Gives the name of this process's clock.
+pub(crate) fn clock_id() -> ClockId {
+    *CLOCK_ID
+}
+
+/// Gives the time on a clock that goes on while the instance is suspended, for times that are compared
+/// with another daemon's.
+pub(crate) fn trip_now() -> Duration {
+    let time = clock_gettime(SystemClock::Boottime);
+    // Never below zero: it counts from the system's start.
+    Duration::new(time.tv_sec.unsigned_abs(), u32::try_from(time.tv_nsec).unwrap_or_default())
+}
+
+/// Gives a time in whole microseconds, as it goes over the wire.
+pub(crate) fn whole_micros(time: Duration) -> u64 {
+    u64::try_from(time.as_micros()).unwrap_or(u64::MAX)
+}
+
 /// Hashes parts the same on every daemon and in every release.
 ///
 /// Each part is preceded by its length, so that parts cannot run into each other.
--- a/components/proxy/src/context.rs
+++ b/components/proxy/src/context.rs
@@ -1,9 +1,10 @@
 //! What the request path needs of the daemon.
 
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 
 use arc_swap::ArcSwapOption;
 use http::Response;
+use sk_decide::trip::TripClocks;
 use sk_model::ServiceName;
 
 use crate::{
@@ -50,6 +51,8 @@
     pub words: Arc<dyn RequestWords>,
     /// Calls of the server that failed, for the lines of the requests they were made for.
     pub failed_calls: FailedCalls,
+    /// Clocks of the daemons that send here.
+    pub trips: Mutex<TripClocks>,
 }
 
 /// Counts an answer that this daemon made as entry.
--- a/components/proxy/src/guard.rs
+++ b/components/proxy/src/guard.rs
@@ -1,6 +1,9 @@
 //! From another daemon to the local backend server, which only this daemon sends to.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::{Arc, PoisonError},
+    time::Duration,
+};
 
 use http::{Request, Response, StatusCode};
 use http_body_util::BodyExt;
@@ -38,7 +41,10 @@
             let kind = RefusalKind::Malformed;
             return own_answer(StatusCode::BAD_REQUEST, RequestOutcome::NotRun, kind);
         }
-        Some(call) => call,
+        Some(mut call) => {
+            call.arrive(&mut context.trips.lock().unwrap_or_else(PoisonError::into_inner));
+            call
+        }
     };
     let version = request.version();
     let request = request.map(|body| CheckedBody::new(body, version).boxed_unsync());
--- a/components/proxy/src/hints.rs
+++ b/components/proxy/src/hints.rs
@@ -5,7 +5,7 @@
 use http::{HeaderMap, HeaderName, HeaderValue};
 use sk_decide::admitting::AdmitFigures;
 
-use crate::headers::read_number;
+use crate::{clock::whole_micros, headers::read_number};
 
 /// Microseconds from admission to the head of the answer.
 const RAN_HEADER: HeaderName = HeaderName::from_static("x-sapphirekeel-ran-us");
@@ -107,7 +107,3 @@
         headers.remove(name);
     }
 }
-
-fn whole_micros(time: Duration) -> u64 {
-    u64::try_from(time.as_micros()).unwrap_or(u64::MAX)
-}
--- a/components/proxy/tests/common/mod.rs
+++ b/components/proxy/tests/common/mod.rs
@@ -189,6 +189,7 @@
     let (table, counters) = (SharedTable::default(), Arc::<ProxyCounters>::default());
     let guard_context = Arc::new(GuardContext {
         failed_calls: FailedCalls::default(),
+        trips: Default::default(),
         servers: Arc::new(LocalServers::new(plan.limits)),
         token: GuardToken::new(SECRET),
         quarantine: Arc::default(),
--- /dev/null
+++ b/components/proxy/tests/slow_link.rs
@@ -0,0 +1,70 @@
+//! Requests that a link between daemons delivers late.
+
+mod common;
+
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Duration,
+};
+
+use common::{FleetPlan, TestFleet, http1, send};
+use sk_proxy::DEADLINE_HEADER;
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{
+        TcpListener, TcpStream,
+        tcp::{OwnedReadHalf, OwnedWriteHalf},
+    },
+};
+
+/// Carries bytes to a guard, each chunk late by so many milliseconds; those back are not.
+async fn slow_way(guard: SocketAddr, delay_ms: Arc<AtomicU64>) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("local port");
+    let address = listener.local_addr().expect("address");
+    tokio::spawn(async move {
+        while let Ok((near, _)) = listener.accept().await {
+            let far = TcpStream::connect(guard).await.expect("the guard listens");
+            let ((near_in, near_out), (far_in, far_out)) = (near.into_split(), far.into_split());
+            tokio::spawn(carry(near_in, far_out, delay_ms.clone()));
+            tokio::spawn(carry(far_in, near_out, Arc::default()));
+        }
+    });
+    address
+}
+
+async fn carry(mut input: OwnedReadHalf, mut output: OwnedWriteHalf, delay_ms: Arc<AtomicU64>) {
+    let mut chunk = vec![0; 16 * 1024];
+    while let Ok(size @ 1..) = input.read(&mut chunk).await {
+        tokio::time::sleep(Duration::from_millis(delay_ms.load(Ordering::Relaxed))).await;
+        if output.write_all(&chunk[..size]).await.is_err() {
+            return;
+        }
+    }
+}
+
+/// A link between two daemons has more waiting than it carries in a call's time. The call's caller has
+/// given up when it arrives, and word of that stands behind it. The server worked for nobody, at the time
+/// at which others waited for it.
+#[tokio::test(flavor = "multi_thread")]
+async fn caller_gone() {
+    let mut fleet = TestFleet::start(FleetPlan::new(1)).await;
+    let delay_ms = Arc::<AtomicU64>::default();
+    fleet.daemons[1].guard = slow_way(fleet.daemons[1].guard, delay_ms.clone()).await;
+    fleet.rebuild();
+    let (entry, client) = (fleet.entry(), http1());
+    for _ in 0..3 {
+        assert_eq!(send(&client, entry, "GET", "/?tag=early", &[], "").await.status, 200);
+    }
+    delay_ms.store(700, Ordering::Relaxed);
+    let answer = send(&client, entry, "GET", "/?tag=late", &[(DEADLINE_HEADER, "400")], "").await;
+    assert!(answer.status.is_server_error(), "{answer:?}");
+    // Longer than the way takes.
+    tokio::time::sleep(Duration::from_millis(1500)).await;
+    assert_eq!(fleet.runs("late"), 0, "nobody waits for it");
+    delay_ms.store(0, Ordering::Relaxed);
+    assert_eq!(send(&client, entry, "GET", "/?tag=after", &[], "").await.status, 200);
+}
