proxy: a server's own failure is delivered where a further attempt does no better

Cause: a request that may repeat is sent again after a server has failed it. Where the next server turned it away, the caller got a 502 of the daemon's in place of the failure that a server had answered. Change: the failure is read whole, so that it holds no slot, and delivered unless a later attempt gets an answer of a server.

--- a/components/proxy/src/answer.rs
+++ b/components/proxy/src/answer.rs
@@ -4,6 +4,7 @@
 
 use bytes::Bytes;
 use http::{HeaderName, HeaderValue, Response, StatusCode, header};
+use http_body_util::{BodyExt, Limited};
 use sk_decide::backoff::draw_between;
 
 use crate::{
@@ -15,6 +16,9 @@
 /// that of guards: callers refused in one burst must not come back in one.
 const RETURN_WINDOW: (Duration, Duration) = (Duration::from_secs(1), Duration::from_secs(3));
 
+/// Bytes of a server's failure that are kept while the request is tried again: any error text.
+const KEPT_BYTES: usize = 64 * 1024;
+
 /// An answer of the daemon's own in the place of an error.
 pub(crate) type OwnAnswer = Box<Response<ProxyBody>>;
 
@@ -61,6 +65,14 @@
     own_answer(status, outcome, kind)
 }
 
+/// Reads an answer to its end, so that it can be delivered later and holds neither a server's slot nor a
+/// connection meanwhile. Nothing where it is large or breaks off.
+pub(crate) async fn keep_answer(response: Response<ProxyBody>) -> Option<Response<ProxyBody>> {
+    let (parts, body) = response.into_parts();
+    let whole = Limited::new(body, KEPT_BYTES).collect().await.ok()?;
+    Some(Response::from_parts(parts, whole_body(whole.to_bytes())))
+}
+
 /// Gives the status of a refusal.
 ///
 /// A quarantined request gets 422 and not 503: clients and proxies take 503 as an invitation to
--- a/components/proxy/src/attempt.rs
+++ b/components/proxy/src/attempt.rs
@@ -15,7 +15,7 @@
 use tokio::time::Instant;
 
 use crate::{
-    answer::{lost_answer, own_answer, refuse},
+    answer::{keep_answer, lost_answer, own_answer, refuse},
     body::{CheckedBody, ProxyBody},
     call::{AttemptTerms, GuardCall},
     clock::process_now,
@@ -47,6 +47,8 @@
     pub(crate) may_have_run: bool,
     /// The attempt under way.
     pub(crate) running: Option<RunningAttempt>,
+    /// A server's own failure, where a further attempt was made that may still do no better.
+    pub(crate) kept: Option<Response<ProxyBody>>,
     /// The attempts that ended, for the log.
     tries: Vec<TryNote>,
     /// Why there was no further attempt, for the log.
@@ -171,7 +173,13 @@
                 tokio::time::sleep(wait).await;
             }
         }
-        last = Some(failure.response);
+        last = match RefusalKind::read(failure.response.headers()) {
+            Some(_) => Some(failure.response),
+            None => {
+                log.kept = keep_answer(failure.response).await;
+                None
+            }
+        };
     }
 }
 
--- a/components/proxy/src/forward.rs
+++ b/components/proxy/src/forward.rs
@@ -105,6 +105,12 @@
         Ok(response) => response,
         Err(_) => time_out(context, log),
     };
+    // What a server answered itself goes before what is said in its place after a further attempt.
+    if RefusalKind::read(response.headers()).is_some()
+        && let Some(kept) = log.kept.take()
+    {
+        response = kept;
+    }
     // An attempt before may have run even if the last one did not.
     if log.may_have_run && RequestOutcome::read(response.headers()) == Some(RequestOutcome::NotRun)
     {
