Read again: failures computed once a look, a kind's cell read without a write, derived state gone

Decisions: placing computed each endpoint's part of failures up to three times a look, and looked a kind of work up by an atomic exchange on each endpoint, also where only read; usual_latency stood beside usual_work; every sample of a mean was two calls; a late request's reason was looked up again with a fallback that could not happen. Each is one thing now. Request path: the time left to a goal was worked out in two places; two flags of a failure followed from its kind; repeatability was asked twice. The greeting ends with the daemon's other tasks. Settings: [experiment] in a file of its own; placing's settings are made once.

--- a/components/daemon/src/daemon.rs
+++ b/components/daemon/src/daemon.rs
@@ -172,7 +172,7 @@
     if let Some((service, address)) =
         own_service(&parts.border, settings).zip(settings.instance.server)
     {
-        tokio::spawn(greet_server(own_port, service, address));
+        tasks.push(tokio::spawn(greet_server(own_port, service, address)));
     }
     log::info!("daemon: {} runs at {}.", settings.instance.name, addresses.proxy);
     if !settings.experiment.off.is_empty() {
--- a/components/daemon/src/options.rs
+++ b/components/daemon/src/options.rs
@@ -52,21 +52,17 @@
 /// Gives how a daemon with these settings places requests and tries them again.
 pub fn table_tuning(settings: &DaemonSettings) -> TableTuning {
     let placing = &settings.placing;
+    let defaults = PlacementSettings::default();
+    let near_wait = settings.experiment.near_wait_us.map(Duration::from_micros);
     let placement = PlacementSettings {
         order: match placing.order {
             PlacingOrder::Draw => PlacementOrder::Draw,
             PlacingOrder::Soonest => PlacementOrder::Soonest,
         },
         warm_up: Duration::from_millis(placing.warm_up_ms),
-        ..PlacementSettings::default()
-    };
-    let placement = PlacementSettings {
+        near_wait: near_wait.unwrap_or(defaults.near_wait),
         weights: placement_weights(settings),
-        near_wait: match settings.experiment.near_wait_us {
-            Some(micros) => Duration::from_micros(micros),
-            None => placement.near_wait,
-        },
-        ..placement
+        ..defaults
     };
     let retry = RetrySettings {
         deposit: placing.retry_deposit,
--- a/components/decide/src/admitting/outcome.rs
+++ b/components/decide/src/admitting/outcome.rs
@@ -7,7 +7,7 @@
 use crate::admitting::Ticket;
 
 /// Why a request is refused. In each case it did not run.
-#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Hash)]
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub enum RefusalReason {
     /// The queue is full.
     #[display("queue-full")]
--- a/components/decide/src/admitting/release.rs
+++ b/components/decide/src/admitting/release.rs
@@ -161,15 +161,15 @@
     /// Refuses those that could no longer finish in time. They would take a slot for an answer that
     /// comes too late, and make those behind them late too.
     fn refuse_late(&mut self, now: Duration, released: &mut Released) {
-        let is_late =
-            |ticket: &Ticket| self.calls.get(*ticket).is_some_and(|call| call.latest_start <= now);
-        let late: Vec<_> = self.waiting().filter(is_late).collect();
-        for ticket in late {
+        let late_reason = |ticket: Ticket| {
+            let call = self.calls.get(ticket).filter(|call| call.latest_start <= now)?;
+            Some((ticket, call.late_reason))
+        };
+        let late: Vec<_> = self.waiting().filter_map(late_reason).collect();
+        for (ticket, reason) in late {
             let reason = match self.trial {
                 TrialHold::Waiting(held) if held == ticket => RefusalReason::TrialUnderWay,
-                _ => {
-                    self.calls.get(ticket).map_or(RefusalReason::DeadlineTooNear, |c| c.late_reason)
-                }
+                _ => reason,
             };
             self.remove(ticket);
             released.refused.push((ticket, reason));
--- a/components/decide/src/admitting/urgent.rs
+++ b/components/decide/src/admitting/urgent.rs
@@ -23,11 +23,9 @@
     pub fn make_room(&mut self, request: &GuardRequest, now: Duration) -> Released {
         let mut released = Released::default();
         let class = request.class;
-        if !self.settings.makes_room {
-            return released;
-        }
+        let makes_room = self.settings.makes_room && self.settings.order == QueueOrder::Urgent;
         let is_full = self.queued(class) >= self.settings.queue_limit(class);
-        if self.settings.order == QueueOrder::Fair || request.most_wait.is_some() || !is_full {
+        if !makes_room || request.most_wait.is_some() || !is_full {
             return released;
         }
         let service = self.service_time(request, now);
--- a/components/decide/src/placing/gauge.rs
+++ b/components/decide/src/placing/gauge.rs
@@ -108,8 +108,7 @@
 
     /// Adds the time that a request spent on the way.
     pub(super) fn add_transit(&self, transit: Duration, now: Duration) {
-        self.transit.add(transit);
-        self.transit.touch(now);
+        self.transit.add(transit, now);
     }
 
     /// Gives the time that a request of some work is expected to spend on the way.
--- a/components/decide/src/placing/mean.rs
+++ b/components/decide/src/placing/mean.rs
@@ -1,4 +1,4 @@
-//! Running means of times, and how they age.
+//! Running means of times and sizes, and how times age.
 
 use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
 use std::time::Duration;
@@ -27,8 +27,9 @@
 }
 
 impl LatencyMean {
-    /// Adds a latency and gives the number of samples.
-    pub(super) fn add(&self, latency: Duration) -> u32 {
+    /// Adds a latency that was seen at `now`, and gives the number of samples.
+    pub(super) fn add(&self, latency: Duration, now: Duration) -> u32 {
+        self.at.store(micros(now), Ordering::Relaxed);
         let latency = micros(latency);
         let before = self.samples.fetch_add(1, Ordering::Relaxed);
         // The first samples weigh evenly, or the very first would count for most of the mean.
@@ -39,11 +40,6 @@
         before.saturating_add(1)
     }
 
-    /// Notes when the last sample came.
-    pub(super) fn touch(&self, now: Duration) {
-        self.at.store(micros(now), Ordering::Relaxed);
-    }
-
     /// Gives the mean where a sample came lately.
     pub(super) fn fresh(&self, now: Duration) -> Option<Duration> {
         let idle = micros(now).saturating_sub(self.at.load(Ordering::Relaxed));
@@ -90,6 +86,21 @@
     mean: T,
 }
 
+impl<T> WorkCell<T> {
+    /// Tells whether the cell is that of a kind, after claiming it for the kind where it is free. Only a
+    /// free cell is written to: all of them are looked at for each request that is placed.
+    fn is_of(&self, work: u64) -> bool {
+        match self.work.load(Ordering::Relaxed) {
+            0 => {
+                let claimed =
+                    self.work.compare_exchange(0, work, Ordering::Relaxed, Ordering::Relaxed);
+                claimed.is_ok() || claimed == Err(work)
+            }
+            held => held == work,
+        }
+    }
+}
+
 impl<T> WorkMeans<T> {
     /// Gives the mean of a kind of work, in a cell that is claimed at its first use.
     pub(super) fn of(&self, work: WorkKey) -> &T {
@@ -97,12 +108,8 @@
         let work = work.wrapping_add(1).max(1);
         // Below the number of cells.
         let first = (work % KINDS as u64) as usize;
-        let is_own = |cell: &&WorkCell<T>| {
-            let claimed = cell.work.compare_exchange(0, work, Ordering::Relaxed, Ordering::Relaxed);
-            claimed.is_ok() || claimed == Err(work)
-        };
-        let probed = self.cells[first..].iter().chain(&self.cells[..first]);
-        &probed.clone().find(is_own).unwrap_or(&self.cells[first]).mean
+        let mut probed = self.cells[first..].iter().chain(&self.cells[..first]);
+        &probed.find(|cell| cell.is_of(work)).unwrap_or(&self.cells[first]).mean
     }
 
     pub(super) fn all(&self) -> impl Iterator<Item = &T> {
--- a/components/decide/src/placing/outlier.rs
+++ b/components/decide/src/placing/outlier.rs
@@ -88,8 +88,7 @@
             entry.gauge.clear_strikes();
         }
         let mean = entry.gauge.latency(work);
-        let samples = mean.add(latency);
-        mean.touch(now);
+        let samples = mean.add(latency, now);
         // Each judgement looks at all peers, so it is made once per handful of requests.
         let is_due = samples.is_multiple_of(settings.slow_samples.max(1));
         match mean.known(settings.slow_samples) {
--- a/components/decide/src/placing/soonest.rs
+++ b/components/decide/src/placing/soonest.rs
@@ -50,14 +50,6 @@
 /// way for about as long.
 const FREE_WAIT: Duration = Duration::from_millis(2);
 
-/// What is usual among the endpoints of a service.
-struct CommonFigures {
-    /// Time of the kind of work.
-    work: Duration,
-    /// Part of failures.
-    failures: f64,
-}
-
 impl PlacementTable {
     /// Gives the endpoint with the least cost, none where no endpoint may take the request.
     pub(super) fn pick_soonest(
@@ -66,20 +58,18 @@
         now: Duration,
         rng: &mut (impl Rng + ?Sized),
     ) -> Option<usize> {
-        let work = self.work_of(request);
-        let common = CommonFigures {
-            work: self.usual_latency(work, now).max(LEAST_USUAL),
-            failures: self.usual_failures(now),
-        };
-        let wanted = self.entries.iter().enumerate().filter(|(_, entry)| {
-            super::is_wanted(entry, request)
-                && !entry.gauge.is_aside()
-                && (!request.wants_slot || self.is_free(entry, request, &common, now))
-        });
+        let usual = self.usual_work(self.work_of(request), now).max(LEAST_USUAL);
+        let failures = self.failures(now);
+        let wanted =
+            self.entries.iter().zip(failures).enumerate().filter(|(_, (entry, failures))| {
+                super::is_wanted(entry, request)
+                    && !entry.gauge.is_aside()
+                    && (!request.wants_slot || self.is_free(entry, request, *failures, now))
+            });
         let mut best: Option<(Duration, usize)> = None;
-        for (index, entry) in wanted {
-            let spread = common.work.mul_f64(rng.random_range(0.0..SPREAD));
-            let cost = self.cost(entry, request, &common, now) + spread;
+        for (index, (entry, failures)) in wanted {
+            let spread = usual.mul_f64(rng.random_range(0.0..SPREAD));
+            let cost = self.cost(entry, request, (usual, failures), now) + spread;
             if best.is_none_or(|(least, _)| cost < least) {
                 best = Some((cost, index));
             }
@@ -87,23 +77,23 @@
         best.map(|(_, index)| index)
     }
 
-    /// Gives the time until an answer of an endpoint, with what else it costs put as time.
+    /// Gives the time until an answer of an endpoint, with what else it costs put as time. `usual` is the
+    /// usual time of such work and `failures` the part of failures that the endpoint has beyond its peers.
     fn cost(
         &self,
         entry: &TableEntry,
         request: &PlaceRequest<'_>,
-        common: &CommonFigures,
+        (usual, failures): (Duration, f64),
         now: Duration,
     ) -> Duration {
         let gauge = &entry.gauge;
         // What was measured long ago says less and less: a server that was slow must be tried again.
-        let work = gauge.latency(self.work_of(request)).faded(common.work, now);
+        let work = gauge.latency(self.work_of(request)).faded(usual, now);
         // A cold server takes about twice as long.
         let work = work.div_f64(gauge.warmth(&self.settings, now).max(0.5));
         let weights = &self.settings.weights;
         let wait = if weights.wait { gauge.wait(now) } else { Duration::ZERO };
         let transit = if weights.transit { gauge.transit(work, now) } else { Duration::ZERO };
-        let failures = self.failures_of(entry, common, now);
         let is_in_time = failures <= SOUND_FAILURES
             && request.goal.is_some_and(|goal| wait + transit + work.mul_f64(SAFE_FACTOR) <= goal);
         let distance = match entry.record.distance {
@@ -151,44 +141,36 @@
         &self,
         entry: &TableEntry,
         request: &PlaceRequest<'_>,
-        common: &CommonFigures,
+        failures: f64,
         now: Duration,
     ) -> bool {
         let most = self.most_wait(entry, request).unwrap_or(Duration::MAX);
         let weights = &self.settings.weights;
         let is_soon = !weights.wait || entry.gauge.wait(now) <= most.saturating_add(FREE_WAIT);
-        is_soon && self.failures_of(entry, common, now) < FAILING
+        is_soon && failures < FAILING
     }
 
-    /// Gives the part of an endpoint's failures beyond what is usual among its peers.
+    /// Gives the part of each endpoint's failures beyond what is usual among its peers.
     ///
     /// Made for failures that are not the endpoint's own: a call that all servers of a service need fails,
     /// or all of them shed. Held against each, they drove requests from one data centre to another and
     /// into queues, for servers that fail just as much. With their median left out, and a failure worth a
     /// goal in place of two seconds, callers of five days got 0.937 of what they were owed, 0.931 before.
-    fn failures_of(&self, entry: &TableEntry, common: &CommonFigures, now: Duration) -> f64 {
-        match self.settings.weights.failures {
-            true => (entry.gauge.failure_part(now) - common.failures).max(0.0),
-            false => 0.0,
+    fn failures(&self, now: Duration) -> Vec<f64> {
+        if !self.settings.weights.failures {
+            return vec![0.0; self.entries.len()];
         }
-    }
-
-    /// Gives the median of the endpoints' parts of failures.
-    fn usual_failures(&self, now: Duration) -> f64 {
-        let mut parts: Vec<f64> =
+        let parts: Vec<f64> =
             self.entries.iter().map(|entry| entry.gauge.failure_part(now)).collect();
-        parts.sort_unstable_by(f64::total_cmp);
+        let mut sorted = parts.clone();
+        sorted.sort_unstable_by(f64::total_cmp);
         // Of two, the lower one: one of them failing is no common failure.
-        parts.get(parts.len().saturating_sub(1) / 2).copied().unwrap_or_default()
+        let usual = sorted.get(sorted.len().saturating_sub(1) / 2).copied().unwrap_or_default();
+        parts.into_iter().map(|part| (part - usual).max(0.0)).collect()
     }
 
-    /// Gives the usual time of a kind of work, zero while none is known.
+    /// Gives the usual time of a kind of work, the median of the endpoints'; zero while none is known.
     pub fn usual_work(&self, work: WorkKey, now: Duration) -> Duration {
-        self.usual_latency(work, now)
-    }
-
-    /// Gives the median of the endpoints' latencies, zero while none is known.
-    fn usual_latency(&self, work: WorkKey, now: Duration) -> Duration {
         let known = self.entries.iter().filter_map(|entry| entry.gauge.latency(work).fresh(now));
         let mut known: Vec<Duration> = known.collect();
         known.sort_unstable();
--- a/components/lab/src/compare.rs
+++ b/components/lab/src/compare.rs
@@ -1,9 +1,6 @@
 //! Two policies on the same seeds.
 
-use crate::{
-    scenario::Scenario,
-    world::{LabPolicy, run_scenario},
-};
+use crate::{fleet::LabPolicy, scenario::Scenario, world::run_scenario};
 
 /// A mean of differences between two policies, seed by seed.
 #[derive(Clone, Copy, Debug, PartialEq)]
--- a/components/lab/src/lib.rs
+++ b/components/lab/src/lib.rs
@@ -6,12 +6,14 @@
 
 mod compare;
 mod figures;
+mod fleet;
 mod scenario;
 mod world;
 
 pub use compare::{PairedMean, compare_policies};
 pub use figures::{RouteFigures, RunFigures};
+pub use fleet::LabPolicy;
 pub use scenario::{
     FaultKind, FaultPlan, LoadPlan, RoutePlan, Scenario, ScenarioError, ServerPlan, parse_scenario,
 };
-pub use world::{LabPolicy, run_scenario};
+pub use world::run_scenario;
--- a/components/lab/src/scenario.rs
+++ b/components/lab/src/scenario.rs
@@ -113,6 +113,31 @@
     },
 }
 
+impl Scenario {
+    /// Gives the factor on the rates of all callers at a second.
+    pub(crate) fn rate_factor(&self, second: f64) -> f64 {
+        self.factor(second, |kind| match kind {
+            FaultKind::Burst { factor } => Some(factor),
+            FaultKind::Slow { .. } | FaultKind::SlowServer { .. } => None,
+        })
+    }
+
+    /// Gives the factor on the work of a server at a second, by its place among all.
+    pub(crate) fn work_factor(&self, server: usize, second: f64) -> f64 {
+        self.factor(second, |kind| match kind {
+            FaultKind::Slow { factor } => Some(factor),
+            FaultKind::SlowServer { server: slow, factor } if slow == server => Some(factor),
+            FaultKind::SlowServer { .. } | FaultKind::Burst { .. } => None,
+        })
+    }
+
+    fn factor(&self, second: f64, of: impl Fn(FaultKind) -> Option<f64>) -> f64 {
+        let running =
+            self.faults.iter().filter(|fault| (fault.at..fault.at + fault.lasts).contains(&second));
+        running.filter_map(|fault| of(fault.kind)).product()
+    }
+}
+
 /// A scenario that cannot be played.
 #[derive(Debug, Error)]
 pub enum ScenarioError {
--- a/components/lab/src/world.rs
+++ b/components/lab/src/world.rs
@@ -1,63 +1,27 @@
 //! Virtual time: what happens when, and the daemons' decisions on it.
 
-use std::{
-    cmp::Reverse,
-    collections::{BTreeMap, BinaryHeap},
-    sync::Arc,
-    time::Duration,
-};
+use std::{cmp::Reverse, collections::BinaryHeap, time::Duration};
 
 use rand::{Rng, RngExt, SeedableRng, rngs::StdRng};
 use rand_distr::{Distribution, LogNormal};
 use sk_decide::{
     WorkClass,
-    admitting::{
-        Admission, AdmissionGuard, FlowKey, GuardRequest, GuardSettings, RefusalReason, Released,
-        Ticket,
-    },
-    placing::{
-        CallOutcome, EndpointDistance, EndpointRecord, PlaceRequest, PlacedCall, PlacementSettings,
-        PlacementTable,
-    },
+    admitting::{Admission, FlowKey, GuardRequest, RefusalReason, Released, Ticket},
+    backoff::draw_between,
+    placing::{CallOutcome, PlaceRequest, PlacedCall},
     seeking::SlotSearch,
 };
 
 use crate::{
     figures::RunFigures,
-    scenario::{FaultKind, Scenario},
+    fleet::{
+        CallIndex, DaemonTables, LabPolicy, LabServer, ServerIndex, make_servers, make_tables,
+    },
+    scenario::Scenario,
 };
 
 /// Part of the time left, as a divisor, up to which a caller waits as it is told.
 const RETURN_PART: u32 = 3;
-/// Servers are older than any warm-up at the start.
-const OLD: Duration = Duration::from_secs(3600);
-
-/// The daemons' settings that are tried.
-#[derive(Clone, Copy, Debug)]
-pub struct LabPolicy {
-    /// Placing.
-    pub placement: PlacementSettings,
-    /// Admission; each server's slots are the scenario's.
-    pub guard: GuardSettings,
-    /// Attempts that no server took in and that are made again elsewhere.
-    pub free_moves: u8,
-}
-
-/// Place of a call among all of a run.
-type CallIndex = usize;
-/// Place of a server among all, which is that of the daemon beside it too.
-type ServerIndex = usize;
-
-struct LabServer {
-    service: String,
-    data_centre: String,
-    slowness: f64,
-    guard: AdmissionGuard,
-    held: BTreeMap<Ticket, CallIndex>,
-}
-
-/// What one daemon knows of each service.
-type DaemonTables = BTreeMap<String, Arc<PlacementTable>>;
 
 struct LabCall {
     route: usize,
@@ -80,9 +44,9 @@
     /// A request reaches a guard.
     Reach(CallIndex, ServerIndex),
     /// A server is done with a request.
-    Done(CallIndex, ServerIndex),
+    Done(CallIndex, ServerIndex, Ticket),
     /// An answer, or a refusal for this reason, is back.
-    Back(CallIndex, ServerIndex, Option<u8>),
+    Back(CallIndex, ServerIndex, Option<RefusalReason>),
     /// A queue is to be looked through.
     Expire(ServerIndex),
 }
@@ -103,11 +67,13 @@
 
 /// Plays a scenario under a policy. The same seed gives the same callers to every policy.
 pub fn run_scenario(scenario: &Scenario, policy: &LabPolicy, seed: u64) -> RunFigures {
+    let servers = make_servers(scenario, policy);
+    let daemons = (0..servers.len()).map(|daemon| make_tables(&servers, daemon, policy)).collect();
     let mut world = LabWorld {
         scenario,
         policy,
-        servers: make_servers(scenario, policy),
-        daemons: Vec::new(),
+        servers,
+        daemons,
         calls: Vec::new(),
         events: BinaryHeap::new(),
         turn: 0,
@@ -115,7 +81,6 @@
         rng: StdRng::seed_from_u64(seed ^ 0x5eed),
         figures: RunFigures::default(),
     };
-    world.daemons = (0..world.servers.len()).map(|daemon| world.tables_of(daemon)).collect();
     world.plan_arrivals(&mut StdRng::seed_from_u64(seed));
     while let Some(Reverse((at, _, event))) = world.events.pop() {
         world.now = at;
@@ -124,41 +89,7 @@
     world.figures
 }
 
-fn make_servers(scenario: &Scenario, policy: &LabPolicy) -> Vec<LabServer> {
-    let groups = scenario.servers.iter();
-    let all = groups.flat_map(|plan| std::iter::repeat_n(plan, plan.count));
-    all.map(|plan| LabServer {
-        service: plan.service.clone(),
-        data_centre: plan.data_centre.clone(),
-        slowness: plan.slowness,
-        guard: AdmissionGuard::new(
-            GuardSettings { slots: plan.slots, ..policy.guard },
-            Duration::ZERO,
-        ),
-        held: BTreeMap::new(),
-    })
-    .collect()
-}
-
 impl LabWorld<'_> {
-    fn tables_of(&self, daemon: ServerIndex) -> DaemonTables {
-        let mut records: BTreeMap<String, Vec<EndpointRecord>> = BTreeMap::new();
-        for (index, server) in self.servers.iter().enumerate() {
-            let distance = match server.data_centre == self.servers[daemon].data_centre {
-                true => EndpointDistance::SameCentre,
-                false => EndpointDistance::SameRegion,
-            };
-            let slots = server.guard.state(Duration::ZERO).slots;
-            let record =
-                EndpointRecord { id: index as u64, incarnation: 1, slots, distance, age: OLD };
-            records.entry(server.service.clone()).or_default().push(record);
-        }
-        let table = |records: &Vec<EndpointRecord>| {
-            Arc::new(PlacementTable::new(self.policy.placement).rebuild(records, Duration::ZERO))
-        };
-        records.iter().map(|(service, records)| (service.clone(), table(records))).collect()
-    }
-
     /// Draws all callers ahead, so that no decision changes who comes when.
     fn plan_arrivals(&mut self, rng: &mut StdRng) {
         let weights: f64 = self.scenario.routes.iter().map(|route| route.weight).sum();
@@ -168,7 +99,7 @@
                 .collect();
             let mut at = 0.0;
             while at < self.scenario.seconds {
-                let rate = (load.rate * self.burst_at(at)).max(f64::MIN_POSITIVE);
+                let rate = (load.rate * self.scenario.rate_factor(at)).max(f64::MIN_POSITIVE);
                 at += -(1.0 - rng.random::<f64>()).ln() / rate;
                 let mut point = rng.random::<f64>() * weights;
                 let route = self.scenario.routes.iter().position(|route| {
@@ -198,23 +129,10 @@
         self.push(at, LabEvent::Ask(self.calls.len() - 1));
     }
 
-    fn burst_at(&self, second: f64) -> f64 {
-        let running = self.scenario.faults.iter().filter(|fault| is_during(fault, second));
-        running
-            .map(|fault| if let FaultKind::Burst { factor } = fault.kind { factor } else { 1.0 })
-            .product()
-    }
-
     /// Gives the factor on a server's work now.
     fn slowness(&self, server: ServerIndex) -> f64 {
         let second = self.now.as_secs_f64();
-        let running = self.scenario.faults.iter().filter(|fault| is_during(fault, second));
-        let factor = |kind| match kind {
-            FaultKind::Slow { factor } => factor,
-            FaultKind::SlowServer { server: slow, factor } if slow == server => factor,
-            FaultKind::SlowServer { .. } | FaultKind::Burst { .. } => 1.0,
-        };
-        self.servers[server].slowness * running.map(|fault| factor(fault.kind)).product::<f64>()
+        self.servers[server].slowness * self.scenario.work_factor(server, second)
     }
 
     fn push(&mut self, at: Duration, event: LabEvent) {
@@ -226,7 +144,7 @@
         match event {
             LabEvent::Ask(call) => self.place(call),
             LabEvent::Reach(call, server) => self.reach(call, server),
-            LabEvent::Done(call, server) => self.done(call, server),
+            LabEvent::Done(call, server, ticket) => self.done(call, server, ticket),
             LabEvent::Back(call, server, refusal) => self.back(call, server, refusal),
             LabEvent::Expire(server) => {
                 let released = self.servers[server].guard.expire(self.now);
@@ -312,7 +230,7 @@
         match admission {
             Admission::Run(ticket) => {
                 self.servers[server].held.insert(ticket, index);
-                self.start(index, server);
+                self.start(index, server, ticket);
             }
             Admission::Queued(ticket) => {
                 self.servers[server].held.insert(ticket, index);
@@ -328,29 +246,25 @@
         }
     }
 
-    fn start(&mut self, index: CallIndex, server: ServerIndex) {
+    fn start(&mut self, index: CallIndex, server: ServerIndex, ticket: Ticket) {
         self.figures.runs += 1;
         self.calls[index].started = self.now;
         let route = &self.scenario.routes[self.calls[index].route];
         let work = draw_work(route.work_ms, route.spread, &mut self.rng) * self.slowness(server);
-        self.push(self.now + millis(work), LabEvent::Done(index, server));
+        self.push(self.now + millis(work), LabEvent::Done(index, server, ticket));
     }
 
-    fn done(&mut self, index: CallIndex, server: ServerIndex) {
-        let held = &mut self.servers[server].held;
-        let ticket = held.iter().find(|(_, call)| **call == index).map(|(ticket, _)| *ticket);
-        if let Some(ticket) = ticket {
-            held.remove(&ticket);
-            let released = self.servers[server].guard.finish(ticket, self.now);
-            self.release(server, released);
-        }
+    fn done(&mut self, index: CallIndex, server: ServerIndex, ticket: Ticket) {
+        self.servers[server].held.remove(&ticket);
+        let released = self.servers[server].guard.finish(ticket, self.now);
+        self.release(server, released);
         self.send_back(index, server, None);
     }
 
     fn release(&mut self, server: ServerIndex, released: Released) {
         for ticket in released.start {
             if let Some(index) = self.servers[server].held.get(&ticket).copied() {
-                self.start(index, server);
+                self.start(index, server, ticket);
             }
         }
         for (ticket, reason) in released.refused {
@@ -363,11 +277,10 @@
 
     fn send_back(&mut self, index: CallIndex, server: ServerIndex, reason: Option<RefusalReason>) {
         let way = self.way(self.calls[index].daemon, server);
-        let code = reason.map(|reason| reason as u8);
-        self.push(self.now + way, LabEvent::Back(index, server, code));
+        self.push(self.now + way, LabEvent::Back(index, server, reason));
     }
 
-    fn back(&mut self, index: CallIndex, server: ServerIndex, refusal: Option<u8>) {
+    fn back(&mut self, index: CallIndex, server: ServerIndex, refusal: Option<RefusalReason>) {
         let wait = self.servers[server].guard.wait_hint(self.now);
         let daemon = self.calls[index].daemon;
         let service = self.servers[server].service.clone();
@@ -380,7 +293,7 @@
                 placed.finish(CallOutcome::Success, took, self.now);
                 self.end_answered(index);
             }
-            Some(code) if code == RefusalReason::Busy as u8 => {
+            Some(RefusalReason::Busy) => {
                 self.calls[index].search.note_busy(server as u64);
                 self.place(index);
             }
@@ -398,8 +311,8 @@
             call.moves += 1;
             return self.place(index);
         }
-        let window = self.policy.guard.retry_spread;
-        let wait = self.policy.guard.retry_least + window.mul_f64(self.rng.random::<f64>());
+        let (least, spread) = (self.policy.guard.retry_least, self.policy.guard.retry_spread);
+        let wait = draw_between(least, least + spread, &mut self.rng);
         self.end_refused(index, wait);
     }
 
@@ -428,10 +341,6 @@
     }
 }
 
-fn is_during(fault: &crate::scenario::FaultPlan, second: f64) -> bool {
-    (fault.at..fault.at + fault.lasts).contains(&second)
-}
-
 fn draw_work(mean: f64, spread: f64, rng: &mut (impl Rng + ?Sized)) -> f64 {
     let variance = (1.0 + spread * spread).ln();
     let work = LogNormal::new(mean.ln() - variance / 2.0, variance.sqrt());
--- a/components/proxy/src/attempt.rs
+++ b/components/proxy/src/attempt.rs
@@ -9,13 +9,13 @@
     deadline::{BODY_GRACE, DescendError},
     placing::{CallOutcome, EndpointId, PlaceRequest, PlacedCall},
     retrying::{FailedAttempt, GiveUpReason, RetryVerdict, RunOutcome, may_retry},
-    seeking::SlotSearch,
 };
 use sk_model::WorkClass;
 use tokio::time::Instant;
 
 use crate::{
     answer::{keep_answer, lost_answer, own_answer, refuse},
+    attempt_log::{AttemptLog, RunningAttempt},
     body::{CheckedBody, ProxyBody},
     call::{AttemptTerms, GuardCall},
     clock::process_now,
@@ -26,85 +26,16 @@
     outcome::{RefusalKind, RequestOutcome},
     passed::OpenCall,
     table::{TableEndpoint, TableService},
-    tries::{TryNote, TryTarget},
+    tries::TryTarget,
     watched::WatchedBody,
 };
 
-/// Shortest time for which a late answer is held against an endpoint. Less says more of the caller,
-/// who gave the endpoint no chance.
-const FAIR_WAIT: Duration = Duration::from_millis(100);
-
-/// What has been tried for a request.
-#[derive(Default)]
-pub(crate) struct AttemptLog {
-    search: SlotSearch,
-    retries: u8,
-    /// Attempts that no server took in, made again elsewhere outside the budget.
-    moves: u8,
-    /// Attempts that a server got, or may have got.
-    arrivals: u8,
-    /// Whether an attempt that ended may have run.
-    pub(crate) may_have_run: bool,
-    /// The attempt under way.
-    pub(crate) running: Option<RunningAttempt>,
-    /// A server's own failure, where a further attempt was made that may still do no better.
-    pub(crate) kept: Option<Response<ProxyBody>>,
-    /// The attempts that ended, for the log.
-    tries: Vec<TryNote>,
-    /// Why there was no further attempt, for the log.
-    pub(crate) gave_up: Option<GiveUpReason>,
-}
-
-impl AttemptLog {
-    /// Notes an answer, with the time that its head spent on the way.
-    fn note(&mut self, response: &Response<ProxyBody>, hints: &ReadHints) {
-        if let Some(running) = &mut self.running {
-            let took = running.began.elapsed();
-            self.tries.push(TryNote::answered(running.target.clone(), response, hints, took));
-            let transit = hints.held.map(|held| took.saturating_sub(held));
-            running.placed.note_head(transit, process_now());
-        }
-    }
-
-    /// Notes an attempt that is given up without an answer.
-    pub(crate) fn note_open(&mut self, running: &RunningAttempt) {
-        self.tries.push(TryNote::open(running.target.clone(), running.began.elapsed()));
-    }
-
-    /// Takes the attempts for the log, one that still runs last.
-    pub(crate) fn take_tries(&mut self) -> Vec<TryNote> {
-        if let Some(running) = self.running.take() {
-            self.note_open(&running);
-        }
-        std::mem::take(&mut self.tries)
-    }
-}
-
-/// An attempt that was sent and has no answer yet.
-pub(crate) struct RunningAttempt {
-    target: TryTarget,
-    placed: PlacedCall,
-    began: Instant,
-}
-
-impl RunningAttempt {
-    /// Ends an attempt that got no answer in time.
-    pub(crate) fn end_late(self, outcome: CallOutcome) {
-        let took = self.began.elapsed();
-        if took >= FAIR_WAIT {
-            self.placed.finish(outcome, took, process_now());
-        }
-    }
-}
-
 /// An attempt without an answer that the caller wants.
 struct AttemptFailure {
     response: Response<ProxyBody>,
     outcome: RunOutcome,
-    /// Whether another endpoint may do better.
-    is_local: bool,
-    /// Whether the guard expects its server to be too slow for what is left. A faster one may not be.
-    is_hurried: bool,
+    /// Why a daemon refused it, none where a server answered.
+    kind: Option<RefusalKind>,
 }
 
 enum AttemptEnd {
@@ -212,7 +143,7 @@
     let may_queue_at_once = request.traits.class == WorkClass::Long || !request.body.is_whole();
     let wants_slot = log.search.wants_slot(service.placement.settings().order, may_queue_at_once);
     let class = request.traits.class;
-    let goal = request.traits.goal.map(|goal| goal.saturating_sub(request.began.elapsed()));
+    let goal = request.goal_left();
     let work = request.traits.work;
     let bytes = request.body.sample().len() as u64 + service.placement.usual_size(work);
     let wanted =
@@ -295,13 +226,9 @@
     let end = call_outcome(&response, outcome, kind);
     // The time that the guard measured, so that distance does not count as slowness.
     let latency = hints.ran.unwrap_or_else(|| running.began.elapsed());
-    let may_do_better = response.status() == StatusCode::INTERNAL_SERVER_ERROR
-        && request.traits.is_repeatable
-        && service.budget.settings().again_after_failure
-        && can_meet_goal(service, request)
-        && service.failure_budget.take(process_now());
-    let is_trouble = is_trouble(response.status()) || may_do_better;
-    let is_wanted = outcome == RequestOutcome::Ran && !(is_trouble && request.traits.is_repeatable);
+    let is_tried_again = request.traits.is_repeatable
+        && (is_trouble(response.status()) || may_do_better(service, request, response.status()));
+    let is_wanted = outcome == RequestOutcome::Ran && !is_tried_again;
     if is_wanted || kind == Some(RefusalKind::AlreadyRan) {
         let (placed, counters) = (running.placed, context.counters.clone());
         let call = OpenCall { placed, outcome: end, latency, counters };
@@ -316,26 +243,27 @@
     if outcome != RequestOutcome::NotRun || kind == Some(RefusalKind::TurnedAway) {
         log.arrivals += 1;
     }
-    let is_local = kind.is_none_or(RefusalKind::is_local);
     let response = match request.body.has_overrun() {
         true => own_answer(StatusCode::PAYLOAD_TOO_LARGE, outcome, RefusalKind::TooLarge),
         false => response,
     };
-    AttemptEnd::Failed(AttemptFailure {
-        response,
-        outcome: outcome.to_run(kind),
-        is_local,
-        is_hurried: kind == Some(RefusalKind::DeadlineTooNear),
-    })
+    AttemptEnd::Failed(AttemptFailure { response, outcome: outcome.to_run(kind), kind })
+}
+
+/// Tells whether a failure that a server answered is worth a further attempt. A server that fails one
+/// request of many is sound, and the same request does well at the next one; a caller that gets the failure
+/// would have to come back for it.
+fn may_do_better(service: &TableService, request: &EntryRequest, status: StatusCode) -> bool {
+    status == StatusCode::INTERNAL_SERVER_ERROR
+        && service.budget.settings().again_after_failure
+        && can_meet_goal(service, request)
+        && service.failure_budget.take(process_now())
 }
 
-/// Tells whether a further attempt would likely be in time. A server that fails one request of many is
-/// sound, and the same request does well at the next one; a caller that gets the failure would have to
-/// come back for it.
+/// Tells whether a further attempt would likely be in time.
 fn can_meet_goal(service: &TableService, request: &EntryRequest) -> bool {
-    let goal = request.traits.goal.map(|goal| goal.saturating_sub(request.began.elapsed()));
     let usual = service.placement.usual_work(request.traits.work, process_now());
-    goal.is_some_and(|goal| usual <= goal)
+    request.goal_left().is_some_and(|goal| usual <= goal)
 }
 
 /// Tells what an answer says of the endpoint, or nothing where it speaks of the request alone.
@@ -382,9 +310,11 @@
     log: &AttemptLog,
     failure: &AttemptFailure,
 ) -> RetryVerdict {
-    let has_move = log.moves < service.budget.settings().free_moves;
-    let may_move = failure.is_hurried && has_move && can_meet_goal(service, request);
-    if !failure.is_local && !may_move {
+    // A server that is too slow for what is left says nothing of a faster one.
+    let may_move = failure.kind == Some(RefusalKind::DeadlineTooNear)
+        && log.moves < service.budget.settings().free_moves
+        && can_meet_goal(service, request);
+    if !failure.kind.is_none_or(RefusalKind::is_local) && !may_move {
         return RetryVerdict::GiveUp(GiveUpReason::Final);
     }
     if !request.body.is_whole() {
--- a/components/proxy/src/entry.rs
+++ b/components/proxy/src/entry.rs
@@ -95,6 +95,11 @@
         head
     }
 
+    /// Gives the time left to its response-time goal, where there is one.
+    pub(crate) fn goal_left(&self) -> Option<Duration> {
+        self.traits.goal.map(|goal| goal.saturating_sub(self.began.elapsed()))
+    }
+
     /// Gives the time left for the request.
     pub(crate) fn left(&self) -> Duration {
         self.call.remaining.saturating_sub(self.began.elapsed())
--- a/components/proxy/src/forward.rs
+++ b/components/proxy/src/forward.rs
@@ -10,7 +10,8 @@
 
 use crate::{
     answer::{lost_answer, own_answer, refuse},
-    attempt::{AttemptLog, answer_request},
+    attempt::answer_request,
+    attempt_log::AttemptLog,
     body::ProxyBody,
     context::{ForwardContext, count_own},
     entry::{CallOrigin, EntryRequest, check_carried, host_of},
--- a/components/proxy/src/lib.rs
+++ b/components/proxy/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod answer;
 mod attempt;
+mod attempt_log;
 mod body;
 mod call;
 mod claim;
--- a/components/proxy/src/story.rs
+++ b/components/proxy/src/story.rs
@@ -10,7 +10,7 @@
 use tokio::time::Instant;
 
 use crate::{
-    attempt::AttemptLog,
+    attempt_log::AttemptLog,
     body::ProxyBody,
     context::ForwardContext,
     failed_calls::CallNumber,
--- a/components/settings/src/lib.rs
+++ b/components/settings/src/lib.rs
@@ -6,15 +6,16 @@
 mod check;
 mod daemon_settings;
 mod error;
+mod experiment;
 mod loopback;
 
 pub use daemon_settings::{
-    DaemonSettings, ExperimentSettings, GuardSettings, InstanceSettings, ListenSettings,
-    LogSettings, Mechanism, MemberSettings, MetricSettings, OperatorSettings, PeerSettings,
-    PlacingOrder, PlacingSettings, PlatformForm, PlatformSettings, ReportSettings, SpreadMode,
-    SpreadSettings,
+    DaemonSettings, GuardSettings, InstanceSettings, ListenSettings, LogSettings, MemberSettings,
+    MetricSettings, OperatorSettings, PeerSettings, PlacingOrder, PlacingSettings, PlatformForm,
+    PlatformSettings, ReportSettings, SpreadMode, SpreadSettings,
 };
 pub use error::SettingsError;
+pub use experiment::{ExperimentSettings, Mechanism};
 pub use loopback::{LoopbackPlan, loopback_text};
 
 use std::{fs::File, io::Read, path::Path};
