spread: daemons know how old their word from the source is, and show it

The record could not tell whether the source had turned all away or the relays alone.

A look at the source gives when it was seen; heartbeats carry its age, who looked and how far the source's history was known, and a daemon takes it over where it holds the version meant. Shown in the state, as sapphirekeel_source_age_milliseconds and as config.source_age_ms. Ages are measured on each daemon's steady clock and no time of day is compared. Nothing is decided by them yet. A watch ends after 1.5 s, as that of the platform's adapter did already.

--- a/components/daemon/src/dump.rs
+++ b/components/daemon/src/dump.rs
@@ -56,6 +56,7 @@
         relays: state.relays,
         links: state.links,
         source_fault: state.source_fault,
+        source_age_ms: state.source_age_ms,
         fetches_served: state.fetches_served,
         fetches_refused: state.fetches_refused,
         diverged: state.diverged,
--- a/components/daemon/src/metrics.rs
+++ b/components/daemon/src/metrics.rs
@@ -6,6 +6,7 @@
 //! |---|---|---|
 //! | `config.version` | gauge | version in force |
 //! | `config.rejecting` | gauge | 1 while a newer version than the one in force was refused |
+//! | `config.source_age_ms` | gauge | time since the source was known to have nothing newer; absent where that is not known |
 //! | `control.sent_bytes` | counter | control bytes sent |
 //! | `control.received_bytes` | counter | control bytes received |
 //! | `members.<status>` | gauge | daemons by status, this one included |
@@ -122,6 +123,8 @@
         ("quarantine.refused".to_owned(), state.quarantined),
         ("requests.in_flight".to_owned(), counts.in_flight),
     ];
+    let age_ms = state.control.source_age_ms;
+    gauges.extend(age_ms.map(|age_ms| ("config.source_age_ms".to_owned(), age_ms)));
     // Every status each time, so that one that nobody has any more falls back to zero.
     for status in MEMBER_STATUSES.map(|status| status.to_string()) {
         let count = state.members.values().filter(|member| member.status == status).count();
--- a/components/daemon/src/scrape.rs
+++ b/components/daemon/src/scrape.rs
@@ -12,6 +12,7 @@
 //! | `sapphirekeel_config_version` | gauge | | version in force |
 //! | `sapphirekeel_config_since_seconds` | gauge | | age of the version in force |
 //! | `sapphirekeel_source_away` | gauge | | 1 while the configuration source does not answer |
+//! | `sapphirekeel_source_age_milliseconds` | gauge | | time since the source was known to have nothing newer; absent where that is not known |
 //! | `sapphirekeel_members` | gauge | `status` | daemons known, by status |
 //! | `sapphirekeel_server_running`, `_queued`, `_slots` | gauge | `service` | the guard's counts |
 //! | `sapphirekeel_control_bytes_total` | counter | `direction` | bytes of control traffic |
@@ -192,6 +193,10 @@
     single("sapphirekeel_config_since_seconds", "Age of the version in force.", age_ms / 1000)?;
     let is_away = u64::from(state.control.source_fault.is_some());
     single("sapphirekeel_source_away", "1 while the source does not answer.", is_away)?;
+    if let Some(age_ms) = state.control.source_age_ms {
+        let help = "Time since the source was known to have nothing newer.";
+        single("sapphirekeel_source_age_milliseconds", help, age_ms)?;
+    }
     single("sapphirekeel_quarantined", "Requests held back.", state.quarantined)?;
     let bytes = [("sent", state.control_sent), ("received", state.control_received)];
     writer.counter(
--- a/components/daemon/src/source.rs
+++ b/components/daemon/src/source.rs
@@ -6,7 +6,8 @@
 use sk_ledger::{Ledger, LedgerError};
 use sk_model::{ConfigSnapshot, ProxyAck};
 use sk_report::ReportBook;
-use sk_spread::{AckSink, ConfigSource, SourceError};
+use sk_spread::{AckSink, ConfigSource, SourceError, SourceNews};
+use tokio::time::Instant;
 
 /// The ledger behind the spread's border.
 pub(crate) struct LedgerSource {
@@ -23,8 +24,11 @@
         &self,
         held: &ConfigSnapshot,
         timeout: Duration,
-    ) -> Result<Option<ConfigSnapshot>, SourceError> {
-        self.ledger.wait_newer(held, timeout).await.map_err(source_error)
+    ) -> Result<SourceNews, SourceError> {
+        let began = Instant::now();
+        let newer = self.ledger.wait_newer(held, timeout).await.map_err(source_error)?;
+        let seen_at = if newer.is_none() { began + timeout } else { began };
+        Ok(SourceNews { newer, seen_at })
     }
 }
 
--- a/components/member/src/lib.rs
+++ b/components/member/src/lib.rs
@@ -22,7 +22,7 @@
 
 pub use board::{MemberBoard, MemberView};
 pub use choice::{choose_relays, rendezvous_weight};
-pub use digest::{DIGEST_BUCKETS, MemberDigest, bucket_of};
+pub use digest::{DIGEST_BUCKETS, MemberDigest, bucket_of, name_hash};
 pub use heartbeat::{HeartbeatBook, HeartbeatVerdict, ServerHeartbeat};
 pub use marks::{LocalMark, MemberMarks};
 pub use monitor::{LivenessMonitor, MonitorEvent, MonitorOptions};
--- a/components/ops/src/wire.rs
+++ b/components/ops/src/wire.rs
@@ -142,6 +142,9 @@
     pub links: Vec<ProxyId>,
     /// What the platform said last; none while it answers.
     pub source_fault: Option<String>,
+    /// Milliseconds since the platform was known to have nothing newer than what is held here; none
+    /// where that is not known.
+    pub source_age_ms: Option<u64>,
     /// Fetches served to other daemons.
     pub fetches_served: u64,
     /// Fetches refused because too many were served at once.
--- a/components/spread/schema/peer.capnp
+++ b/components/spread/schema/peer.capnp
@@ -39,6 +39,12 @@
   members @2 :UInt64;
   # Digest of all records.
   isReady @3 :Bool;
+  sourceAgeMillis @4 :UInt32 = 0xffffffff;
+  # Time since the source was known to have nothing newer than `version`; the default: not known.
+  looker @5 :UInt64;
+  # Hash of the name of the daemon that looked at the source then.
+  history @6 :UInt64;
+  # Place in the source's history up to which that daemon knew everything.
 }
 
 struct FetchRequest {
--- a/components/spread/src/driver.rs
+++ b/components/spread/src/driver.rs
@@ -8,7 +8,7 @@
 };
 
 use sk_logs::OutageLog;
-use sk_member::{LivenessMonitor, MemberBoard, MonitorOptions};
+use sk_member::{LivenessMonitor, MemberBoard, MonitorOptions, name_hash};
 use tokio::{
     net::TcpListener,
     sync::{Semaphore, mpsc, oneshot, watch},
@@ -199,10 +199,12 @@
     let monitor = LivenessMonitor::new(own.proxy.clone(), own.incarnation, monitor);
     let node = SpreadNode {
         own_name: own.proxy.clone(),
+        own_mark: name_hash(&own.proxy),
         held: parts.held,
         members: parts.members,
         source: parts.source,
         source_outage: OutageLog::new("spread", "the configuration source"),
+        freshness: RefCell::default(),
         contacts: parts.contacts,
         acks: parts.acks,
         ack_batch: Default::default(),
--- a/components/spread/src/lib.rs
+++ b/components/spread/src/lib.rs
@@ -12,6 +12,7 @@
 mod counted;
 mod driver;
 mod fetch;
+mod freshness;
 mod gate;
 mod held;
 mod join;
@@ -44,11 +45,14 @@
 
 pub use counted::{ControlBytes, ControlMeter};
 pub use driver::{SpreadHandle, SpreadParts, StateReader, start_spread};
+pub use freshness::HistoryMark;
 pub use held::{HeldConfig, HeldStatus, OfferOutcome};
 pub use options::{PassMode, SpreadOptions};
 pub use orders::VersionOrigin;
 pub use pass::{PassPlan, PassStyle, plan_pass};
-pub use source::{AckSink, ConfigSource, ContactBook, ContactMap, NoticeBoard, SourceError};
+pub use source::{
+    AckSink, ConfigSource, ContactBook, ContactMap, NoticeBoard, SourceError, SourceNews,
+};
 pub use state::{CallKind, KindBytes, SpreadState};
 pub use update::{
     ConfigUpdate, TreeContent, TreeHashes, TreeUpdate, UpdateFault, apply_update, make_tree_update,
--- a/components/spread/src/links.rs
+++ b/components/spread/src/links.rs
@@ -14,6 +14,7 @@
 
 use crate::{
     backoff::jittered,
+    freshness::FreshnessProof,
     link_board::LinkState,
     node::{CALL_TIMEOUT, SpreadNode},
     peer_capnp::{beat, peer},
@@ -31,6 +32,8 @@
 /// Heartbeats in a row that show another digest before records are compared. News under way make
 /// digests differ for a moment; comparing at once would send the same records twice.
 const MAX_MISMATCHES: u32 = 2;
+/// Age in a heartbeat of a daemon that knows none.
+const NO_AGE: u32 = u32::MAX;
 
 impl SpreadNode {
     pub(crate) fn link_names(&self) -> BTreeSet<ProxyId> {
@@ -56,15 +59,40 @@
         builder.set_root_hash(mark);
         builder.set_members(self.member_mark());
         builder.set_is_ready(self.held.is_ready());
+        if let Some(proof) = self.freshness.borrow().held() {
+            let age = proof.age(Instant::now()).as_millis();
+            builder.set_source_age_millis(u32::try_from(age).unwrap_or(NO_AGE));
+            builder.set_looker(proof.looker);
+            builder.set_history(proof.history);
+        }
     }
 
     /// Notes what a peer's heartbeat says, and tells whether its records are the same.
-    pub(crate) fn take_beat(self: &Rc<Self>, proxy: &str, beat: beat::Reader<'_>) -> bool {
+    /// `written_after` is a moment before the peer wrote it, as late as is known.
+    pub(crate) fn take_beat(
+        self: &Rc<Self>,
+        proxy: &str,
+        beat: beat::Reader<'_>,
+        written_after: Instant,
+    ) -> bool {
         self.note_heard(proxy);
+        self.take_proof(beat, written_after);
         self.note_version(proxy, beat.get_version(), beat.get_root_hash());
         beat.get_members() == self.member_mark()
     }
 
+    /// Takes over the peer's word from the source. It says that a version was the newest one, so it
+    /// holds here too where that version or a later one is held.
+    fn take_proof(&self, beat: beat::Reader<'_>, written_after: Instant) {
+        let age = Duration::from_millis(beat.get_source_age_millis().into());
+        let is_known = beat.get_source_age_millis() != NO_AGE;
+        let is_held = beat.get_version() <= self.held.newest_mark().0;
+        if let (true, Some(seen_at)) = (is_known && is_held, written_after.checked_sub(age)) {
+            let (looker, history) = (beat.get_looker(), beat.get_history());
+            self.note_proof(FreshnessProof { looker, seen_at, history });
+        }
+    }
+
     fn member_mark(&self) -> u64 {
         let digest = self.members.update(|table| table.digest().clone(), |_| false);
         let fold = |mark: u64, bucket: &u64| mark.rotate_left(7).wrapping_add(*bucket);
@@ -173,11 +201,12 @@
     let call = async |peer: peer::Client| {
         let mut request = peer.beat_request();
         node.write_beat(request.get().init_beat());
+        let sent_at = Instant::now();
         node.stats.sent(CallKind::Beat, request.get().into_reader().total_size()?);
         let response = request.send().promise.await?;
         let response = response.get()?;
         node.stats.received(CallKind::Beat, response.total_size()?);
-        Ok(node.take_beat(proxy, response.get_beat()?))
+        Ok(node.take_beat(proxy, response.get_beat()?, sent_at))
     };
     node.call(proxy, CALL_TIMEOUT, call).await
 }
--- a/components/spread/src/news.rs
+++ b/components/spread/src/news.rs
@@ -7,6 +7,7 @@
     MemberDigest, MemberRecord, MemberRumor, MemberSuspicion, MemberTable, MergeOutcome,
 };
 use sk_model::ProxyId;
+use tokio::time::Instant;
 
 use crate::{codec, node::SpreadNode, peer_capnp::peer, state::CallKind};
 
@@ -64,6 +65,7 @@
         let buckets = digest.buckets();
         codec::write_buckets(buckets, request.get().init_buckets(buckets.len() as u32));
         self.write_beat(request.get().init_beat());
+        let sent_at = Instant::now();
         self.stats.sent(CallKind::Reconcile, request.get().into_reader().total_size()?);
         let response = request.send().promise.await?;
         let response = response.get()?;
@@ -74,7 +76,7 @@
         let is_known: BTreeSet<_> =
             received.iter().map(|record| (record.proxy.clone(), record.rank())).collect();
         self.merge_news(received, Vec::new(), proxy);
-        self.take_beat(proxy, response.get_beat()?);
+        self.take_beat(proxy, response.get_beat()?, sent_at);
         let differing = digest.differing(&theirs);
         let mut lacking = self.members.update(|table| table.records_in(&differing), |_| false);
         lacking.retain(|record| !is_known.contains(&(record.proxy.clone(), record.rank())));
--- a/components/spread/src/node.rs
+++ b/components/spread/src/node.rs
@@ -9,11 +9,15 @@
 use sk_logs::OutageLog;
 use sk_member::{MemberBoard, MemberRecord, MemberView};
 use sk_model::{ConfigSnapshot, ProxyId, Version, unix_now};
-use tokio::sync::{Semaphore, mpsc, oneshot, watch};
+use tokio::{
+    sync::{Semaphore, mpsc, oneshot, watch},
+    time::Instant,
+};
 
 use crate::{
     ack_batch::AckBatch,
     counted::ControlMeter,
+    freshness::{FreshnessBook, FreshnessProof, LookerMark},
     held::{HeldConfig, OfferOutcome},
     link_board::LinkBoard,
     options::SpreadOptions,
@@ -34,10 +38,13 @@
 pub(crate) struct SpreadNode {
     pub(crate) options: SpreadOptions,
     pub(crate) own_name: ProxyId,
+    /// Hash of the own name.
+    pub(crate) own_mark: LookerMark,
     pub(crate) held: Arc<HeldConfig>,
     pub(crate) members: Arc<MemberBoard>,
     pub(crate) source: Arc<dyn ConfigSource>,
     pub(crate) source_outage: OutageLog,
+    pub(crate) freshness: RefCell<FreshnessBook>,
     pub(crate) contacts: Option<Arc<dyn ContactBook>>,
     pub(crate) acks: Arc<dyn AckSink>,
     pub(crate) ack_batch: AckBatch,
@@ -135,6 +142,18 @@
         }
     }
 
+    /// Notes that this daemon itself saw at `seen_at` that the source had nothing newer.
+    pub(crate) fn note_seen(&self, seen_at: Instant) {
+        let (looker, history) = (self.own_mark, self.source.history());
+        self.note_proof(FreshnessProof { looker, seen_at, history });
+    }
+
+    /// Notes a proof that what is held here was the newest version.
+    pub(crate) fn note_proof(&self, proof: FreshnessProof) {
+        self.freshness.borrow_mut().offer(proof);
+        self.stats.note_source_seen(proof.seen_at);
+    }
+
     /// Looks at the configuration source, together with all others that ask meanwhile.
     pub(crate) async fn confirm(&self) -> ConfirmOutcome {
         let (answer, answered) = oneshot::channel();
--- a/components/spread/src/server.rs
+++ b/components/spread/src/server.rs
@@ -9,7 +9,7 @@
 use capnp::Error;
 use sk_member::MemberDigest;
 use sk_model::ConfigSnapshot;
-use tokio::sync::OwnedSemaphorePermit;
+use tokio::{sync::OwnedSemaphorePermit, time::Instant};
 
 use crate::{
     backoff::jittered,
@@ -68,7 +68,7 @@
         mut results: peer::BeatResults,
     ) -> Result<(), Error> {
         let (node, session) = self.enter()?;
-        node.take_beat(&session.proxy, params.get()?.get_beat()?);
+        node.take_beat(&session.proxy, params.get()?.get_beat()?, Instant::now());
         node.write_beat(results.get().init_beat());
         Ok(())
     }
@@ -96,7 +96,7 @@
         let params = params.get()?;
         node.stats.received(CallKind::Reconcile, params.total_size()?);
         let theirs = MemberDigest::from_buckets(codec::read_buckets(params.get_buckets()?)?);
-        node.take_beat(&session.proxy, params.get_beat()?);
+        node.take_beat(&session.proxy, params.get_beat()?, Instant::now());
         let compare = |table: &mut sk_member::MemberTable| {
             let digest = table.digest().clone();
             let records = table.records_in(&digest.differing(&theirs));
--- a/components/spread/src/source.rs
+++ b/components/spread/src/source.rs
@@ -5,6 +5,9 @@
 use async_trait::async_trait;
 use sk_model::{ConfigSnapshot, DataCentre, ProxyAck};
 use thiserror::Error;
+use tokio::time::Instant;
+
+use crate::freshness::HistoryMark;
 
 /// Control addresses by data centre, as kept in the platform.
 pub type ContactMap = BTreeMap<DataCentre, Vec<SocketAddr>>;
@@ -17,6 +20,16 @@
     pub reason: String,
 }
 
+/// What a wait at the source gave.
+#[derive(Clone, Debug)]
+pub struct SourceNews {
+    /// A configuration newer than the one held; none where there was none.
+    pub newer: Option<ConfigSnapshot>,
+    /// When the source was seen, on this instance's steady clock. It may be given as earlier than it
+    /// truly was, never as later: peers conclude from it that they hold the newest version.
+    pub seen_at: Instant,
+}
+
 /// Where accepted configurations come from.
 #[async_trait]
 pub trait ConfigSource: Send + Sync {
@@ -27,7 +40,8 @@
     /// Returns a [`SourceError`] when the source is away.
     async fn load(&self, held: &ConfigSnapshot) -> Result<ConfigSnapshot, SourceError>;
 
-    /// Waits up to `timeout` for a configuration newer than `held`.
+    /// Waits up to `timeout` for a configuration newer than `held`. Where none comes, the source was
+    /// seen about when the wait ended.
     ///
     /// # Errors
     ///
@@ -36,7 +50,13 @@
         &self,
         held: &ConfigSnapshot,
         timeout: Duration,
-    ) -> Result<Option<ConfigSnapshot>, SourceError>;
+    ) -> Result<SourceNews, SourceError>;
+
+    /// Gives the place in the source's history up to which everything is known here; zero where the
+    /// source keeps none.
+    fn history(&self) -> HistoryMark {
+        0
+    }
 }
 
 /// Where daemons leave addresses for those that start with no other way to find the fleet.
--- a/components/spread/src/state.rs
+++ b/components/spread/src/state.rs
@@ -12,6 +12,7 @@
 use derive_more::Display;
 use serde::Serialize;
 use sk_model::{ProxyId, Version};
+use tokio::time::Instant;
 
 use crate::relay_view::RelayView;
 
@@ -87,6 +88,9 @@
     pub connections: u64,
     /// What the configuration source said last; none while it answers.
     pub source_fault: Option<String>,
+    /// Milliseconds since the source was known to have nothing newer than what is held here, by
+    /// this daemon's own look or by what peers told; none where that is not known.
+    pub source_age_ms: Option<u64>,
     /// Looks at the configuration source other than watches.
     pub source_reads: u64,
     /// Fetches served.
@@ -112,6 +116,11 @@
     relays: RelayView,
     links: Vec<ProxyId>,
     source_fault: Option<String>,
+    source_seen: Option<Instant>,
+}
+
+fn age_millis(seen_at: Instant) -> u64 {
+    u64::try_from(seen_at.elapsed().as_millis()).unwrap_or(u64::MAX)
 }
 
 /// Counters of the control thread, readable from others.
@@ -163,6 +172,11 @@
         self.with_parts(|parts| parts.source_fault = fault);
     }
 
+    /// Notes since when the source is known to have nothing newer than what is held here.
+    pub(crate) fn note_source_seen(&self, seen_at: Instant) {
+        self.with_parts(|parts| parts.source_seen = parts.source_seen.max(Some(seen_at)));
+    }
+
     pub(crate) fn set_links(&self, links: Vec<ProxyId>) {
         self.with_parts(|parts| parts.links = links);
     }
@@ -189,6 +203,7 @@
             relays: parts.relays.relays.iter().map(|relay| relay.proxy.clone()).collect(),
             links: parts.links.clone(),
             source_fault: parts.source_fault.clone(),
+            source_age_ms: parts.source_seen.map(age_millis),
             connections: self.connections.load(Ordering::Relaxed),
             source_reads: self.source_reads.load(Ordering::Relaxed),
             fetches_served: self.fetches_served.load(Ordering::Relaxed),
--- a/components/spread/src/watch.rs
+++ b/components/spread/src/watch.rs
@@ -15,8 +15,9 @@
     orders::{ConfirmOutcome, VersionOrigin},
 };
 
-/// Longest wait of one watch at the configuration source.
-const WATCH_TIMEOUT: Duration = Duration::from_secs(20);
+/// Longest wait of one watch at the configuration source. Its end proves that what is held is the
+/// newest version, and peers hear of it.
+const WATCH_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// First pause after the source failed, and the longest one. With 18 relays the cap means 36 calls a
 /// second at a source that is away, a fiftieth of its rate, and a delay of at most a second once it
 /// is back: a version is to be in force two seconds after its acknowledgement.
@@ -57,14 +58,15 @@
     // give the refused one again at once, over and over.
     let after = if seen.version() > newest.version() { seen.clone() } else { newest };
     match node.source.wait_newer(&after, WATCH_TIMEOUT).await {
-        Ok(snapshot) => {
+        Ok(news) => {
             node.source_outage.back();
             node.stats.note_source(None);
             pause.reset();
-            if let Some(snapshot) = snapshot {
+            if let Some(snapshot) = news.newer {
                 *seen = Arc::new(snapshot.clone());
                 node.offer(snapshot, PLATFORM, VersionOrigin::Source);
             }
+            node.note_seen(news.seen_at);
         }
         Err(err) => {
             node.source_outage.lost(&err);
@@ -101,6 +103,7 @@
 
 async fn read_source(node: &SpreadNode) -> ConfirmOutcome {
     node.stats.count_read();
+    let began = Instant::now();
     let outcome = match node.source.load(&node.held.newest()).await {
         Err(err) => {
             node.source_outage.lost(&err);
@@ -111,6 +114,7 @@
     };
     node.source_outage.back();
     node.stats.note_source(None);
+    node.note_seen(began);
     match outcome {
         OfferOutcome::Rejected(_) => ConfirmOutcome::Refused,
         _ => {
--- a/components/spread/tests/common/mod.rs
+++ b/components/spread/tests/common/mod.rs
@@ -20,7 +20,7 @@
 };
 use sk_spread::{
     AckSink, ConfigSource, ContactBook, ContactMap, ControlMeter, HeldConfig, SourceError,
-    SpreadHandle, SpreadOptions, SpreadParts, start_spread,
+    SourceNews, SpreadHandle, SpreadOptions, SpreadParts, start_spread,
 };
 use tokio::sync::watch;
 
@@ -120,7 +120,8 @@
         &self,
         held: &ConfigSnapshot,
         timeout: Duration,
-    ) -> Result<Option<ConfigSnapshot>, SourceError> {
+    ) -> Result<SourceNews, SourceError> {
+        let began = tokio::time::Instant::now();
         self.waits.fetch_add(1, Ordering::SeqCst);
         let mut newest = self.newest.subscribe();
         let wait = async {
@@ -128,12 +129,85 @@
                 self.up()?;
                 let found = newest.borrow_and_update().clone();
                 if found.version() > held.version() {
-                    return Ok(Some(ConfigSnapshot::clone(&found)));
+                    return Ok(ConfigSnapshot::clone(&found));
                 }
                 let _ = newest.changed().await;
             }
         };
-        tokio::time::timeout(timeout, wait).await.unwrap_or(Ok(None))
+        match tokio::time::timeout(timeout, wait).await {
+            Ok(newer) => newer.map(|newer| SourceNews { newer: Some(newer), seen_at: began }),
+            Err(_) => Ok(SourceNews { newer: None, seen_at: began + timeout }),
+        }
+    }
+}
+
+/// What one daemon's way to the platform does.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum WayState {
+    /// Calls are answered.
+    Open,
+    /// Calls are refused at once, those that wait included.
+    Refuses,
+    /// Calls are not answered.
+    Silent,
+}
+
+/// A daemon's own way to the platform, which may be closed while the others' are open.
+pub struct PlatformWay {
+    platform: Arc<FakePlatform>,
+    state: watch::Sender<WayState>,
+}
+
+impl PlatformWay {
+    pub fn new(platform: &Arc<FakePlatform>) -> Arc<Self> {
+        let state = watch::Sender::new(WayState::Open);
+        Arc::new(Self { platform: platform.clone(), state })
+    }
+
+    pub fn set(&self, state: WayState) {
+        self.state.send_replace(state);
+    }
+
+    /// Carries a call whose answer is due within `timeout`, as far as the way allows.
+    async fn carry<T>(
+        &self,
+        timeout: Duration,
+        call: impl Future<Output = Result<T, SourceError>>,
+    ) -> Result<T, SourceError> {
+        // What a silent call is given beyond its own wait before it counts as lost.
+        let grace = Duration::from_millis(700);
+        let mut refused = self.state.subscribe();
+        let mut held_back = self.state.subscribe();
+        // The sender of the states lives as long as the way.
+        let refusal = async { drop(refused.wait_for(|state| *state == WayState::Refuses).await) };
+        let answer = async {
+            let answer = call.await;
+            drop(held_back.wait_for(|state| *state != WayState::Silent).await);
+            answer
+        };
+        let lost = |reason: &str| Err(SourceError { reason: reason.to_owned() });
+        tokio::select! {
+            // A call that is refused must not be answered as well.
+            biased;
+            () = refusal => lost("refused"),
+            answer = answer => answer,
+            () = tokio::time::sleep(timeout + grace) => lost("no answer in time"),
+        }
+    }
+}
+
+#[async_trait]
+impl ConfigSource for PlatformWay {
+    async fn load(&self, held: &ConfigSnapshot) -> Result<ConfigSnapshot, SourceError> {
+        self.carry(Duration::from_secs(1), self.platform.load(held)).await
+    }
+
+    async fn wait_newer(
+        &self,
+        held: &ConfigSnapshot,
+        timeout: Duration,
+    ) -> Result<SourceNews, SourceError> {
+        self.carry(timeout, self.platform.wait_newer(held, timeout)).await
     }
 }
 
@@ -239,6 +313,18 @@
         data_centre: &str,
         options: SpreadOptions,
         platform: Arc<FakePlatform>,
+    ) -> TestDaemon {
+        self.start_over(name, data_centre, options, platform.clone(), platform)
+    }
+
+    /// Starts a daemon whose way to the source is not that to its contacts.
+    pub fn start_over(
+        &self,
+        name: &str,
+        data_centre: &str,
+        options: SpreadOptions,
+        source: Arc<dyn ConfigSource>,
+        contacts: Arc<FakePlatform>,
     ) -> TestDaemon {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
         let address = listener.local_addr().expect("an address");
@@ -261,8 +347,8 @@
             notices: None,
             held: held.clone(),
             members: members.clone(),
-            source: platform.clone(),
-            contacts: Some(platform),
+            source,
+            contacts: Some(contacts),
             acks: self.sink.clone(),
             meter: meter.clone(),
         };
