spread: whose turn it is to watch the source goes by how old the word from it is

Callers were sent by routes that an accepted version had replaced seconds before, at every daemon of a fleet, while the platform served its operators.

Cause, of the class 'a delegate is trusted while it is alive, whether or not it does its work': each data centre watched the source by one daemon, replaced only when it died. The platform refused just these four (they are also the only writers of acknowledgements, so what picks writers picks them), and nobody else ever asked. Evidence: store calls by machine in the incident's record, source_away on the four alone; relays_refused fails in the same way with nothing but the relays' ways closed. Ruled out: a version that reached a relay and was lost (all daemons stayed at the old one), a refused version (no line).

Now heartbeats tell who saw the source last and how long ago, and where that is older than 3.5 heartbeats the next daemon in the data centre's order watches, 100 ms later the one after. It holds whatever the reason is, as it does not ask for one. A watch ends after 1.5 heartbeats; a version that a heartbeat shows is fetched at once where the data centre does not see the source.

Tests: spread relays_away, member look_order.

--- a/components/logs/src/outage.rs
+++ b/components/logs/src/outage.rs
@@ -39,6 +39,12 @@
         }
     }
 
+    /// Forgets a loss without a line: whether the dependency is back is not known, as it is no longer
+    /// asked.
+    pub fn dismiss(&self) {
+        self.open.lock().unwrap_or_else(PoisonError::into_inner).take();
+    }
+
     /// Notes a success.
     pub fn back(&self) {
         let open = self.open.lock().unwrap_or_else(PoisonError::into_inner).take();
--- a/components/member/src/digest.rs
+++ b/components/member/src/digest.rs
@@ -67,7 +67,7 @@
 
 /// Hashes a name alike on every daemon and in every release, which the standard library's hasher
 /// does not promise. Peers are authenticated, so nobody chooses names to collide.
-pub fn name_hash(name: &str) -> u64 {
+pub(crate) fn name_hash(name: &str) -> u64 {
     // FNV-1a.
     let mut hash = 0xcbf2_9ce4_8422_2325;
     for byte in name.bytes() {
--- a/components/member/src/lib.rs
+++ b/components/member/src/lib.rs
@@ -7,6 +7,7 @@
 mod book;
 mod choice;
 mod digest;
+mod freshness;
 mod heartbeat;
 mod marks;
 mod monitor;
@@ -22,7 +23,8 @@
 
 pub use board::{MemberBoard, MemberView};
 pub use choice::{choose_relays, rendezvous_weight};
-pub use digest::{DIGEST_BUCKETS, MemberDigest, bucket_of, name_hash};
+pub use digest::{DIGEST_BUCKETS, MemberDigest, bucket_of};
+pub use freshness::{FreshnessBook, FreshnessProof, HistoryMark, LookOptions, LookerMark};
 pub use heartbeat::{HeartbeatBook, HeartbeatVerdict, ServerHeartbeat};
 pub use marks::{LocalMark, MemberMarks};
 pub use monitor::{LivenessMonitor, MonitorEvent, MonitorOptions};
--- a/components/spread/src/driver.rs
+++ b/components/spread/src/driver.rs
@@ -8,11 +8,12 @@
 };
 
 use sk_logs::OutageLog;
-use sk_member::{LivenessMonitor, MemberBoard, MonitorOptions, name_hash};
+use sk_member::{FreshnessBook, LivenessMonitor, MemberBoard, MonitorOptions};
 use tokio::{
     net::TcpListener,
     sync::{Semaphore, mpsc, oneshot, watch},
     task::LocalSet,
+    time::Instant,
 };
 
 use crate::{
@@ -199,12 +200,12 @@
     let monitor = LivenessMonitor::new(own.proxy.clone(), own.incarnation, monitor);
     let node = SpreadNode {
         own_name: own.proxy.clone(),
-        own_mark: name_hash(&own.proxy),
+        start: Instant::now(),
         held: parts.held,
         members: parts.members,
         source: parts.source,
         source_outage: OutageLog::new("spread", "the configuration source"),
-        freshness: RefCell::default(),
+        freshness: RefCell::new(FreshnessBook::new(&own.proxy, options.look_options())),
         contacts: parts.contacts,
         acks: parts.acks,
         ack_batch: Default::default(),
--- a/components/spread/src/fetch.rs
+++ b/components/spread/src/fetch.rs
@@ -78,7 +78,10 @@
         }
         self.expected.set(version);
         let want = FetchWant { version, mark, from: from.to_owned(), origin: VersionOrigin::Found };
+        let is_stale = self.freshness.borrow().is_stale(self.start.elapsed());
         let grace = match self.options.mode {
+            // Nobody near sees the source, so no tree will come from there.
+            _ if is_stale => Duration::ZERO,
             PassMode::Push => PUSH_GRACE,
             PassMode::Announce => ANNOUNCE_GRACE,
         };
--- a/components/spread/src/lib.rs
+++ b/components/spread/src/lib.rs
@@ -12,7 +12,6 @@
 mod counted;
 mod driver;
 mod fetch;
-mod freshness;
 mod gate;
 mod held;
 mod join;
@@ -45,11 +44,11 @@
 
 pub use counted::{ControlBytes, ControlMeter};
 pub use driver::{SpreadHandle, SpreadParts, StateReader, start_spread};
-pub use freshness::HistoryMark;
 pub use held::{HeldConfig, HeldStatus, OfferOutcome};
 pub use options::{PassMode, SpreadOptions};
 pub use orders::VersionOrigin;
 pub use pass::{PassPlan, PassStyle, plan_pass};
+pub use sk_member::HistoryMark;
 pub use source::{
     AckSink, ConfigSource, ContactBook, ContactMap, NoticeBoard, SourceError, SourceNews,
 };
--- a/components/spread/src/link_board.rs
+++ b/components/spread/src/link_board.rs
@@ -1,6 +1,6 @@
 //! The links of a daemon and what is decided over them.
 
-use std::{collections::BTreeMap, rc::Rc, time::Duration};
+use std::{cell::Cell, collections::BTreeMap, rc::Rc, time::Duration};
 
 use sk_member::{
     LivenessMonitor, MemberRumor, MemberSuspicion, MemberView, MonitorEvent, RumorQueue,
@@ -14,6 +14,14 @@
     pub(crate) news: Notify,
     /// Whether this side opens the connection and sends the heartbeats.
     pub(crate) is_chosen: bool,
+    /// Whether a heartbeat is to be sent now, whichever side sends them otherwise.
+    pub(crate) wants_beat: Cell<bool>,
+}
+
+impl LinkState {
+    pub(crate) fn new(is_chosen: bool) -> Self {
+        Self { news: Notify::new(), is_chosen, wants_beat: Cell::new(false) }
+    }
 }
 
 /// The links and what is decided over them.
@@ -48,6 +56,14 @@
         }
     }
 
+    /// Has a heartbeat sent over every link at once.
+    pub(crate) fn send_beats(&self) {
+        for link in self.links.values() {
+            link.wants_beat.set(true);
+            link.news.notify_one();
+        }
+    }
+
     /// Queues news for every link but the one they came by.
     pub(crate) fn push(&mut self, rumor: &MemberRumor, from: Option<&ProxyId>) {
         self.rumors.push(rumor, from);
--- a/components/spread/src/links.rs
+++ b/components/spread/src/links.rs
@@ -8,13 +8,12 @@
 };
 
 use capnp::{Error, ErrorKind};
-use sk_member::{MemberView, OverlayPlan};
+use sk_member::{FreshnessProof, MemberView, OverlayPlan};
 use sk_model::ProxyId;
-use tokio::{sync::Notify, time::Instant};
+use tokio::time::Instant;
 
 use crate::{
     backoff::jittered,
-    freshness::FreshnessProof,
     link_board::LinkState,
     node::{CALL_TIMEOUT, SpreadNode},
     peer_capnp::{beat, peer},
@@ -60,8 +59,8 @@
         builder.set_members(self.member_mark());
         builder.set_is_ready(self.held.is_ready());
         if let Some(proof) = self.freshness.borrow().held() {
-            let age = proof.age(Instant::now()).as_millis();
-            builder.set_source_age_millis(u32::try_from(age).unwrap_or(NO_AGE));
+            let age = self.start.elapsed().saturating_sub(proof.seen_at);
+            builder.set_source_age_millis(u32::try_from(age.as_millis()).unwrap_or(NO_AGE));
             builder.set_looker(proof.looker);
             builder.set_history(proof.history);
         }
@@ -87,6 +86,7 @@
         let age = Duration::from_millis(beat.get_source_age_millis().into());
         let is_known = beat.get_source_age_millis() != NO_AGE;
         let is_held = beat.get_version() <= self.held.newest_mark().0;
+        let written_after = written_after.saturating_duration_since(self.start);
         if let (true, Some(seen_at)) = (is_known && is_held, written_after.checked_sub(age)) {
             let (looker, history) = (beat.get_looker(), beat.get_history());
             self.note_proof(FreshnessProof { looker, seen_at, history });
@@ -152,7 +152,7 @@
         if !board.links.contains_key(&proxy) {
             board.rumors.add_link(proxy.clone());
             let is_chosen = chosen.contains(&proxy);
-            let link = Rc::new(LinkState { news: Notify::new(), is_chosen });
+            let link = Rc::new(LinkState::new(is_chosen));
             board.links.insert(proxy.clone(), link.clone());
             tokio::task::spawn_local(run_link(node.clone(), proxy, link));
         }
@@ -170,7 +170,8 @@
     let mut mismatches = 0;
     let mut next_beat = Instant::now();
     while is_current() {
-        if link.is_chosen && Instant::now() >= next_beat {
+        let is_due = link.is_chosen && Instant::now() >= next_beat;
+        if link.wants_beat.take() || is_due {
             next_beat = Instant::now() + jittered(node.options.heartbeat);
             match send_beat(&node, &proxy).await {
                 Ok(true) => mismatches = 0,
--- a/components/spread/src/neighbours.rs
+++ b/components/spread/src/neighbours.rs
@@ -48,6 +48,7 @@
         MonitorEvent::Paused(pause) => {
             log::warn!("spread: this process was paused for {} ms.", pause.as_millis());
             node.members.update(|table| table.withdraw_endpoints(), |is_changed| *is_changed);
+            node.freshness.borrow_mut().restart(node.start.elapsed());
         }
     }
 }
--- a/components/spread/src/node.rs
+++ b/components/spread/src/node.rs
@@ -7,7 +7,7 @@
 };
 
 use sk_logs::OutageLog;
-use sk_member::{MemberBoard, MemberRecord, MemberView};
+use sk_member::{FreshnessBook, FreshnessProof, MemberBoard, MemberRecord, MemberView};
 use sk_model::{ConfigSnapshot, ProxyId, Version, unix_now};
 use tokio::{
     sync::{Semaphore, mpsc, oneshot, watch},
@@ -17,7 +17,6 @@
 use crate::{
     ack_batch::AckBatch,
     counted::ControlMeter,
-    freshness::{FreshnessBook, FreshnessProof, LookerMark},
     held::{HeldConfig, OfferOutcome},
     link_board::LinkBoard,
     options::SpreadOptions,
@@ -38,8 +37,8 @@
 pub(crate) struct SpreadNode {
     pub(crate) options: SpreadOptions,
     pub(crate) own_name: ProxyId,
-    /// Hash of the own name.
-    pub(crate) own_mark: LookerMark,
+    /// From where times of proofs count.
+    pub(crate) start: Instant,
     pub(crate) held: Arc<HeldConfig>,
     pub(crate) members: Arc<MemberBoard>,
     pub(crate) source: Arc<dyn ConfigSource>,
@@ -144,14 +143,15 @@
 
     /// Notes that this daemon itself saw at `seen_at` that the source had nothing newer.
     pub(crate) fn note_seen(&self, seen_at: Instant) {
-        let (looker, history) = (self.own_mark, self.source.history());
-        self.note_proof(FreshnessProof { looker, seen_at, history });
+        let seen_at = seen_at.saturating_duration_since(self.start);
+        let looker = self.freshness.borrow().own();
+        self.note_proof(FreshnessProof { looker, seen_at, history: self.source.history() });
     }
 
     /// Notes a proof that what is held here was the newest version.
     pub(crate) fn note_proof(&self, proof: FreshnessProof) {
-        self.freshness.borrow_mut().offer(proof);
-        self.stats.note_source_seen(proof.seen_at);
+        self.freshness.borrow_mut().offer(proof, self.start.elapsed());
+        self.stats.note_source_seen(self.start + proof.seen_at);
     }
 
     /// Looks at the configuration source, together with all others that ask meanwhile.
--- a/components/spread/src/options.rs
+++ b/components/spread/src/options.rs
@@ -2,6 +2,12 @@
 
 use std::{net::SocketAddr, time::Duration};
 
+use sk_member::LookOptions;
+
+/// Pause that each daemon leaves to the one before it, before it looks at the source in its place. A
+/// look takes milliseconds, and its success is told at once.
+const LOOK_STEP: Duration = Duration::from_millis(100);
+
 /// What a daemon does with a new version.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum PassMode {
@@ -38,6 +44,22 @@
     pub start_window: Duration,
 }
 
+impl SpreadOptions {
+    /// Gives the longest wait of one watch at the configuration source. A watch that hears nothing
+    /// proves by its end that nothing newer is there; peers go by that proof, which comes to them
+    /// with heartbeats, so that it need not come much more often.
+    pub fn watch_wait(&self) -> Duration {
+        self.heartbeat * 3 / 2
+    }
+
+    /// Tells when daemons look at the source in place of others. The limit is the wait of a watch,
+    /// a long pause between two heartbeats (half more than the mean) and half of one as room.
+    pub(crate) fn look_options(&self) -> LookOptions {
+        let stale_after = self.watch_wait() + self.heartbeat * 2;
+        LookOptions { relays: self.relays, stale_after, step: LOOK_STEP }
+    }
+}
+
 impl Default for SpreadOptions {
     fn default() -> Self {
         Self {
--- a/components/spread/src/relays.rs
+++ b/components/spread/src/relays.rs
@@ -15,11 +15,14 @@
 /// hundreds of times a second, and each choice weighs the whole data centre.
 const CHOICE_PAUSE: Duration = Duration::from_millis(100);
 
+/// Chooses the relays and sets the order in which the others would look in their place.
 pub(crate) fn view_relays(node: &SpreadNode) -> RelayView {
     let view = node.view();
     let own = node.members.own();
     let records = view.values().map(|record| &**record);
-    let chosen = choose_relays(records, &own.data_centre, node.options.relays);
+    let mut chosen = choose_relays(records, &own.data_centre, usize::MAX);
+    node.freshness.borrow_mut().set_order(&chosen);
+    chosen.truncate(node.options.relays);
     let rank = chosen.iter().position(|relay| *relay == own.proxy);
     let name = |proxy: ProxyId| {
         let incarnation = view.get(&proxy).map_or(0, |record| record.incarnation);
--- a/components/spread/src/source.rs
+++ b/components/spread/src/source.rs
@@ -3,12 +3,11 @@
 use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
 
 use async_trait::async_trait;
+use sk_member::HistoryMark;
 use sk_model::{ConfigSnapshot, DataCentre, ProxyAck};
 use thiserror::Error;
 use tokio::time::Instant;
 
-use crate::freshness::HistoryMark;
-
 /// Control addresses by data centre, as kept in the platform.
 pub type ContactMap = BTreeMap<DataCentre, Vec<SocketAddr>>;
 
@@ -57,6 +56,10 @@
     fn history(&self) -> HistoryMark {
         0
     }
+
+    /// Takes over from where a peer's knowledge of the source's history ends. What is held here is
+    /// the newest version up to there, so that nothing before it has to be read.
+    fn follow_from(&self, _history: HistoryMark) {}
 }
 
 /// Where daemons leave addresses for those that start with no other way to find the fleet.
--- a/components/spread/tests/relays_away.rs
+++ b/components/spread/tests/relays_away.rs
@@ -100,7 +100,9 @@
 
 /// The platform refuses the calls of one daemon in each data centre, the one that watches it for the
 /// others, and serves everyone else. Callers at all daemons go on being sent by old routes, for as
-/// long as the refusal lasts.
+/// long as the refusal lasts. A relay used to be replaced only when it died, and one that is refused
+/// is alive. On such a day the four relays made one to three calls a second that all failed, and
+/// nine daemons that the platform would have served made none in nine seconds.
 #[test]
 fn relays_refused() {
     let fleet = WayFleet::start();
