decide: a request looks no further once being refused has taken an eighth of its goal

Under load a fleet of small instances fell into a state that did not end with its cause. Each look costs two daemons a message, so the fleet asked more the less it could answer.

Hypothesis: looks feed on themselves where refusals are slow. Change: the time that refusals for want of room have taken counts against the request's goal; beyond an eighth of it, it queues where it is expected to be answered first, and where that is refused too it is told to come back. Four looks remain the bound where refusals are quick, as everywhere but under that load. Ruled out: the servers (their own times did not change), versions (late behind the same processors, so a symptom).

The lab's two recorded differences moved with the policy; what they assert holds.

--- a/components/decide/src/retrying.rs
+++ b/components/decide/src/retrying.rs
@@ -232,6 +232,9 @@
     /// As many servers as the route allows have had the request.
     #[error("the route allows no more servers")]
     ServersSpent,
+    /// Being refused for want of room has taken too long to ask further.
+    #[error("being refused has taken too long")]
+    RefusedLong,
     /// No other endpoint may take it now.
     #[error("no other endpoint takes it")]
     NoEndpoint,
--- a/components/decide/src/seeking.rs
+++ b/components/decide/src/seeking.rs
@@ -4,12 +4,19 @@
 //! at one endpoint after the other, and is refused at once where there is none; after a few looks it
 //! queues where it is expected to be answered first.
 
+use std::time::Duration;
+
 use crate::placing::{EndpointId, PlacementOrder};
 
 /// Looks for a free slot before a request queues. Where most servers are full, each further look costs
 /// two daemons a message at the very time at which they have none to spare: with 39 servers of a service
 /// a request would go round all of them. Those that are looked at are the best by what is known.
 const FREE_LOOKS: usize = 4;
+/// Part of a request's response-time goal, as a divisor, that being refused may take before it looks no
+/// further. Refusals of sound daemons take a few milliseconds. Where they take long, processors or links
+/// are full, and every further look makes them fuller: the fleet asks more the less it can answer, and
+/// stays so when what began it is over.
+const REFUSED_PART: u32 = 8;
 
 /// Which endpoints a request is placed among.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -29,6 +36,8 @@
     /// Endpoints of the present pass that had no slot free.
     busy: Vec<EndpointId>,
     pass: SearchPass,
+    /// Time that refusals for want of room have taken.
+    refused_for: Duration,
 }
 
 impl SlotSearch {
@@ -49,14 +58,26 @@
         self.tried.push(id);
     }
 
-    /// Leaves an endpoint out that has no slot free, and goes on to queue after enough of them.
-    pub fn note_busy(&mut self, id: EndpointId) {
+    /// Leaves an endpoint out that has no slot free, and goes on to queue after enough of them, or when
+    /// they have taken long beside the request's response-time goal.
+    pub fn note_busy(&mut self, id: EndpointId, took: Duration, goal: Option<Duration>) {
         self.busy.push(id);
-        if self.busy.len() >= FREE_LOOKS {
+        self.note_refused(took);
+        if self.busy.len() >= FREE_LOOKS || self.is_long(goal) {
             self.begin_queueing();
         }
     }
 
+    /// Notes how long an endpoint took to refuse a request for want of room.
+    pub fn note_refused(&mut self, took: Duration) {
+        self.refused_for += took;
+    }
+
+    /// Tells whether refusals have taken too long for a further look.
+    pub fn is_long(&self, goal: Option<Duration>) -> bool {
+        goal.is_some_and(|goal| self.refused_for >= goal / REFUSED_PART)
+    }
+
     /// Goes on to queue, where no slot was free, and tells whether that is new.
     pub fn begin_queueing(&mut self) -> bool {
         self.busy.clear();
--- a/components/lab/src/world.rs
+++ b/components/lab/src/world.rs
@@ -34,6 +34,8 @@
     search: SlotSearch,
     moves: u8,
     placed: Option<PlacedCall>,
+    /// When this placing began.
+    placed_at: Duration,
     started: Duration,
 }
 
@@ -124,6 +126,7 @@
             search: SlotSearch::default(),
             moves: 0,
             placed: None,
+            placed_at: Duration::ZERO,
             started: Duration::ZERO,
         });
         self.push(at, LabEvent::Ask(self.calls.len() - 1));
@@ -187,6 +190,7 @@
                 let server = placed.endpoint() as ServerIndex;
                 let way = self.way(self.calls[index].daemon, server);
                 self.calls[index].placed = Some(placed);
+                self.calls[index].placed_at = self.now;
                 self.push(self.now + way, LabEvent::Reach(index, server));
             }
             Err(_) if self.calls[index].search.begin_queueing() => self.place(index),
@@ -294,7 +298,9 @@
                 self.end_answered(index);
             }
             Some(RefusalReason::Busy) => {
-                self.calls[index].search.note_busy(server as u64);
+                let call = &mut self.calls[index];
+                let goal = millis(self.scenario.routes[call.route].goal_ms);
+                call.search.note_busy(server as u64, self.now - call.placed_at, Some(goal));
                 self.place(index);
             }
             Some(_) => {
--- a/components/lab/tests/short_slots.rs
+++ b/components/lab/tests/short_slots.rs
@@ -51,7 +51,7 @@
     let placement = PlacementSettings { weights, ..policy().placement };
     let pooled = LabPolicy { placement, ..policy() };
     let [in_goal, _, megabytes] = compare_policies(&scenario(), [&pooled, &policy()], SEEDS);
-    expect!["in goal -0.0029, MB -2.1"]
+    expect!["in goal +0.0005, MB -1.9"]
         .assert_eq(&format!("in goal {:+.4}, MB {:+.1}", in_goal.mean, megabytes.mean));
     // Half a point is what a seed differs by.
     assert!(in_goal.mean > -0.005, "callers get no less");
@@ -65,7 +65,7 @@
     let placement = PlacementSettings { near_wait: Duration::ZERO, ..policy().placement };
     let hasty = LabPolicy { placement, ..policy() };
     let [in_goal, _, megabytes] = compare_policies(&scenario(), [&hasty, &policy()], SEEDS);
-    expect!["in goal -0.0036, MB -2.2"]
+    expect!["in goal -0.0008, MB -2.2"]
         .assert_eq(&format!("in goal {:+.4}, MB {:+.1}", in_goal.mean, megabytes.mean));
     // Half a point is what a seed differs by.
     assert!(in_goal.mean > -0.005, "callers get no less");
--- a/components/proxy/src/attempt.rs
+++ b/components/proxy/src/attempt.rs
@@ -82,8 +82,8 @@
         note_hints(service, id, &hints);
         note_size(service, request, &response);
         if RefusalKind::read(response.headers()) == Some(RefusalKind::Busy) {
-            log.running = None;
-            log.search.note_busy(id);
+            let took = log.running.take().map(|running| running.began.elapsed());
+            log.search.note_busy(id, took.unwrap_or_default(), request.traits.goal);
             last = Some(response);
             continue;
         }
@@ -220,6 +220,9 @@
     let Some(running) = log.running.take() else {
         return AttemptEnd::Answered(response);
     };
+    if RefusalKind::read(response.headers()).is_some_and(RefusalKind::is_want_of_room) {
+        log.search.note_refused(running.began.elapsed());
+    }
     // An answer without the header comes from a layer below the guard, which may have passed it on.
     let outcome = RequestOutcome::read(response.headers()).unwrap_or(RequestOutcome::Unknown);
     let kind = RefusalKind::read(response.headers());
@@ -320,6 +323,11 @@
     if !request.body.is_whole() {
         return RetryVerdict::GiveUp(GiveUpReason::BodySent);
     }
+    if failure.kind.is_some_and(RefusalKind::is_want_of_room)
+        && log.search.is_long(request.traits.goal)
+    {
+        return RetryVerdict::GiveUp(GiveUpReason::RefusedLong);
+    }
     if request.max_attempts.is_some_and(|most| log.arrivals >= most) {
         return RetryVerdict::GiveUp(GiveUpReason::ServersSpent);
     }
--- a/components/proxy/src/outcome.rs
+++ b/components/proxy/src/outcome.rs
@@ -150,6 +150,11 @@
         Self::ALL.iter().copied().find(|kind| kind.as_str().as_bytes() == text)
     }
 
+    /// Tells whether the endpoint had no room for it: no slot, no place in its queue, or none in time.
+    pub(crate) fn is_want_of_room(self) -> bool {
+        matches!(self, Self::Busy | Self::GoalMissed | Self::QueueFull | Self::DeadlineTooNear)
+    }
+
     /// Tells whether another endpoint may decide otherwise. A quarantined request or a claimed key
     /// is refused everywhere, so that trying elsewhere only costs the retry budget.
     pub(crate) fn is_local(self) -> bool {
