spread: only the first relay pushes what it reads at the source

Cause: plan_pass took a daemon without a rank among the relays for the first relay. Each daemon that read the source itself, in a relay's place or at its start, pushed what it read along a tree of its own, a starting one the whole configuration.

Change: a daemon that is no relay announces what it sees there, at once; what a starting daemon reads counts as found by it alone, and is announced too. Who lacks the version fetches it.

--- a/components/spread/src/pass.rs
+++ b/components/spread/src/pass.rs
@@ -57,8 +57,10 @@
 /// Made for a change that all relays of a data centre of 87 daemons see in the same millisecond.
 /// If each pushed it, every daemon would receive the change once per relay; so the first relay
 /// pushes, and the others announce a little later, which costs little and reaches whom a
-/// first relay that died in mid-push has missed. A version found by comparison is usually missing
-/// here alone: pushing it would send the whole data centre what it holds already.
+/// first relay that died in mid-push has missed. A daemon that is no relay watches the source only
+/// where the relays fail to, and several of them may do so at once, so each announces. A version
+/// found by comparison or at the start is usually missing here alone: pushing it would send the
+/// whole data centre what it holds already.
 pub fn plan_pass(
     origin: &VersionOrigin,
     own: &ProxyId,
@@ -75,10 +77,10 @@
         VersionOrigin::Source if mode == PassMode::Announce => {
             PassPlan { delay: GATHER_DELAY + backup_delay, ..at_once(PassStyle::Announce, own) }
         }
-        VersionOrigin::Source if !backup_delay.is_zero() => {
+        VersionOrigin::Source if rank == Some(0) => at_once(PassStyle::Push, own),
+        VersionOrigin::Source => {
             PassPlan { delay: backup_delay, ..at_once(PassStyle::Announce, own) }
         }
-        VersionOrigin::Source => at_once(PassStyle::Push, own),
         VersionOrigin::Pushed { root } => at_once(PassStyle::Push, root),
         VersionOrigin::Announced { root } => at_once(PassStyle::Announce, root),
         VersionOrigin::Found => at_once(PassStyle::Announce, own),
--- a/components/spread/src/watch.rs
+++ b/components/spread/src/watch.rs
@@ -161,13 +161,18 @@
 async fn read_source(node: &SpreadNode) -> ConfirmOutcome {
     node.stats.count_read();
     let began = Instant::now();
+    // What a starting daemon reads is news to itself alone.
+    let origin = match node.held.is_ready() {
+        true => VersionOrigin::Source,
+        false => VersionOrigin::Found,
+    };
     let outcome = match node.source.load(&node.held.newest()).await {
         Err(err) => {
             node.source_outage.lost(&err);
             node.stats.note_source(Some(err.reason));
             return ConfirmOutcome::Away;
         }
-        Ok(snapshot) => node.offer(snapshot, PLATFORM, VersionOrigin::Source),
+        Ok(snapshot) => node.offer(snapshot, PLATFORM, origin),
     };
     node.source_outage.back();
     node.stats.note_source(None);
--- a/components/spread/tests/common/mod.rs
+++ b/components/spread/tests/common/mod.rs
@@ -1,6 +1,8 @@
 //! A few daemons' spreads in one process, over TCP, with fakes at the interfaces.
 
-#![allow(dead_code)] // Each test file uses a part of it.
+#![allow(dead_code, unused_imports)] // Each test file uses a part of it.
+
+mod ways;
 
 use std::{
     collections::BTreeMap,
@@ -24,6 +26,8 @@
 };
 use tokio::sync::watch;
 
+pub use ways::{CENTRE_DAEMONS, DATA_CENTRES, WayFleet};
+
 /// Longest wait for a condition; an idle machine needs a small part of it.
 pub const WAIT_BOUND: Duration = Duration::from_secs(40);
 const POLL_PAUSE: Duration = Duration::from_millis(10);
