spread: the children of a daemon that fails are announced to, not pushed at

Cause: a child that does not answer within the fixed time counts as dead, and its parent pushed the change to each of its children. Where the parent's own link is the reason, all children fail at once and up to 36 further copies go into the same link: the failure makes the load that causes it.

Change: adopted children get the announcement, a few bytes, and fetch what they lack.

--- a/components/spread/src/pass.rs
+++ b/components/spread/src/pass.rs
@@ -128,15 +128,18 @@
     };
     let children = tree.children(&node.own_name);
     let run = PassRun { node, tree, plan, update };
-    join_all(children.into_iter().map(|child| run.serve(child))).await;
+    join_all(children.into_iter().map(|child| run.serve(child, run.plan.style))).await;
 }
 
 impl PassRun {
     /// Serves a child, and in its place its children where it fails. Without that, a daemon that
     /// dies in mid-push leaves its whole subtree to the slower repair.
-    fn serve(&self, child: ProxyId) -> LocalBoxFuture<'_, ()> {
+    ///
+    /// The children of one that failed are announced to: a child fails to answer in time also where
+    /// this daemon's own link is full, and six more copies for each would fill it further.
+    fn serve(&self, child: ProxyId, style: PassStyle) -> LocalBoxFuture<'_, ()> {
         Box::pin(async move {
-            let result = match self.plan.style {
+            let result = match style {
                 PassStyle::Push => self.push(&child).await,
                 PassStyle::Announce => self.announce(&child).await,
             };
@@ -146,7 +149,8 @@
                     self.update.version
                 );
                 let adopted = self.tree.children(&child);
-                join_all(adopted.into_iter().map(|child| self.serve(child))).await;
+                let serve = |child| self.serve(child, PassStyle::Announce);
+                join_all(adopted.into_iter().map(serve)).await;
             }
         })
     }
--- a/components/spread/tests/common/mod.rs
+++ b/components/spread/tests/common/mod.rs
@@ -2,6 +2,7 @@
 
 #![allow(dead_code, unused_imports)] // Each test file uses a part of it.
 
+mod link;
 mod ways;
 
 use std::{
@@ -26,6 +27,7 @@
 };
 use tokio::sync::watch;
 
+pub use link::ThinLink;
 pub use ways::{CENTRE_DAEMONS, DATA_CENTRES, WayFleet};
 
 /// Longest wait for a condition; an idle machine needs a small part of it.
@@ -330,8 +332,36 @@
         source: Arc<dyn ConfigSource>,
         contacts: Arc<FakePlatform>,
     ) -> TestDaemon {
-        let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
-        let address = listener.local_addr().expect("an address");
+        let listener = bind_any();
+        let control = listener.local_addr().expect("an address");
+        self.start_at((listener, control), name, data_centre, options, source, contacts)
+    }
+
+    /// Starts a daemon that others reach by a link of its own.
+    pub fn start_behind(
+        &self,
+        bytes_per_s: usize,
+        name: &str,
+        data_centre: &str,
+        seeds: &[SocketAddr],
+    ) -> (TestDaemon, ThinLink) {
+        let listener = bind_any();
+        let link = ThinLink::start(listener.local_addr().expect("an address"), bytes_per_s);
+        let options = SpreadOptions { seeds: seeds.to_vec(), ..self.options.clone() };
+        let (source, contacts) = (self.platform.clone(), self.platform.clone());
+        let place = (listener, link.address);
+        (self.start_at(place, name, data_centre, options, source, contacts), link)
+    }
+
+    fn start_at(
+        &self,
+        (listener, control): (TcpListener, SocketAddr),
+        name: &str,
+        data_centre: &str,
+        options: SpreadOptions,
+        source: Arc<dyn ConfigSource>,
+        contacts: Arc<FakePlatform>,
+    ) -> TestDaemon {
         let incarnation = self.started.fetch_add(1, Ordering::SeqCst) as u64 + 1;
         let record = MemberRecord {
             proxy: name.to_owned(),
@@ -340,8 +370,8 @@
             status: MemberStatus::Alive,
             data_centre: data_centre.to_owned(),
             region: "slovenia".to_owned(),
-            control: address,
-            guard: address,
+            control,
+            guard: control,
             endpoints: Vec::new(),
         };
         let held = Arc::new(HeldConfig::new());
@@ -357,7 +387,7 @@
             meter: meter.clone(),
         };
         let handle = start_spread(options, listener, parts).expect("spread starts");
-        TestDaemon { handle, held, members, meter, address, name: name.to_owned() }
+        TestDaemon { handle, held, members, meter, address: control, name: name.to_owned() }
     }
 
     /// Starts `count` daemons in each data centre and waits until all know each other.
@@ -377,6 +407,17 @@
     }
 }
 
+fn bind_any() -> TcpListener {
+    TcpListener::bind("127.0.0.1:0").expect("a free port")
+}
+
+/// Counts the calls of one kind that daemons have sent.
+pub fn count_calls(daemons: &[TestDaemon], kind: &str) -> u64 {
+    let states = daemons.iter().map(|daemon| daemon.handle.reader().state());
+    let kinds = states.flat_map(|state| state.kinds);
+    kinds.filter(|counted| counted.kind == kind).map(|counted| counted.calls).sum()
+}
+
 /// Names the relays of a data centre, first choice first.
 pub fn relays(daemon: &TestDaemon, data_centre: &str) -> Vec<String> {
     let view = daemon.members.view();
