spread: large versions are fetched at the receiver's pace, and waited for while they come

Cause: a push goes to all children at once, and each call had a fixed time, whatever the size of the change and the width of the link. Six copies of a change of 240 kB take 7.5 Mbit/s for 1.5 s, which is the time after which all six were given up, though all six advanced; a fetch had two seconds. What was given up was sent again from its start.

Change: a call fails when nothing comes from its peer for that time, not when the whole takes longer (10 s at most). An update over 16 kB is announced along the tree in place of being pushed; children fetch it four at a time, and one that waits for a place waits 50 ms before it is told to come back. An update is encoded once, not once a child.

The same limit was looked for elsewhere: comparisons, joins, warming up and asking members at the start go through the same call and are mended with it.

--- a/components/spread/src/connect.rs
+++ b/components/spread/src/connect.rs
@@ -4,7 +4,7 @@
 
 use capnp::{Error, ErrorKind, message::ReaderOptions};
 use capnp_rpc::{RpcSystem, rpc_twoparty_capnp::Side, twoparty::VatNetwork};
-use tokio::net::TcpStream;
+use tokio::{net::TcpStream, time::Instant};
 use tokio_util::compat::{TokioAsyncReadCompatExt, TokioAsyncWriteCompatExt};
 
 use crate::{
@@ -28,6 +28,9 @@
 const MAX_UNPROVEN: usize = 128;
 /// Time that an orderly end of a connection may take before it is dropped.
 const CLOSE_TIMEOUT: Duration = Duration::from_millis(500);
+/// Longest time of one call, however much its peer is heard from. Other traffic of the peer must not
+/// keep a call alive whose answer will not come.
+const LONGEST_CALL: Duration = Duration::from_secs(10);
 /// Largest message from a peer in words of 8 bytes: 8 MB, the whole configuration of a fleet with
 /// several subtrees at the platform's bound of a megabyte. A larger one ends its connection.
 const MAX_MESSAGE_WORDS: usize = 1 << 20;
@@ -138,7 +141,8 @@
 ) -> Result<SessionParts, Error> {
     stream.set_nodelay(true)?;
     let allowance = ByteAllowance::unproven(side);
-    let stream = CountedStream::new(stream, node.meter.clone(), allowance.clone());
+    let link = SessionLink::default();
+    let stream = CountedStream::new(stream, node.meter.clone(), allowance.clone(), link.clone());
     let (reader, writer) = tokio::io::split(stream);
     let options = ReaderOptions {
         traversal_limit_in_words: Some(MAX_MESSAGE_WORDS),
@@ -146,7 +150,7 @@
     };
     let network = VatNetwork::new(reader.compat(), writer.compat_write(), side, options);
     let system = RpcSystem::new(Box::new(network), gate.map(|gate| gate.client));
-    Ok((system, SessionLink::default(), allowance))
+    Ok((system, link, allowance))
 }
 
 /// Runs a connection until it ends or is to be closed.
@@ -198,11 +202,11 @@
         }
     }
 
-    /// Makes a call to a member within `timeout`.
+    /// Makes a call to a member, which fails when nothing comes from there for `patience`.
     pub(crate) async fn call<T>(
         self: &Rc<Self>,
         proxy: &str,
-        timeout: Duration,
+        patience: Duration,
         call: impl AsyncFnOnce(peer::Client) -> Result<T, Error>,
     ) -> Result<T, Error> {
         let attempt = async {
@@ -210,10 +214,8 @@
             session.touch();
             call(session.client.clone()).await
         };
-        let result = match tokio::time::timeout(timeout, attempt).await {
-            Ok(result) => result,
-            Err(_) => Err(Error::overloaded("call timed out".to_owned())),
-        };
+        let heard_at = || self.pool.get(proxy).map(|session| session.heard_at());
+        let result = within_silence(attempt, patience, heard_at).await;
         // A refusal by the peer's code leaves the connection sound; after anything else the next
         // call begins on a fresh one.
         if let Err(err) = &result
@@ -225,3 +227,28 @@
         result
     }
 }
+
+/// Awaits a call for as long as its peer is heard from every `patience`.
+///
+/// Made for large answers over thin or busy links, which take longer than any fixed time that would
+/// still show a silent peer soon. Giving up on one in mid-transfer sends it again from its start,
+/// over the same link, and the version comes later for everyone behind it.
+async fn within_silence<T>(
+    call: impl Future<Output = Result<T, Error>>,
+    patience: Duration,
+    heard_at: impl Fn() -> Option<Instant>,
+) -> Result<T, Error> {
+    let last = Instant::now() + patience.max(LONGEST_CALL);
+    let mut due = Instant::now() + patience;
+    tokio::pin!(call);
+    loop {
+        if let Ok(result) = tokio::time::timeout_at(due, &mut call).await {
+            return result;
+        }
+        let heard_at = heard_at().filter(|heard_at| *heard_at + patience > due);
+        due = match heard_at {
+            Some(heard_at) if due < last => last.min(heard_at + patience),
+            _ => return Err(Error::overloaded("call timed out".to_owned())),
+        };
+    }
+}
--- a/components/spread/src/counted.rs
+++ b/components/spread/src/counted.rs
@@ -17,6 +17,8 @@
     net::TcpStream,
 };
 
+use crate::session::SessionLink;
+
 /// Bytes that a caller may send before it has proved the secret. A challenge and a proof take a
 /// few hundred; without the bound a stranger could make a daemon buffer whole messages.
 const MAX_CALLER_BYTES: u64 = 8 * 1_024;
@@ -87,6 +89,7 @@
     stream: TcpStream,
     meter: Arc<ControlMeter>,
     allowance: Arc<ByteAllowance>,
+    link: SessionLink,
 }
 
 impl CountedStream {
@@ -94,8 +97,9 @@
         stream: TcpStream,
         meter: Arc<ControlMeter>,
         allowance: Arc<ByteAllowance>,
+        link: SessionLink,
     ) -> Self {
-        Self { stream, meter, allowance }
+        Self { stream, meter, allowance, link }
     }
 }
 
@@ -117,6 +121,7 @@
         buf.advance(count);
         stream.meter.received.fetch_add(count as u64, Ordering::Relaxed);
         stream.allowance.spend(count as u64);
+        stream.link.note_heard();
         Poll::Ready(Ok(()))
     }
 }
--- a/components/spread/src/node.rs
+++ b/components/spread/src/node.rs
@@ -29,8 +29,8 @@
 
 /// Name under which the configuration source appears in reports.
 pub(crate) const PLATFORM: &str = "platform";
-/// Time until a call to a peer counts as failed. Answers take milliseconds; a paused peer must not
-/// hold up for long what another one could answer.
+/// Time without a byte from a peer until a call to it counts as failed. Answers begin within
+/// milliseconds; a paused peer must not hold up for long what another one could answer.
 pub(crate) const CALL_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// What the parts of the control thread share. Used by that thread only.
--- a/components/spread/src/pass.rs
+++ b/components/spread/src/pass.rs
@@ -2,23 +2,24 @@
 
 use std::{rc::Rc, time::Duration};
 
-use capnp::Error;
+use capnp::{Error, message::TypedBuilder};
 use futures::future::{LocalBoxFuture, join_all};
 use sk_member::PushTree;
-use sk_model::ProxyId;
+use sk_model::{ConfigSnapshot, ProxyId, Version};
 use tokio::sync::mpsc;
 
 use crate::{
     codec,
-    marks::root_mark,
+    marks::{RootMark, root_mark},
     node::SpreadNode,
     options::PassMode,
     orders::{PassOrder, VersionOrigin},
+    peer_capnp::update,
     state::CallKind,
-    update::{ConfigUpdate, make_update},
+    update::make_update,
 };
 
-/// Time until a child that does not answer counts as failed and its children are served in its
+/// Time without a byte from a child until it counts as failed and its children are served in its
 /// place. A sound one answers in milliseconds; the whole tree must fit into seconds although a
 /// daemon of each layer is paused.
 const PASS_TIMEOUT: Duration = Duration::from_millis(1_500);
@@ -27,6 +28,11 @@
 /// daemon cut off, and to all others an announcement is a few bytes in vain.
 const BACKUP_DELAY: Duration = Duration::from_millis(300);
 
+/// Largest update that is pushed, 16 kB in words. All children get theirs at once, so that a larger
+/// one would fill a thin link for as long as six of it take. It is announced instead, and each child
+/// fetches it at its own pace, if it still lacks it then.
+const MAX_PUSH_WORDS: u64 = 2_048;
+
 /// How long relays gather changes in announce mode. Operators apply changes in series, and one
 /// fetch for several of them is where announcing saves bytes: a single small change costs about
 /// the same either way.
@@ -87,12 +93,23 @@
     }
 }
 
+/// An update as it is sent, encoded once for all children.
+type UpdateMessage = TypedBuilder<update::Owned>;
+
+/// What is sent to the children.
+enum PassContent {
+    Change(UpdateMessage),
+    Number,
+}
+
 /// What all calls of one pass share.
 struct PassRun {
     node: Rc<SpreadNode>,
     tree: PushTree,
-    plan: PassPlan,
-    update: ConfigUpdate,
+    root: ProxyId,
+    version: Version,
+    mark: RootMark,
+    content: PassContent,
 }
 
 /// Passes versions on, each in a task of its own: a paused child must not hold up the next one.
@@ -122,13 +139,34 @@
     let view = node.view();
     let data_centre = &node.members.own().data_centre;
     let tree = PushTree::new(&view, data_centre, &plan.root, node.options.fan_out);
-    let update = match plan.style {
-        PassStyle::Push => make_update(&order.base, &newest),
-        PassStyle::Announce => make_update(&newest, &newest),
-    };
     let children = tree.children(&node.own_name);
-    let run = PassRun { node, tree, plan, update };
-    join_all(children.into_iter().map(|child| run.serve(child, run.plan.style))).await;
+    if children.is_empty() {
+        return;
+    }
+    let content = match plan.style {
+        PassStyle::Push => make_content(&order.base, &newest),
+        PassStyle::Announce => PassContent::Number,
+    };
+    let (version, mark) = (newest.version(), root_mark(&newest.root.hash()));
+    let run = PassRun { node, tree, root: plan.root, version, mark, content };
+    join_all(children.into_iter().map(|child| run.serve(child, &run.content))).await;
+}
+
+/// Encodes a change that is to be pushed, unless it is too large for that.
+fn make_content(base: &ConfigSnapshot, newest: &ConfigSnapshot) -> PassContent {
+    let mut message = UpdateMessage::new_default();
+    let encode = |message: &mut UpdateMessage| {
+        codec::write_update(&make_update(base, newest), message.init_root())?;
+        message.get_root_as_reader()?.total_size()
+    };
+    match encode(&mut message) {
+        Ok(size) if size.word_count <= MAX_PUSH_WORDS => PassContent::Change(message),
+        Ok(_) => PassContent::Number,
+        Err(err) => {
+            log::error!("spread: version {} cannot be encoded: {err}.", newest.version());
+            PassContent::Number
+        }
+    }
 }
 
 impl PassRun {
@@ -137,30 +175,27 @@
     ///
     /// The children of one that failed are announced to: a child fails to answer in time also where
     /// this daemon's own link is full, and six more copies for each would fill it further.
-    fn serve(&self, child: ProxyId, style: PassStyle) -> LocalBoxFuture<'_, ()> {
+    fn serve<'a>(&'a self, child: ProxyId, content: &'a PassContent) -> LocalBoxFuture<'a, ()> {
         Box::pin(async move {
-            let result = match style {
-                PassStyle::Push => self.push(&child).await,
-                PassStyle::Announce => self.announce(&child).await,
+            let result = match content {
+                PassContent::Change(message) => self.push(&child, message).await,
+                PassContent::Number => self.announce(&child).await,
             };
             if let Err(err) = result {
-                log::info!(
-                    "spread: cannot pass version {} to {child}: {err}.",
-                    self.update.version
-                );
+                log::info!("spread: cannot pass version {} to {child}: {err}.", self.version);
                 let adopted = self.tree.children(&child);
-                let serve = |child| self.serve(child, PassStyle::Announce);
+                let serve = |child| self.serve(child, &PassContent::Number);
                 join_all(adopted.into_iter().map(serve)).await;
             }
         })
     }
 
-    async fn push(&self, child: &str) -> Result<(), Error> {
+    async fn push(&self, child: &str, message: &UpdateMessage) -> Result<(), Error> {
         let node = &self.node;
         let call = async |peer: crate::peer_capnp::peer::Client| {
             let mut request = peer.push_request();
-            request.get().set_root(&self.plan.root);
-            codec::write_update(&self.update, request.get().init_update())?;
+            request.get().set_root(&self.root);
+            request.get().set_update(message.get_root_as_reader()?)?;
             node.stats.sent(CallKind::Push, request.get().into_reader().total_size()?);
             request.send().promise.await.map(drop)
         };
@@ -171,9 +206,9 @@
         let node = &self.node;
         let call = async |peer: crate::peer_capnp::peer::Client| {
             let mut request = peer.announce_request();
-            request.get().set_version(self.update.version);
-            request.get().set_root_hash(root_mark(&self.update.root_hash));
-            request.get().set_root(&self.plan.root);
+            request.get().set_version(self.version);
+            request.get().set_root_hash(self.mark);
+            request.get().set_root(&self.root);
             node.stats.sent(CallKind::Announce, request.get().into_reader().total_size()?);
             request.send().promise.await.map(drop)
         };
--- a/components/spread/src/server.rs
+++ b/components/spread/src/server.rs
@@ -29,6 +29,9 @@
 /// Answers up to this size, 16 kB, fit into the socket's buffer and free their place at once; the
 /// ticket would cost more bytes than it saves memory.
 const SMALL_WORDS: u64 = 2_048;
+/// How long a fetch waits for a place before it is refused. A large version that is announced is
+/// fetched by all children at once; over a fast link a place is free again within milliseconds.
+const PLACE_WAIT: Duration = Duration::from_millis(50);
 /// Mean pause that a refused fetch is told to wait.
 const BUSY_PAUSE: Duration = Duration::from_millis(100);
 
@@ -164,7 +167,7 @@
         answer.set_is_fresh(looked == Some(ConfirmOutcome::Held));
         answer.set_is_away(looked.is_some_and(|outcome| outcome != ConfirmOutcome::Held));
         answer.set_is_ready(node.held.is_ready());
-        answer_fetch(&node, request, answer)
+        answer_fetch(&node, request, answer).await
     }
 
     async fn notices(
@@ -214,25 +217,25 @@
     }
 }
 
-fn answer_fetch(
+async fn answer_fetch(
     node: &Rc<SpreadNode>,
     request: fetch_request::Reader<'_>,
     mut answer: fetch_answer::Builder<'_>,
 ) -> Result<(), Error> {
-    let newest = node.held.newest();
-    if request.get_held() >= newest.version() {
+    if request.get_held() >= node.held.newest_mark().0 {
         answer.set_same(());
         return Ok(());
     }
-    let Some(update) = make_answer(node, request, &newest)? else {
-        answer.set_need_trees(());
-        return Ok(());
-    };
-    let Ok(place) = node.places.clone().try_acquire_owned() else {
+    let place = tokio::time::timeout(PLACE_WAIT, node.places.clone().acquire_owned()).await;
+    let Ok(Ok(place)) = place else {
         node.stats.count_refused();
         answer.set_busy_millis(jittered(BUSY_PAUSE).as_millis() as u32);
         return Ok(());
     };
+    let Some(update) = make_answer(node, request, &node.held.newest())? else {
+        answer.set_need_trees(());
+        return Ok(());
+    };
     node.stats.count_served();
     codec::write_update(&update, answer.reborrow().init_update())?;
     let size = answer.reborrow().into_reader().total_size()?;
--- a/components/spread/src/session.rs
+++ b/components/spread/src/session.rs
@@ -18,15 +18,28 @@
 /// What ends a connection.
 pub(crate) type SessionLink = Rc<SessionSignal>;
 
-/// Carries the wish to close to the task that runs the connection, and back that it has ended.
-#[derive(Default)]
+/// Carries the wish to close to the task that runs the connection, and back how that fares.
 pub(crate) struct SessionSignal {
     pub(crate) close: Notify,
     pub(crate) is_closed: Cell<bool>,
     pub(crate) is_lost: Cell<bool>,
+    /// When the peer's last bytes came.
+    heard_at: Cell<Instant>,
+}
+
+impl Default for SessionSignal {
+    fn default() -> Self {
+        let (is_closed, is_lost) = (Cell::default(), Cell::default());
+        let heard_at = Cell::new(Instant::now());
+        Self { close: Notify::new(), is_closed, is_lost, heard_at }
+    }
 }
 
 impl SessionSignal {
+    pub(crate) fn note_heard(&self) {
+        self.heard_at.set(Instant::now());
+    }
+
     pub(crate) fn close(&self) {
         self.is_closed.set(true);
         self.close.notify_one();
@@ -46,6 +59,11 @@
         self.used.get().elapsed()
     }
 
+    /// Gives when the peer's last bytes came.
+    pub(crate) fn heard_at(&self) -> Instant {
+        self.link.heard_at.get()
+    }
+
     pub(crate) fn is_closed(&self) -> bool {
         self.link.is_closed.get()
     }
--- a/components/spread/tests/common/mod.rs
+++ b/components/spread/tests/common/mod.rs
@@ -16,6 +16,7 @@
 };
 
 use async_trait::async_trait;
+use rand::RngExt;
 use sk_member::{MemberBoard, MemberRecord, MemberStatus, choose_relays};
 use sk_model::{
     ConfigSnapshot, ProxyAck, RouteSetting, SettingBody, SnapshotRoot, TeamTree, TreeRef,
@@ -61,6 +62,12 @@
     make_snapshot(version, &[("board", "a", &text), ("records", "b", &text), ("shop", "c", "same")])
 }
 
+/// Makes text that no encoding makes much smaller.
+pub fn noise(bytes: usize) -> String {
+    let mut rng = rand::rng();
+    (0..bytes).map(|_| rng.random_range('#'..='[')).collect()
+}
+
 /// A version that no proxy may put in force: its route names a service that does not exist.
 pub fn dangling(version: Version) -> ConfigSnapshot {
     let mut snapshot = numbered(version);
@@ -344,13 +351,13 @@
         name: &str,
         data_centre: &str,
         seeds: &[SocketAddr],
+        source: Arc<dyn ConfigSource>,
     ) -> (TestDaemon, ThinLink) {
         let listener = bind_any();
         let link = ThinLink::start(listener.local_addr().expect("an address"), bytes_per_s);
         let options = SpreadOptions { seeds: seeds.to_vec(), ..self.options.clone() };
-        let (source, contacts) = (self.platform.clone(), self.platform.clone());
         let place = (listener, link.address);
-        (self.start_at(place, name, data_centre, options, source, contacts), link)
+        (self.start_at(place, name, data_centre, options, source, self.platform.clone()), link)
     }
 
     fn start_at(
--- a/components/spread/tests/few_pushes.rs
+++ b/components/spread/tests/few_pushes.rs
@@ -56,7 +56,8 @@
     fleet.options = SpreadOptions { relays: 1, ..fleet.options.clone() };
     let started: Vec<(TestDaemon, ThinLink)> = (0..16).fold(Vec::new(), |mut started, index| {
         let seeds: Vec<_> = started.iter().take(2).map(|(daemon, _)| daemon.address).collect();
-        started.push(fleet.start_behind(10_000_000, &format!("lj1-{index:02}"), "lj1", &seeds));
+        let (name, source) = (format!("lj1-{index:02}"), fleet.platform.clone());
+        started.push(fleet.start_behind(10_000_000, &name, "lj1", &seeds, source));
         started
     });
     let (daemons, links): (Vec<_>, Vec<_>) = started.into_iter().unzip();
