spread: updates travel compressed

Callers saw: the late versions of the entries before. A change of 960 routes is 240 kB of text that repeats itself; six children's copies take a link of 7.5 Mbit/s for 1.5 s of the 2.5 s in which it has to be in force, in each layer of the tree, and everything else on that link waits behind them.

Change: what an update carries as JSON is compressed (flate2, which dropshot brings already). What unpacks to more than 8 MB is refused.

tests/crossing_updates.rs took a large version from text of one letter, which is small now; it takes text that does not compress, so that fetches are refused as before. Daemons of before this change cannot read updates of those after it.

--- a/components/spread/schema/peer.capnp
+++ b/components/spread/schema/peer.capnp
@@ -120,6 +120,7 @@
   base @1 :UInt64;
   rootHash @2 :Text;
   change @3 :Data;
+  # Compressed JSON, as are `whole` and `writes`.
   trees @4 :List(Tree);
   removed @5 :List(Text);
 
--- a/components/spread/src/codec.rs
+++ b/components/spread/src/codec.rs
@@ -1,8 +1,12 @@
 //! Conversion between the generated wire types and the types of the other crates.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    io::{Read, Write},
+};
 
 use capnp::{Error, primitive_list, struct_list, text_list};
+use flate2::{Compression, read::ZlibDecoder, write::ZlibEncoder};
 use serde::{Serialize, de::DeserializeOwned};
 use sk_member::{EndpointRecord, EndpointStatus, MemberRecord, MemberStatus, MemberSuspicion};
 use sk_model::{ProxyAck, RejectedVersion, TreeRef, check_path};
@@ -22,6 +26,9 @@
 /// Longest name, address, hash or service path in bytes. The longest that settings or the model
 /// allow is a path of 200 bytes; kept records of longer ones would let a peer fill the memory.
 const MAX_TEXT_BYTES: usize = 256;
+/// Largest subtree in bytes once unpacked: several at the platform's bound of a megabyte. A faulty
+/// peer's few bytes could unpack to all of the memory.
+const MAX_UNPACKED_BYTES: u64 = 8 << 20;
 /// Longest reason of a refusal kept, in bytes. Reasons are for reading; the rest is cut.
 const MAX_REASON_BYTES: usize = 1_024;
 
@@ -32,7 +39,7 @@
     builder.set_version(update.version);
     builder.set_base(update.base);
     builder.set_root_hash(&update.root_hash);
-    builder.set_change(&to_json(&update.change)?);
+    builder.set_change(&pack(&update.change)?);
     let mut trees = builder.reborrow().init_trees(update.trees.len() as u32);
     for (index, (team, tree)) in update.trees.iter().enumerate() {
         let mut builder = trees.reborrow().get(index as u32);
@@ -40,8 +47,8 @@
         builder.set_version(tree.tree_ref.version);
         builder.set_hash(&tree.tree_ref.hash);
         match &tree.content {
-            TreeContent::Whole(tree) => builder.set_whole(&to_json(tree)?),
-            TreeContent::Writes(writes) => builder.set_writes(&to_json(writes)?),
+            TreeContent::Whole(tree) => builder.set_whole(&pack(tree)?),
+            TreeContent::Writes(writes) => builder.set_writes(&pack(writes)?),
             TreeContent::Held => builder.set_held(()),
         }
     }
@@ -57,8 +64,8 @@
     check_length(reader.get_trees()?.len(), MAX_ITEMS)?;
     for tree in reader.get_trees()? {
         let content = match tree.which()? {
-            update::tree::Whole(body) => TreeContent::Whole(from_json(body?)?),
-            update::tree::Writes(body) => TreeContent::Writes(from_json(body?)?),
+            update::tree::Whole(body) => TreeContent::Whole(unpack(body?)?),
+            update::tree::Writes(body) => TreeContent::Writes(unpack(body?)?),
             update::tree::Held(()) => TreeContent::Held,
         };
         let hash = read_text(tree.get_hash()?)?;
@@ -69,7 +76,7 @@
         version: reader.get_version(),
         base: reader.get_base(),
         root_hash: read_text(reader.get_root_hash()?)?,
-        change: from_json(reader.get_change()?)?,
+        change: unpack(reader.get_change()?)?,
         trees,
         removed: read_teams(reader.get_removed()?)?,
     })
@@ -281,10 +288,21 @@
     text.to_str()?.parse().map_err(|_| Error::failed("malformed address".to_owned()))
 }
 
-fn to_json<T: Serialize>(value: &T) -> Result<Vec<u8>, Error> {
-    serde_json::to_vec(value).map_err(|err| Error::failed(err.to_string()))
+/// Encodes a value as compressed JSON. Settings of one team repeat each other's text, and a large
+/// change goes over every daemon's link several times.
+fn pack<T: Serialize>(value: &T) -> Result<Vec<u8>, Error> {
+    let json = serde_json::to_vec(value).map_err(|err| Error::failed(err.to_string()))?;
+    let mut encoder = ZlibEncoder::new(Vec::new(), Compression::fast());
+    encoder.write_all(&json)?;
+    Ok(encoder.finish()?)
 }
 
-fn from_json<T: DeserializeOwned>(body: &[u8]) -> Result<T, Error> {
-    serde_json::from_slice(body).map_err(|err| Error::failed(err.to_string()))
+fn unpack<T: DeserializeOwned>(body: &[u8]) -> Result<T, Error> {
+    let mut json = Vec::new();
+    let mut decoder = ZlibDecoder::new(body).take(MAX_UNPACKED_BYTES + 1);
+    decoder.read_to_end(&mut json)?;
+    if json.len() as u64 > MAX_UNPACKED_BYTES {
+        return Err(Error::failed(format!("content is over {MAX_UNPACKED_BYTES} bytes")));
+    }
+    serde_json::from_slice(&json).map_err(|err| Error::failed(err.to_string()))
 }
--- a/components/spread/tests/crossing_updates.rs
+++ b/components/spread/tests/crossing_updates.rs
@@ -7,7 +7,7 @@
     atomic::{AtomicBool, Ordering},
 };
 
-use common::{FakePlatform, TestFleet, all_hold, make_snapshot, numbered, wait_for};
+use common::{FakePlatform, TestFleet, all_hold, make_snapshot, noise, numbered, wait_for};
 use sk_spread::{PassMode, SpreadOptions};
 
 /// Operators change settings several times within a second, and the versions overtake each other
@@ -93,7 +93,7 @@
     fleet.options.fan_out = 12;
     fleet.options.max_fetches = 1;
     let daemons = fleet.start_all(&["lj1"], 13);
-    let text = "x".repeat(60_000);
+    let text = noise(60_000);
     let names: Vec<String> = (0..10).map(|index| format!("v{index}")).collect();
     let values: Vec<_> = names.iter().map(|name| ("board", name.as_str(), text.as_str())).collect();
     fleet.platform.accept(make_snapshot(1, &values));
--- a/components/spread/tests/thin_links.rs
+++ b/components/spread/tests/thin_links.rs
@@ -2,13 +2,16 @@
 
 mod common;
 
-use std::time::{Duration, Instant};
+use std::{
+    collections::BTreeMap,
+    time::{Duration, Instant},
+};
 
 use common::{
-    PlatformWay, TestDaemon, TestFleet, ThinLink, WayState, all_hold, make_snapshot, noise,
-    numbered, relays, wait_for,
+    PlatformWay, TestDaemon, TestFleet, ThinLink, WayState, all_hold, from_trees, make_snapshot,
+    noise, numbered, relays, wait_for,
 };
-use sk_model::{ConfigSnapshot, Version};
+use sk_model::{ConfigSnapshot, RouteSetting, ServiceSetting, SettingBody, TeamTree, Version};
 use sk_spread::SpreadOptions;
 
 const BYTES_PER_S: usize = 100_000;
@@ -68,3 +71,42 @@
     println!("in force after {took:?}, of which links take up to {carried:?}");
     assert!(took < carried + IN_FORCE, "in force after {took:?}");
 }
+
+/// Guards against a change of a thousand routes filling thin links with text that repeats itself: six
+/// children's copies of it take a link of 7.5 Mbit/s for 1.5 s, more than half of the time in which
+/// it has to be in force.
+#[test]
+fn routes_are_packed() {
+    let fleet = TestFleet::new();
+    let daemons = fleet.start_all(&["lj1"], 6);
+    fleet.platform.accept(with_routes(1, 200));
+    wait_for("the first version", || all_hold(&daemons, 1));
+    std::thread::sleep(Duration::from_secs(1));
+    let received = || daemons.iter().map(|daemon| daemon.meter.bytes().received).sum::<u64>();
+    let before = received();
+    let change = with_routes(2, 1_160);
+    let text = serde_json::to_vec(&change.trees["board"]).expect("text").len() as u64;
+    fleet.platform.accept(change);
+    wait_for("the change", || all_hold(&daemons, 2));
+    let each = (received() - before) / daemons.len() as u64;
+    println!("{each} bytes a daemon for a subtree of {text} bytes");
+    assert!(each < text / 4, "{each} bytes a daemon for a subtree of {text} bytes");
+}
+
+/// Makes a version with so many routes to one service.
+fn with_routes(version: Version, count: usize) -> ConfigSnapshot {
+    let service = "/board/queue".to_owned();
+    let route = |index: usize| {
+        let prefix = format!("/{:x}/{index}/", index * 7_919);
+        let setting = RouteSetting {
+            host: Some(format!("host{}.example", index % 40)),
+            deadline_ms: 2_500,
+            goal_ms: Some(600),
+            ..RouteSetting::new(&prefix, &service)
+        };
+        (format!("/board/routes/r{index}"), SettingBody::Route(setting))
+    };
+    let mut settings: BTreeMap<_, _> = (0..count).map(route).collect();
+    settings.insert(service.clone(), SettingBody::Service(ServiceSetting::default()));
+    from_trees(version, BTreeMap::from([("board".to_owned(), TeamTree { settings })]))
+}
