proxy: a guard writes a line of each request whose caller left

Nothing told when word of a caller's departure reaches the guard, or whether a request had been sent to its server by then; the entry of requests sent on after their callers had left (GONE) could not be traced from logs.

--- a/components/proxy/src/attempt.rs
+++ b/components/proxy/src/attempt.rs
@@ -188,7 +188,7 @@
 ) -> Response<ProxyBody> {
     let AttemptMessage { mut request, call } = message;
     if endpoint.is_own {
-        return pass(Arc::clone(&context.guard), request, call).await;
+        return pass(Arc::clone(&context.guard), request, call, Duration::ZERO).await;
     }
     call.write(request.headers_mut());
     match context.peers.send(request, &endpoint.guard).await {
--- a/components/proxy/src/call.rs
+++ b/components/proxy/src/call.rs
@@ -120,12 +120,13 @@
         }
     }
 
-    /// Takes off what the call lost on its way behind other bytes.
-    pub(crate) fn arrive(&mut self, clocks: &mut TripClocks) {
+    /// Takes off what the call lost on its way behind other bytes, and gives how long that was.
+    pub(crate) fn arrive(&mut self, clocks: &mut TripClocks) -> Duration {
         let late = clocks.note(self.clock, Duration::from_micros(self.sent_us), trip_now());
-        let late = whole_micros(late);
-        self.remaining_us = self.remaining_us.saturating_sub(late);
-        self.goal_us = self.goal_us.map(|goal| goal.saturating_sub(late));
+        let micros = whole_micros(late);
+        self.remaining_us = self.remaining_us.saturating_sub(micros);
+        self.goal_us = self.goal_us.map(|goal| goal.saturating_sub(micros));
+        late
     }
 
     /// Gives the context of the call at its arrival.
--- a/components/proxy/src/guard.rs
+++ b/components/proxy/src/guard.rs
@@ -22,6 +22,7 @@
     claim::{ClaimHold, ClaimKey, ClaimVerdict},
     clock::process_now,
     context::GuardContext,
+    departure::DepartureNote,
     exchange::{AdmittedRequest, PassStage, send},
     headers::{KEY_HEADER, header_text, strip_hop_headers, strip_own_headers},
     hints::{write_calls, write_figures, write_held},
@@ -31,7 +32,7 @@
 
 /// Takes one request from another daemon.
 pub async fn guard(context: Arc<GuardContext>, request: Request<Incoming>) -> Response<ProxyBody> {
-    let call = match GuardCall::read(request.headers()) {
+    let (call, late) = match GuardCall::read(request.headers()) {
         _ if !context.token.is_in(request.headers()) => {
             let kind = RefusalKind::Unauthorized;
             context.counters.count_refusal(kind);
@@ -42,41 +43,45 @@
             return own_answer(StatusCode::BAD_REQUEST, RequestOutcome::NotRun, kind);
         }
         Some(mut call) => {
-            call.arrive(&mut context.trips.lock().unwrap_or_else(PoisonError::into_inner));
-            call
+            let mut clocks = context.trips.lock().unwrap_or_else(PoisonError::into_inner);
+            let late = call.arrive(&mut clocks);
+            (call, late)
         }
     };
     let version = request.version();
     let request = request.map(|body| CheckedBody::new(body, version).boxed_unsync());
-    pass(context, request, call).await
+    pass(context, request, call, late).await
 }
 
 /// Passes one request to the local backend server, or refuses it as not run.
 ///
-/// Also the way of a request whose endpoint is beside the very daemon that it entered by.
+/// Also the way of a request whose endpoint is beside the very daemon that it entered by. `late` is
+/// what the call has lost on its way.
 pub(crate) async fn pass(
     context: Arc<GuardContext>,
     mut request: Request<ProxyBody>,
     call: GuardCall,
+    late: Duration,
 ) -> Response<ProxyBody> {
     strip_hop_headers(request.headers_mut());
     strip_own_headers(request.headers_mut());
     let attempt = context.words.attempt(request.headers()).cloned();
     let arrived = Instant::now();
     let deadline = context.drain.bound(arrived + call.context().remaining);
-    let mut stage = PassStage::Waiting;
-    let passed = pass_admitted(&context, request, &call, deadline, &mut stage);
+    let mut note = DepartureNote::new(attempt, arrived, late);
+    let passed = pass_admitted(&context, request, &call, deadline, &mut note.stage);
     let mut response = match context.drain.await_until(deadline, GUARD_GRACE, passed).await {
         Some(response) => response,
         // Dropping the exchange has closed its connection, which tells the server to give up, and
         // a late answer has no way left to any caller.
-        None => match stage {
+        None => match note.stage {
             PassStage::Waiting => refuse(RefusalKind::DeadlineTooNear),
             PassStage::Sent | PassStage::Resent => {
                 lost_answer(RefusalKind::DeadlinePassed, RequestOutcome::Unknown)
             }
         },
     };
+    let attempt = note.end();
     if let Some(kind) = RefusalKind::read(response.headers()) {
         context.counters.count_refusal(kind);
     }
--- a/components/proxy/src/lib.rs
+++ b/components/proxy/src/lib.rs
@@ -13,6 +13,7 @@
 mod clock;
 mod context;
 mod counters;
+mod departure;
 mod drain;
 mod entry;
 mod exchange;
