daemon: a stop does not wait for peers that are gone without a word

Callers saw: a daemon's server missing for up to two seconds longer, and a stop that reports requests in flight where there were none.

Cause: the guard's listener waits until its connections have closed.

Change: the guard has ended when its servers had no work for 400 ms.

tests/proxy_drains.rs, silent_peer: a peer that opens a connection and says nothing more held the stop to its bound of eight seconds, with an exit code of 1; now it exits with 0 within the four that the test allows.

--- a/components/daemon/src/daemon.rs
+++ b/components/daemon/src/daemon.rs
@@ -67,6 +67,10 @@
 /// Time at the end of the drain to close callers' connections in order. By then their requests are
 /// answered, but the local server's work, which may call on through them, may last to the end.
 const CLOSE_TIME: Duration = Duration::from_millis(200);
+/// Time without work after which the guard has ended, for the last bytes of answers to leave.
+const IDLE_TIME: Duration = Duration::from_millis(400);
+/// Time between looks whether there is work.
+const IDLE_LOOK: Duration = Duration::from_millis(50);
 
 /// How long a stop takes.
 #[derive(Clone, Copy, Debug)]
@@ -244,7 +248,12 @@
             tokio::time::sleep(half).await;
             servers.refuse_waiting();
         }));
-        let guard = self.guard.stop(self.times.drain.saturating_sub(CLOSE_TIME)).await;
+        let servers = &self.guard_context.servers;
+        // A peer that is gone without a word never closes its connection.
+        let guard = tokio::select! {
+            is_clean = self.guard.stop(self.times.drain.saturating_sub(CLOSE_TIME)) => is_clean,
+            () = await_idle(servers) => true,
+        };
         let left = end.saturating_duration_since(Instant::now());
         let forward = self.forward.stop(left).await;
         for ops in self.ops {
@@ -263,6 +272,17 @@
     }
 }
 
+/// Waits until the backend servers here have had no work for some time.
+async fn await_idle(servers: &LocalServers) {
+    let mut idle_since = Instant::now();
+    while idle_since.elapsed() < IDLE_TIME {
+        tokio::time::sleep(IDLE_LOOK).await;
+        if !servers.is_idle() {
+            idle_since = Instant::now();
+        }
+    }
+}
+
 async fn bind_listeners(settings: &DaemonSettings) -> Result<BoundListeners, DaemonError> {
     let listen = &settings.listen;
     let metrics = match settings.metrics.listen {
--- a/tests/proxy_drains.rs
+++ b/tests/proxy_drains.rs
@@ -2,7 +2,10 @@
 
 mod common;
 
-use std::time::{Duration, Instant};
+use std::{
+    io::Write,
+    time::{Duration, Instant},
+};
 
 use common::requests::{RequestFleet, RequestLoad, wait_until};
 
@@ -106,3 +109,21 @@
     let (status, _) = tokio::task::block_in_place(|| leaving.join());
     assert!(status.success(), "{status}");
 }
+
+/// Guards against a stop that waits for a peer which is gone without a word, such as an instance that
+/// lost its power: its connection never closes, and the server here would be missed until the bound.
+#[tokio::test(flavor = "multi_thread")]
+async fn silent_peer() {
+    let mut fleet = RequestFleet::start_with("silent_peer", 1, "drain_ms = 8000\n");
+    let guard = fleet.daemon(1).address("guard");
+    let mut peer = std::net::TcpStream::connect(guard).expect("the guard listens");
+    let settings = [0, 0, 0, 4, 0, 0, 0, 0, 0];
+    peer.write_all(b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n").expect("sent");
+    peer.write_all(&settings).expect("sent");
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    let begin = Instant::now();
+    let leaving = fleet.daemons[1].take().expect("daemon");
+    let (status, _) = tokio::task::block_in_place(|| leaving.terminate());
+    assert!(status.success(), "{status}");
+    assert!(begin.elapsed() < Duration::from_secs(4), "stopped after {:?}", begin.elapsed());
+}
