Failing, listed: the first call between two daemons is taken at its word

A guard tells how late a call is by the fastest message that the same daemon has sent before. With none, a call that was 1.2 s on its way is run although its caller left after 0.4 s.

--- a/components/proxy/tests/slow_link.rs
+++ b/components/proxy/tests/slow_link.rs
@@ -19,6 +19,7 @@
         TcpListener, TcpStream,
         tcp::{OwnedReadHalf, OwnedWriteHalf},
     },
+    time::Instant,
 };
 
 /// Carries bytes to a guard, each chunk late by so many milliseconds; those back are not.
@@ -46,6 +47,36 @@
     }
 }
 
+/// Carries bytes to a guard, all of them late by the same time; those back are not.
+async fn long_way(guard: SocketAddr, delay: Duration) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("local port");
+    let address = listener.local_addr().expect("address");
+    tokio::spawn(async move {
+        while let Ok((near, _)) = listener.accept().await {
+            let far = TcpStream::connect(guard).await.expect("the guard listens");
+            let ((mut near_in, near_out), (far_in, mut far_out)) =
+                (near.into_split(), far.into_split());
+            let (chunks, mut due) = tokio::sync::mpsc::unbounded_channel::<(Instant, Vec<u8>)>();
+            tokio::spawn(async move {
+                let mut chunk = vec![0; 16 * 1024];
+                while let Ok(size @ 1..) = near_in.read(&mut chunk).await {
+                    let _ = chunks.send((Instant::now() + delay, chunk[..size].to_vec()));
+                }
+            });
+            tokio::spawn(async move {
+                while let Some((at, chunk)) = due.recv().await {
+                    tokio::time::sleep_until(at).await;
+                    if far_out.write_all(&chunk).await.is_err() {
+                        return;
+                    }
+                }
+            });
+            tokio::spawn(carry(far_in, near_out, Arc::default()));
+        }
+    });
+    address
+}
+
 /// A link between two daemons has more waiting than it carries in a call's time. The call's caller has
 /// given up when it arrives, and word of that stands behind it. The server worked for nobody, at the time
 /// at which others waited for it.
@@ -68,3 +99,18 @@
     delay_ms.store(0, Ordering::Relaxed);
     assert_eq!(send(&client, entry, "GET", "/?tag=after", &[], "").await.status, 200);
 }
+
+/// Guards against the very first call between two daemons being run for nobody: the guard knows no
+/// earlier one to compare its time on the way with.
+#[tokio::test(flavor = "multi_thread")]
+async fn first_call_late() {
+    let mut fleet = TestFleet::start(FleetPlan::new(1)).await;
+    fleet.daemons[1].guard = long_way(fleet.daemons[1].guard, Duration::from_millis(1_200)).await;
+    fleet.rebuild();
+    let (entry, client) = (fleet.entry(), http1());
+    let answer = send(&client, entry, "GET", "/?tag=late", &[(DEADLINE_HEADER, "400")], "").await;
+    assert!(answer.status.is_server_error(), "{answer:?}");
+    // Longer than the way takes.
+    tokio::time::sleep(Duration::from_millis(2_500)).await;
+    assert_eq!(fleet.runs("late"), 0, "nobody waits for it");
+}
