logs: each call site has lines that no other can use up

Cause: what happens once shared a bound with what happens a thousand times. 'daemon: leaving.', 'settings read again', a change's version and a server's good-bye are routine lines like those of requests, which use up the 50 of a second in its first part. Lost and regained dependencies shared 200 with refused requests.

Change: the budget counts by call site. The first ten lines a second of each are written whatever others write; further ones share the limits as before. No line has to be marked, so none can be forgotten.

--- a/components/logs/src/budget.rs
+++ b/components/logs/src/budget.rs
@@ -3,11 +3,36 @@
 //! Made for an outage in which every request fails and says so: a thousand lines a second of a
 //! daemon with a tenth of a core take the processor from the requests. Lines beyond the limits are
 //! counted, and the count is written. Failures have a limit of their own, so that routine lines
-//! never push them out.
+//! never push them out. Each call site has a few lines that no other can use up: a stop, a new
+//! configuration or a lost dependency says so once, and would otherwise be left out of a second in
+//! which requests have used up the limit.
 
-use std::time::Duration;
+use std::{collections::HashMap, time::Duration};
+
+use log::Record;
 
 const SECOND: Duration = Duration::from_secs(1);
+/// Lines of one call site in a second that are written whatever other call sites write.
+const SITE_LINES: u32 = 10;
+
+/// The place in the code that writes a line.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
+pub struct CallSite {
+    file: Option<&'static str>,
+    line: Option<u32>,
+}
+
+impl CallSite {
+    /// Makes one of a source file and a line in it, from 1.
+    pub const fn new(file: &'static str, line: u32) -> Self {
+        Self { file: Some(file), line: Some(line) }
+    }
+
+    /// Gives that of a record. Records that do not tell theirs share one.
+    pub fn of(record: &Record<'_>) -> Self {
+        Self { file: record.file_static(), line: record.line() }
+    }
+}
 
 /// What a line tells.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -52,12 +77,14 @@
 }
 
 /// Counts the lines of each second.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct LineBudget {
     limits: LineLimits,
     second: u64,
     routine: u32,
     failures: u32,
+    sites: HashMap<CallSite, u32>,
+    left_out: LeftOut,
 }
 
 impl LineBudget {
@@ -67,23 +94,32 @@
     }
 
     /// Decides on a line at `now`, a time on any clock that never goes back.
-    pub fn take(&mut self, class: LineClass, now: Duration) -> LineVerdict {
+    pub fn take(&mut self, class: LineClass, site: CallSite, now: Duration) -> LineVerdict {
         let second = now.as_secs() / SECOND.as_secs();
         let left_out = (second != self.second).then(|| self.begin(second)).flatten();
-        let (count, limit) = match class {
-            LineClass::Routine => (&mut self.routine, self.limits.routine),
-            LineClass::Failure => (&mut self.failures, self.limits.failures),
+        let (count, limit, left) = match class {
+            LineClass::Routine => {
+                (&mut self.routine, self.limits.routine, &mut self.left_out.routine)
+            }
+            LineClass::Failure => {
+                (&mut self.failures, self.limits.failures, &mut self.left_out.failures)
+            }
         };
+        let of_site = self.sites.entry(site).or_default();
         *count = count.saturating_add(1);
-        LineVerdict { is_written: *count <= limit, left_out }
+        *of_site = of_site.saturating_add(1);
+        let is_written = *count <= limit || *of_site <= SITE_LINES;
+        if !is_written {
+            *left = left.saturating_add(1);
+        }
+        LineVerdict { is_written, left_out }
     }
 
     fn begin(&mut self, second: u64) -> Option<LeftOut> {
-        let left_out = LeftOut {
-            routine: self.routine.saturating_sub(self.limits.routine),
-            failures: self.failures.saturating_sub(self.limits.failures),
-        };
-        *self = Self { second, ..Self::new(self.limits) };
+        let left_out = std::mem::take(&mut self.left_out);
+        self.second = second;
+        (self.routine, self.failures) = (0, 0);
+        self.sites.clear();
         (left_out != LeftOut::default()).then_some(left_out)
     }
 }
--- a/components/logs/src/lib.rs
+++ b/components/logs/src/lib.rs
@@ -9,7 +9,7 @@
 mod output;
 mod paced;
 
-pub use budget::{LineBudget, LineClass, LineLimits, LineVerdict};
+pub use budget::{CallSite, LineBudget, LineClass, LineLimits, LineVerdict};
 pub use line::write_line;
 pub use outage::OutageLog;
 pub use output::{LogGuard, start_logs, start_logs_to};
--- a/components/logs/src/output.rs
+++ b/components/logs/src/output.rs
@@ -14,7 +14,7 @@
 use tracing_appender::non_blocking::{ErrorCounter, NonBlockingBuilder, WorkerGuard};
 
 use crate::{
-    budget::{LineBudget, LineClass, LineLimits},
+    budget::{CallSite, LineBudget, LineClass, LineLimits},
     line::write_line,
     paced::PacedWriter,
 };
@@ -105,7 +105,7 @@
         };
         let verdict = {
             let mut budget = self.budget.lock().unwrap_or_else(PoisonError::into_inner);
-            budget.take(class, self.start.elapsed())
+            budget.take(class, CallSite::of(record), self.start.elapsed())
         };
         if let Some(left) = verdict.left_out {
             let (routine, failures) = (left.routine, left.failures);
