proxy: the opening of a connection counts as a daemon's first message

What callers saw: a call that was 1.2 s on its way, the first between two daemons, was run for a caller that had left 0.7 s before.

Cause: a guard takes off what a message took beyond the fastest of its sender's clock; the first one is the fastest.

Change: the entry tells, on the calls of a connection's first second, when it began to open it and how long that took. Beginning and acceptance are a message that the guard can compare with; and a clock that was first heard of by an opening has its first calls counted late by the opening's own time at least, which went over the same queues. The library's pool hides which connection a request takes, so PeerClient holds them itself: one for each guard, opened once however many ask, tried anew where nothing was sent. A call notes its departure when its connection is there.

--- a/components/decide/src/trip.rs
+++ b/components/decide/src/trip.rs
@@ -8,9 +8,12 @@
 //! The clocks of two daemons have nothing to do with each other, but their difference is constant. The
 //! least difference between arrival and departure is that of the fastest message, and whatever another
 //! message shows beyond it was spent on the way.
+//!
+//! Before the first message there is the opening of its connection. It began at a known time of the
+//! sender's clock and was seen here, which makes it a message as well; and it went over the same link
+//! both ways, so that what follows it closely takes about as long as it took.
 
-use std::collections::HashMap;
-use std::time::Duration;
+use std::{collections::HashMap, time::Duration};
 
 /// Names the clock of one process of a daemon.
 pub type ClockId = u64;
@@ -22,11 +25,32 @@
 /// another. All are forgotten at once and learnt again from the next message of each.
 const MOST_CLOCKS: usize = 4096;
 
+/// Time after the opening of a connection for which it tells how full the link is.
+pub const OPENING_TIME: Duration = Duration::from_secs(1);
+
+/// The opening of a connection, as the side that opened it measured it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LinkOpening {
+    /// When it began, by that side's clock.
+    pub began: Duration,
+    /// Time until the connection was there.
+    pub took: Duration,
+}
+
+impl LinkOpening {
+    /// Tells whether a message that leaves at `sent_at`, by the same clock, closely follows it.
+    pub fn is_followed_by(&self, sent_at: Duration) -> bool {
+        sent_at < self.began + self.took + OPENING_TIME
+    }
+}
+
 /// The least difference between arrivals here and departures by one clock.
 #[derive(Clone, Copy, Debug)]
 struct ClockOffset {
     micros: i64,
     seen_at: Duration,
+    /// The opening that the clock was first heard of by, if any.
+    opening: Option<LinkOpening>,
 }
 
 /// What is known of the other daemons' clocks.
@@ -44,11 +68,28 @@
         if self.offsets.len() >= MOST_CLOCKS && !self.offsets.contains_key(&clock) {
             self.offsets.clear();
         }
-        let offset = self.offsets.entry(clock).or_insert(ClockOffset { micros, seen_at: now });
+        let first = ClockOffset { micros, seen_at: now, opening: None };
+        let offset = self.offsets.entry(clock).or_insert(first);
         let passed = signed_micros(now) - signed_micros(offset.seen_at);
         let drift = passed * DRIFT_PER_MILLION / 1_000_000;
-        *offset = ClockOffset { micros: micros.min(offset.micros + drift), seen_at: now };
-        Duration::from_micros((micros - offset.micros).unsigned_abs())
+        offset.micros = micros.min(offset.micros + drift);
+        offset.seen_at = now;
+        let late = Duration::from_micros((micros - offset.micros).unsigned_abs());
+        // Nothing else tells how long the first messages of a clock were on their way.
+        let opening = offset.opening.filter(|opening| opening.is_followed_by(sent_at));
+        opening.map_or(late, |opening| late.max(opening.took))
+    }
+
+    /// Takes note of the opening of a connection that was accepted at `accepted_at`, where nothing is
+    /// known yet of the clock that it was measured by.
+    ///
+    /// The time from its beginning to its acceptance is that of three trips at least. It can make
+    /// messages look faster than they were, never slower.
+    pub fn note_opening(&mut self, clock: ClockId, opening: LinkOpening, accepted_at: Duration) {
+        if !self.offsets.contains_key(&clock) {
+            let _ = self.note(clock, opening.began, accepted_at);
+            self.offsets.entry(clock).and_modify(|offset| offset.opening = Some(opening));
+        }
     }
 }
 
--- a/components/decide/tests/late_trips.rs
+++ b/components/decide/tests/late_trips.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use sk_decide::trip::TripClocks;
+use sk_decide::trip::{LinkOpening, TripClocks};
 
 const CLOCK: u64 = 7;
 
@@ -45,3 +45,42 @@
         assert!(late <= millis(1), "{late:?} after {second} s");
     }
 }
+
+/// Guards against the first message of a daemon being taken at its word where the opening of its
+/// connection, over the same link, shows that it is late.
+#[test]
+fn first_message() {
+    let mut clocks = TripClocks::default();
+    let opening = LinkOpening { began: millis(5_000), took: millis(2) };
+    clocks.note_opening(CLOCK, opening, millis(103));
+    let late = clocks.note(CLOCK, millis(5_002), millis(1_303));
+    assert!(late >= millis(1_190) && late <= millis(1_200), "{late:?}");
+    let late = clocks.note(CLOCK, millis(5_900), millis(1_002));
+    assert!(late <= millis(3), "the link is free again: {late:?}");
+}
+
+/// Guards against calls being taken at their word behind bytes that also held up the opening of their
+/// connection, which then is no measure of a free link.
+#[test]
+fn opened_late() {
+    let mut clocks = TripClocks::default();
+    let opening = LinkOpening { began: millis(5_000), took: millis(700) };
+    clocks.note_opening(CLOCK, opening, millis(1_400));
+    for step in 0..5 {
+        let late = clocks.note(CLOCK, millis(5_700 + step), millis(1_400 + step));
+        assert!(late >= millis(700), "{late:?}");
+    }
+    let late = clocks.note(CLOCK, millis(7_000), millis(2_010));
+    assert!(late <= millis(1), "the link is free again: {late:?}");
+}
+
+/// Guards against the opening of a further connection, which takes longer than a message, being counted
+/// against a clock that is known.
+#[test]
+fn opened_again() {
+    let mut clocks = TripClocks::default();
+    let _ = clocks.note(CLOCK, millis(5_000), millis(100));
+    let opening = LinkOpening { began: millis(6_000), took: millis(300) };
+    clocks.note_opening(CLOCK, opening, millis(1_400));
+    assert!(clocks.note(CLOCK, millis(6_300), millis(1_400)) <= millis(1));
+}
--- a/components/proxy/src/attempt.rs
+++ b/components/proxy/src/attempt.rs
@@ -25,6 +25,7 @@
     hints::ReadHints,
     outcome::{RefusalKind, RequestOutcome},
     passed::OpenCall,
+    peers::PeerError,
     table::{TableEndpoint, TableService},
     tries::TryTarget,
     watched::WatchedBody,
@@ -186,21 +187,20 @@
     endpoint: &TableEndpoint,
     message: AttemptMessage,
 ) -> Response<ProxyBody> {
-    let AttemptMessage { mut request, call } = message;
+    let AttemptMessage { request, call } = message;
     if endpoint.is_own {
         return pass(Arc::clone(&context.guard), request, call, Duration::ZERO).await;
     }
-    call.write(request.headers_mut());
-    match context.peers.send(request, &endpoint.guard).await {
+    match context.peers.send(request, call, &endpoint.guard).await {
         Ok(response) => {
             let version = response.version();
             response.map(|body| CheckedBody::new(body, version).boxed_unsync())
         }
-        Err(err) if err.is_connect() => {
-            log::debug!("proxy: {} cannot be reached.", endpoint.proxy);
+        Err(PeerError::Unsent(err)) => {
+            log::debug!("proxy: {} cannot be reached: {err}.", endpoint.proxy);
             count_own(context, refuse(RefusalKind::Unreachable))
         }
-        Err(err) => {
+        Err(PeerError::Lost(err)) => {
             log::debug!("proxy: lost an answer of {}: {err}.", endpoint.proxy);
             let kind = RefusalKind::AnswerLost;
             count_own(context, lost_answer(kind, RequestOutcome::Unknown))
--- a/components/proxy/src/call.rs
+++ b/components/proxy/src/call.rs
@@ -11,7 +11,7 @@
     admitting::{CallerKey, FlowKey, TeamKey},
     deadline::CallContext,
     quarantine::Fingerprint,
-    trip::{ClockId, TripClocks},
+    trip::{ClockId, LinkOpening, TripClocks},
 };
 use sk_model::WorkClass;
 use subtle::ConstantTimeEq;
@@ -56,6 +56,31 @@
     /// The sender's clock, and the microsecond by it at which this was sent.
     clock: ClockId,
     sent_us: u64,
+    /// The opening of the connection, on calls that closely follow it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    opening: Option<CallOpening>,
+}
+
+/// The opening of a connection, in microseconds by the clock of the side that opened it.
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+struct CallOpening {
+    began_us: u64,
+    took_us: u64,
+}
+
+impl From<LinkOpening> for CallOpening {
+    fn from(opening: LinkOpening) -> Self {
+        Self { began_us: whole_micros(opening.began), took_us: whole_micros(opening.took) }
+    }
+}
+
+impl From<CallOpening> for LinkOpening {
+    fn from(opening: CallOpening) -> Self {
+        Self {
+            began: Duration::from_micros(opening.began_us),
+            took: Duration::from_micros(opening.took_us),
+        }
+    }
 }
 
 /// Who a request is counted against.
@@ -117,16 +142,33 @@
             most_wait_us: terms.most_wait.map(whole_micros),
             clock: clock_id(),
             sent_us: whole_micros(trip_now()),
+            opening: None,
         }
     }
 
+    /// Takes off the time that the call waited for a connection, and notes that it leaves now.
+    pub(crate) fn depart(&mut self, waited: Duration, opening: LinkOpening) {
+        let now = trip_now();
+        self.spend(waited);
+        self.sent_us = whole_micros(now);
+        self.opening = opening.is_followed_by(now).then(|| opening.into());
+    }
+
     /// Takes off what the call lost on its way behind other bytes, and gives how long that was.
-    pub(crate) fn arrive(&mut self, clocks: &mut TripClocks) -> Duration {
+    /// `accepted_at` is when its connection was accepted, on the clock that goes on while suspended.
+    pub(crate) fn arrive(&mut self, clocks: &mut TripClocks, accepted_at: Duration) -> Duration {
+        if let Some(opening) = self.opening {
+            clocks.note_opening(self.clock, opening.into(), accepted_at);
+        }
         let late = clocks.note(self.clock, Duration::from_micros(self.sent_us), trip_now());
-        let micros = whole_micros(late);
+        self.spend(late);
+        late
+    }
+
+    fn spend(&mut self, time: Duration) {
+        let micros = whole_micros(time);
         self.remaining_us = self.remaining_us.saturating_sub(micros);
         self.goal_us = self.goal_us.map(|goal| goal.saturating_sub(micros));
-        late
     }
 
     /// Gives the context of the call at its arrival.
--- a/components/proxy/src/guard.rs
+++ b/components/proxy/src/guard.rs
@@ -30,8 +30,13 @@
     times::TimeStage,
 };
 
-/// Takes one request from another daemon.
-pub async fn guard(context: Arc<GuardContext>, request: Request<Incoming>) -> Response<ProxyBody> {
+/// Takes one request from another daemon. `accepted_at` is when its connection was accepted, on the
+/// clock that trips are measured by.
+pub(crate) async fn guard(
+    context: Arc<GuardContext>,
+    request: Request<Incoming>,
+    accepted_at: Duration,
+) -> Response<ProxyBody> {
     let (call, late) = match GuardCall::read(request.headers()) {
         _ if !context.token.is_in(request.headers()) => {
             let kind = RefusalKind::Unauthorized;
@@ -44,7 +49,7 @@
         }
         Some(mut call) => {
             let mut clocks = context.trips.lock().unwrap_or_else(PoisonError::into_inner);
-            let late = call.arrive(&mut clocks);
+            let late = call.arrive(&mut clocks, accepted_at);
             (call, late)
         }
     };
--- a/components/proxy/src/lib.rs
+++ b/components/proxy/src/lib.rs
@@ -52,7 +52,6 @@
 pub use failed_calls::FailedCalls;
 pub use forward::forward;
 pub use greeting::{GreetingError, ask_identity};
-pub use guard::guard;
 pub use headers::{DEADLINE_HEADER, HOPS_HEADER, RETRIED_HEADER};
 pub use local::{LocalServer, LocalServers, ServerLimits};
 pub use outcome::{
--- a/components/proxy/src/peers.rs
+++ b/components/proxy/src/peers.rs
@@ -1,15 +1,36 @@
 //! Connections to the guards of other daemons.
 
-use std::time::Duration;
+use std::{
+    collections::HashMap,
+    io,
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Duration,
+};
 
+use arc_swap::ArcSwap;
+use futures::{
+    FutureExt,
+    future::{BoxFuture, Shared},
+};
 use http::{Request, Response, Uri, uri::Authority};
-use hyper::body::Incoming;
-use hyper_util::{
-    client::legacy::{Client, Error as ClientError, connect::HttpConnector},
-    rt::{TokioExecutor, TokioTimer},
+use hyper::{
+    body::Incoming,
+    client::conn::http2::{self, SendRequest},
 };
+use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
+use sk_decide::trip::LinkOpening;
+use thiserror::Error;
+use tokio::{net::TcpStream, time::Instant};
 
-use crate::{body::ProxyBody, call::GuardToken, sockets::watch_client};
+use crate::{
+    body::ProxyBody,
+    call::{GuardCall, GuardToken},
+    clock::{process_now, trip_now},
+    sockets::watch_silence,
+};
 
 /// Time for a connection to another instance. Five round trips between regions; an instance that
 /// is gone answers nothing at all.
@@ -37,53 +58,204 @@
 /// requests on it; that count is switched off towards daemons, which are trusted.
 const REMEMBERED_RESETS: usize = 1024;
 
+/// Connections that are tried for one request: one that may have ended unnoticed, and a new one. A
+/// request that was sent is not sent again here.
+const MOST_LINKS: u32 = 2;
+
+/// Why no connection to another daemon was had.
+#[derive(Clone, Debug, Error)]
+pub(crate) enum LinkError {
+    /// Nobody listens there, or nobody can be reached.
+    #[error("not connected: {0}")]
+    Refused(Arc<io::Error>),
+    /// No answer in time.
+    #[error("not connected in time")]
+    Timeout,
+    /// The connection failed before anything was sent.
+    #[error("connection ended: {0}")]
+    Ended(Arc<hyper::Error>),
+    /// Each connection was closed as soon as it was open.
+    #[error("connections are closed at once")]
+    Closed,
+}
+
+/// Why a request to another daemon has no answer.
+#[derive(Debug, Error)]
+pub(crate) enum PeerError {
+    /// Nothing of it was sent.
+    #[error(transparent)]
+    Unsent(LinkError),
+    /// It may have been sent.
+    #[error(transparent)]
+    Lost(hyper::Error),
+}
+
+/// A connection to one guard.
+#[derive(Clone)]
+struct PeerLink {
+    sender: SendRequest<ProxyBody>,
+    opening: LinkOpening,
+}
+
+type LinkFuture = Shared<BoxFuture<'static, Result<PeerLink, LinkError>>>;
+
+/// A connection that is open or being opened.
+#[derive(Clone)]
+struct PeerEntry {
+    link: LinkFuture,
+    /// Milliseconds on the process's clock at which it was last asked for.
+    used_ms: Arc<AtomicU64>,
+}
+
+type EntryMap = HashMap<Authority, PeerEntry>;
+
 /// Sends requests to guards, over one HTTP/2 connection to each.
 #[derive(Clone)]
 pub struct PeerClient {
-    client: Client<HttpConnector, ProxyBody>,
+    entries: Arc<ArcSwap<EntryMap>>,
     token: GuardToken,
 }
 
 impl PeerClient {
     /// Makes a client without connections.
     pub fn new(token: GuardToken) -> Self {
-        let mut connector = HttpConnector::new();
-        connector.set_nodelay(true);
-        connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
-        watch_client(&mut connector);
-        let client = Client::builder(TokioExecutor::new())
-            .timer(TokioTimer::new())
-            .pool_timer(TokioTimer::new())
-            .pool_idle_timeout(IDLE_LIMIT)
-            .http2_only(true)
-            .http2_initial_stream_window_size(STREAM_WINDOW)
-            .http2_initial_connection_window_size(CONNECTION_WINDOW)
-            .http2_max_header_list_size(MAX_HEAD_BYTES)
-            .http2_max_concurrent_reset_streams(REMEMBERED_RESETS)
-            .http2_max_local_error_reset_streams(None)
-            .http2_keep_alive_interval(PING_INTERVAL)
-            .http2_keep_alive_timeout(PING_TIMEOUT)
-            .build(connector);
-        Self { client, token }
+        Self { entries: Arc::default(), token }
     }
 
     /// Sends a request to a guard and gives the head of its answer.
     ///
     /// # Errors
     ///
-    /// Returns the client's error; where [`ClientError::is_connect`] holds, nothing was sent.
+    /// Returns a [`PeerError`], which tells whether anything was sent.
     pub(crate) async fn send(
         &self,
         mut request: Request<ProxyBody>,
+        mut call: GuardCall,
         guard: &Authority,
-    ) -> Result<Response<Incoming>, ClientError> {
-        let mut parts = std::mem::take(request.uri_mut()).into_parts();
-        parts.scheme = Some(http::uri::Scheme::HTTP);
-        parts.authority = Some(guard.clone());
-        parts.path_and_query.get_or_insert_with(|| http::uri::PathAndQuery::from_static("/"));
-        *request.uri_mut() = Uri::from_parts(parts).expect("scheme, authority and path are there");
-        *request.version_mut() = http::Version::HTTP_2;
+    ) -> Result<Response<Incoming>, PeerError> {
+        address_to(&mut request, guard);
         self.token.write(request.headers_mut());
-        self.client.request(request).await
+        let mut ended = LinkError::Closed;
+        for _ in 0..MOST_LINKS {
+            let asked_at = Instant::now();
+            let entry = self.entry(guard);
+            let link = entry.link.clone().await.inspect_err(|_| self.remove(guard, &entry));
+            let mut link = link.map_err(PeerError::Unsent)?;
+            if link.sender.is_closed() {
+                self.remove(guard, &entry);
+                continue;
+            }
+            call.depart(asked_at.elapsed(), link.opening);
+            call.write(request.headers_mut());
+            let mut failure = match link.sender.try_send_request(request).await {
+                Ok(response) => return Ok(response),
+                Err(failure) => failure,
+            };
+            let unsent = failure.take_message();
+            let err = failure.into_error();
+            match unsent {
+                Some(unsent) => request = unsent,
+                None => return Err(PeerError::Lost(err)),
+            }
+            self.remove(guard, &entry);
+            ended = LinkError::Ended(Arc::new(err));
+        }
+        Err(PeerError::Unsent(ended))
     }
+
+    /// Gives the connection to a guard, which is opened if there is none.
+    fn entry(&self, guard: &Authority) -> PeerEntry {
+        if let Some(entry) = self.entries.load().get(guard) {
+            entry.touch();
+            return entry.clone();
+        }
+        let new = PeerEntry::open(guard.clone());
+        let before = self.entries.rcu(|entries| {
+            let mut entries = EntryMap::clone(entries);
+            entries.retain(|_, entry| !entry.is_idle());
+            entries.entry(guard.clone()).or_insert_with(|| new.clone());
+            entries
+        });
+        match before.get(guard) {
+            // Another request has begun to open one meanwhile.
+            Some(entry) => entry.clone(),
+            None => {
+                // Goes on when the request that asked for it ends: others wait for it too.
+                tokio::spawn(new.link.clone());
+                new
+            }
+        }
+    }
+
+    /// Removes a connection that is no longer of use, unless another has taken its place.
+    fn remove(&self, guard: &Authority, entry: &PeerEntry) {
+        self.entries.rcu(|entries| {
+            let mut entries = EntryMap::clone(entries);
+            if entries.get(guard).is_some_and(|held| Arc::ptr_eq(&held.used_ms, &entry.used_ms)) {
+                entries.remove(guard);
+            }
+            entries
+        });
+    }
+}
+
+impl PeerEntry {
+    fn open(guard: Authority) -> Self {
+        let entry = Self { link: open_link(guard).boxed().shared(), used_ms: Arc::default() };
+        entry.touch();
+        entry
+    }
+
+    fn touch(&self) {
+        self.used_ms.store(process_now_ms(), Ordering::Relaxed);
+    }
+
+    fn is_idle(&self) -> bool {
+        let idle_ms = process_now_ms().saturating_sub(self.used_ms.load(Ordering::Relaxed));
+        Duration::from_millis(idle_ms) >= IDLE_LIMIT
+    }
+}
+
+fn process_now_ms() -> u64 {
+    u64::try_from(process_now().as_millis()).unwrap_or(u64::MAX)
+}
+
+/// Addresses a request to a guard, over HTTP/2.
+fn address_to(request: &mut Request<ProxyBody>, guard: &Authority) {
+    let mut parts = std::mem::take(request.uri_mut()).into_parts();
+    parts.scheme = Some(http::uri::Scheme::HTTP);
+    parts.authority = Some(guard.clone());
+    parts.path_and_query.get_or_insert_with(|| http::uri::PathAndQuery::from_static("/"));
+    *request.uri_mut() = Uri::from_parts(parts).expect("scheme, authority and path are there");
+    *request.version_mut() = http::Version::HTTP_2;
+}
+
+async fn open_link(guard: Authority) -> Result<PeerLink, LinkError> {
+    let began = trip_now();
+    let connect = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(guard.as_str())).await;
+    let stream = connect
+        .map_err(|_| LinkError::Timeout)?
+        .map_err(|err| LinkError::Refused(Arc::new(err)))?;
+    let opening = LinkOpening { began, took: trip_now().saturating_sub(began) };
+    // A small request must not wait for the acknowledgement of the one before.
+    stream.set_nodelay(true).map_err(|err| LinkError::Refused(Arc::new(err)))?;
+    watch_silence(&stream);
+    let (sender, connection) = http2::Builder::new(TokioExecutor::new())
+        .timer(TokioTimer::new())
+        .initial_stream_window_size(STREAM_WINDOW)
+        .initial_connection_window_size(CONNECTION_WINDOW)
+        .max_header_list_size(MAX_HEAD_BYTES)
+        .max_concurrent_reset_streams(REMEMBERED_RESETS)
+        .max_local_error_reset_streams(None)
+        .keep_alive_interval(PING_INTERVAL)
+        .keep_alive_timeout(PING_TIMEOUT)
+        .handshake(TokioIo::new(stream))
+        .await
+        .map_err(|err| LinkError::Ended(Arc::new(err)))?;
+    tokio::spawn(async move {
+        if let Err(err) = connection.await {
+            log::debug!("proxy: a connection to {guard} ended: {err}.");
+        }
+    });
+    Ok(PeerLink { sender, opening })
 }
--- a/components/proxy/src/serve.rs
+++ b/components/proxy/src/serve.rs
@@ -23,6 +23,7 @@
 use crate::{
     answer::refuse_until,
     body::ProxyBody,
+    clock::trip_now,
     context::{ForwardContext, GuardContext},
     forward::forward,
     guard::guard,
@@ -97,6 +98,14 @@
     }
 }
 
+/// The other end of a connection.
+#[derive(Clone, Copy, Debug)]
+struct AcceptedPeer {
+    address: IpAddr,
+    /// When it was accepted, on the clock that trips are measured by.
+    accepted_at: Duration,
+}
+
 /// A running listener.
 pub struct ServeHandle {
     switch: Arc<DrainSwitch>,
@@ -135,7 +144,9 @@
     let server = build_server(ENTRY_HEAD_BYTES, ENTRY_STREAMS, ENTRY_RESETS);
     let table = context.table.clone();
     let idle = move || table.load().limits().map_or(HEAD_TIMEOUT, idle_limit);
-    serve(listener, server, idle, move |request, caller| forward(context.clone(), request, caller))
+    serve(listener, server, idle, move |request, peer| {
+        forward(context.clone(), request, peer.address)
+    })
 }
 
 /// Serves other daemons on behalf of the local backend server.
@@ -144,7 +155,12 @@
     // Counted over the life of a connection: bodies that cross with an early refusal count, so that
     // a connection between two daemons would break every thousand refusals.
     server.http2().max_local_error_reset_streams(None).max_send_buf_size(SEND_BUFFER);
-    serve(listener, server, || HEAD_TIMEOUT, move |request, _| guard(context.clone(), request))
+    serve(
+        listener,
+        server,
+        || HEAD_TIMEOUT,
+        move |request, peer| guard(context.clone(), request, peer.accepted_at),
+    )
 }
 
 /// Gives how long a caller's connection may be without a whole head. The library's timer runs from
@@ -177,7 +193,7 @@
 fn serve<L, H, F>(listener: TcpListener, server: ServerBuilder, idle: L, handle: H) -> ServeHandle
 where
     L: Fn() -> Duration + Send + 'static,
-    H: Fn(Request<Incoming>, IpAddr) -> F + Clone + Send + 'static,
+    H: Fn(Request<Incoming>, AcceptedPeer) -> F + Clone + Send + 'static,
     F: Future<Output = Response<ProxyBody>> + Send + 'static,
 {
     let stop = watch::Sender::new(false);
@@ -194,7 +210,7 @@
     mut stopped: watch::Receiver<bool>,
 ) where
     L: Fn() -> Duration + Send + 'static,
-    H: Fn(Request<Incoming>, IpAddr) -> F + Clone + Send + 'static,
+    H: Fn(Request<Incoming>, AcceptedPeer) -> F + Clone + Send + 'static,
     F: Future<Output = Response<ProxyBody>> + Send + 'static,
 {
     let graceful = GracefulShutdown::new();
@@ -203,8 +219,10 @@
             accepted = listener.accept() => accepted,
             _ = stopped.wait_for(|stop| *stop) => break,
         };
-        let (stream, caller) = match accepted {
-            Ok((stream, caller)) => (stream, caller.ip()),
+        let (stream, peer) = match accepted {
+            Ok((stream, address)) => {
+                (stream, AcceptedPeer { address: address.ip(), accepted_at: trip_now() })
+            }
             Err(err) => {
                 log::warn!("proxy: cannot accept: {err}.");
                 tokio::time::sleep(ACCEPT_RETRY).await;
@@ -216,7 +234,7 @@
         watch_accepted(&stream);
         let (handle, switch) = (handle.clone(), switch.clone());
         let service = service_fn(move |request| {
-            let answer = answer(&handle, &switch, request, caller);
+            let answer = answer(&handle, &switch, request, peer);
             async move { Ok::<_, Infallible>(answer.await) }
         });
         // Limits may have changed since the connection before.
@@ -237,16 +255,16 @@
     handle: &H,
     switch: &Arc<DrainSwitch>,
     request: Request<Incoming>,
-    caller: IpAddr,
+    peer: AcceptedPeer,
 ) -> impl Future<Output = Response<ProxyBody>> + Send + use<H, F>
 where
-    H: Fn(Request<Incoming>, IpAddr) -> F,
+    H: Fn(Request<Incoming>, AcceptedPeer) -> F,
     F: Future<Output = Response<ProxyBody>> + Send + 'static,
 {
     let is_http1 = request.version() == Version::HTTP_11;
     let is_refused = switch.has_reached(DrainStage::Refusing) && !is_nested(request.headers());
     // Boxed, as the library keeps room for a whole future in each connection, also an idle one.
-    let answer = (!is_refused).then(|| Box::pin(handle(request, caller)));
+    let answer = (!is_refused).then(|| Box::pin(handle(request, peer)));
     let switch = switch.clone();
     async move {
         let mut response = match answer {
--- a/components/proxy/src/sockets.rs
+++ b/components/proxy/src/sockets.rs
@@ -7,7 +7,6 @@
 
 use std::time::Duration;
 
-use hyper_util::client::legacy::connect::HttpConnector;
 use socket2::{SockRef, TcpKeepalive};
 use tokio::net::TcpStream;
 
@@ -46,11 +45,3 @@
         log::debug!("proxy: no keep-alive probes on a connection: {err}.");
     }
 }
-
-/// Sets probes on the connections that a client will open.
-pub(crate) fn watch_client(connector: &mut HttpConnector) {
-    connector.set_keepalive(Some(PROBE_INTERVAL));
-    connector.set_keepalive_interval(Some(PROBE_INTERVAL));
-    connector.set_keepalive_retries(Some(PROBES));
-    connector.set_tcp_user_timeout(Some(UNACKNOWLEDGED_LIMIT));
-}
--- /dev/null
+++ b/components/proxy/tests/peer_links.rs
@@ -0,0 +1,85 @@
+//! Connections between daemons.
+
+mod common;
+
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicU32, Ordering},
+    },
+    time::Duration,
+};
+
+use common::{FleetPlan, TestFleet, get, http1};
+use futures::future::join_all;
+use tokio::{
+    net::{TcpListener, TcpStream},
+    sync::watch,
+};
+
+/// Carries connections to a guard, counts them, and ends all of them at each change of a switch.
+struct GuardRelay {
+    address: SocketAddr,
+    accepted: Arc<AtomicU32>,
+    reset: watch::Sender<()>,
+}
+
+impl GuardRelay {
+    async fn start(guard: SocketAddr) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("local port");
+        let address = listener.local_addr().expect("address");
+        let (accepted, reset) = (Arc::<AtomicU32>::default(), watch::Sender::new(()));
+        let (count, resets) = (accepted.clone(), reset.clone());
+        tokio::spawn(async move {
+            while let Ok((mut near, _)) = listener.accept().await {
+                count.fetch_add(1, Ordering::Relaxed);
+                let mut ended = resets.subscribe();
+                tokio::spawn(async move {
+                    let mut far = TcpStream::connect(guard).await.expect("the guard listens");
+                    tokio::select! {
+                        _ = tokio::io::copy_bidirectional(&mut near, &mut far) => (),
+                        _ = ended.changed() => (),
+                    }
+                });
+            }
+        });
+        Self { address, accepted, reset }
+    }
+
+    fn accepted(&self) -> u32 {
+        self.accepted.load(Ordering::Relaxed)
+    }
+}
+
+async fn start_relayed() -> (TestFleet, GuardRelay) {
+    let mut fleet = TestFleet::start(FleetPlan::new(1)).await;
+    let relay = GuardRelay::start(fleet.daemons[1].guard).await;
+    fleet.daemons[1].guard = relay.address;
+    fleet.rebuild();
+    (fleet, relay)
+}
+
+/// Guards against a burst of first requests opening a connection each.
+#[tokio::test(flavor = "multi_thread")]
+async fn one_connection() {
+    let (fleet, relay) = start_relayed().await;
+    let (entry, client) = (fleet.entry(), http1());
+    let answers = join_all((0..8).map(|_| get(&client, entry, "/"))).await;
+    assert!(answers.iter().all(|answer| answer.status == 200), "{answers:?}");
+    assert_eq!(relay.accepted(), 1);
+}
+
+/// Guards against requests being lost on a connection that ended while nothing was in flight.
+#[tokio::test(flavor = "multi_thread")]
+async fn opened_again() {
+    let (fleet, relay) = start_relayed().await;
+    let (entry, client) = (fleet.entry(), http1());
+    for round in 1..=5 {
+        assert_eq!(get(&client, entry, "/").await.status, 200, "round {round}");
+        assert_eq!(relay.accepted(), round);
+        relay.reset.send_replace(());
+        // Time for the end to arrive.
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+}
