daemon: what follows the drain of a stop is bounded

What callers would see: a daemon that does not end is killed at the end of its grace time, and whatever its callers still read is cut.

Cause, read in the code: a stop drains for leave_ms and drain_ms, 5.5 s of 6, and then waited without a bound for the control thread, for blocking calls at the end of the runtime, and for its listeners of operators one after the other.

Change: the control thread has 200 ms and is left behind after that, with a line; the runtime has 50 ms; the listeners end side by side.

--- a/components/daemon/src/daemon.rs
+++ b/components/daemon/src/daemon.rs
@@ -10,6 +10,7 @@
 };
 
 use arc_swap::ArcSwapOption;
+use futures::future::join_all;
 use sk_claim::ClaimBook;
 use sk_ledger::{Ledger, LedgerSettings};
 use sk_member::{HeartbeatBook, MemberBoard, MemberRecord, MemberStatus};
@@ -256,11 +257,10 @@
         };
         let left = end.saturating_duration_since(Instant::now());
         let forward = self.forward.stop(left).await;
-        for ops in self.ops {
-            // A caller that keeps its connection open must not keep the process alive.
-            if tokio::time::timeout(OPS_STOP, ops.stop()).await.is_err() {
-                log::info!("ops: connections were open at the end.");
-            }
+        // A caller that keeps its connection open must not keep the process alive.
+        let ops = join_all(self.ops.into_iter().map(OpsHandle::stop));
+        if tokio::time::timeout(OPS_STOP, ops).await.is_err() {
+            log::info!("ops: connections were open at the end.");
         }
         self.tasks.iter().for_each(JoinHandle::abort);
         // The control thread is joined, which must not block a worker of this runtime.
--- a/components/spread/src/driver.rs
+++ b/components/spread/src/driver.rs
@@ -43,6 +43,11 @@
 /// Pause after the listener failed; out of file descriptors, usually, and without the pause the
 /// loop would spin.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(200);
+/// Time for the control thread to end. It does so at its next wait; one that is kept busy by a call that
+/// never returns must not keep the process alive.
+const STOP_TIME: Duration = Duration::from_millis(200);
+/// Time between looks whether it has ended.
+const STOP_LOOK: Duration = Duration::from_millis(2);
 /// Fetches that wait to be made; a later one is left to the next comparison.
 const MAX_WANTS: usize = 32;
 
@@ -138,13 +143,18 @@
         self.ended.clone()
     }
 
-    /// Ends the control thread and waits for it.
+    /// Ends the control thread and waits for it, for a bounded time.
     pub fn stop(&mut self) {
         drop(self.stop.take());
-        if let Some(thread) = self.thread.take()
-            && thread.join().is_err()
-        {
-            log::error!("spread: the control thread panicked.");
+        let Some(thread) = self.thread.take() else { return };
+        let until = Instant::now() + STOP_TIME;
+        while !thread.is_finished() && Instant::now() < until {
+            std::thread::sleep(STOP_LOOK);
+        }
+        match thread.is_finished() {
+            false => log::error!("spread: the control thread does not end; it is left behind."),
+            true if thread.join().is_err() => log::error!("spread: the control thread panicked."),
+            true => (),
         }
     }
 }
--- a/src/bin/sapphirekeeld.rs
+++ b/src/bin/sapphirekeeld.rs
@@ -17,6 +17,9 @@
 /// file.
 const LOOK_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Time for calls that block a thread to end after a stop. All requests are answered by then.
+const RUNTIME_STOP: Duration = Duration::from_millis(50);
+
 #[derive(Debug, Options)]
 struct DaemonArgs {
     /// Print this help
@@ -38,7 +41,10 @@
     if settings.instance.threads > 0 {
         runtime.worker_threads(settings.instance.threads);
     }
-    runtime.build()?.block_on(run(&args.settings, settings))
+    let runtime = runtime.build()?;
+    let result = runtime.block_on(run(&args.settings, settings));
+    runtime.shutdown_timeout(RUNTIME_STOP);
+    result
 }
 
 async fn run(file: &Path, settings: DaemonSettings) -> anyhow::Result<()> {
