--- /dev/null
+++ b/components/spread/tests/version_series.rs
@@ -0,0 +1,77 @@
+//! Versions that follow each other closely over thin links.
+
+mod common;
+
+use std::{
+    collections::BTreeMap,
+    time::{Duration, Instant},
+};
+
+use common::{TestDaemon, TestFleet, ThinLink, all_hold, from_trees, wait_for};
+use sk_model::{ConfigSnapshot, RouteSetting, ServiceSetting, SettingBody, TeamTree, Version};
+
+const DAEMONS: usize = 16;
+const BYTES_PER_S: usize = 150_000;
+/// Time between versions.
+const PAUSE: Duration = Duration::from_millis(1_600);
+/// Time in which an accepted version has to be in force everywhere.
+const IN_FORCE: Duration = Duration::from_millis(2_500);
+
+/// Makes a version with so many routes to one service.
+fn with_routes(version: Version, count: usize) -> ConfigSnapshot {
+    let service = "/board/queue".to_owned();
+    let route = |index: usize| {
+        let prefix = format!("/{:x}/{index}/", index * 7_919);
+        let setting = RouteSetting {
+            host: Some(format!("host{}.example", index % 40)),
+            deadline_ms: 2_500,
+            goal_ms: Some(600),
+            ..RouteSetting::new(&prefix, &service)
+        };
+        (format!("/board/routes/r{index}"), SettingBody::Route(setting))
+    };
+    let mut settings: BTreeMap<_, _> = (0..count).map(route).collect();
+    settings.insert(service.clone(), SettingBody::Service(ServiceSetting::default()));
+    from_trees(version, BTreeMap::from([("board".to_owned(), TeamTree { settings })]))
+}
+
+/// Guards against callers getting 404 for a route whose version was accepted more than 2.5 s before: a
+/// change of 920 routes fills the links, and the versions that follow stand behind it.
+#[test]
+fn grown_in_series() {
+    let fleet = TestFleet::new();
+    let started = (0..DAEMONS).fold(Vec::<(TestDaemon, ThinLink)>::new(), |mut started, index| {
+        let seeds: Vec<_> = started.iter().take(2).map(|(daemon, _)| daemon.address).collect();
+        let (name, source) = (format!("lj1-{index:02}"), fleet.platform.clone());
+        started.push(fleet.start_behind(BYTES_PER_S, &name, "lj1", &seeds, source));
+        started
+    });
+    let daemons: Vec<TestDaemon> = started.into_iter().map(|(daemon, _)| daemon).collect();
+    wait_for("all daemons to meet and be ready", || {
+        daemons.iter().all(|daemon| daemon.present() == DAEMONS && daemon.held.is_ready())
+    });
+    fleet.platform.accept(with_routes(1, 200));
+    wait_for("the first version", || all_hold(&daemons, 1));
+    // Views of who watches the source settle a little after the last daemon came.
+    std::thread::sleep(Duration::from_secs(1));
+    let mut took = Vec::new();
+    std::thread::scope(|scope| {
+        let waits: Vec<_> = [(2, 1_120), (3, 1_160), (4, 1_200), (5, 1_900)]
+            .into_iter()
+            .map(|(version, routes)| {
+                let accepted = Instant::now();
+                fleet.platform.accept(with_routes(version, routes));
+                let daemons = &daemons;
+                let wait = scope.spawn(move || {
+                    wait_for("a version of the series", || all_hold(daemons, version));
+                    accepted.elapsed()
+                });
+                std::thread::sleep(PAUSE);
+                wait
+            })
+            .collect();
+        took.extend(waits.into_iter().map(|wait| wait.join().expect("a wait")));
+    });
+    println!("in force after {took:?}");
+    assert!(took.iter().all(|took| *took <= IN_FORCE), "in force after {took:?}");
+}
