--- a/components/proxy/src/peers.rs
+++ b/components/proxy/src/peers.rs
@@ -40,8 +40,8 @@
 const PING_INTERVAL: Duration = Duration::from_secs(2);
 /// Time until a ping counts as lost.
 const PING_TIMEOUT: Duration = Duration::from_secs(3);
-/// Idle time after which a connection is closed, so that a daemon does not hold one to each other
-/// for good.
+/// Idle time after which a connection is closed when another is opened, so that a daemon does not hold
+/// one to each other for good.
 const IDLE_LIMIT: Duration = Duration::from_secs(60);
 /// Largest head of an answer, in bytes.
 const MAX_HEAD_BYTES: u32 = 64 * 1024;
--- /dev/null
+++ b/components/proxy/tests/bulk_uploads.rs
@@ -0,0 +1,112 @@
+//! Large request bodies on the way between daemons.
+
+mod common;
+
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
+    time::{Duration, Instant},
+};
+
+use bytes::Bytes;
+use common::{FleetPlan, TestFleet, get, http1, send};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{TcpListener, TcpStream},
+    sync::Mutex,
+};
+
+const BODY_BYTES: usize = 200_000;
+const BYTES_PER_S: usize = 200_000;
+const CHUNK_BYTES: usize = 2_048;
+
+/// A link to a guard that carries so many bytes a second towards it, and counts them.
+struct GuardLink {
+    address: SocketAddr,
+    carried: Arc<AtomicUsize>,
+}
+
+impl GuardLink {
+    async fn start(guard: SocketAddr) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("local port");
+        let address = listener.local_addr().expect("address");
+        let (carried, turn) = (Arc::<AtomicUsize>::default(), Arc::new(Mutex::new(())));
+        let count = carried.clone();
+        tokio::spawn(async move {
+            while let Ok((near, _)) = listener.accept().await {
+                let far = TcpStream::connect(guard).await.expect("the guard listens");
+                let ((mut near_in, mut near_out), (mut far_in, mut far_out)) =
+                    (near.into_split(), far.into_split());
+                let (count, turn) = (count.clone(), turn.clone());
+                tokio::spawn(async move {
+                    let mut chunk = [0; CHUNK_BYTES];
+                    while let Ok(size @ 1..) = near_in.read(&mut chunk).await {
+                        let held = turn.lock().await;
+                        let time = Duration::from_secs_f64(size as f64 / BYTES_PER_S as f64);
+                        tokio::time::sleep(time).await;
+                        drop(held);
+                        count.fetch_add(size, Ordering::Relaxed);
+                        if far_out.write_all(&chunk[..size]).await.is_err() {
+                            return;
+                        }
+                    }
+                });
+                tokio::spawn(async move { tokio::io::copy(&mut far_in, &mut near_out).await });
+            }
+        });
+        Self { address, carried }
+    }
+}
+
+async fn start_linked() -> (TestFleet, GuardLink) {
+    let mut fleet = TestFleet::start(FleetPlan::new(1)).await;
+    let link = GuardLink::start(fleet.daemons[1].guard).await;
+    fleet.daemons[1].guard = link.address;
+    fleet.rebuild();
+    (fleet, link)
+}
+
+fn body() -> Bytes {
+    Bytes::from(vec![b'x'; BODY_BYTES])
+}
+
+/// Guards against short calls waiting behind whole uploads that are on their way to the same daemon.
+#[tokio::test(flavor = "multi_thread")]
+async fn short_call_passes() {
+    let (fleet, _link) = start_linked().await;
+    let (entry, client) = (fleet.entry(), http1());
+    assert_eq!(get(&client, entry, "/").await.status, 200);
+    let uploads: Vec<_> = (0..5)
+        .map(|_| {
+            let client = client.clone();
+            tokio::spawn(async move { send(&client, entry, "POST", "/", &[], body()).await })
+        })
+        .collect();
+    // The link takes a second for each of them.
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    let began = Instant::now();
+    assert_eq!(get(&client, entry, "/").await.status, 200);
+    let took = began.elapsed();
+    for upload in uploads {
+        assert_eq!(upload.await.expect("an upload").status, 200);
+    }
+    assert!(took < Duration::from_millis(1_500), "a short call took {took:?}");
+}
+
+/// Guards against an upload that is refused being carried whole to whoever refuses it.
+#[tokio::test(flavor = "multi_thread")]
+async fn refused_early() {
+    let (fleet, link) = start_linked().await;
+    let (entry, client) = (fleet.entry(), http1());
+    assert_eq!(get(&client, entry, "/").await.status, 200);
+    fleet.daemons[1].servers.refuse_waiting();
+    let before = link.carried.load(Ordering::Relaxed);
+    assert_eq!(send(&client, entry, "POST", "/", &[], body()).await.status, 503);
+    // Time for what is on its way to arrive.
+    tokio::time::sleep(Duration::from_millis(1_200)).await;
+    let carried = link.carried.load(Ordering::Relaxed) - before;
+    assert!(carried < BODY_BYTES / 5, "{carried} bytes of a refused upload");
+}
