--- a/components/spread/tests/common/mod.rs
+++ b/components/spread/tests/common/mod.rs
@@ -19,8 +19,8 @@
 use rand::RngExt;
 use sk_member::{MemberBoard, MemberRecord, MemberStatus, choose_relays};
 use sk_model::{
-    ConfigSnapshot, ProxyAck, RouteSetting, SettingBody, SnapshotRoot, TeamTree, TreeRef,
-    ValueSetting, Version,
+    ConfigSnapshot, ProxyAck, RouteSetting, ServiceSetting, SettingBody, SnapshotRoot, TeamTree,
+    TreeRef, ValueSetting, Version,
 };
 use sk_spread::{
     AckSink, ConfigSource, ContactBook, ContactMap, ControlMeter, HeldConfig, SourceError,
@@ -62,6 +62,24 @@
     make_snapshot(version, &[("board", "a", &text), ("records", "b", &text), ("shop", "c", "same")])
 }
 
+/// Makes a version with so many routes to one service.
+pub fn with_routes(version: Version, count: usize) -> ConfigSnapshot {
+    let service = "/board/queue".to_owned();
+    let route = |index: usize| {
+        let prefix = format!("/{:x}/{index}/", index * 7_919);
+        let setting = RouteSetting {
+            host: Some(format!("host{}.example", index % 40)),
+            deadline_ms: 2_500,
+            goal_ms: Some(600),
+            ..RouteSetting::new(&prefix, &service)
+        };
+        (format!("/board/routes/r{index}"), SettingBody::Route(setting))
+    };
+    let mut settings: BTreeMap<_, _> = (0..count).map(route).collect();
+    settings.insert(service.clone(), SettingBody::Service(ServiceSetting::default()));
+    from_trees(version, BTreeMap::from([("board".to_owned(), TeamTree { settings })]))
+}
+
 /// Makes text that no encoding makes much smaller.
 pub fn noise(bytes: usize) -> String {
     let mut rng = rand::rng();
--- a/components/spread/tests/thin_links.rs
+++ b/components/spread/tests/thin_links.rs
@@ -2,16 +2,13 @@
 
 mod common;
 
-use std::{
-    collections::BTreeMap,
-    time::{Duration, Instant},
-};
+use std::time::{Duration, Instant};
 
 use common::{
-    PlatformWay, TestDaemon, TestFleet, ThinLink, WayState, all_hold, from_trees, make_snapshot,
-    noise, numbered, relays, wait_for,
+    PlatformWay, TestDaemon, TestFleet, ThinLink, WayState, all_hold, make_snapshot, noise,
+    numbered, relays, wait_for, with_routes,
 };
-use sk_model::{ConfigSnapshot, RouteSetting, ServiceSetting, SettingBody, TeamTree, Version};
+use sk_model::{ConfigSnapshot, Version};
 use sk_spread::SpreadOptions;
 
 const BYTES_PER_S: usize = 100_000;
@@ -92,21 +89,3 @@
     println!("{each} bytes a daemon for a subtree of {text} bytes");
     assert!(each < text / 4, "{each} bytes a daemon for a subtree of {text} bytes");
 }
-
-/// Makes a version with so many routes to one service.
-fn with_routes(version: Version, count: usize) -> ConfigSnapshot {
-    let service = "/board/queue".to_owned();
-    let route = |index: usize| {
-        let prefix = format!("/{:x}/{index}/", index * 7_919);
-        let setting = RouteSetting {
-            host: Some(format!("host{}.example", index % 40)),
-            deadline_ms: 2_500,
-            goal_ms: Some(600),
-            ..RouteSetting::new(&prefix, &service)
-        };
-        (format!("/board/routes/r{index}"), SettingBody::Route(setting))
-    };
-    let mut settings: BTreeMap<_, _> = (0..count).map(route).collect();
-    settings.insert(service.clone(), SettingBody::Service(ServiceSetting::default()));
-    from_trees(version, BTreeMap::from([("board".to_owned(), TeamTree { settings })]))
-}
--- a/components/spread/tests/version_series.rs
+++ b/components/spread/tests/version_series.rs
@@ -2,13 +2,9 @@
 
 mod common;
 
-use std::{
-    collections::BTreeMap,
-    time::{Duration, Instant},
-};
+use std::time::{Duration, Instant};
 
-use common::{TestDaemon, TestFleet, ThinLink, all_hold, from_trees, wait_for};
-use sk_model::{ConfigSnapshot, RouteSetting, ServiceSetting, SettingBody, TeamTree, Version};
+use common::{TestDaemon, TestFleet, ThinLink, all_hold, wait_for, with_routes};
 
 const DAEMONS: usize = 16;
 const BYTES_PER_S: usize = 150_000;
@@ -17,24 +13,6 @@
 /// Time in which an accepted version has to be in force everywhere.
 const IN_FORCE: Duration = Duration::from_millis(2_500);
 
-/// Makes a version with so many routes to one service.
-fn with_routes(version: Version, count: usize) -> ConfigSnapshot {
-    let service = "/board/queue".to_owned();
-    let route = |index: usize| {
-        let prefix = format!("/{:x}/{index}/", index * 7_919);
-        let setting = RouteSetting {
-            host: Some(format!("host{}.example", index % 40)),
-            deadline_ms: 2_500,
-            goal_ms: Some(600),
-            ..RouteSetting::new(&prefix, &service)
-        };
-        (format!("/board/routes/r{index}"), SettingBody::Route(setting))
-    };
-    let mut settings: BTreeMap<_, _> = (0..count).map(route).collect();
-    settings.insert(service.clone(), SettingBody::Service(ServiceSetting::default()));
-    from_trees(version, BTreeMap::from([("board".to_owned(), TeamTree { settings })]))
-}
-
 /// Guards against callers getting 404 for a route whose version was accepted more than 2.5 s before: a
 /// change of 920 routes fills the links, and the versions that follow stand behind it.
 #[test]
