Read again: what stood twice in the change is one piece

Behaviour stays as it was.

- proxy tests: bulk_uploads, peer_links and slow_link each wrote a relay between daemons and how a fleet is moved behind it; common::relay and TestFleet::move_guard serve all.
- peers: whole_micros of the clock in place of milliseconds of its own; entries are compared by their connection, not by a counter beside it.
- trip: an opening goes the same way into the clocks as a message, in place of a message that is changed afterwards.
- drain: bound_left is bound, seen from now. decide: GuardState tells whether it is idle, for any number of classes.

--- a/components/decide/src/admitting.rs
+++ b/components/decide/src/admitting.rs
@@ -124,6 +124,13 @@
     pub is_draining: bool,
 }
 
+impl GuardState {
+    /// Tells whether no request runs or waits.
+    pub fn is_idle(&self) -> bool {
+        self.running.iter().chain(&self.queued).all(|count| *count == 0)
+    }
+}
+
 /// Guards one incarnation of one server.
 #[derive(Clone, Debug)]
 pub struct AdmissionGuard {
--- a/components/decide/src/trip.rs
+++ b/components/decide/src/trip.rs
@@ -65,11 +65,8 @@
     /// on while an instance is suspended, or its messages would count as late by that time from then on.
     pub fn note(&mut self, clock: ClockId, sent_at: Duration, now: Duration) -> Duration {
         let micros = signed_micros(now) - signed_micros(sent_at);
-        if self.offsets.len() >= MOST_CLOCKS && !self.offsets.contains_key(&clock) {
-            self.offsets.clear();
-        }
         let first = ClockOffset { micros, seen_at: now, opening: None };
-        let offset = self.offsets.entry(clock).or_insert(first);
+        let offset = self.offset_or(clock, first);
         let passed = signed_micros(now) - signed_micros(offset.seen_at);
         let drift = passed * DRIFT_PER_MILLION / 1_000_000;
         offset.micros = micros.min(offset.micros + drift);
@@ -86,10 +83,17 @@
     /// The time from its beginning to its acceptance is that of three trips at least. It can make
     /// messages look faster than they were, never slower.
     pub fn note_opening(&mut self, clock: ClockId, opening: LinkOpening, accepted_at: Duration) {
-        if !self.offsets.contains_key(&clock) {
-            let _ = self.note(clock, opening.began, accepted_at);
-            self.offsets.entry(clock).and_modify(|offset| offset.opening = Some(opening));
+        let micros = signed_micros(accepted_at) - signed_micros(opening.began);
+        let first = ClockOffset { micros, seen_at: accepted_at, opening: Some(opening) };
+        self.offset_or(clock, first);
+    }
+
+    /// Gives what is known of a clock, `first` where that is nothing.
+    fn offset_or(&mut self, clock: ClockId, first: ClockOffset) -> &mut ClockOffset {
+        if self.offsets.len() >= MOST_CLOCKS && !self.offsets.contains_key(&clock) {
+            self.offsets.clear();
         }
+        self.offsets.entry(clock).or_insert(first)
     }
 }
 
--- a/components/proxy/src/drain.rs
+++ b/components/proxy/src/drain.rs
@@ -33,7 +33,7 @@
     /// Bounds the time left to a request that arrives now.
     pub(crate) fn bound_left(&self, left: Duration) -> Duration {
         let now = Instant::now();
-        self.0.borrow().map_or(left, |end| left.min(end.saturating_duration_since(now)))
+        self.bound(now + left).saturating_duration_since(now)
     }
 
     /// Awaits an answer until `grace` after its deadline, or after the end of a drain, also one that
--- a/components/proxy/src/local.rs
+++ b/components/proxy/src/local.rs
@@ -174,8 +174,7 @@
 
     /// Tells whether no request waits or runs here, and no answer is on its way.
     pub fn is_idle(&self) -> bool {
-        let is_idle = |state: GuardState| state.running == [0; 2] && state.queued == [0; 2];
-        self.guard_states().into_values().all(is_idle)
+        self.guard_states().values().all(GuardState::is_idle)
     }
 
     /// Refuses the requests that wait for a server here, and all new ones, as not run.
--- a/components/proxy/src/peers.rs
+++ b/components/proxy/src/peers.rs
@@ -28,7 +28,7 @@
 use crate::{
     body::ProxyBody,
     call::{GuardCall, GuardToken},
-    clock::{process_now, trip_now},
+    clock::{process_now, trip_now, whole_micros},
     sockets::watch_silence,
 };
 
@@ -103,8 +103,8 @@
 #[derive(Clone)]
 struct PeerEntry {
     link: LinkFuture,
-    /// Milliseconds on the process's clock at which it was last asked for.
-    used_ms: Arc<AtomicU64>,
+    /// Microsecond on the process's clock at which it was last asked for.
+    used_us: Arc<AtomicU64>,
 }
 
 type EntryMap = HashMap<Authority, PeerEntry>;
@@ -191,7 +191,7 @@
     fn remove(&self, guard: &Authority, entry: &PeerEntry) {
         self.entries.rcu(|entries| {
             let mut entries = EntryMap::clone(entries);
-            if entries.get(guard).is_some_and(|held| Arc::ptr_eq(&held.used_ms, &entry.used_ms)) {
+            if entries.get(guard).is_some_and(|held| held.link.ptr_eq(&entry.link)) {
                 entries.remove(guard);
             }
             entries
@@ -201,25 +201,21 @@
 
 impl PeerEntry {
     fn open(guard: Authority) -> Self {
-        let entry = Self { link: open_link(guard).boxed().shared(), used_ms: Arc::default() };
+        let entry = Self { link: open_link(guard).boxed().shared(), used_us: Arc::default() };
         entry.touch();
         entry
     }
 
     fn touch(&self) {
-        self.used_ms.store(process_now_ms(), Ordering::Relaxed);
+        self.used_us.store(whole_micros(process_now()), Ordering::Relaxed);
     }
 
     fn is_idle(&self) -> bool {
-        let idle_ms = process_now_ms().saturating_sub(self.used_ms.load(Ordering::Relaxed));
-        Duration::from_millis(idle_ms) >= IDLE_LIMIT
+        let used = Duration::from_micros(self.used_us.load(Ordering::Relaxed));
+        process_now().saturating_sub(used) >= IDLE_LIMIT
     }
 }
 
-fn process_now_ms() -> u64 {
-    u64::try_from(process_now().as_millis()).unwrap_or(u64::MAX)
-}
-
 /// Addresses a request to a guard, over HTTP/2.
 fn address_to(request: &mut Request<ProxyBody>, guard: &Authority) {
     let mut parts = std::mem::take(request.uri_mut()).into_parts();
--- a/components/proxy/tests/bulk_uploads.rs
+++ b/components/proxy/tests/bulk_uploads.rs
@@ -12,10 +12,10 @@
 };
 
 use bytes::Bytes;
-use common::{FleetPlan, TestFleet, get, http1, send};
+use common::{FleetPlan, TestFleet, get, http1, relay, send};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
-    net::{TcpListener, TcpStream},
+    net::tcp::{OwnedReadHalf, OwnedWriteHalf},
     sync::Mutex,
 };
 
@@ -31,41 +31,42 @@
 
 impl GuardLink {
     async fn start(guard: SocketAddr) -> Self {
-        let listener = TcpListener::bind("127.0.0.1:0").await.expect("local port");
-        let address = listener.local_addr().expect("address");
         let (carried, turn) = (Arc::<AtomicUsize>::default(), Arc::new(Mutex::new(())));
         let count = carried.clone();
-        tokio::spawn(async move {
-            while let Ok((near, _)) = listener.accept().await {
-                let far = TcpStream::connect(guard).await.expect("the guard listens");
-                let ((mut near_in, mut near_out), (mut far_in, mut far_out)) =
-                    (near.into_split(), far.into_split());
-                let (count, turn) = (count.clone(), turn.clone());
-                tokio::spawn(async move {
-                    let mut chunk = [0; CHUNK_BYTES];
-                    while let Ok(size @ 1..) = near_in.read(&mut chunk).await {
-                        let held = turn.lock().await;
-                        let time = Duration::from_secs_f64(size as f64 / BYTES_PER_S as f64);
-                        tokio::time::sleep(time).await;
-                        drop(held);
-                        count.fetch_add(size, Ordering::Relaxed);
-                        if far_out.write_all(&chunk[..size]).await.is_err() {
-                            return;
-                        }
-                    }
-                });
-                tokio::spawn(async move { tokio::io::copy(&mut far_in, &mut near_out).await });
-            }
-        });
+        let address = relay(guard, move |near, far| {
+            let ((near_in, mut near_out), (mut far_in, far_out)) =
+                (near.into_split(), far.into_split());
+            tokio::spawn(async move { tokio::io::copy(&mut far_in, &mut near_out).await });
+            carry(near_in, far_out, count.clone(), turn.clone())
+        })
+        .await;
         Self { address, carried }
     }
 }
 
+/// Carries bytes in turn with the other connections of a link.
+async fn carry(
+    mut input: OwnedReadHalf,
+    mut output: OwnedWriteHalf,
+    carried: Arc<AtomicUsize>,
+    turn: Arc<Mutex<()>>,
+) {
+    let mut chunk = [0; CHUNK_BYTES];
+    while let Ok(size @ 1..) = input.read(&mut chunk).await {
+        let held = turn.lock().await;
+        tokio::time::sleep(Duration::from_secs_f64(size as f64 / BYTES_PER_S as f64)).await;
+        drop(held);
+        carried.fetch_add(size, Ordering::Relaxed);
+        if output.write_all(&chunk[..size]).await.is_err() {
+            return;
+        }
+    }
+}
+
 async fn start_linked() -> (TestFleet, GuardLink) {
     let mut fleet = TestFleet::start(FleetPlan::new(1)).await;
     let link = GuardLink::start(fleet.daemons[1].guard).await;
-    fleet.daemons[1].guard = link.address;
-    fleet.rebuild();
+    fleet.move_guard(1, link.address);
     (fleet, link)
 }
 
--- a/components/proxy/tests/common/mod.rs
+++ b/components/proxy/tests/common/mod.rs
@@ -27,7 +27,7 @@
     process_now, serve_forward, serve_guard,
 };
 use sk_standin::{BackendHandle, BackendOptions, start_backend};
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpStream};
 
 pub const WAIT_BOUND: Duration = Duration::from_secs(30);
 pub const MAX_BODY_BYTES: u64 = 1024 * 1024;
@@ -153,6 +153,12 @@
         }
     }
 
+    /// Has the others reach a daemon's guard at another address.
+    pub fn move_guard(&mut self, daemon: usize, guard: SocketAddr) {
+        self.daemons[daemon].guard = guard;
+        self.rebuild();
+    }
+
     pub fn entry(&self) -> SocketAddr {
         self.daemons[0].entry
     }
@@ -167,6 +173,26 @@
     }
 }
 
+/// Accepts connections for `target` and hands each, with one to there, to `carry`, which is to pass
+/// bytes on between them.
+pub async fn relay<F>(
+    target: SocketAddr,
+    carry: impl Fn(TcpStream, TcpStream) -> F + Send + 'static,
+) -> SocketAddr
+where
+    F: Future<Output = ()> + Send + 'static,
+{
+    let listener = bind().await;
+    let address = listener.local_addr().expect("address");
+    tokio::spawn(async move {
+        while let Ok((near, _)) = listener.accept().await {
+            let far = TcpStream::connect(target).await.expect("the target listens");
+            tokio::spawn(carry(near, far));
+        }
+    });
+    address
+}
+
 impl TestDaemon {
     fn record(&self) -> MemberRecord {
         MemberRecord {
@@ -313,9 +339,9 @@
 }
 
 /// Sends a request over a connection of its own whose answer is never read.
-pub async fn send_and_stop(entry: SocketAddr, path: &str) -> tokio::net::TcpStream {
+pub async fn send_and_stop(entry: SocketAddr, path: &str) -> TcpStream {
     use tokio::io::AsyncWriteExt;
-    let mut stream = tokio::net::TcpStream::connect(entry).await.expect("a connection");
+    let mut stream = TcpStream::connect(entry).await.expect("a connection");
     let head = format!("GET {path} HTTP/1.1\r\nHost: test\r\n\r\n");
     stream.write_all(head.as_bytes()).await.expect("the head is sent");
     stream
--- a/components/proxy/tests/peer_links.rs
+++ b/components/proxy/tests/peer_links.rs
@@ -11,12 +11,9 @@
     time::Duration,
 };
 
-use common::{FleetPlan, TestFleet, get, http1};
+use common::{FleetPlan, TestFleet, get, http1, relay};
 use futures::future::join_all;
-use tokio::{
-    net::{TcpListener, TcpStream},
-    sync::watch,
-};
+use tokio::sync::watch;
 
 /// Carries connections to a guard, counts them, and ends all of them at each change of a switch.
 struct GuardRelay {
@@ -27,23 +24,19 @@
 
 impl GuardRelay {
     async fn start(guard: SocketAddr) -> Self {
-        let listener = TcpListener::bind("127.0.0.1:0").await.expect("local port");
-        let address = listener.local_addr().expect("address");
         let (accepted, reset) = (Arc::<AtomicU32>::default(), watch::Sender::new(()));
         let (count, resets) = (accepted.clone(), reset.clone());
-        tokio::spawn(async move {
-            while let Ok((mut near, _)) = listener.accept().await {
-                count.fetch_add(1, Ordering::Relaxed);
-                let mut ended = resets.subscribe();
-                tokio::spawn(async move {
-                    let mut far = TcpStream::connect(guard).await.expect("the guard listens");
-                    tokio::select! {
-                        _ = tokio::io::copy_bidirectional(&mut near, &mut far) => (),
-                        _ = ended.changed() => (),
-                    }
-                });
+        let address = relay(guard, move |mut near, mut far| {
+            count.fetch_add(1, Ordering::Relaxed);
+            let mut ended = resets.subscribe();
+            async move {
+                tokio::select! {
+                    _ = tokio::io::copy_bidirectional(&mut near, &mut far) => (),
+                    _ = ended.changed() => (),
+                }
             }
-        });
+        })
+        .await;
         Self { address, accepted, reset }
     }
 
@@ -55,8 +48,7 @@
 async fn start_relayed() -> (TestFleet, GuardRelay) {
     let mut fleet = TestFleet::start(FleetPlan::new(1)).await;
     let relay = GuardRelay::start(fleet.daemons[1].guard).await;
-    fleet.daemons[1].guard = relay.address;
-    fleet.rebuild();
+    fleet.move_guard(1, relay.address);
     (fleet, relay)
 }
 
--- a/components/proxy/tests/slow_link.rs
+++ b/components/proxy/tests/slow_link.rs
@@ -11,30 +11,22 @@
     time::Duration,
 };
 
-use common::{FleetPlan, TestFleet, http1, send};
+use common::{FleetPlan, TestFleet, http1, relay, send};
 use sk_proxy::DEADLINE_HEADER;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
-    net::{
-        TcpListener, TcpStream,
-        tcp::{OwnedReadHalf, OwnedWriteHalf},
-    },
+    net::tcp::{OwnedReadHalf, OwnedWriteHalf},
     time::Instant,
 };
 
 /// Carries bytes to a guard, each chunk late by so many milliseconds; those back are not.
 async fn slow_way(guard: SocketAddr, delay_ms: Arc<AtomicU64>) -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").await.expect("local port");
-    let address = listener.local_addr().expect("address");
-    tokio::spawn(async move {
-        while let Ok((near, _)) = listener.accept().await {
-            let far = TcpStream::connect(guard).await.expect("the guard listens");
-            let ((near_in, near_out), (far_in, far_out)) = (near.into_split(), far.into_split());
-            tokio::spawn(carry(near_in, far_out, delay_ms.clone()));
-            tokio::spawn(carry(far_in, near_out, Arc::default()));
-        }
-    });
-    address
+    relay(guard, move |near, far| {
+        let ((near_in, near_out), (far_in, far_out)) = (near.into_split(), far.into_split());
+        tokio::spawn(carry(far_in, near_out, Arc::default()));
+        carry(near_in, far_out, delay_ms.clone())
+    })
+    .await
 }
 
 async fn carry(mut input: OwnedReadHalf, mut output: OwnedWriteHalf, delay_ms: Arc<AtomicU64>) {
@@ -49,32 +41,27 @@
 
 /// Carries bytes to a guard, all of them late by the same time; those back are not.
 async fn long_way(guard: SocketAddr, delay: Duration) -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").await.expect("local port");
-    let address = listener.local_addr().expect("address");
-    tokio::spawn(async move {
-        while let Ok((near, _)) = listener.accept().await {
-            let far = TcpStream::connect(guard).await.expect("the guard listens");
-            let ((mut near_in, near_out), (far_in, mut far_out)) =
-                (near.into_split(), far.into_split());
-            let (chunks, mut due) = tokio::sync::mpsc::unbounded_channel::<(Instant, Vec<u8>)>();
-            tokio::spawn(async move {
-                let mut chunk = vec![0; 16 * 1024];
-                while let Ok(size @ 1..) = near_in.read(&mut chunk).await {
-                    let _ = chunks.send((Instant::now() + delay, chunk[..size].to_vec()));
-                }
-            });
-            tokio::spawn(async move {
-                while let Some((at, chunk)) = due.recv().await {
-                    tokio::time::sleep_until(at).await;
-                    if far_out.write_all(&chunk).await.is_err() {
-                        return;
-                    }
+    relay(guard, move |near, far| {
+        let ((mut near_in, near_out), (far_in, mut far_out)) =
+            (near.into_split(), far.into_split());
+        let (chunks, mut due) = tokio::sync::mpsc::unbounded_channel::<(Instant, Vec<u8>)>();
+        tokio::spawn(async move {
+            let mut chunk = vec![0; 16 * 1024];
+            while let Ok(size @ 1..) = near_in.read(&mut chunk).await {
+                let _ = chunks.send((Instant::now() + delay, chunk[..size].to_vec()));
+            }
+        });
+        tokio::spawn(carry(far_in, near_out, Arc::default()));
+        async move {
+            while let Some((at, chunk)) = due.recv().await {
+                tokio::time::sleep_until(at).await;
+                if far_out.write_all(&chunk).await.is_err() {
+                    return;
                 }
-            });
-            tokio::spawn(carry(far_in, near_out, Arc::default()));
+            }
         }
-    });
-    address
+    })
+    .await
 }
 
 /// A link between two daemons has more waiting than it carries in a call's time. The call's caller has
@@ -84,8 +71,8 @@
 async fn caller_gone() {
     let mut fleet = TestFleet::start(FleetPlan::new(1)).await;
     let delay_ms = Arc::<AtomicU64>::default();
-    fleet.daemons[1].guard = slow_way(fleet.daemons[1].guard, delay_ms.clone()).await;
-    fleet.rebuild();
+    let guard = slow_way(fleet.daemons[1].guard, delay_ms.clone()).await;
+    fleet.move_guard(1, guard);
     let (entry, client) = (fleet.entry(), http1());
     for _ in 0..3 {
         assert_eq!(send(&client, entry, "GET", "/?tag=early", &[], "").await.status, 200);
@@ -105,8 +92,8 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn first_call_late() {
     let mut fleet = TestFleet::start(FleetPlan::new(1)).await;
-    fleet.daemons[1].guard = long_way(fleet.daemons[1].guard, Duration::from_millis(1_200)).await;
-    fleet.rebuild();
+    let guard = long_way(fleet.daemons[1].guard, Duration::from_millis(1_200)).await;
+    fleet.move_guard(1, guard);
     let (entry, client) = (fleet.entry(), http1());
     let answer = send(&client, entry, "GET", "/?tag=late", &[(DEADLINE_HEADER, "400")], "").await;
     assert!(answer.status.is_server_error(), "{answer:?}");
