Test of departed callers: its times stand a busy machine

departed_caller failed in the last run of the whole script: its first request was refused as not run, deadline-too-near, where the server was to die of it. Lines added for a trial show the cause, beside 24 busy processes: opening the connection to the guard took 14 to 26 ms of a busy processor, 48 ms of the 60 ms were gone when the request left, and a guard takes the time of the opening off a first call once more. The refusal is true; the test's deadline was too near for it.

The other failure seen in these runs, "waited in vain for the death to be noticed", comes of 40 copies of the test at once: /proc/net/tcp showed each time that a listener of another copy had the port of the dead server within the 20 ms of the examination.

--- a/components/proxy/tests/crash_quarantine.rs
+++ b/components/proxy/tests/crash_quarantine.rs
@@ -111,8 +111,8 @@
 async fn departed_caller() {
     let mut fleet = TestFleet::start(FleetPlan::new(1)).await;
     let client = http1();
-    let hasty = [("x-sapphirekeel-deadline-ms", "60")];
-    let path = "/deadly?fault=crash&work_ms=120";
+    let hasty = [("x-sapphirekeel-deadline-ms", "300")];
+    let path = "/deadly?fault=crash&work_ms=500";
     for death in 1..=2 {
         let answer = send(&client, fleet.entry(), "POST", path, &hasty, "body").await;
         assert_eq!(answer.reason(), Some(RefusalKind::DeadlinePassed), "{answer:?}");
