daemon: a stop waits for the last bytes of answers over full links

Cause, provoked in a test: a stop takes the guard as ended once its server has had no work for 400 ms. A request counts as work until its answer's last byte is taken from the server; up to a window of it (16 KB) then still waits in the guard for its receiver's word that it takes more. Over a link on which that word takes longer, the daemon ended with the rest of the answer.

Change: 1.5 s without work, which is above what word takes over a full link. Connections of peers that live end by themselves, most before; only peers that are gone without a word cost the longer wait.

proxy_drains last_bytes failed before ("unexpected EOF during chunk size line") and passes now.

--- a/components/daemon/src/daemon.rs
+++ b/components/daemon/src/daemon.rs
@@ -68,8 +68,10 @@
 /// Time at the end of the drain to close callers' connections in order. By then their requests are
 /// answered, but the local server's work, which may call on through them, may last to the end.
 const CLOSE_TIME: Duration = Duration::from_millis(200);
-/// Time without work after which the guard has ended, for the last bytes of answers to leave.
-const IDLE_TIME: Duration = Duration::from_millis(400);
+/// Time without work after which peers that still hold a connection are taken as gone. Above the time
+/// that word of a living one takes over a full link: the last bytes of an answer wait here until its
+/// receiver says that it takes more.
+const IDLE_TIME: Duration = Duration::from_millis(1_500);
 /// Time between looks whether there is work.
 const IDLE_LOOK: Duration = Duration::from_millis(50);
 
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -150,6 +150,11 @@
 }
 
 pub fn start_daemon(directory: &Path, plan: &DaemonPlan<'_>) -> TestProcess {
+    start_daemon_at(directory, plan, "")
+}
+
+/// Starts a daemon with further settings of its listeners.
+pub fn start_daemon_at(directory: &Path, plan: &DaemonPlan<'_>, listen: &str) -> TestProcess {
     let text = loopback_text(&LoopbackPlan {
         name: plan.name,
         data_centre: plan.data_centre,
@@ -163,6 +168,7 @@
         manager_sha256: &sk_ops::hash_token(MANAGER_TOKEN),
         extra: plan.extra,
     });
+    let text = text.replace("[listen]\n", &format!("[listen]\n{listen}"));
     let file = directory.join(format!("{}.toml", plan.name));
     fs::write(&file, text).expect("settings can be written");
     TestProcess::start(env!("CARGO_BIN_EXE_sapphirekeeld"), &[file.to_str().expect("path")])
--- a/tests/common/requests.rs
+++ b/tests/common/requests.rs
@@ -20,7 +20,7 @@
 
 use super::{
     DaemonPlan, MANAGER_TOKEN, TEAM_TOKEN, TestDirectory, TestProcess, call, in_force, operate,
-    platform_address, render, start_daemon, start_platform, wait_for,
+    platform_address, render, start_daemon_at, start_platform, wait_for,
 };
 
 pub const SERVICE: &str = "/ana/board";
@@ -71,13 +71,18 @@
     }
 
     pub fn add_daemon(&mut self, name: &str) {
+        self.add_daemon_at(name, "");
+    }
+
+    /// Adds a daemon with further settings of its listeners.
+    pub fn add_daemon_at(&mut self, name: &str, listen: &str) {
         let running = self.daemons.iter().flatten();
         let seeds: Vec<String> = running.map(|daemon| daemon.address("control")).collect();
         let platform = platform_address(&self.platform);
         let extra = &format!("[guard]\nannounce_ttl_ms = 1500\n{}", self.guard);
         let plan =
             DaemonPlan { name, data_centre: "lj1", platform: &platform, seeds: &seeds, extra };
-        self.daemons.push(Some(start_daemon(&self.directory.0, &plan)));
+        self.daemons.push(Some(start_daemon_at(&self.directory.0, &plan, listen)));
         self.backends.push(None);
     }
 
--- a/tests/proxy_drains.rs
+++ b/tests/proxy_drains.rs
@@ -4,14 +4,31 @@
 
 use std::{
     io::Write,
+    net::SocketAddr,
+    sync::{
+        OnceLock,
+        atomic::{AtomicBool, Ordering},
+    },
     time::{Duration, Instant},
 };
 
-use common::requests::{RequestFleet, RequestLoad, WholeAnswer, client, request, wait_until};
-use tokio::task::JoinHandle;
+use common::{
+    in_force,
+    requests::{RequestFleet, RequestLoad, WholeAnswer, client, request, wait_until},
+};
+use http_body_util::{BodyExt, Full};
+use hyper::Request;
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{TcpListener, TcpStream},
+    task::JoinHandle,
+};
 
 const CALLERS: usize = 8;
 
+/// Time by which a full link delays what goes over it.
+const LATE_BY: Duration = Duration::from_millis(1_200);
+
 /// Within this time a leaving server gets no new work.
 const DRAIN_NEWS: Duration = Duration::from_secs(3);
 
@@ -132,3 +149,60 @@
     assert!(status.success(), "{status}");
     assert!(begin.elapsed() < Duration::from_secs(4), "stopped after {:?}", begin.elapsed());
 }
+
+/// Guards against an answer that is cut in the middle since its daemon ends before the last of it has left.
+/// The other daemon's word that it takes more comes late over a full link.
+#[tokio::test(flavor = "multi_thread")]
+async fn last_bytes() {
+    static GUARD: OnceLock<SocketAddr> = OnceLock::new();
+    static IS_LATE: AtomicBool = AtomicBool::new(false);
+    let guard = late_relay(&GUARD, &IS_LATE).await;
+    let mut fleet = RequestFleet::start_with("last_bytes", 0, "leave_ms = 200\ndrain_ms = 6000\n");
+    fleet.add_daemon_at("daemon1", &format!("advertised_guard = \"{guard}\"\n"));
+    let address = fleet.daemon(1).address("guard");
+    GUARD.set(address.parse().expect("an address")).expect("set once");
+    wait_until("the daemons to meet", || in_force(&fleet.ops(0)) == (2, 2)).await;
+    fleet.start_server(1, "server1");
+    tokio::task::block_in_place(|| fleet.wait_served("server1"));
+    IS_LATE.store(true, Ordering::SeqCst);
+    let ask = Request::get(format!("http://{}/?size=28000", fleet.entry(0)));
+    let answer = client().request(ask.body(Full::default()).expect("a request")).await;
+    let answer = answer.expect("a head");
+    assert_eq!(answer.status(), 200);
+    let leaving = fleet.daemons[1].take().expect("daemon");
+    leaving.signal("-TERM");
+    let body = answer.into_body().collect().await.map(|body| body.to_bytes().len());
+    assert_eq!(body.expect("a whole answer"), 28_000);
+    let (status, _) = tokio::task::block_in_place(|| leaving.join());
+    assert!(status.success(), "{status}");
+}
+
+/// Relays connections to a guard. When told so, what goes to it comes late.
+async fn late_relay(
+    guard: &'static OnceLock<SocketAddr>,
+    is_late: &'static AtomicBool,
+) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("an address");
+    tokio::spawn(async move {
+        while let Ok((near, _)) = listener.accept().await {
+            let Some(guard) = guard.get() else { continue };
+            let Ok(far) = TcpStream::connect(guard).await else { continue };
+            let ((mut near_in, mut near_out), (mut far_in, mut far_out)) =
+                (near.into_split(), far.into_split());
+            tokio::spawn(async move { tokio::io::copy(&mut far_in, &mut near_out).await });
+            tokio::spawn(async move {
+                let mut chunk = [0; 4_096];
+                while let Ok(size @ 1..) = near_in.read(&mut chunk).await {
+                    if is_late.load(Ordering::SeqCst) {
+                        tokio::time::sleep(LATE_BY).await;
+                    }
+                    if far_out.write_all(&chunk[..size]).await.is_err() {
+                        return;
+                    }
+                }
+            });
+        }
+    });
+    address
+}
