proxy: uploads are decided on by their first bytes and take turns on the link

What callers saw: on 90 machines with links of 7 to 140 Mbit/s short calls lost half a second behind whole uploads on their way to the same daemon while its server had slots free; refused uploads were carried whole; a machine took no connection for 3.2 s; a route answered 404 2.9 s after its version had been acknowledged.

Cause: a guard let 256 KB of each body come before it decided, four whole uploads of 60 KB, and gave a slot to a body on its way.

Change: the window is 16 KB. The guard decides by the head and what the link has before the upload, so that one which would be late, or looks for a free slot, goes elsewhere at once. Uploads take turns, two at once, by the queue that large answers use, and get a slot when they are here. The time on the link counts as the server's, for placing by kind of work.

--- a/components/decide/src/admitting.rs
+++ b/components/decide/src/admitting.rs
@@ -22,14 +22,16 @@
 
 pub use crate::admitting::outcome::{Admission, AdmitFigures, Refusal, RefusalReason, Released};
 pub use crate::admitting::settings::{GuardSettings, QueueOrder};
+pub use crate::admitting::upload::LinkAhead;
 pub use crate::admitting::urgency::Urgency;
 
-mod estimate;
+pub(crate) mod estimate;
 mod link;
 mod outcome;
 mod queue;
 mod release;
 mod settings;
+mod upload;
 mod urgency;
 mod urgent;
 
--- a/components/decide/src/admitting/estimate.rs
+++ b/components/decide/src/admitting/estimate.rs
@@ -16,9 +16,9 @@
 /// Time in which a peak falls to half. Longer than the gaps of a service with a call a second.
 const PEAK_HALVING: Duration = Duration::from_secs(2);
 
-/// Running mean of the service time of one class.
+/// Running mean of the time that one kind of work takes.
 #[derive(Clone, Copy, Debug, Default)]
-pub(super) struct ServiceEstimate {
+pub(crate) struct ServiceEstimate {
     mean: Duration,
     /// Mean distance of a sample from the mean.
     deviation: Duration,
@@ -28,7 +28,7 @@
 
 impl ServiceEstimate {
     /// Adds the service time of a request that ended at `now`.
-    pub(super) fn add(&mut self, took: Duration, now: Duration) {
+    pub(crate) fn add(&mut self, took: Duration, now: Duration) {
         let distance = took.abs_diff(self.mean);
         match self.is_known {
             true => {
@@ -43,7 +43,7 @@
     }
 
     /// Gives the expected service time, lower the longer no sample came.
-    pub(super) fn expected(&self, now: Duration) -> Duration {
+    pub(crate) fn expected(&self, now: Duration) -> Duration {
         self.mean / self.fading(now)
     }
 
--- /dev/null
+++ b/components/decide/src/admitting/upload.rs
@@ -0,0 +1,76 @@
+//! Uploads that have yet to come over the instance's link.
+
+use std::time::Duration;
+
+use rand::Rng;
+
+use crate::admitting::{AdmissionGuard, GuardRequest, Refusal, RefusalReason};
+
+/// What the instance's link has to carry before an upload.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct LinkAhead {
+    /// Time until the upload's turn.
+    pub wait: Duration,
+    /// Time that an upload takes once it has its turn.
+    pub takes: Duration,
+    /// Uploads on their way here, which have no slot yet.
+    pub coming: u32,
+}
+
+impl AdmissionGuard {
+    /// Decides whether an upload is worth taking off the link. It is offered once more when it is here.
+    ///
+    /// Made for a link that carries fewer uploads than its server could run. Taken in whole before
+    /// anything is decided, those that are refused use up the link as well, the others come too late, and
+    /// short calls stand behind all of them while slots are free. An upload that cannot be here in time
+    /// is refused while it can still go to another server.
+    ///
+    /// # Errors
+    ///
+    /// Returns the final [`Refusal`]; the request did not run.
+    pub fn consider_upload(
+        &self,
+        request: &GuardRequest,
+        link: &LinkAhead,
+        now: Duration,
+        rng: &mut (impl Rng + ?Sized),
+    ) -> Result<(), Refusal> {
+        let Some(reason) = self.upload_reason(request, link, now) else { return Ok(()) };
+        let figures = self.figures(request, now);
+        Err(Refusal { figures, ..self.refuse(reason, now, rng) })
+    }
+
+    fn upload_reason(
+        &self,
+        request: &GuardRequest,
+        link: &LinkAhead,
+        now: Duration,
+    ) -> Option<RefusalReason> {
+        let way = link.wait + link.takes;
+        let at_server = GuardRequest {
+            deadline: request.deadline.saturating_sub(way),
+            goal: request.goal.map(|goal| goal.saturating_sub(way)),
+            ..*request
+        };
+        let service = self.service_time(request, now);
+        let is_full = self.running_count() + link.coming >= self.slots(now);
+        match request.most_wait {
+            _ if let Some(reason) = self.refusal_reason(&at_server, now) => Some(reason),
+            Some(most) if link.wait > most || (is_full && most.is_zero()) => {
+                Some(RefusalReason::Busy)
+            }
+            _ if link.makes_late(request, service, now) => Some(RefusalReason::GoalMissed),
+            _ => None,
+        }
+    }
+}
+
+impl LinkAhead {
+    /// Tells whether the link would make a request miss a goal that it could still meet.
+    fn makes_late(&self, request: &GuardRequest, service: Duration, now: Duration) -> bool {
+        let goal = request.goal.filter(|goal| *goal > now);
+        goal.is_some_and(|goal| {
+            now + self.wait + self.takes + service > goal && self.wait > (goal - now) / 2
+        })
+    }
+}
--- a/components/decide/src/transferring.rs
+++ b/components/decide/src/transferring.rs
@@ -1,4 +1,4 @@
-//! Which large answers are sent at once over an instance's link.
+//! Which large bodies go over an instance's link at once, answers out of it and uploads into it.
 //!
 //! Made for a link that is slower than the server beside it: documents of a quarter of a megabyte on
 //! 18 Mbit/s. Sent all at once, each takes as long as all of them, nobody's is there in time, and a
@@ -12,12 +12,14 @@
 
 use slotmap::{SlotMap, new_key_type};
 
+use crate::admitting::{LinkAhead, estimate::ServiceEstimate};
+
 new_key_type! {
-    /// Identifies a large answer from its first byte to its end.
+    /// Identifies a large body from its first byte to its end.
     pub struct TransferId;
 }
 
-/// Answers sent at once. Two, so that the link has bytes while one of them waits for its receiver's
+/// Bodies sent at once. Two, so that the link has bytes while one of them waits for its receiver's
 /// acknowledgements; more only makes each take longer.
 const AT_ONCE: usize = 2;
 /// Time without a byte after which a turn lapses. Above a round trip over a link whose queue is full,
@@ -25,7 +27,7 @@
 /// receiver is gone.
 const STALL: Duration = Duration::from_millis(250);
 
-/// Whether an answer may go on.
+/// Whether a body may go on.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum TransferTurn {
     /// Its next bytes may be sent.
@@ -40,23 +42,27 @@
     sent_at: Option<Duration>,
     /// When it was told that it could have a turn, while it waits.
     called_at: Option<Duration>,
+    /// When it first had a turn.
+    began_at: Option<Duration>,
 }
 
-/// The large answers of one instance. `now` is the time since any fixed start.
+/// The large bodies that go one way over one instance's link. `now` is the time since any fixed start.
 #[derive(Clone, Debug, Default)]
 pub struct TransferQueue {
     open: SlotMap<TransferId, OpenTransfer>,
     /// Those without a turn, in the order in which they came.
     waiting: VecDeque<TransferId>,
+    /// Time from the first turn of a body to its end.
+    takes: ServiceEstimate,
 }
 
 impl TransferQueue {
-    /// Adds an answer, without a turn as yet.
+    /// Adds a body, without a turn as yet.
     pub fn begin(&mut self) -> TransferId {
-        self.open.insert(OpenTransfer { sent_at: None, called_at: None })
+        self.open.insert(OpenTransfer { sent_at: None, called_at: None, began_at: None })
     }
 
-    /// Asks whether an answer may send its next bytes at `now`.
+    /// Asks whether a body may send its next bytes at `now`.
     pub fn ask(&mut self, id: TransferId, now: Duration) -> TransferTurn {
         self.lapse(now);
         let Some(transfer) = self.open.get(id) else { return TransferTurn::Go };
@@ -65,7 +71,8 @@
         if has_turn || (is_next && self.sending() < AT_ONCE) {
             self.waiting.retain(|held| *held != id);
             if let Some(transfer) = self.open.get_mut(id) {
-                *transfer = OpenTransfer { sent_at: Some(now), called_at: None };
+                let began_at = transfer.began_at.or(Some(now));
+                *transfer = OpenTransfer { sent_at: Some(now), called_at: None, began_at };
             }
             return TransferTurn::Go;
         }
@@ -75,20 +82,36 @@
         TransferTurn::Wait(STALL)
     }
 
-    /// Ends an answer, whether it was sent whole or its receiver left.
+    /// Takes note of how long a body took that has gone over the link whole.
+    pub fn note_whole(&mut self, id: TransferId, now: Duration) {
+        if let Some(began_at) = self.open.get(id).and_then(|transfer| transfer.began_at) {
+            self.takes.add(now.saturating_sub(began_at), now);
+        }
+    }
+
+    /// Gives what the link carries before a body that comes now.
+    pub fn ahead(&self, now: Duration) -> LinkAhead {
+        let takes = self.takes.expected(now);
+        // Bounded by the requests that a guard takes at once.
+        let coming = self.open.len() as u32;
+        let before = (coming + 1).saturating_sub(AT_ONCE as u32);
+        LinkAhead { wait: takes * before / AT_ONCE as u32, takes, coming }
+    }
+
+    /// Ends a body, whether it was sent whole or its receiver left.
     pub fn end(&mut self, id: TransferId) {
         self.open.remove(id);
         self.waiting.retain(|held| *held != id);
     }
 
-    /// Gives an answer that waits and could have a turn now, to be told so.
+    /// Gives a body that waits and could have a turn now, to be told so.
     pub fn next_ready(&mut self, now: Duration) -> Option<TransferId> {
         let next = self.waiting.front().copied().filter(|_| self.sending() < AT_ONCE)?;
         self.open.get_mut(next)?.called_at.get_or_insert(now);
         Some(next)
     }
 
-    /// Gives how many answers wait for a turn.
+    /// Gives how many bodies wait for a turn.
     pub fn held_back(&self) -> usize {
         self.waiting.len()
     }
--- /dev/null
+++ b/components/decide/tests/upload_link.rs
@@ -0,0 +1,191 @@
+//! Uploads to a server whose link carries fewer of them than it could run.
+
+use std::{collections::VecDeque, time::Duration};
+
+use rand::{SeedableRng, rngs::SmallRng};
+use sk_decide::{
+    WorkClass,
+    admitting::{
+        Admission, AdmissionGuard, FlowKey, GuardRequest, GuardSettings, LinkAhead, QueueOrder,
+        RefusalReason, Ticket,
+    },
+    transferring::{TransferId, TransferQueue, TransferTurn},
+};
+
+/// Bytes that the link carries in a millisecond: 7 Mbit/s.
+const LINK: u64 = 875;
+const UPLOAD: u64 = 60_000;
+/// Bytes of an upload that come before it is decided on or has its turn.
+const WINDOW: u64 = 16_384;
+const WORK_MS: u64 = 250;
+const GOAL_MS: u64 = 1_000;
+const END_MS: u64 = 20_000;
+/// Pause between uploads: a fifth more of them than the link carries, half of what the server runs.
+const PAUSE_MS: u64 = 57;
+
+fn guard() -> AdmissionGuard {
+    let settings =
+        GuardSettings { order: QueueOrder::Urgent, slots: 9, ..GuardSettings::default() };
+    AdmissionGuard::new(settings, Duration::ZERO)
+}
+
+fn request(came_ms: u64) -> GuardRequest {
+    let came = Duration::from_millis(came_ms);
+    GuardRequest {
+        class: WorkClass::Short,
+        flow: FlowKey { team: 1, caller: 1 },
+        deadline: came + Duration::from_millis(2_500),
+        alone: false,
+        goal: Some(came + Duration::from_millis(GOAL_MS)),
+        rank: 0,
+        work: 1,
+        most_wait: None,
+    }
+}
+
+#[derive(Debug, Default)]
+struct Played {
+    in_time: u64,
+    /// Refused at once, with time to go to another server.
+    refused: u64,
+    late: u64,
+    /// Longest time that a short call stood behind uploads.
+    short_ms: u64,
+}
+
+impl Played {
+    fn note_end(&mut self, came: u64, end: u64) {
+        match end <= came + GOAL_MS {
+            true => self.in_time += 1,
+            false => self.late += 1,
+        }
+    }
+
+    fn note_link(&mut self, bytes: u64) {
+        self.short_ms = self.short_ms.max(bytes / LINK);
+    }
+}
+
+/// Plays the uploads with all of each sent at once.
+fn play_whole() -> Played {
+    let mut played = Played::default();
+    let (mut behind, mut free_at) = (0, 0.0_f64);
+    for came in (PAUSE_MS..END_MS).step_by(PAUSE_MS as usize) {
+        free_at = free_at.max(came as f64) + UPLOAD as f64 / LINK as f64;
+        behind = behind.max(((free_at - came as f64) * LINK as f64) as u64);
+        played.note_end(came, free_at as u64 + WORK_MS);
+    }
+    played.note_link(behind);
+    played
+}
+
+struct ComingUpload {
+    id: TransferId,
+    came: u64,
+    /// Bytes that have yet to be sent, and those that wait on the link.
+    unsent: u64,
+    on_link: u64,
+}
+
+/// Plays the uploads with each decided on by its first bytes and then taken in its turn.
+fn play_turns() -> Played {
+    let (mut guard, mut queue) = (guard(), TransferQueue::default());
+    let mut rng = SmallRng::seed_from_u64(1);
+    let mut played = Played::default();
+    let mut coming: Vec<ComingUpload> = Vec::new();
+    let mut running: VecDeque<(u64, u64, Ticket)> = VecDeque::new();
+    let mut stray = 0;
+    for ms in 1..END_MS {
+        let now = Duration::from_millis(ms);
+        if ms % PAUSE_MS == 0 {
+            let ahead = queue.ahead(now);
+            if guard.consider_upload(&request(ms), &ahead, now, &mut rng).is_ok() {
+                let (id, unsent) = (queue.begin(), UPLOAD - WINDOW);
+                coming.push(ComingUpload { id, came: ms, unsent, on_link: WINDOW });
+            } else {
+                played.refused += 1;
+                stray += WINDOW;
+            }
+        }
+        let on_link =
+            |coming: &[ComingUpload]| coming.iter().map(|upload| upload.on_link).sum::<u64>();
+        played.note_link(stray + on_link(&coming));
+        let mut room = LINK.saturating_sub(stray);
+        stray = stray.saturating_sub(LINK);
+        for upload in &mut coming {
+            let carried = upload.on_link.min(room);
+            (upload.on_link, room) = (upload.on_link - carried, room - carried);
+            if queue.ask(upload.id, now) == TransferTurn::Go {
+                let more = (WINDOW - upload.on_link).min(upload.unsent);
+                (upload.on_link, upload.unsent) = (upload.on_link + more, upload.unsent - more);
+            }
+        }
+        coming.retain(|upload| {
+            let is_coming = upload.on_link + upload.unsent > 0;
+            if !is_coming {
+                queue.note_whole(upload.id, now);
+                queue.end(upload.id);
+                match guard.offer(&request(upload.came), now, &mut rng) {
+                    Admission::Run(ticket) => {
+                        running.push_back((ms + WORK_MS, upload.came, ticket))
+                    }
+                    _ => played.late += 1,
+                }
+            }
+            is_coming
+        });
+        while let Some((end, came, ticket)) = running.pop_front_if(|(end, ..)| *end <= ms) {
+            let released = guard.finish(ticket, now);
+            assert!(released.start.is_empty(), "no upload waits for a slot");
+            played.note_end(came, end);
+        }
+    }
+    played
+}
+
+/// Guards against uploads that fill a link, come late at a server with free slots and hold up short
+/// calls.
+#[test]
+fn full_link() {
+    let (whole, turns) = (play_whole(), play_turns());
+    assert!(whole.late > whole.in_time, "the naive way must show the harm: {whole:?}");
+    assert!(turns.late * 20 < turns.in_time, "{turns:?}");
+    // The link carries 14 a second; what is refused costs it a window each.
+    assert!(turns.in_time > 200, "{turns:?}");
+    assert!(turns.short_ms < 250 && whole.short_ms > 2_000, "{turns:?} {whole:?}");
+}
+
+fn consider(request: &GuardRequest, link: &LinkAhead) -> Result<(), RefusalReason> {
+    let considered = guard().consider_upload(
+        request,
+        link,
+        Duration::from_millis(1),
+        &mut SmallRng::seed_from_u64(1),
+    );
+    considered.map_err(|refusal| refusal.reason)
+}
+
+/// Guards against uploads that look for a free slot and wait for the link instead.
+#[test]
+fn looks_on() {
+    let look = GuardRequest { most_wait: Some(Duration::ZERO), ..request(1) };
+    let takes = Duration::from_millis(70);
+    let link = LinkAhead { wait: Duration::ZERO, takes, coming: 1 };
+    assert_eq!(consider(&look, &link), Ok(()));
+    let waits = LinkAhead { wait: takes, ..link };
+    assert_eq!(consider(&look, &waits), Err(RefusalReason::Busy));
+    assert_eq!(consider(&request(1), &waits), Ok(()));
+    let takes_all_slots = LinkAhead { coming: 9, ..link };
+    assert_eq!(consider(&look, &takes_all_slots), Err(RefusalReason::Busy));
+}
+
+/// Guards against uploads taken in that cannot be here in time.
+#[test]
+fn too_late() {
+    let takes = Duration::from_millis(70);
+    let past_goal = LinkAhead { wait: Duration::from_millis(950), takes, coming: 20 };
+    assert_eq!(consider(&request(1), &past_goal), Err(RefusalReason::GoalMissed));
+    let past_deadline = LinkAhead { wait: Duration::from_millis(2_450), takes, coming: 60 };
+    let refused = consider(&request(1), &past_deadline);
+    assert_eq!(refused, Err(RefusalReason::DeadlineTooNear));
+}
--- a/components/proxy/src/attempt.rs
+++ b/components/proxy/src/attempt.rs
@@ -189,7 +189,7 @@
 ) -> Response<ProxyBody> {
     let AttemptMessage { request, call } = message;
     if endpoint.is_own {
-        return pass(Arc::clone(&context.guard), request, call, Duration::ZERO).await;
+        return pass(Arc::clone(&context.guard), request, call, None).await;
     }
     match context.peers.send(request, call, &endpoint.guard).await {
         Ok(response) => {
--- a/components/proxy/src/exchange.rs
+++ b/components/proxy/src/exchange.rs
@@ -54,6 +54,8 @@
 pub(crate) struct AdmittedRequest {
     pub(crate) permit: AdmitPermit,
     pub(crate) hold: Option<ClaimHold>,
+    /// Time that its body took to come over the link.
+    pub(crate) fetched: Duration,
     pub(crate) admitted_at: Instant,
     pub(crate) deadline: Instant,
 }
@@ -117,7 +119,6 @@
                     sender,
                     permit: admitted.permit,
                 };
-                let span = (admitted.admitted_at, admitted.deadline);
                 let (status, headers) = (response.status(), response.headers());
                 let verdict = context.words.read_answer(status, headers, attempt.as_ref());
                 let took = admitted.admitted_at.elapsed();
@@ -127,7 +128,10 @@
                 let is_own = matches!(verdict, AnswerVerdict::Sound | AnswerVerdict::NotExecuted);
                 server.note_end(status.is_server_error() || !is_own);
                 return match verdict {
-                    AnswerVerdict::Sound => answer(response, exchange, admitted.hold, span),
+                    AnswerVerdict::Sound => {
+                        let span = (admitted.fetched + took, admitted.deadline);
+                        answer(response, exchange, admitted.hold, span)
+                    }
                     verdict => reject(verdict, call.goal(), exchange, admitted.hold).await,
                 };
             }
@@ -226,7 +230,7 @@
     mut response: Response<Incoming>,
     exchange: ServerExchange,
     hold: Option<ClaimHold>,
-    (admitted_at, deadline): (Instant, Instant),
+    (ran, deadline): (Duration, Instant),
 ) -> Response<ProxyBody> {
     if let Some(mut hold) = hold {
         hold.set(ClaimOutcome::Ran { status: response.status().as_u16() });
@@ -238,7 +242,7 @@
     let headers = response.headers_mut();
     strip_answer(headers);
     RequestOutcome::Ran.write(headers);
-    write_ran(headers, admitted_at.elapsed());
+    write_ran(headers, ran);
     exchange.server.hints().write(headers);
     let until = Some(deadline + BODY_GRACE);
     let line = exchange.server.transfers.clone();
--- /dev/null
+++ b/components/proxy/src/fetch.rs
@@ -0,0 +1,58 @@
+//! Uploads on their way over the instance's link.
+
+use std::sync::{
+    Arc,
+    atomic::{AtomicU32, Ordering},
+};
+
+use bytes::BytesMut;
+use http::Request;
+use http_body_util::BodyExt;
+
+use crate::{
+    body::{BodyError, PrefixedBody, ProxyBody, whole_body},
+    transfers::{TransferLine, TurnBody},
+    upload::REPLAY_BYTES,
+};
+
+/// Counts a request until its body is here, or it is given up.
+pub(crate) struct ComingCount<'a>(&'a AtomicU32);
+
+impl<'a> ComingCount<'a> {
+    /// Counts one more.
+    pub(crate) fn new(count: &'a AtomicU32) -> Self {
+        count.fetch_add(1, Ordering::AcqRel);
+        Self(count)
+    }
+}
+
+impl Drop for ComingCount<'_> {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::AcqRel);
+    }
+}
+
+/// Takes the body of a request off the link, in its turn, so that the server's slot is not taken
+/// while it comes. Of one that is larger than is kept, the rest follows while the server reads it.
+///
+/// # Errors
+///
+/// Returns the [`BodyError`] of a body that broke off. The server was sent nothing.
+pub(crate) async fn fetch_body(
+    request: Request<ProxyBody>,
+    line: &Arc<TransferLine>,
+) -> Result<Request<ProxyBody>, BodyError> {
+    let (parts, body) = request.into_parts();
+    let mut rest = TurnBody::new(body, line);
+    let mut read = BytesMut::new();
+    while read.len() <= REPLAY_BYTES {
+        let Some(frame) = rest.frame().await else {
+            return Ok(Request::from_parts(parts, whole_body(read.freeze())));
+        };
+        if let Ok(data) = frame?.into_data() {
+            read.extend_from_slice(&data);
+        }
+    }
+    let body = PrefixedBody::new(read.freeze(), rest).boxed_unsync();
+    Ok(Request::from_parts(parts, body))
+}
--- a/components/proxy/src/gate.rs
+++ b/components/proxy/src/gate.rs
@@ -8,8 +8,8 @@
 
 use sk_decide::{
     admitting::{
-        Admission, AdmissionGuard, GuardRequest, GuardSettings, GuardState, Refusal, RefusalReason,
-        Released, Ticket,
+        Admission, AdmissionGuard, GuardRequest, GuardSettings, GuardState, LinkAhead, Refusal,
+        RefusalReason, Released, Ticket,
     },
     quarantine::Fingerprint,
 };
@@ -93,6 +93,19 @@
         }
     }
 
+    /// Decides whether an upload is worth taking off the link.
+    ///
+    /// # Errors
+    ///
+    /// Returns the final [`Refusal`]; the request did not run.
+    pub(crate) fn consider_upload(
+        &self,
+        request: &GuardRequest,
+        link: &LinkAhead,
+    ) -> Result<(), Refusal> {
+        self.lock().guard.consider_upload(request, link, process_now(), &mut rand::rng())
+    }
+
     /// Refuses all new and queued requests from now on; those that run go on.
     pub(crate) fn drain(&self) {
         let mut state = self.lock();
--- a/components/proxy/src/guard.rs
+++ b/components/proxy/src/guard.rs
@@ -7,7 +7,7 @@
 
 use http::{Request, Response, StatusCode};
 use http_body_util::BodyExt;
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use sk_decide::{
     admitting::{GuardRequest, Refusal},
     deadline::GUARD_GRACE,
@@ -17,19 +17,32 @@
 
 use crate::{
     answer::{OwnAnswer, lost_answer, own_answer, refuse, refuse_until},
-    body::{CheckedBody, ProxyBody},
+    body::{BodyError, CheckedBody, ProxyBody},
     call::GuardCall,
     claim::{ClaimHold, ClaimKey, ClaimVerdict},
     clock::process_now,
     context::GuardContext,
     departure::DepartureNote,
     exchange::{AdmittedRequest, PassStage, send},
+    fetch::{ComingCount, fetch_body},
+    gate::AdmitPermit,
     headers::{KEY_HEADER, header_text, strip_hop_headers, strip_own_headers},
     hints::{write_calls, write_figures, write_held},
+    local::GuardedServer,
     outcome::{EARLIER_STATUS_HEADER, RefusalKind, RequestOutcome},
     times::TimeStage,
+    transfers::is_large,
 };
 
+/// How a request came to this daemon.
+#[derive(Clone, Copy, Debug)]
+struct CallArrival {
+    at: Instant,
+    deadline: Instant,
+    /// Whether its body comes over the instance's link.
+    over_link: bool,
+}
+
 /// Takes one request from another daemon. `accepted_at` is when its connection was accepted, on the
 /// clock that trips are measured by.
 pub(crate) async fn guard(
@@ -55,26 +68,27 @@
     };
     let version = request.version();
     let request = request.map(|body| CheckedBody::new(body, version).boxed_unsync());
-    pass(context, request, call, late).await
+    pass(context, request, call, Some(late)).await
 }
 
 /// Passes one request to the local backend server, or refuses it as not run.
 ///
 /// Also the way of a request whose endpoint is beside the very daemon that it entered by. `late` is
-/// what the call has lost on its way.
+/// what a call of another daemon has lost on its way.
 pub(crate) async fn pass(
     context: Arc<GuardContext>,
     mut request: Request<ProxyBody>,
     call: GuardCall,
-    late: Duration,
+    late: Option<Duration>,
 ) -> Response<ProxyBody> {
     strip_hop_headers(request.headers_mut());
     strip_own_headers(request.headers_mut());
     let attempt = context.words.attempt(request.headers()).cloned();
-    let arrived = Instant::now();
-    let deadline = context.drain.bound(arrived + call.context().remaining);
-    let mut note = DepartureNote::new(attempt, arrived, late);
-    let passed = pass_admitted(&context, request, &call, deadline, &mut note.stage);
+    let at = Instant::now();
+    let deadline = context.drain.bound(at + call.context().remaining);
+    let arrival = CallArrival { at, deadline, over_link: late.is_some() };
+    let mut note = DepartureNote::new(attempt, at, late.unwrap_or_default());
+    let passed = pass_admitted(&context, request, &call, arrival, &mut note.stage);
     let mut response = match context.drain.await_until(deadline, GUARD_GRACE, passed).await {
         Some(response) => response,
         // Dropping the exchange has closed its connection, which tells the server to give up, and
@@ -95,7 +109,7 @@
     {
         write_calls(response.headers_mut(), &calls);
     }
-    write_held(response.headers_mut(), arrived.elapsed());
+    write_held(response.headers_mut(), at.elapsed());
     response
 }
 
@@ -103,7 +117,7 @@
     context: &Arc<GuardContext>,
     request: Request<ProxyBody>,
     call: &GuardCall,
-    deadline: Instant,
+    arrival: CallArrival,
     stage: &mut PassStage,
 ) -> Response<ProxyBody> {
     let server = context.servers.guarded(&call.service);
@@ -114,32 +128,72 @@
         QuarantineVerdict::Refused(left) => return refuse_until(RefusalKind::Quarantined, left),
         verdict => verdict == QuarantineVerdict::TryAlone,
     };
-    let offer = guard_request(call, deadline, alone);
-    let offered_at = Instant::now();
-    let admitted = server.gate.admit(&offer).await;
-    let (times, waited) = (context.counters.times(), offered_at.elapsed());
-    let outcome = if admitted.is_ok() { "admitted" } else { "refused" };
-    times.observe(&call.service, outcome, TimeStage::Queue, waited);
-    let permit = match admitted {
+    let has_body = !request.body().is_end_stream();
+    let is_upload = arrival.over_link && has_body && is_large(request.body());
+    let mut offer = guard_request(call, arrival, alone);
+    if is_upload && let Err(refusal) = server.gate.consider_upload(&offer, &server.uploads.ahead())
+    {
+        return refuse_admission(&server, refusal);
+    }
+    let request = match arrival.over_link && has_body {
+        true => fetch(&server, request).await,
+        false => Ok(request),
+    };
+    let Ok(request) = request else { return refuse(RefusalKind::DeadlineTooNear) };
+    let fetched = arrival.at.elapsed();
+    if is_upload {
+        // Its bytes would have to come again elsewhere, so that it waits here for a slot.
+        offer = GuardRequest { most_wait: None, ..guard_request(call, arrival, alone) };
+    }
+    let permit = match admit(context, &server, call, &offer).await {
         Ok(permit) => permit,
-        Err(Refusal { reason, retry_after, figures }) => {
-            let mut response = refuse_until(server.refusal_kind(reason), retry_after);
-            server.hints().write(response.headers_mut());
-            if let Some(figures) = figures {
-                write_figures(response.headers_mut(), &figures);
-            }
-            return response;
-        }
+        Err(refusal) => return refuse_admission(&server, refusal),
     };
+    let deadline = arrival.deadline;
     let key = claim_key(&request, call);
     let hold = match claim(context, key, deadline).await {
         Ok(hold) => hold,
         Err(response) => return *response,
     };
-    let admitted = AdmittedRequest { permit, hold, admitted_at: Instant::now(), deadline };
+    let admitted_at = Instant::now();
+    let admitted = AdmittedRequest { permit, hold, fetched, admitted_at, deadline };
     send(context, &server, request, call, admitted, stage).await
 }
 
+/// Takes the body of a request off the link.
+async fn fetch(
+    server: &GuardedServer,
+    request: Request<ProxyBody>,
+) -> Result<Request<ProxyBody>, BodyError> {
+    let _coming = ComingCount::new(&server.coming);
+    let fetched = fetch_body(request, &server.uploads).await;
+    fetched.inspect_err(|err| log::info!("guard: a request's body broke off: {err}."))
+}
+
+async fn admit(
+    context: &GuardContext,
+    server: &GuardedServer,
+    call: &GuardCall,
+    offer: &GuardRequest,
+) -> Result<AdmitPermit, Refusal> {
+    let offered_at = Instant::now();
+    let admitted = server.gate.admit(offer).await;
+    let (times, waited) = (context.counters.times(), offered_at.elapsed());
+    let outcome = if admitted.is_ok() { "admitted" } else { "refused" };
+    times.observe(&call.service, outcome, TimeStage::Queue, waited);
+    admitted
+}
+
+fn refuse_admission(server: &GuardedServer, refusal: Refusal) -> Response<ProxyBody> {
+    let Refusal { reason, retry_after, figures } = refusal;
+    let mut response = refuse_until(server.refusal_kind(reason), retry_after);
+    server.hints().write(response.headers_mut());
+    if let Some(figures) = figures {
+        write_figures(response.headers_mut(), &figures);
+    }
+    response
+}
+
 /// Decides how a request may run that was at a server when it died, and tells the log where that is
 /// not as any other.
 fn judge_suspect(
@@ -165,15 +219,15 @@
     verdict
 }
 
-fn guard_request(call: &GuardCall, deadline: Instant, alone: bool) -> GuardRequest {
-    let left = deadline.saturating_duration_since(Instant::now());
-    let now = process_now();
+fn guard_request(call: &GuardCall, arrival: CallArrival, alone: bool) -> GuardRequest {
+    let left = arrival.deadline.saturating_duration_since(Instant::now());
+    let (now, elapsed) = (process_now(), arrival.at.elapsed());
     GuardRequest {
         class: call.class,
         flow: call.flow(),
         deadline: now + left,
         alone,
-        goal: call.goal().map(|goal| now + goal),
+        goal: call.goal().map(|goal| (now + goal).saturating_sub(elapsed)),
         rank: call.rank,
         work: call.work,
         most_wait: call.most_wait(),
--- a/components/proxy/src/hints.rs
+++ b/components/proxy/src/hints.rs
@@ -41,7 +41,8 @@
     pub(crate) load: Option<u32>,
     pub(crate) wait: Option<Duration>,
     pub(crate) failing: Option<u32>,
-    /// Time from admission to the head of the answer, without the network.
+    /// Time from admission to the head of the answer, and that in which an upload came over the guard's
+    /// link.
     pub(crate) ran: Option<Duration>,
     /// Time from the arrival at the guard to the head of its answer.
     pub(crate) held: Option<Duration>,
@@ -71,7 +72,7 @@
     }
 }
 
-/// Writes how long the server took to the head of its answer.
+/// Writes how long a request took from the first of its body to the head of its answer.
 pub(crate) fn write_ran(headers: &mut HeaderMap, took: Duration) {
     headers.insert(RAN_HEADER, whole_micros(took).into());
 }
--- a/components/proxy/src/lib.rs
+++ b/components/proxy/src/lib.rs
@@ -18,6 +18,7 @@
 mod entry;
 mod exchange;
 mod failed_calls;
+mod fetch;
 mod forward;
 mod gate;
 mod greeting;
--- a/components/proxy/src/local.rs
+++ b/components/proxy/src/local.rs
@@ -64,6 +64,10 @@
     pub(crate) pool: Arc<ServerPool>,
     /// Its large answers on their way out.
     pub(crate) transfers: Arc<TransferLine>,
+    /// Uploads to it on their way over the link.
+    pub(crate) uploads: Arc<TransferLine>,
+    /// Requests whose body is on its way here, before they are offered to the gate.
+    pub(crate) coming: AtomicU32,
     /// Host for requests that bring none.
     pub(crate) host: HeaderValue,
     /// Whether the server said that it drains, which is final for its process.
@@ -172,9 +176,13 @@
         }
     }
 
-    /// Tells whether no request waits or runs here, and no answer is on its way.
+    /// Tells whether no request comes, waits or runs here, and no answer is on its way.
     pub fn is_idle(&self) -> bool {
-        self.guard_states().values().all(GuardState::is_idle)
+        let current = self.current.load();
+        current.values().all(|entry| {
+            let (coming, state) = (&entry.guarded.coming, entry.guarded.gate.state());
+            coming.load(Ordering::Acquire) == 0 && state.is_idle()
+        })
     }
 
     /// Refuses the requests that wait for a server here, and all new ones, as not run.
@@ -237,7 +245,9 @@
         Arc::new(GuardedServer {
             id: server.endpoint.server.clone(),
             name: server.name.clone(),
-            transfers: Arc::new(TransferLine::new(gate.clone())),
+            transfers: Arc::new(TransferLine::of_answers(gate.clone())),
+            uploads: Arc::default(),
+            coming: AtomicU32::new(0),
             gate,
             pool: Arc::new(ServerPool::new(server.address, self.limits.pacer)),
             host: HeaderValue::from_str(&server.address.to_string())
--- a/components/proxy/src/serve.rs
+++ b/components/proxy/src/serve.rs
@@ -59,6 +59,9 @@
 const GUARD_RESETS: usize = 16 * 1024;
 /// Bytes in flight of one request's body.
 const STREAM_WINDOW: u32 = 256 * 1024;
+/// The same for a body that another daemon sends, which may yet be refused, and which short calls to the
+/// same instance stand behind.
+const GUARD_STREAM_WINDOW: u32 = 16 * 1024;
 /// Bytes of one answer that wait here for the link. The rest waits at the server, whose slot stays
 /// taken, so that a link that is full counts like a full server.
 const SEND_BUFFER: usize = 16 * 1024;
@@ -154,7 +157,11 @@
     let mut server = build_server(GUARD_HEAD_BYTES, GUARD_STREAMS, GUARD_RESETS).http2_only();
     // Counted over the life of a connection: bodies that cross with an early refusal count, so that
     // a connection between two daemons would break every thousand refusals.
-    server.http2().max_local_error_reset_streams(None).max_send_buf_size(SEND_BUFFER);
+    server
+        .http2()
+        .max_local_error_reset_streams(None)
+        .max_send_buf_size(SEND_BUFFER)
+        .initial_stream_window_size(GUARD_STREAM_WINDOW);
     serve(
         listener,
         server,
--- a/components/proxy/src/transfers.rs
+++ b/components/proxy/src/transfers.rs
@@ -1,4 +1,4 @@
-//! Large answers of the local backend server, which take turns on the instance's link.
+//! Large answers of the local backend server and uploads to it, which take turns on the instance's link.
 
 use std::{
     future::Future,
@@ -8,32 +8,47 @@
 };
 
 use bytes::Bytes;
-use hyper::body::{Body, Frame, Incoming, SizeHint};
-use sk_decide::transferring::{TransferId, TransferQueue, TransferTurn};
+use hyper::body::{Body, Frame, SizeHint};
+use sk_decide::{
+    admitting::LinkAhead,
+    transferring::{TransferId, TransferQueue, TransferTurn},
+};
 use slotmap::SecondaryMap;
 use tokio::time::{Sleep, sleep};
 
 use crate::{clock::process_now, gate::AdmissionGate};
 
-/// Size from which an answer takes turns: several of the packets' worth that a short answer is.
+/// Size from which a body takes turns: several of the packets' worth that a short answer is.
 const LARGE_BYTES: u64 = 32 * 1024;
 
+/// Tells whether a body takes turns. One of unknown length may be large.
+pub(crate) fn is_large(body: &impl Body) -> bool {
+    body.size_hint().upper().is_none_or(|size| size >= LARGE_BYTES)
+}
+
 #[derive(Default)]
 struct LineState {
     queue: TransferQueue,
     wakers: SecondaryMap<TransferId, Waker>,
 }
 
-/// The large answers of one server.
+/// The large bodies that go one way between the link and one server.
+#[derive(Default)]
 pub(crate) struct TransferLine {
     state: Mutex<LineState>,
     /// Is told how many answers wait, since more of them would only wait longer.
-    gate: Arc<AdmissionGate>,
+    gate: Option<Arc<AdmissionGate>>,
 }
 
 impl TransferLine {
-    pub(crate) fn new(gate: Arc<AdmissionGate>) -> Self {
-        Self { state: Mutex::default(), gate }
+    /// Makes the line of the answers to what a gate admits.
+    pub(crate) fn of_answers(gate: Arc<AdmissionGate>) -> Self {
+        Self { gate: Some(gate), ..Self::default() }
+    }
+
+    /// Gives what the link carries before a body that comes now.
+    pub(crate) fn ahead(&self) -> LinkAhead {
+        self.lock().queue.ahead(process_now())
     }
 
     fn lock(&self) -> MutexGuard<'_, LineState> {
@@ -51,8 +66,11 @@
         })
     }
 
-    fn end(&self, id: TransferId) {
+    fn end(&self, id: TransferId, is_whole: bool) {
         self.change(|state| {
+            if is_whole {
+                state.queue.note_whole(id, process_now());
+            }
             state.queue.end(id);
             state.wakers.remove(id);
         });
@@ -69,41 +87,42 @@
         if let Some(waker) = next {
             waker.wake();
         }
-        if held_back != before {
-            self.gate.note_held_back(held_back);
+        if let Some(gate) = &self.gate
+            && held_back != before
+        {
+            gate.note_held_back(held_back);
         }
         changed
     }
 }
 
-/// The place of one answer in the line, given back when dropped.
+/// The place of one body in the line, given back when dropped.
 struct LinePlace {
     line: Arc<TransferLine>,
     id: TransferId,
-    /// Ends a wait when the turn of an answer that stands still lapses.
+    /// Ends a wait when the turn of a body that stands still lapses.
     lapse: Option<Pin<Box<Sleep>>>,
+    is_whole: bool,
 }
 
 impl Drop for LinePlace {
     fn drop(&mut self) {
-        self.line.end(self.id);
+        self.line.end(self.id, self.is_whole);
     }
 }
 
-/// An answer's body that waits for its turn where it is large.
-pub(crate) struct TurnBody {
-    inner: Incoming,
+/// A body that waits for its turn where it is large.
+pub(crate) struct TurnBody<B> {
+    inner: B,
     place: Option<LinePlace>,
 }
 
-impl TurnBody {
-    /// Wraps an answer of a server.
-    pub(crate) fn new(inner: Incoming, line: &Arc<TransferLine>) -> Self {
-        // One of unknown length may be large.
-        let is_large = inner.size_hint().upper().is_none_or(|size| size >= LARGE_BYTES);
-        let place = is_large.then(|| {
+impl<B: Body> TurnBody<B> {
+    /// Wraps the body of an answer or upload.
+    pub(crate) fn new(inner: B, line: &Arc<TransferLine>) -> Self {
+        let place = is_large(&inner).then(|| {
             let id = line.lock().queue.begin();
-            LinePlace { line: line.clone(), id, lapse: None }
+            LinePlace { line: line.clone(), id, lapse: None, is_whole: false }
         });
         Self { inner, place }
     }
@@ -129,22 +148,25 @@
     }
 }
 
-impl Body for TurnBody {
+impl<B: Body<Data = Bytes> + Unpin> Body for TurnBody<B> {
     type Data = Bytes;
-    type Error = hyper::Error;
+    type Error = B::Error;
 
     fn poll_frame(
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
+    ) -> Poll<Option<Result<Frame<Bytes>, B::Error>>> {
         if let Some(place) = &mut self.place
             && place.poll_turn(context).is_pending()
         {
             return Poll::Pending;
         }
         let frame = Pin::new(&mut self.inner).poll_frame(context);
-        if matches!(frame, Poll::Ready(None | Some(Err(_)))) || self.inner.is_end_stream() {
-            self.place = None;
+        let is_cut = matches!(frame, Poll::Ready(Some(Err(_))));
+        if (is_cut || matches!(frame, Poll::Ready(None)) || self.inner.is_end_stream())
+            && let Some(mut place) = self.place.take()
+        {
+            place.is_whole = !is_cut;
         }
         frame
     }
