--- a/components/proxy/src/guard.rs
+++ b/components/proxy/src/guard.rs
@@ -17,7 +17,7 @@
 
 use crate::{
     answer::{OwnAnswer, lost_answer, own_answer, refuse, refuse_until},
-    body::{BodyError, CheckedBody, ProxyBody},
+    body::{CheckedBody, ProxyBody},
     call::GuardCall,
     claim::{ClaimHold, ClaimKey, ClaimVerdict},
     clock::process_now,
@@ -128,28 +128,20 @@
         QuarantineVerdict::Refused(left) => return refuse_until(RefusalKind::Quarantined, left),
         verdict => verdict == QuarantineVerdict::TryAlone,
     };
-    let has_body = !request.body().is_end_stream();
-    let is_upload = arrival.over_link && has_body && is_large(request.body());
-    let mut offer = guard_request(call, arrival, alone);
-    if is_upload && let Err(refusal) = server.gate.consider_upload(&offer, &server.uploads.ahead())
-    {
-        return refuse_admission(&server, refusal);
-    }
-    let request = match arrival.over_link && has_body {
-        true => fetch(&server, request).await,
-        false => Ok(request),
+    let deadline = arrival.deadline;
+    let offer = guard_request(call, deadline, alone);
+    let (request, offer) = match arrival.over_link && !request.body().is_end_stream() {
+        true => match take_in(&server, request, offer).await {
+            Ok(taken) => taken,
+            Err(response) => return *response,
+        },
+        false => (request, offer),
     };
-    let Ok(request) = request else { return refuse(RefusalKind::DeadlineTooNear) };
     let fetched = arrival.at.elapsed();
-    if is_upload {
-        // Its bytes would have to come again elsewhere, so that it waits here for a slot.
-        offer = GuardRequest { most_wait: None, ..guard_request(call, arrival, alone) };
-    }
     let permit = match admit(context, &server, call, &offer).await {
         Ok(permit) => permit,
         Err(refusal) => return refuse_admission(&server, refusal),
     };
-    let deadline = arrival.deadline;
     let key = claim_key(&request, call);
     let hold = match claim(context, key, deadline).await {
         Ok(hold) => hold,
@@ -160,14 +152,26 @@
     send(context, &server, request, call, admitted, stage).await
 }
 
-/// Takes the body of a request off the link.
-async fn fetch(
+/// Takes the body of a request off the link, if it is worth that, and gives the request with what it is
+/// then offered as.
+async fn take_in(
     server: &GuardedServer,
     request: Request<ProxyBody>,
-) -> Result<Request<ProxyBody>, BodyError> {
+    offer: GuardRequest,
+) -> Result<(Request<ProxyBody>, GuardRequest), OwnAnswer> {
+    let is_upload = is_large(request.body());
+    if is_upload {
+        let considered = server.gate.consider_upload(&offer, &server.uploads.ahead());
+        considered.map_err(|refusal| Box::new(refuse_admission(server, refusal)))?;
+    }
     let _coming = ComingCount::new(&server.coming);
-    let fetched = fetch_body(request, &server.uploads).await;
-    fetched.inspect_err(|err| log::info!("guard: a request's body broke off: {err}."))
+    let request = fetch_body(request, &server.uploads).await.map_err(|err| {
+        log::info!("guard: a request's body broke off: {err}.");
+        Box::new(refuse(RefusalKind::DeadlineTooNear))
+    })?;
+    // The bytes of an upload would have to come again elsewhere, so that it waits here for a slot.
+    let most_wait = offer.most_wait.filter(|_| !is_upload);
+    Ok((request, GuardRequest { most_wait, ..offer }))
 }
 
 async fn admit(
@@ -219,15 +223,15 @@
     verdict
 }
 
-fn guard_request(call: &GuardCall, arrival: CallArrival, alone: bool) -> GuardRequest {
-    let left = arrival.deadline.saturating_duration_since(Instant::now());
-    let (now, elapsed) = (process_now(), arrival.at.elapsed());
+fn guard_request(call: &GuardCall, deadline: Instant, alone: bool) -> GuardRequest {
+    let left = deadline.saturating_duration_since(Instant::now());
+    let now = process_now();
     GuardRequest {
         class: call.class,
         flow: call.flow(),
         deadline: now + left,
         alone,
-        goal: call.goal().map(|goal| (now + goal).saturating_sub(elapsed)),
+        goal: call.goal().map(|goal| now + goal),
         rank: call.rank,
         work: call.work,
         most_wait: call.most_wait(),
