Test of request lines: the metrics address is the test's own

told_by_path failed once in a run of the whole script beside a soak and repeated tests: its daemon could not listen at metrics.listen, 127.0.0.1:39045, address already in use. The test had bound port 0, closed it and given the port to the daemon, and another process took it in between. It now uses a loopback address that no other process binds; what it checks is as before.

--- a/tests/request_logs.rs
+++ b/tests/request_logs.rs
@@ -4,6 +4,8 @@
 
 use std::{
     io::Write,
+    net::{Ipv4Addr, SocketAddr},
+    sync::atomic::{AtomicU8, Ordering},
     time::{Duration, Instant},
 };
 
@@ -13,6 +15,8 @@
 };
 use serde_json::Value;
 
+/// Below the ports that the system gives to connections.
+const METRICS_PORT: u16 = 9_464;
 const DECLARATIONS: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/examples/declarations/first");
 
 /// Finds the line about a request by its path.
@@ -45,6 +49,15 @@
     value.and_then(|value| value.parse().ok()).unwrap_or_default()
 }
 
+/// Gives a loopback address for one test: another process that binds any port of 127.0.0.1 cannot take
+/// the port before the daemon does.
+fn own_address() -> String {
+    static USED: AtomicU8 = AtomicU8::new(1);
+    let [.., high, low] = std::process::id().to_be_bytes();
+    let host = Ipv4Addr::new(127, USED.fetch_add(1, Ordering::Relaxed), high, low);
+    SocketAddr::from((host, METRICS_PORT)).to_string()
+}
+
 /// A fleet with a platform and the first declarations in force.
 struct LoggedFleet {
     _directory: TestDirectory,
@@ -59,10 +72,7 @@
         let directory = TestDirectory::new(name);
         let platform = start_platform();
         let address = platform_address(&platform);
-        // A port that was free a moment ago; another test's bind in between would show as a failed
-        // start.
-        let free = std::net::TcpListener::bind("127.0.0.1:0").expect("a port").local_addr();
-        let metrics = free.expect("an address").to_string();
+        let metrics = own_address();
         let extra = format!("[metrics]\nlisten = \"{metrics}\"\n");
         let plan = DaemonPlan {
             name: "d1",
