Read again: what stood twice in the change is one piece

No change of behaviour. The rule by which a wait makes a request miss its goal is one function for queued requests and uploads, a refusal at the offer is made in one place, the first part of a body is read by one loop at the entry and at the guard, and two tests share their relay's accept loop. A call's departure is no longer read from the clock when it is made: it was overwritten when the call departs, and a call to the own server never reads it.

--- a/components/decide/src/admitting.rs
+++ b/components/decide/src/admitting.rs
@@ -180,9 +180,7 @@
         rng: &mut (impl Rng + ?Sized),
     ) -> Admission {
         if let Some(reason) = self.refusal_reason(request, now) {
-            let figures = self.figures(request, now);
-            let refusal = Refusal { figures, ..self.refuse(reason, now, rng) };
-            return Admission::Refused(refusal);
+            return Admission::Refused(self.refuse_offer(request, reason, now, rng));
         }
         let class = request.class;
         let service = self.service_time(request, now);
@@ -250,6 +248,18 @@
         Refusal { reason, retry_after, figures: None }
     }
 
+    /// Makes the refusal of a request at its offer, with what it was decided by.
+    fn refuse_offer(
+        &self,
+        request: &GuardRequest,
+        reason: RefusalReason,
+        now: Duration,
+        rng: &mut (impl Rng + ?Sized),
+    ) -> Refusal {
+        let figures = self.figures(request, now);
+        Refusal { figures, ..self.refuse(reason, now, rng) }
+    }
+
     /// Tells whether a request runs as a trial with the server kept empty beside it. Asked when the
     /// server dies, for [`crate::quarantine::CrashReport::is_trial`].
     pub fn is_trial(&self, ticket: Ticket) -> bool {
--- a/components/decide/src/admitting/upload.rs
+++ b/components/decide/src/admitting/upload.rs
@@ -4,7 +4,7 @@
 
 use rand::Rng;
 
-use crate::admitting::{AdmissionGuard, GuardRequest, Refusal, RefusalReason};
+use crate::admitting::{AdmissionGuard, GuardRequest, Refusal, RefusalReason, urgent::makes_late};
 
 /// What the instance's link has to carry before an upload.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -35,9 +35,10 @@
         now: Duration,
         rng: &mut (impl Rng + ?Sized),
     ) -> Result<(), Refusal> {
-        let Some(reason) = self.upload_reason(request, link, now) else { return Ok(()) };
-        let figures = self.figures(request, now);
-        Err(Refusal { figures, ..self.refuse(reason, now, rng) })
+        match self.upload_reason(request, link, now) {
+            Some(reason) => Err(self.refuse_offer(request, reason, now, rng)),
+            None => Ok(()),
+        }
     }
 
     fn upload_reason(
@@ -59,18 +60,10 @@
             Some(most) if link.wait > most || (is_full && most.is_zero()) => {
                 Some(RefusalReason::Busy)
             }
-            _ if link.makes_late(request, service, now) => Some(RefusalReason::GoalMissed),
+            _ if makes_late(request, link.wait, link.takes + service, now) => {
+                Some(RefusalReason::GoalMissed)
+            }
             _ => None,
         }
     }
 }
-
-impl LinkAhead {
-    /// Tells whether the link would make a request miss a goal that it could still meet.
-    fn makes_late(&self, request: &GuardRequest, service: Duration, now: Duration) -> bool {
-        let goal = request.goal.filter(|goal| *goal > now);
-        goal.is_some_and(|goal| {
-            now + self.wait + self.takes + service > goal && self.wait > (goal - now) / 2
-        })
-    }
-}
--- a/components/decide/src/admitting/urgent.rs
+++ b/components/decide/src/admitting/urgent.rs
@@ -75,18 +75,14 @@
         let class = request.class;
         let wait = self.urgent_wait(request, now);
         let service = self.service_time(request, now);
-        // A goal that has passed already says nothing about what can still be had.
-        let goal = request.goal.filter(|goal| *goal > now);
         // Work that comes later and is more urgent goes before it.
         let wait = wait.mul_f64(LATER_WORK);
-        match goal {
+        match request {
             _ if self.queued(class) >= self.settings.queue_limit(class) => {
                 Some(self.full_reason(now))
             }
             _ if now + wait + service > request.deadline => Some(RefusalReason::DeadlineTooNear),
-            Some(goal) if now + wait + service > goal && wait > (goal - now) / 2 => {
-                Some(RefusalReason::GoalMissed)
-            }
+            _ if makes_late(request, wait, service, now) => Some(RefusalReason::GoalMissed),
             _ => None,
         }
     }
@@ -143,6 +139,18 @@
     }
 }
 
+/// Tells whether a wait, with `rest` after it, makes a request miss its goal by much. A goal that has
+/// passed already says nothing about what can still be had.
+pub(super) fn makes_late(
+    request: &GuardRequest,
+    wait: Duration,
+    rest: Duration,
+    now: Duration,
+) -> bool {
+    let goal = request.goal.filter(|goal| *goal > now);
+    goal.is_some_and(|goal| now + wait + rest > goal && wait > (goal - now) / 2)
+}
+
 /// Gives how urgent a request is.
 pub(super) fn urgency_of(request: &GuardRequest) -> Urgency {
     Urgency { rank: request.rank, due: request.goal.unwrap_or(request.deadline) }
--- a/components/proxy/src/call.rs
+++ b/components/proxy/src/call.rs
@@ -53,7 +53,7 @@
     pub(crate) work: WorkKey,
     /// Microseconds that it may wait for a slot, none for any time.
     most_wait_us: Option<u64>,
-    /// The sender's clock, and the microsecond by it at which this was sent.
+    /// The sender's clock, and the microsecond by it at which this was sent; zero until it departs.
     clock: ClockId,
     sent_us: u64,
     /// The opening of the connection, on calls that closely follow it.
@@ -141,7 +141,7 @@
             work: traits.work,
             most_wait_us: terms.most_wait.map(whole_micros),
             clock: clock_id(),
-            sent_us: whole_micros(trip_now()),
+            sent_us: 0,
             opening: None,
         }
     }
--- a/components/proxy/src/fetch.rs
+++ b/components/proxy/src/fetch.rs
@@ -5,14 +5,13 @@
     atomic::{AtomicU32, Ordering},
 };
 
-use bytes::BytesMut;
 use http::Request;
 use http_body_util::BodyExt;
 
 use crate::{
     body::{BodyError, PrefixedBody, ProxyBody, whole_body},
     transfers::{TransferLine, TurnBody},
-    upload::REPLAY_BYTES,
+    upload::{BodyPrefix, read_prefix},
 };
 
 /// Counts a request until its body is here, or it is given up.
@@ -44,15 +43,9 @@
 ) -> Result<Request<ProxyBody>, BodyError> {
     let (parts, body) = request.into_parts();
     let mut rest = TurnBody::new(body, line);
-    let mut read = BytesMut::new();
-    while read.len() <= REPLAY_BYTES {
-        let Some(frame) = rest.frame().await else {
-            return Ok(Request::from_parts(parts, whole_body(read.freeze())));
-        };
-        if let Ok(data) = frame?.into_data() {
-            read.extend_from_slice(&data);
-        }
-    }
-    let body = PrefixedBody::new(read.freeze(), rest).boxed_unsync();
+    let body = match read_prefix(&mut rest).await? {
+        BodyPrefix::Whole(bytes) => whole_body(bytes),
+        BodyPrefix::Part(bytes) => PrefixedBody::new(bytes, rest).boxed_unsync(),
+    };
     Ok(Request::from_parts(parts, body))
 }
--- a/components/proxy/src/upload.rs
+++ b/components/proxy/src/upload.rs
@@ -18,7 +18,7 @@
 /// Bytes of a body that are kept so that it can be sent again. Covers nearly all queries and
 /// confirmations; at a thousand requests in flight it is 64 MB at the very worst, and documents
 /// are streamed instead.
-pub(crate) const REPLAY_BYTES: usize = 64 * 1024;
+const REPLAY_BYTES: usize = 64 * 1024;
 
 /// Longest time for which a refused body is read, so that its sender learns of the refusal.
 const DISCARD_WAIT: Duration = Duration::from_secs(1);
@@ -123,23 +123,38 @@
     }
 }
 
-async fn read_first(body: CheckedBody, limit: u64) -> Result<UploadBody, UploadError> {
-    let limit = usize::try_from(limit).unwrap_or(usize::MAX);
-    let mut rest = Limited::new(body, limit);
+/// What was read of a body.
+pub(crate) enum BodyPrefix {
+    /// All of it.
+    Whole(Bytes),
+    /// More than is kept, with more to come.
+    Part(Bytes),
+}
+
+/// Reads a body to its end, or until more is read than is kept.
+pub(crate) async fn read_prefix<B>(body: &mut B) -> Result<BodyPrefix, B::Error>
+where
+    B: Body<Data = Bytes> + Unpin,
+{
     let mut read = BytesMut::new();
     while read.len() <= REPLAY_BYTES {
-        match rest.frame().await {
-            None => return Ok(UploadBody::Whole(read.freeze())),
-            Some(Ok(frame)) => {
-                if let Ok(data) = frame.into_data() {
-                    read.extend_from_slice(&data);
-                }
-            }
-            Some(Err(err)) if err.is::<LengthLimitError>() => return Err(UploadError::TooLarge),
-            Some(Err(_)) => return Err(UploadError::Lost),
+        let Some(frame) = body.frame().await else { return Ok(BodyPrefix::Whole(read.freeze())) };
+        if let Ok(data) = frame?.into_data() {
+            read.extend_from_slice(&data);
         }
     }
-    let prefix = read.freeze();
+    Ok(BodyPrefix::Part(read.freeze()))
+}
+
+async fn read_first(body: CheckedBody, limit: u64) -> Result<UploadBody, UploadError> {
+    let limit = usize::try_from(limit).unwrap_or(usize::MAX);
+    let mut rest = Limited::new(body, limit);
+    let prefix = match read_prefix(&mut rest).await {
+        Ok(BodyPrefix::Whole(bytes)) => return Ok(UploadBody::Whole(bytes)),
+        Ok(BodyPrefix::Part(bytes)) => bytes,
+        Err(err) if err.is::<LengthLimitError>() => return Err(UploadError::TooLarge),
+        Err(_) => return Err(UploadError::Lost),
+    };
     let overrun = Arc::new(AtomicBool::new(false));
     let noted = overrun.clone();
     let rest = rest.map_err(move |err| match err.downcast::<BodyError>() {
--- a/tests/common/requests.rs
+++ b/tests/common/requests.rs
@@ -2,8 +2,9 @@
 //! which callers enter.
 
 use std::{
+    net::SocketAddr,
     sync::{
-        Arc,
+        Arc, OnceLock,
         atomic::{AtomicBool, AtomicU64, Ordering},
     },
     time::Duration,
@@ -16,7 +17,10 @@
     client::legacy::{Client, connect::HttpConnector},
     rt::TokioExecutor,
 };
-use tokio::task::JoinHandle;
+use tokio::{
+    net::{TcpListener, TcpStream},
+    task::JoinHandle,
+};
 
 use super::{
     DaemonPlan, MANAGER_TOKEN, TEAM_TOKEN, TestDirectory, TestProcess, call, in_force, operate,
@@ -147,6 +151,24 @@
     }
 }
 
+/// Accepts connections for a target, once it is set, and hands each, with one to there, to `carry`,
+/// which is to pass bytes on between them.
+pub async fn relay(
+    target: &'static OnceLock<SocketAddr>,
+    carry: impl Fn(TcpStream, TcpStream) + Send + 'static,
+) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("an address");
+    tokio::spawn(async move {
+        while let Ok((near, _)) = listener.accept().await {
+            let Some(target) = target.get() else { continue };
+            let Ok(far) = TcpStream::connect(target).await else { continue };
+            carry(near, far);
+        }
+    });
+    address
+}
+
 /// An answer, with the error that its body ended in if it was cut.
 #[derive(Debug)]
 pub struct WholeAnswer {
--- a/tests/proxy_drains.rs
+++ b/tests/proxy_drains.rs
@@ -14,13 +14,12 @@
 
 use common::{
     in_force,
-    requests::{RequestFleet, RequestLoad, WholeAnswer, client, request, wait_until},
+    requests::{RequestFleet, RequestLoad, WholeAnswer, client, relay, request, wait_until},
 };
 use http_body_util::{BodyExt, Full};
 use hyper::Request;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
-    net::{TcpListener, TcpStream},
     task::JoinHandle,
 };
 
@@ -182,27 +181,21 @@
     guard: &'static OnceLock<SocketAddr>,
     is_late: &'static AtomicBool,
 ) -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
-    let address = listener.local_addr().expect("an address");
-    tokio::spawn(async move {
-        while let Ok((near, _)) = listener.accept().await {
-            let Some(guard) = guard.get() else { continue };
-            let Ok(far) = TcpStream::connect(guard).await else { continue };
-            let ((mut near_in, mut near_out), (mut far_in, mut far_out)) =
-                (near.into_split(), far.into_split());
-            tokio::spawn(async move { tokio::io::copy(&mut far_in, &mut near_out).await });
-            tokio::spawn(async move {
-                let mut chunk = [0; 4_096];
-                while let Ok(size @ 1..) = near_in.read(&mut chunk).await {
-                    if is_late.load(Ordering::SeqCst) {
-                        tokio::time::sleep(LATE_BY).await;
-                    }
-                    if far_out.write_all(&chunk[..size]).await.is_err() {
-                        return;
-                    }
+    relay(guard, move |near, far| {
+        let ((mut near_in, mut near_out), (mut far_in, mut far_out)) =
+            (near.into_split(), far.into_split());
+        tokio::spawn(async move { tokio::io::copy(&mut far_in, &mut near_out).await });
+        tokio::spawn(async move {
+            let mut chunk = [0; 4_096];
+            while let Ok(size @ 1..) = near_in.read(&mut chunk).await {
+                if is_late.load(Ordering::SeqCst) {
+                    tokio::time::sleep(LATE_BY).await;
+                }
+                if far_out.write_all(&chunk[..size]).await.is_err() {
+                    return;
                 }
-            });
-        }
-    });
-    address
+            }
+        });
+    })
+    .await
 }
--- a/tests/upload_versions.rs
+++ b/tests/upload_versions.rs
@@ -12,17 +12,14 @@
 use common::{
     DaemonPlan, MANAGER_TOKEN, TEAM_TOKEN, TestDirectory, TestProcess, call, in_force, operate,
     platform_address, render,
-    requests::{SERVICE, client, wait_until},
+    requests::{SERVICE, client, relay, wait_until},
     start_daemon_at, start_platform,
 };
 use http_body_util::{BodyExt, Full};
 use hyper::Request;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
-    net::{
-        TcpListener, TcpStream,
-        tcp::{OwnedReadHalf, OwnedWriteHalf},
-    },
+    net::tcp::{OwnedReadHalf, OwnedWriteHalf},
     sync::mpsc,
 };
 
@@ -68,28 +65,22 @@
 
 /// Relays connections to a target; those that come from outside are slowed towards it, and those that
 /// the instance opens are slowed on their way back.
-async fn relay(
+async fn thin_relay(
     link: &LinkQueue,
     target: &'static OnceLock<SocketAddr>,
     is_inward: bool,
 ) -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
-    let address = listener.local_addr().expect("an address");
     let link = link.clone();
-    tokio::spawn(async move {
-        while let Ok((near, _)) = listener.accept().await {
-            let Some(target) = target.get() else { continue };
-            let Ok(far) = TcpStream::connect(target).await else { continue };
-            let (near, far) = (near.into_split(), far.into_split());
-            let ((slow_in, slow_out), (mut fast_in, mut fast_out)) = match is_inward {
-                true => ((near.0, far.1), (far.0, near.1)),
-                false => ((far.0, near.1), (near.0, far.1)),
-            };
-            tokio::spawn(carry(slow_in, slow_out, link.clone()));
-            tokio::spawn(async move { tokio::io::copy(&mut fast_in, &mut fast_out).await });
-        }
-    });
-    address
+    relay(target, move |near, far| {
+        let (near, far) = (near.into_split(), far.into_split());
+        let ((slow_in, slow_out), (mut fast_in, mut fast_out)) = match is_inward {
+            true => ((near.0, far.1), (far.0, near.1)),
+            false => ((far.0, near.1), (near.0, far.1)),
+        };
+        tokio::spawn(carry(slow_in, slow_out, link.clone()));
+        tokio::spawn(async move { tokio::io::copy(&mut fast_in, &mut fast_out).await });
+    })
+    .await
 }
 
 fn start_thin(directory: &TestDirectory, name: &str, ways: [&str; 2], listen: &str) -> TestProcess {
@@ -142,9 +133,10 @@
     let (platform, link) = (start_platform(), start_link());
     let platform_at = platform_address(&platform);
     set(&PLATFORM, &platform_at);
-    let (guard, control) = (relay(&link, &GUARD, true).await, relay(&link, &CONTROL, true).await);
-    let thin_platform = relay(&link, &PLATFORM, false).await.to_string();
-    let seed = relay(&link, &ENTRY_CONTROL, false).await.to_string();
+    let (guard, control) =
+        (thin_relay(&link, &GUARD, true).await, thin_relay(&link, &CONTROL, true).await);
+    let thin_platform = thin_relay(&link, &PLATFORM, false).await.to_string();
+    let seed = thin_relay(&link, &ENTRY_CONTROL, false).await.to_string();
     let listen = format!("advertised_control = \"{seed}\"\n");
     let entry = start_thin(&directory, "daemon0", [&platform_at, ""], &listen);
     set(&ENTRY_CONTROL, &entry.address("control"));
