proxy: lines that name who ended an answer, when and after how many bytes

The line of an answer that was cut after its head named neither the endpoint nor how far it had come, and a guard had no line for a body that it broke off or whose reader left. A cut answer could therefore not be traced to the hop that closed.

Entry and guard now write the endpoint, the bytes passed on and due, the time since the head and whether the daemon drains; connections between daemons that fail are told with the whole chain of causes, and a stop tells how each listener ended.

--- a/components/daemon/src/daemon.rs
+++ b/components/daemon/src/daemon.rs
@@ -263,12 +263,18 @@
         }));
         let servers = &self.guard_context.servers;
         // A peer that disappeared without notice never closes its connection.
-        let is_guard_clean = tokio::select! {
-            is_clean = self.guard.stop(self.times.drain.saturating_sub(CLOSE_MARGIN)) => is_clean,
-            () = wait_until_idle(servers) => true,
+        let (is_guard_clean, has_open_peers) = tokio::select! {
+            is_clean = self.guard.stop(self.times.drain.saturating_sub(CLOSE_MARGIN)) => {
+                (is_clean, !is_clean)
+            }
+            () = wait_until_idle(servers) => (true, true),
         };
+        let is_idle = servers.is_idle();
+        log::info!(is_clean = is_guard_clean, has_open_peers, is_idle; "daemon: the guard stopped.");
         let remaining = end.saturating_duration_since(Instant::now());
         let is_forward_clean = self.forward.stop(remaining).await;
+        let in_flight = self.guard_context.counters.snapshot().in_flight;
+        log::info!(is_clean = is_forward_clean, in_flight; "daemon: the entry stopped.");
         // A caller that keeps its connection open must not keep the process running.
         let ops = join_all(self.ops.into_iter().map(OpsHandle::stop));
         if tokio::time::timeout(OPS_STOP_TIMEOUT, ops).await.is_err() {
--- a/components/proxy/src/attempt_history.rs
+++ b/components/proxy/src/attempt_history.rs
@@ -66,6 +66,11 @@
             .push(AttemptRecord::unanswered(running.target.clone(), running.began.elapsed()));
     }
 
+    /// Returns the daemon and server of the last attempt that ended, for the log.
+    pub(crate) fn last_target(&self) -> Option<String> {
+        self.records.last().map(|record| record.target().to_string())
+    }
+
     /// Takes the attempts for the log, the one still running last.
     pub(crate) fn take_records(&mut self) -> Vec<AttemptRecord> {
         if let Some(running) = self.running.take() {
--- a/components/proxy/src/attempt_record.rs
+++ b/components/proxy/src/attempt_record.rs
@@ -25,6 +25,12 @@
     }
 }
 
+impl fmt::Display for AttemptTarget {
+    fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(out, "{}/{}", self.proxy, self.server)
+    }
+}
+
 /// How an attempt ended.
 #[derive(Clone, Debug)]
 enum RecordedEnd {
@@ -69,6 +75,11 @@
         Self { target, end, took }
     }
 
+    /// Returns where the attempt was sent.
+    pub(crate) fn target(&self) -> &AttemptTarget {
+        &self.target
+    }
+
     /// Creates the record of an attempt that has no answer.
     pub(crate) fn unanswered(target: AttemptTarget, took: Duration) -> Self {
         Self { target, end: RecordedEnd::Unanswered, took }
@@ -77,7 +88,7 @@
 
 impl fmt::Display for AttemptRecord {
     fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(out, "{}/{} ", self.target.proxy, self.target.server)?;
+        write!(out, "{} ", self.target)?;
         match &self.end {
             RecordedEnd::Answered { status, kind, load, guard_time, figures } => {
                 write!(out, "{}", status.as_u16())?;
--- a/components/proxy/src/body.rs
+++ b/components/proxy/src/body.rs
@@ -18,7 +18,7 @@
 #[derive(Debug, Error)]
 pub enum BodyError {
     /// The connection that it came from failed.
-    #[error("connection of the body failed: {0}")]
+    #[error("connection of the body failed")]
     Lost(#[from] hyper::Error),
     /// Its stream ended without the last frame.
     #[error("body ended without its last frame")]
@@ -31,6 +31,13 @@
     DeadlinePassed,
 }
 
+/// Returns the messages of an error and of its causes, separated by colons.
+pub(crate) fn error_chain(err: &(dyn std::error::Error + 'static)) -> String {
+    let causes = std::iter::successors(Some(err), |err| err.source());
+    let messages: Vec<String> = causes.map(ToString::to_string).collect();
+    messages.join(": ")
+}
+
 /// Creates a body from bytes in memory.
 pub(crate) fn whole_body(bytes: Bytes) -> ProxyBody {
     match bytes.is_empty() {
--- a/components/proxy/src/drain.rs
+++ b/components/proxy/src/drain.rs
@@ -25,6 +25,11 @@
         self.0.send_replace(Some(end.checked_sub(reserve).unwrap_or(end)));
     }
 
+    /// Returns whether a drain has begun.
+    pub(crate) fn is_draining(&self) -> bool {
+        self.0.borrow().is_some()
+    }
+
     /// Bounds a deadline by the end of the drain, if one has begun.
     pub(crate) fn bound(&self, deadline: Instant) -> Instant {
         self.0.borrow().map_or(deadline, |end| deadline.min(end))
--- a/components/proxy/src/entry_answer.rs
+++ b/components/proxy/src/entry_answer.rs
@@ -7,26 +7,40 @@
 use sk_decide::placing::{CallOutcome, PlacedCall};
 
 use crate::{
-    body::BodyError, clock::time_since_start, counters::ProxyCounters, headers::header_text,
-    tracked_body::BodyEndHandler,
+    body::{BodyError, error_chain},
+    clock::time_since_start,
+    counters::ProxyCounters,
+    drain::DrainClock,
+    headers::{NO_TEXT, header_text},
+    tracked_body::{BodyEndHandler, BodyProgress},
 };
 
 /// Counts a caller's request as in flight until it is dropped with the end of its answer.
 pub(crate) struct InFlightCount {
     counters: Arc<ProxyCounters>,
+    drain_clock: Arc<DrainClock>,
     /// The caller's id of the attempt.
     attempt: Option<HeaderValue>,
+    /// Daemon and server that answered, as the log shows them.
+    endpoint: Option<String>,
 }
 
 impl InFlightCount {
-    pub(crate) fn new(counters: Arc<ProxyCounters>) -> Self {
+    pub(crate) fn new(counters: Arc<ProxyCounters>, drain_clock: Arc<DrainClock>) -> Self {
         counters.enter();
-        Self { counters, attempt: None }
+        Self { counters, drain_clock, attempt: None, endpoint: None }
     }
 
-    /// Sets the attempt id that is logged if the answer is cut.
-    pub(crate) fn set_attempt(&mut self, attempt: Option<HeaderValue>) {
-        self.attempt = attempt;
+    /// Sets the attempt id and the endpoint that are logged if the answer is cut.
+    pub(crate) fn set_attempt(&mut self, attempt: Option<HeaderValue>, endpoint: Option<String>) {
+        (self.attempt, self.endpoint) = (attempt, endpoint);
+    }
+
+    /// Returns the id of the attempt, the endpoint and whether the daemon is draining, for a log
+    /// line.
+    fn log_fields(&self) -> (&str, &str, bool) {
+        let endpoint = self.endpoint.as_deref().unwrap_or(NO_TEXT);
+        (header_text(self.attempt.as_ref()), endpoint, self.drain_clock.is_draining())
     }
 }
 
@@ -39,9 +53,22 @@
 impl BodyEndHandler for InFlightCount {
     fn on_complete(self) {}
 
-    fn on_failure(self, err: &BodyError) {
-        let attempt = header_text(self.attempt.as_ref());
-        log::warn!(attempt; "proxy: an answer was cut after its head: {err}.");
+    fn on_failure(self, err: &BodyError, progress: BodyProgress) {
+        let (attempt, endpoint, draining) = self.log_fields();
+        let BodyProgress { passed, size, age } = progress;
+        log::warn!(
+            attempt, endpoint, passed, size:?, age_ms = age.as_millis() as u64, draining;
+            "proxy: an answer was cut after its head: {}.", error_chain(err)
+        );
+    }
+
+    fn on_abandon(self, progress: BodyProgress) {
+        let (attempt, endpoint, draining) = self.log_fields();
+        let BodyProgress { passed, size, age } = progress;
+        log::info!(
+            attempt, endpoint, passed, size:?, age_ms = age.as_millis() as u64, draining;
+            "proxy: caller left within an answer."
+        );
     }
 }
 
@@ -69,7 +96,7 @@
         self.finish(outcome);
     }
 
-    fn on_failure(self, _err: &BodyError) {
+    fn on_failure(self, _err: &BodyError, _progress: BodyProgress) {
         self.counters.count_cut();
         self.finish(Some(CallOutcome::Failure));
     }
--- a/components/proxy/src/exchange.rs
+++ b/components/proxy/src/exchange.rs
@@ -126,6 +126,7 @@
                     context: context.clone(),
                     server: server.clone(),
                     fingerprint: call.fingerprint,
+                    attempt: attempt.clone(),
                     sender,
                     permit: admitted.permit,
                 };
--- a/components/proxy/src/forward.rs
+++ b/components/proxy/src/forward.rs
@@ -33,12 +33,13 @@
     request: Request<Incoming>,
     caller: IpAddr,
 ) -> Response<ProxyBody> {
-    let mut count = InFlightCount::new(context.counters.clone());
+    let drain_clock = context.guard_context.drain_clock.clone();
+    let mut count = InFlightCount::new(context.counters.clone(), drain_clock);
     let mut request_log = begin_log(&context, &request, caller);
     let mut response = forward_routed(&context, request, caller, &mut request_log).await;
     strip_hints(response.headers_mut());
+    count.set_attempt(request_log.attempt(), request_log.history.last_target());
     request_log.write_answered(&response);
-    count.set_attempt(request_log.attempt());
     context.headers.write_answer(&mut response);
     let outcome = RequestOutcome::read(response.headers()).unwrap_or(RequestOutcome::Unknown);
     context.counters.count_outcome(outcome);
--- a/components/proxy/src/open_exchange.rs
+++ b/components/proxy/src/open_exchange.rs
@@ -4,11 +4,18 @@
 
 use std::sync::Arc;
 
+use http::HeaderValue;
 use sk_decide::quarantine::Fingerprint;
 
 use crate::{
-    body::BodyError, context::GuardContext, gate::AdmitPermit, local::GuardedServer,
-    pool::ServerSender, quarantine::check_for_crash, tracked_body::BodyEndHandler,
+    body::{BodyError, error_chain},
+    context::GuardContext,
+    gate::AdmitPermit,
+    headers::header_text,
+    local::GuardedServer,
+    pool::ServerSender,
+    quarantine::check_for_crash,
+    tracked_body::{BodyEndHandler, BodyProgress},
 };
 
 /// An exchange whose answer is still being read. If its caller leaves, it is dropped, and the
@@ -17,6 +24,8 @@
     pub(crate) context: Arc<GuardContext>,
     pub(crate) server: Arc<GuardedServer>,
     pub(crate) fingerprint: Fingerprint,
+    /// The caller's id of the attempt.
+    pub(crate) attempt: Option<HeaderValue>,
     pub(crate) sender: ServerSender,
     pub(crate) permit: AdmitPermit,
 }
@@ -29,6 +38,11 @@
         self.permit.finish();
     }
 
+    /// Returns the id of the attempt and whether the daemon is draining, for a log line.
+    fn log_fields(&self) -> (&str, bool) {
+        (header_text(self.attempt.as_ref()), self.context.drain_clock.is_draining())
+    }
+
     /// Ends an exchange whose connection broke within the answer.
     fn fail(self) {
         self.permit.record_broken();
@@ -42,7 +56,13 @@
         self.complete();
     }
 
-    fn on_failure(self, err: &BodyError) {
+    fn on_failure(self, err: &BodyError, progress: BodyProgress) {
+        let (attempt, draining) = self.log_fields();
+        let BodyProgress { passed, size, age } = progress;
+        log::warn!(
+            attempt, passed, size:?, age_ms = age.as_millis() as u64, draining;
+            "guard: the answer of server {} broke off: {}.", self.server.id, error_chain(err)
+        );
         match err {
             // Nothing is wrong with the connection. Dropped unread, it is closed, and the server
             // can tell that nobody waits.
@@ -50,4 +70,13 @@
             _ => self.fail(),
         }
     }
+
+    fn on_abandon(self, progress: BodyProgress) {
+        let (attempt, draining) = self.log_fields();
+        let BodyProgress { passed, size, age } = progress;
+        log::info!(
+            attempt, passed, size:?, age_ms = age.as_millis() as u64, draining;
+            "guard: the reader of an answer of server {} left.", self.server.id
+        );
+    }
 }
--- a/components/proxy/src/peers.rs
+++ b/components/proxy/src/peers.rs
@@ -27,7 +27,7 @@
 use tokio::{net::TcpStream, time::Instant};
 
 use crate::{
-    body::ProxyBody,
+    body::{ProxyBody, error_chain},
     call::{GuardCall, GuardToken},
     clock::{time_since_start, transit_now, whole_micros},
     sockets::probe_opened,
@@ -260,7 +260,8 @@
         .map_err(|err| PeerConnectError::Ended(Arc::new(err)))?;
     tokio::spawn(async move {
         if let Err(err) = connection.await {
-            log::debug!("proxy: the connection to guard {guard} ended: {err}.");
+            let err = error_chain(&err);
+            log::info!("proxy: the connection to guard {guard} failed: {err}.");
         }
     });
     Ok(PeerConnection { sender, opening })
--- a/components/proxy/src/serve.rs
+++ b/components/proxy/src/serve.rs
@@ -23,7 +23,7 @@
 
 use crate::{
     answer::refuse_with_delay,
-    body::ProxyBody,
+    body::{ProxyBody, error_chain},
     clock::transit_now,
     context::{ForwardContext, GuardContext},
     forward::forward,
@@ -150,7 +150,7 @@
     let server = build_server(ENTRY_HEAD_BYTES, ENTRY_STREAMS, ENTRY_RESETS);
     let table = context.table.clone();
     let idle = move || table.load().limits().map_or(HEAD_TIMEOUT, idle_limit);
-    serve(listener, server, idle, move |request, peer| {
+    serve("proxy", listener, server, idle, move |request, peer| {
         forward(context.clone(), request, peer.address)
     })
 }
@@ -167,6 +167,7 @@
         .max_send_buf_size(SEND_BUFFER)
         .initial_stream_window_size(GUARD_STREAM_WINDOW);
     serve(
+        "guard",
         listener,
         server,
         || HEAD_TIMEOUT,
@@ -202,9 +203,11 @@
     server
 }
 
-/// Accepts connections in a task and passes their requests to `handle`. `idle` returns the current
+/// Accepts connections in a task and passes their requests to `handle`. `name` begins the log lines
+/// of the listener. `idle` returns the current
 /// limit of [`idle_limit`].
 fn serve<L, H, F>(
+    name: &'static str,
     listener: TcpListener,
     server: ServerBuilder,
     idle: L,
@@ -218,7 +221,7 @@
     let stop = watch::Sender::new(false);
     let drain_state = Arc::new(DrainState::default());
     let accept = accept_until_stopped(
-        listener,
+        (name, listener),
         (server, idle),
         handle,
         drain_state.clone(),
@@ -229,7 +232,7 @@
 
 /// Accepts connections until stopped, then waits for the requests in flight.
 async fn accept_until_stopped<L, H, F>(
-    listener: TcpListener,
+    (name, listener): (&'static str, TcpListener),
     (mut server, idle): (ServerBuilder, L),
     handle: H,
     drain_state: Arc<DrainState>,
@@ -258,7 +261,8 @@
         // Small answers must not wait for the peer's delayed acknowledgement.
         let _ = stream.set_nodelay(true);
         probe_accepted(&stream);
-        let (handle, drain_state) = (handle.clone(), drain_state.clone());
+        let (handle, drain, drain_state) =
+            (handle.clone(), drain_state.clone(), drain_state.clone());
         let service = service_fn(move |request| {
             let answer = answer_or_refuse(&handle, &drain_state, request, peer);
             async move { Ok::<_, Infallible>(answer.await) }
@@ -269,7 +273,9 @@
         let connection = graceful.watch(connection);
         tokio::spawn(async move {
             if let Err(err) = connection.await {
-                log::debug!("proxy: a connection ended: {err}.");
+                let draining = drain.has_reached(DrainStage::Leaving);
+                let err = error_chain(&*err);
+                log::info!(draining; "{name}: connection from {} failed: {err}.", peer.address);
             }
         });
     }
--- a/components/proxy/src/tracked_body.rs
+++ b/components/proxy/src/tracked_body.rs
@@ -5,6 +5,7 @@
     future::Future,
     pin::Pin,
     task::{Context, Poll, ready},
+    time::Duration,
 };
 
 use bytes::Bytes;
@@ -13,20 +14,37 @@
 
 use crate::body::BodyError;
 
-/// Handles the end of a body. It is dropped without a call if the reader leaves before the end.
-pub(crate) trait BodyEndHandler {
+/// How far a body was read when it ended early.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct BodyProgress {
+    /// Bytes passed on to the reader.
+    pub(crate) passed: u64,
+    /// Length of the whole body in bytes, if it is known.
+    pub(crate) size: Option<u64>,
+    /// Time since the head.
+    pub(crate) age: Duration,
+}
+
+/// Handles the end of a body.
+pub(crate) trait BodyEndHandler: Sized {
     /// Called when the body was read completely.
     fn on_complete(self);
 
     /// Called when the body failed.
-    fn on_failure(self, err: &BodyError);
+    fn on_failure(self, err: &BodyError, progress: BodyProgress);
+
+    /// Called when the reader left before the end.
+    fn on_abandon(self, _progress: BodyProgress) {}
 }
 
 /// A body that keeps a handler until its end or its deadline.
-pub(crate) struct TrackedBody<B, H> {
+pub(crate) struct TrackedBody<B, H: BodyEndHandler> {
     inner: B,
     deadline: Option<Pin<Box<Sleep>>>,
     handler: Option<H>,
+    began: Instant,
+    passed: u64,
+    size: Option<u64>,
 }
 
 impl<B, H> TrackedBody<B, H>
@@ -37,7 +55,9 @@
     /// Wraps a body, which must end by the deadline if there is one.
     pub(crate) fn new(inner: B, handler: H, deadline: Option<Instant>) -> Self {
         let deadline = deadline.map(|deadline| Box::pin(sleep_until(deadline)));
-        let mut body = Self { inner, deadline, handler: Some(handler) };
+        let size = inner.size_hint().exact();
+        let (began, handler) = (Instant::now(), Some(handler));
+        let mut body = Self { inner, deadline, handler, began, passed: 0, size };
         // An empty body is never read.
         body.finish_if_ended();
         body
@@ -57,7 +77,7 @@
 
     fn on_failure(&mut self, err: BodyError) -> BodyError {
         if let Some(handler) = self.handler.take() {
-            handler.on_failure(&err);
+            handler.on_failure(&err, self.progress());
         }
         err
     }
@@ -69,6 +89,20 @@
     }
 }
 
+impl<B, H: BodyEndHandler> TrackedBody<B, H> {
+    fn progress(&self) -> BodyProgress {
+        BodyProgress { passed: self.passed, size: self.size, age: self.began.elapsed() }
+    }
+}
+
+impl<B, H: BodyEndHandler> Drop for TrackedBody<B, H> {
+    fn drop(&mut self) {
+        if let Some(handler) = self.handler.take() {
+            handler.on_abandon(self.progress());
+        }
+    }
+}
+
 impl<B, H> Body for TrackedBody<B, H>
 where
     B: Body<Data = Bytes> + Unpin,
@@ -89,6 +123,7 @@
         let frame = ready!(Pin::new(&mut self.inner).poll_frame(context));
         Poll::Ready(match frame {
             Some(Ok(frame)) => {
+                self.passed += frame.data_ref().map_or(0, |data| data.len() as u64);
                 // A body of known length is not read beyond its last byte.
                 self.finish_if_ended();
                 Some(Ok(frame))
