proxy: answers end at their deadlines though their connections take nothing

What callers saw: nothing directly; a server's slot stayed taken, so that others were refused.

Cause: the deadline of an answer's body was a timer that only runs while the connection asks for the next part. A connection whose receiver opens no window does not ask, and the slot, the server's connection and the permit on the link stayed taken. For receivers that read nothing at all the kernel's limit on unacknowledged bytes hid it.

--- a/components/proxy/src/attempt.rs
+++ b/components/proxy/src/attempt.rs
@@ -26,6 +26,7 @@
     context::{ForwardContext, count_own_refusal},
     entry::EntryRequest,
     entry_answer::EndpointCall,
+    expiring_body::ExpiringBody,
     guard::forward_to_server,
     hints::ReadHints,
     outcome::{RefusalKind, RequestOutcome},
@@ -264,8 +265,8 @@
     if is_wanted || kind == Some(RefusalKind::AlreadyRan) {
         let (placed, counters) = (running.placed, context.counters.clone());
         let call = EndpointCall { placed, outcome: end, latency, counters };
-        let until = Some(deadline + BODY_GRACE);
-        let body = |inner| TrackedBody::new(inner, call, until).boxed_unsync();
+        let until = deadline + BODY_GRACE;
+        let body = |inner| ExpiringBody::new(TrackedBody::new(inner, call), until).boxed_unsync();
         return AttemptEnd::Answered(response.map(body));
     }
     if let Some(end) = end {
--- a/components/proxy/src/exchange.rs
+++ b/components/proxy/src/exchange.rs
@@ -21,6 +21,7 @@
     call::GuardCall,
     claim::{ClaimOutcome, PendingClaim},
     context::GuardContext,
+    expiring_body::ExpiringBody,
     gate::AdmitPermit,
     header_translation::{AnswerVerdict, ServerRequestInfo},
     headers::{strip_hop_headers, strip_own_headers},
@@ -269,10 +270,11 @@
     RequestOutcome::Ran.write(headers);
     write_service_time(headers, service_time);
     exchange.server.hints().write(headers);
-    let until = Some(deadline + BODY_GRACE);
+    let until = deadline + BODY_GRACE;
     let scheduler = exchange.server.answer_transfers.clone();
     response.map(|body| {
-        TrackedBody::new(ScheduledBody::new(body, &scheduler), exchange, until).boxed_unsync()
+        let body = TrackedBody::new(ScheduledBody::new(body, &scheduler), exchange);
+        ExpiringBody::new(body, until).boxed_unsync()
     })
 }
 
--- a/components/proxy/src/forward.rs
+++ b/components/proxy/src/forward.rs
@@ -46,7 +46,7 @@
     let service = request_log.service().unwrap_or(NO_SERVICE);
     let (times, took) = (context.counters.times(), request_log.took());
     times.observe(service, outcome.as_str(), TimeStage::Whole, took);
-    response.map(|body| TrackedBody::new(body, count, None).boxed_unsync())
+    response.map(|body| TrackedBody::new(body, count).boxed_unsync())
 }
 
 /// Starts the log line of a request.
--- a/components/proxy/src/lib.rs
+++ b/components/proxy/src/lib.rs
@@ -20,6 +20,7 @@
 mod entry;
 mod entry_answer;
 mod exchange;
+mod expiring_body;
 mod failed_calls;
 mod forward;
 mod gate;
--- a/components/proxy/src/tracked_body.rs
+++ b/components/proxy/src/tracked_body.rs
@@ -1,8 +1,7 @@
-//! A body that reports its end to a handler, and that fails at its deadline. Slots, connections
-//! and counts are released by it when an answer really ends, not when its head was sent.
+//! A body that reports its end to a handler. Slots, connections and counts are released by it when
+//! an answer really ends, not when its head was sent.
 
 use std::{
-    future::Future,
     pin::Pin,
     task::{Context, Poll, ready},
     time::Duration,
@@ -10,7 +9,7 @@
 
 use bytes::Bytes;
 use hyper::body::{Body, Frame, SizeHint};
-use tokio::time::{Instant, Sleep, sleep_until};
+use tokio::time::Instant;
 
 use crate::body::BodyError;
 
@@ -37,10 +36,9 @@
     fn on_abandon(self, _progress: BodyProgress) {}
 }
 
-/// A body that keeps a handler until its end or its deadline.
+/// A body that keeps a handler until its end.
 pub(crate) struct TrackedBody<B, H: BodyEndHandler> {
     inner: B,
-    deadline: Option<Pin<Box<Sleep>>>,
     handler: Option<H>,
     began: Instant,
     passed: u64,
@@ -52,12 +50,11 @@
     B: Body<Data = Bytes> + Unpin,
     H: BodyEndHandler,
 {
-    /// Wraps a body, which must end by the deadline if there is one.
-    pub(crate) fn new(inner: B, handler: H, deadline: Option<Instant>) -> Self {
-        let deadline = deadline.map(|deadline| Box::pin(sleep_until(deadline)));
+    /// Wraps a body.
+    pub(crate) fn new(inner: B, handler: H) -> Self {
         let size = inner.size_hint().exact();
         let (began, handler) = (Instant::now(), Some(handler));
-        let mut body = Self { inner, deadline, handler, began, passed: 0, size };
+        let mut body = Self { inner, handler, began, passed: 0, size };
         // An empty body is never read.
         body.finish_if_ended();
         body
@@ -82,14 +79,18 @@
         err
     }
 
-    /// Returns whether the deadline has passed before the end of the body.
-    fn is_late(&mut self, context: &mut Context<'_>) -> bool {
-        let deadline = self.deadline.as_mut().filter(|_| self.handler.is_some());
-        deadline.is_some_and(|deadline| deadline.as_mut().poll(context).is_ready())
+    /// Ends the body because its deadline has passed.
+    pub(crate) fn expire(mut self) {
+        self.on_failure(BodyError::DeadlinePassed);
     }
 }
 
 impl<B, H: BodyEndHandler> TrackedBody<B, H> {
+    /// Returns whether all of the body was read, or it has failed.
+    pub(crate) fn is_ended(&self) -> bool {
+        self.handler.is_none()
+    }
+
     fn progress(&self) -> BodyProgress {
         BodyProgress { passed: self.passed, size: self.size, age: self.began.elapsed() }
     }
@@ -116,10 +117,6 @@
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
-        if self.is_late(context) {
-            let err = self.on_failure(BodyError::DeadlinePassed);
-            return Poll::Ready(Some(Err(err)));
-        }
         let frame = ready!(Pin::new(&mut self.inner).poll_frame(context));
         Poll::Ready(match frame {
             Some(Ok(frame)) => {
