proxy: connections over thin links that carry bytes are not given up

What callers saw: documents closed in the middle of their answers, several at once, while nothing stops.

Cause: accepted connections had the kernel's limit of 2.5 s on unacknowledged bytes. The kernel measures it from the moment at which the receiver's window is too small for the next packet, and bytes that go on moving do not reset it; a link or a reader that stands still for a moment ends the connection too, with all answers on it.

Change: accepted connections have no such limit.

--- a/components/proxy/src/sockets.rs
+++ b/components/proxy/src/sockets.rs
@@ -20,28 +20,34 @@
 /// Unanswered probes after which a connection is closed, so that one lost packet does not close
 /// it.
 const PROBES: u32 = 2;
-/// Time without an acknowledgement after which sent bytes count as lost. Longer than the pause of
-/// a peer that is stopped for a moment, shorter than callers wait for an answer.
+/// Time without an acknowledgement after which bytes sent on a connection that this daemon opened
+/// count as lost. Longer than the pause of a peer that is stopped for a moment, shorter than callers
+/// wait for an answer.
+///
+/// Accepted connections have no such limit. They carry answers, whose receiver may read slowly: the
+/// kernel measures the time from the moment at which the receiver's window was too small for the
+/// next packet, and not from its last acknowledgement, so that the limit would end connections over
+/// thin links that carry bytes all the time. Answers end at their deadlines.
 const UNACKNOWLEDGED_LIMIT: Duration = Duration::from_millis(2_500);
 
 /// Enables probes on a connection that was opened here.
 pub(crate) fn probe_opened(stream: &TcpStream) {
-    set_probes(stream, PROBE_INTERVAL);
+    set_probes(stream, PROBE_INTERVAL, Some(UNACKNOWLEDGED_LIMIT));
 }
 
 /// Enables probes on a connection that was accepted here.
 pub(crate) fn probe_accepted(stream: &TcpStream) {
-    set_probes(stream, ACCEPTED_INTERVAL);
+    set_probes(stream, ACCEPTED_INTERVAL, None);
 }
 
 /// Enables probes. On a system that lacks one of the options the connection works without.
-fn set_probes(stream: &TcpStream, interval: Duration) {
+fn set_probes(stream: &TcpStream, interval: Duration, unacknowledged: Option<Duration>) {
     let keepalive =
         TcpKeepalive::new().with_time(interval).with_interval(interval).with_retries(PROBES);
     let socket = SockRef::from(stream);
     let set = socket
         .set_tcp_keepalive(&keepalive)
-        .and_then(|()| socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_LIMIT)));
+        .and_then(|()| socket.set_tcp_user_timeout(unacknowledged));
     if let Err(err) = set {
         log::debug!("proxy: cannot enable keep-alive probes on a connection: {err}.");
     }
--- a/tests/common/requests.rs
+++ b/tests/common/requests.rs
@@ -120,6 +120,20 @@
         assert!(output.status.success(), "{}", render_output(&output));
     }
 
+    /// Applies the same declarations and a number of further routes.
+    pub fn apply_more(&self, routes: usize) {
+        for number in 0..routes {
+            let text =
+                format!("kind = \"route\"\nprefix = \"/m{number}\"\nservice = \"{SERVICE}\"\n");
+            self.directory.write(&format!("declared/ana/routes/m{number}.toml"), &text);
+        }
+        let folder = self.directory.0.join("declared");
+        let folder = folder.to_str().expect("path is text");
+        let args = ["apply", folder, "--revision", "r2", "--author", "ana"];
+        let output = run_cli(&self.ops(0), TEAM_TOKEN, &args);
+        assert!(output.status.success(), "{}", render_output(&output));
+    }
+
     pub fn daemon(&self, index: usize) -> &TestProcess {
         self.daemons[index].as_ref().expect("daemon runs")
     }
