proxy: a connection is closed when its peer has read what was sent

What callers saw: the last bytes of documents missing, at the stop of a daemon on their path.

Cause: a listener that stops closes a connection as soon as the kernel has the last bytes of its last answer. On a thin link these wait in the kernel; the receiver still sends window updates for what it reads, and the first that meets the closed socket makes the kernel reset the connection and discard the rest. The guard writes no line of it, the stop is clean.

Change: at its end a connection is shut down for writing and read until the peer closes its side; a peer that sends nothing for 2.5 s is not waited for, nor one that goes on sending for 10 s. A write that is blocked for 30 s ends the connection. Callers' connections that fail are logged at debug again: a caller that leaves has a line of its own.

--- a/components/proxy/src/lib.rs
+++ b/components/proxy/src/lib.rs
@@ -29,6 +29,7 @@
 mod headers;
 mod hints;
 mod identity;
+mod lingering;
 mod local;
 mod open_exchange;
 mod outcome;
@@ -59,6 +60,7 @@
 };
 pub use headers::{DEADLINE_HEADER, HOPS_HEADER, RETRIED_HEADER};
 pub use identity::{IdentityError, request_server_identity};
+pub use lingering::ListenerActivity;
 pub use local::{LocalServer, LocalServerList, ServerLimits};
 pub use outcome::{
     EARLIER_STATUS_HEADER, OUTCOME_HEADER, REASON_HEADER, RETRY_AFTER_MS_HEADER, RefusalKind,
--- a/components/proxy/src/serve.rs
+++ b/components/proxy/src/serve.rs
@@ -29,6 +29,7 @@
     forward::forward,
     guard::handle_peer_request,
     headers::is_nested,
+    lingering::{LingeringStream, ListenerActivity},
     outcome::RefusalKind,
     sockets::probe_accepted,
 };
@@ -104,6 +105,19 @@
     }
 }
 
+/// How a listener logs connections that fail.
+#[derive(Clone, Copy, Debug)]
+struct ListenerLog {
+    /// Part that the lines name.
+    name: &'static str,
+    level: log::Level,
+}
+
+/// A caller that leaves within a request has a line of its own.
+const ENTRY_LOG: ListenerLog = ListenerLog { name: "proxy", level: log::Level::Debug };
+/// A failed connection of a daemon ends all answers on it.
+const GUARD_LOG: ListenerLog = ListenerLog { name: "guard", level: log::Level::Info };
+
 /// The peer of an accepted connection.
 #[derive(Clone, Copy, Debug)]
 struct AcceptedPeer {
@@ -115,6 +129,7 @@
 /// A running listener.
 pub struct ListenerHandle {
     drain_state: Arc<DrainState>,
+    activity: Arc<ListenerActivity>,
     stop: watch::Sender<bool>,
     task: JoinHandle<()>,
 }
@@ -133,7 +148,13 @@
         self.drain_state.refuse_new();
     }
 
-    /// Stops accepting, waits up to `bound` for requests in flight, and returns whether all ended.
+    /// Returns what happens on the listener's connections.
+    pub fn activity(&self) -> Arc<ListenerActivity> {
+        self.activity.clone()
+    }
+
+    /// Stops accepting, waits up to `bound` for requests in flight and for the peers to receive
+    /// their answers, and returns whether all requests ended.
     pub async fn stop(self, bound: Duration) -> bool {
         let refused_at = self.drain_state.refuse_new();
         let stop = async {
@@ -141,7 +162,7 @@
             self.stop.send_replace(true);
             self.task.await
         };
-        tokio::time::timeout(bound, stop).await.is_ok()
+        tokio::time::timeout(bound, stop).await.is_ok() || self.activity.is_all_sent()
     }
 }
 
@@ -150,7 +171,7 @@
     let server = build_server(ENTRY_HEAD_BYTES, ENTRY_STREAMS, ENTRY_RESETS);
     let table = context.table.clone();
     let idle = move || table.load().limits().map_or(HEAD_TIMEOUT, idle_limit);
-    serve("proxy", listener, server, idle, move |request, peer| {
+    serve(ENTRY_LOG, listener, server, idle, move |request, peer| {
         forward(context.clone(), request, peer.address)
     })
 }
@@ -167,7 +188,7 @@
         .max_send_buf_size(SEND_BUFFER)
         .initial_stream_window_size(GUARD_STREAM_WINDOW);
     serve(
-        "guard",
+        GUARD_LOG,
         listener,
         server,
         || HEAD_TIMEOUT,
@@ -203,11 +224,10 @@
     server
 }
 
-/// Accepts connections in a task and passes their requests to `handle`. `name` begins the log lines
-/// of the listener. `idle` returns the current
+/// Accepts connections in a task and passes their requests to `handle`. `idle` returns the current
 /// limit of [`idle_limit`].
 fn serve<L, H, F>(
-    name: &'static str,
+    log: ListenerLog,
     listener: TcpListener,
     server: ServerBuilder,
     idle: L,
@@ -220,22 +240,23 @@
 {
     let stop = watch::Sender::new(false);
     let drain_state = Arc::new(DrainState::default());
+    let activity = Arc::new(ListenerActivity::default());
     let accept = accept_until_stopped(
-        (name, listener),
+        (log, listener),
         (server, idle),
         handle,
-        drain_state.clone(),
+        (drain_state.clone(), activity.clone()),
         stop.subscribe(),
     );
-    ListenerHandle { drain_state, stop, task: tokio::spawn(accept) }
+    ListenerHandle { drain_state, activity, stop, task: tokio::spawn(accept) }
 }
 
 /// Accepts connections until stopped, then waits for the requests in flight.
 async fn accept_until_stopped<L, H, F>(
-    (name, listener): (&'static str, TcpListener),
+    (log, listener): (ListenerLog, TcpListener),
     (mut server, idle): (ServerBuilder, L),
     handle: H,
-    drain_state: Arc<DrainState>,
+    (drain_state, activity): (Arc<DrainState>, Arc<ListenerActivity>),
     mut stopped: watch::Receiver<bool>,
 ) where
     L: Fn() -> Duration + Send + 'static,
@@ -269,13 +290,15 @@
         });
         // Limits may have changed since the previous connection.
         server.http1().header_read_timeout(idle());
-        let connection = server.serve_connection(TokioIo::new(stream), service).into_owned();
+        let stream = TokioIo::new(LingeringStream::new(stream, activity.clone()));
+        let connection = server.serve_connection(stream, service).into_owned();
         let connection = graceful.watch(connection);
         tokio::spawn(async move {
             if let Err(err) = connection.await {
                 let draining = drain.has_reached(DrainStage::Leaving);
                 let err = error_chain(&*err);
-                log::info!(draining; "{name}: connection from {} failed: {err}.", peer.address);
+                let ListenerLog { name, level } = log;
+                log::log!(level, draining; "{name}: connection from {} failed: {err}.", peer.address);
             }
         });
     }
--- a/components/proxy/src/sockets.rs
+++ b/components/proxy/src/sockets.rs
@@ -27,7 +27,8 @@
 /// Accepted connections have no such limit. They carry answers, whose receiver may read slowly: the
 /// kernel measures the time from the moment at which the receiver's window was too small for the
 /// next packet, and not from its last acknowledgement, so that the limit would end connections over
-/// thin links that carry bytes all the time. Answers end at their deadlines.
+/// thin links that carry bytes all the time. Answers end at their deadlines there, and blocked
+/// connections after a while without a byte.
 const UNACKNOWLEDGED_LIMIT: Duration = Duration::from_millis(2_500);
 
 /// Enables probes on a connection that was opened here.
--- a/tests/cut_answers.rs
+++ b/tests/cut_answers.rs
@@ -20,6 +20,7 @@
 };
 use http_body_util::{BodyExt, Full};
 use hyper::{Request, body::Incoming};
+use hyper_util::{client::legacy::Client, rt::TokioExecutor};
 use socket2::SockRef;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
@@ -47,6 +48,10 @@
 const LEAST_BUFFER: u32 = 2 * 1024;
 /// Begin of a connection over HTTP/2, with empty settings.
 const HTTP2_PREFACE: &[u8] = b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n\0\0\0\x04\0\0\0\0\0";
+/// Window of a caller over HTTP/2.
+const HTTP2_WINDOW: u32 = 32 * 1024;
+/// Answers at once on one connection between daemons.
+const ANSWERS: usize = 12;
 /// The same of answers that the link carries one after the other.
 const LARGE_ANSWERS: usize = 6;
 /// Routes that a large change adds.
@@ -297,6 +302,26 @@
     assert_eq!(read.expect("a whole answer"), 90_000);
 }
 
+/// Guards against a connection that its guard closes as soon as the kernel has the last bytes: a
+/// window update that arrives then makes the kernel discard them.
+#[tokio::test(flavor = "multi_thread")]
+async fn closed_on_updates() {
+    let linked = LinkedFleet::start("closed_on_updates").await;
+    linked.link.outward.bytes_per_s.store(200_000, Ordering::SeqCst);
+    let entry = linked.fleet.entry(0);
+    let read = |number: usize| {
+        let (entry, path) = (entry.clone(), format!("/?size=30000&tag=a{number}"));
+        tokio::spawn(async move { read_body(open_answer(&entry, &path).await).await })
+    };
+    let reads: Vec<_> = (1..ANSWERS).map(read).collect();
+    let body = open_answer(&entry, "/?size=30000&tag=a0").await;
+    let mut cut: Vec<_> = linked.stop_and_read(1, body).await.err().into_iter().collect();
+    for read in reads {
+        cut.extend(read.await.expect("the reader ends").err());
+    }
+    assert!(cut.is_empty(), "{} of {ANSWERS} are cut: {cut:?}", cut.len());
+}
+
 /// Guards against a connection between daemons that is given up although its link carries bytes all
 /// the time: the receiver's window is closed again and again.
 #[tokio::test(flavor = "multi_thread")]
@@ -367,6 +392,15 @@
     assert_eq!(read.expect("a whole answer"), 90_000);
 }
 
+/// Guards against the same failure over HTTP/2, where the caller sends window updates to the end.
+#[tokio::test(flavor = "multi_thread")]
+async fn entry_exits_http2() {
+    let mut builder = Client::builder(TokioExecutor::new());
+    builder.http2_only(true).http2_initial_stream_window_size(HTTP2_WINDOW);
+    let read = stop_entry_within("entry_exits_http2", &builder.build_http()).await;
+    assert_eq!(read.expect("a whole answer"), 90_000);
+}
+
 /// Stops the entry daemon within an answer that a thin link carries to its caller.
 async fn stop_entry_within(
     name: &str,
