daemon: a stop ends when the answers have left, not when the server has no work

Work ended when the guard had taken the last part of the answer from its server. Such a part has up to 64 KB and leaves at the receiver's pace, 16 KB a window. And only the servers listed at that moment counted: answers of one that had left or was replaced did not.

Change: the guard counts its requests itself, until their connections drop the bodies, whatever became of the server. A stop ends when the peers have closed their connections, which they do when they have everything; peers that keep one open count as gone only when no request is open and no byte has passed in either direction for 2.5 s.

The bound of the drain cuts an answer still.

--- a/components/daemon/src/daemon.rs
+++ b/components/daemon/src/daemon.rs
@@ -5,6 +5,7 @@
 
 use std::{
     net::SocketAddr,
+    pin::pin,
     sync::{
         Arc, Mutex, OnceLock,
         atomic::{AtomicBool, Ordering},
@@ -19,9 +20,9 @@
 use sk_member::{HeartbeatFilter, MemberRecord, MemberStatus, SharedMembers};
 use sk_ops::{OpsHandle, SharedPort, start_ops};
 use sk_proxy::{
-    FailedCalls, ForwardContext, GuardContext, GuardToken, ListenerHandle, LocalServerList,
-    LocalServiceName, PeerClient, ProxyCounters, SharedQuarantine, SharedTable, serve_forward,
-    serve_guard,
+    FailedCalls, ForwardContext, GuardContext, GuardToken, ListenerActivity, ListenerHandle,
+    LocalServerList, LocalServiceName, OpenRequests, PeerClient, ProxyCounters, SharedQuarantine,
+    SharedTable, serve_forward, serve_guard,
 };
 use sk_report::AckBuffer;
 use sk_settings::{DaemonSettings, SpreadMode};
@@ -72,16 +73,15 @@
 /// daemon and the stop of its guard. It suffices for the announcement to reach all daemons, and for
 /// requests of a few hundred milliseconds that are already on their way to end.
 const GUARD_LEAVE_NOTICE: Duration = Duration::from_millis(900);
-/// Time reserved at the end of the drain to close callers' connections cleanly. Their requests are
+/// Time before the end of the drain at which callers' connections are closed. Their requests are
 /// answered by then, but the local backend server may use such connections for calls of its own
 /// until its work ends.
 const CLOSE_MARGIN: Duration = Duration::from_millis(200);
-/// Time without work after which peers that keep a connection open count as gone. It exceeds the
-/// time that a message of a running peer takes over a full link: the last bytes of an answer wait
-/// here until the receiver signals that it accepts more.
-const SERVER_IDLE_TIME: Duration = Duration::from_millis(1_500);
-/// Interval between checks whether there is work.
-const IDLE_CHECK_INTERVAL: Duration = Duration::from_millis(50);
+/// Time without an open request, and without a byte to or from a peer, after which peers that keep
+/// a connection open count as gone. Much longer than a message takes over a full link.
+const SILENT_PEER_TIME: Duration = Duration::from_millis(2_500);
+/// Interval between checks whether peers are silent.
+const SILENCE_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
 /// Bounds on the phases of a stop.
 #[derive(Clone, Copy, Debug)]
@@ -261,18 +261,18 @@
             tokio::time::sleep(half).await;
             servers.refuse_queued();
         }));
-        let servers = &self.guard_context.servers;
-        // A peer that disappeared without notice never closes its connection.
-        let (is_guard_clean, has_open_peers) = tokio::select! {
-            is_clean = self.guard.stop(self.times.drain.saturating_sub(CLOSE_MARGIN)) => {
-                (is_clean, !is_clean)
+        let mut guard_stop =
+            pin!(stop_guard(self.guard, self.guard_context.open_requests.clone(), end));
+        let forward_at = end.checked_sub(CLOSE_MARGIN).unwrap_or(end);
+        let guard_ended = tokio::time::timeout_at(forward_at, &mut guard_stop).await.ok();
+        let forward_stop = self.forward.stop(end.saturating_duration_since(Instant::now()));
+        // Answers of the guard may still be on their way while the callers' connections close.
+        let (is_forward_clean, is_guard_clean) = tokio::join!(forward_stop, async {
+            match guard_ended {
+                Some(is_clean) => is_clean,
+                None => guard_stop.await,
             }
-            () = wait_until_idle(servers) => (true, true),
-        };
-        let is_idle = servers.is_idle();
-        log::info!(is_clean = is_guard_clean, has_open_peers, is_idle; "daemon: the guard stopped.");
-        let remaining = end.saturating_duration_since(Instant::now());
-        let is_forward_clean = self.forward.stop(remaining).await;
+        });
         let in_flight = self.guard_context.counters.snapshot().in_flight;
         log::info!(is_clean = is_forward_clean, in_flight; "daemon: the entry stopped.");
         // A caller that keeps its connection open must not keep the process running.
@@ -290,13 +290,29 @@
     }
 }
 
-/// Waits until the local backend servers have been without work for [`SERVER_IDLE_TIME`].
-async fn wait_until_idle(servers: &LocalServerList) {
-    let mut idle_since = Instant::now();
-    while idle_since.elapsed() < SERVER_IDLE_TIME {
-        tokio::time::sleep(IDLE_CHECK_INTERVAL).await;
-        if !servers.is_idle() {
-            idle_since = Instant::now();
+/// Stops a guard by `end`, and returns whether all its requests ended.
+async fn stop_guard(guard: ListenerHandle, open_requests: Arc<OpenRequests>, end: Instant) -> bool {
+    let activity = guard.activity();
+    // A peer that disappeared without notice never closes its connection.
+    let (is_clean, has_open_peers) = tokio::select! {
+        is_clean = guard.stop(end.saturating_duration_since(Instant::now())) => {
+            (is_clean, !is_clean)
+        }
+        () = wait_until_silent(&open_requests, &activity) => (true, true),
+    };
+    let open_requests = open_requests.count();
+    log::info!(is_clean, has_open_peers, open_requests; "daemon: the guard stopped.");
+    is_clean
+}
+
+/// Waits until no request of a guard has been open, and no byte has passed on its connections, for
+/// [`SILENT_PEER_TIME`].
+async fn wait_until_silent(open_requests: &OpenRequests, activity: &ListenerActivity) {
+    let mut open_at = Instant::now();
+    while open_at.elapsed().min(activity.quiet_time()) < SILENT_PEER_TIME {
+        tokio::time::sleep(SILENCE_CHECK_INTERVAL).await;
+        if open_requests.count() > 0 {
+            open_at = Instant::now();
         }
     }
 }
@@ -459,6 +475,7 @@
         headers: parts.platform.headers.clone(),
         failed_calls: FailedCalls::default(),
         transit_clocks: Default::default(),
+        open_requests: Arc::default(),
         drain_clock: Arc::default(),
     }
 }
--- a/components/proxy/src/context.rs
+++ b/components/proxy/src/context.rs
@@ -10,8 +10,8 @@
 use crate::{
     body::ProxyBody, call::GuardToken, claim::ClaimGate, counters::ProxyCounters,
     drain::DrainClock, failed_calls::FailedCalls, header_translation::HeaderTranslation,
-    local::LocalServerList, outcome::RefusalKind, peers::PeerClient, quarantine::SharedQuarantine,
-    table::SharedTable,
+    local::LocalServerList, open_requests::OpenRequests, outcome::RefusalKind, peers::PeerClient,
+    quarantine::SharedQuarantine, table::SharedTable,
 };
 
 /// Shared state of the entry side.
@@ -55,6 +55,8 @@
     pub failed_calls: FailedCalls,
     /// Clocks of the sending daemons, by which transit delays are estimated.
     pub transit_clocks: Mutex<TransitClocks>,
+    /// Requests whose answers have not ended.
+    pub open_requests: Arc<OpenRequests>,
     /// Time by which this daemon must have answered, once it stops.
     pub drain_clock: Arc<DrainClock>,
 }
--- a/components/proxy/src/guard.rs
+++ b/components/proxy/src/guard.rs
@@ -30,6 +30,7 @@
     headers::{KEY_HEADER, header_text, strip_hop_headers, strip_own_headers},
     hints::{write_failed_calls, write_figures, write_guard_time},
     local::GuardedServer,
+    open_requests::OpenBody,
     outcome::{EARLIER_STATUS_HEADER, RefusalKind, RequestOutcome},
     receive::{IncomingCount, receive_body},
     times::TimeStage,
@@ -83,6 +84,7 @@
     call: GuardCall,
     transit_delay: Option<Duration>,
 ) -> Response<ProxyBody> {
+    let open_request = context.open_requests.begin();
     strip_hop_headers(request.headers_mut());
     strip_own_headers(request.headers_mut());
     let attempt = context.headers.attempt_id(request.headers()).cloned();
@@ -112,7 +114,7 @@
         write_failed_calls(response.headers_mut(), &calls);
     }
     write_guard_time(response.headers_mut(), at.elapsed());
-    response
+    response.map(|body| OpenBody::new(body, open_request).boxed_unsync())
 }
 
 /// Admits a request, claims it if it has a key, and sends it to the server.
--- a/components/proxy/src/lib.rs
+++ b/components/proxy/src/lib.rs
@@ -32,6 +32,7 @@
 mod lingering;
 mod local;
 mod open_exchange;
+mod open_requests;
 mod outcome;
 mod peers;
 mod pool;
@@ -62,6 +63,7 @@
 pub use identity::{IdentityError, request_server_identity};
 pub use lingering::ListenerActivity;
 pub use local::{LocalServer, LocalServerList, ServerLimits};
+pub use open_requests::OpenRequests;
 pub use outcome::{
     EARLIER_STATUS_HEADER, OUTCOME_HEADER, REASON_HEADER, RETRY_AFTER_MS_HEADER, RefusalKind,
     RequestOutcome,
--- a/components/proxy/tests/common/mod.rs
+++ b/components/proxy/tests/common/mod.rs
@@ -218,6 +218,7 @@
     let guard_context = Arc::new(GuardContext {
         failed_calls: FailedCalls::default(),
         transit_clocks: Default::default(),
+        open_requests: Arc::default(),
         drain_clock: drain.clone(),
         servers: Arc::new(LocalServerList::new(plan.limits)),
         token: GuardToken::new(SECRET),
--- a/components/standin/src/backend.rs
+++ b/components/standin/src/backend.rs
@@ -269,6 +269,9 @@
     Ok(match plan {
         RequestPlan { fault: RequestFault::Cut, .. } => cut_answer(plan.answer_bytes),
         RequestPlan { answer_bytes: 0, .. } => json_answer(&answer),
+        RequestPlan { has_length: true, .. } => {
+            Response::new(full_body(Bytes::from(vec![b'x'; plan.answer_bytes])))
+        }
         _ => chunked_answer(plan.answer_bytes),
     })
 }
--- a/components/standin/src/backend_faults.rs
+++ b/components/standin/src/backend_faults.rs
@@ -1,5 +1,5 @@
 //! Behaviour that a request asks of a backend server's stand-in by its query: `work_ms`, `fault`,
-//! `size`, `nest` and `tag`.
+//! `size`, `has_length`, `nest` and `tag`.
 
 use std::time::Duration;
 
@@ -29,6 +29,8 @@
     pub(crate) work: Option<Duration>,
     /// Bytes of the answer, 0 for the usual one.
     pub(crate) answer_bytes: usize,
+    /// Whether an answer of that size states its length.
+    pub(crate) has_length: bool,
     /// Depth of nested calls: the server calls the same path through the daemon, and so on.
     pub(crate) nesting: Option<u32>,
     /// Name under which runs of this request are counted.
@@ -52,6 +54,7 @@
             match name {
                 "work_ms" => plan.work = value.parse().ok().map(Duration::from_millis),
                 "size" => plan.answer_bytes = value.parse().unwrap_or(0),
+                "has_length" => plan.has_length = value == "true",
                 "nest" => plan.nesting = value.parse().ok(),
                 "tag" => plan.tag = Some(value.to_owned()),
                 "fault" => plan.fault = parse_fault(value),
--- a/tests/cut_answers.rs
+++ b/tests/cut_answers.rs
@@ -288,6 +288,16 @@
     assert_eq!(read.expect("a whole answer"), 90_000);
 }
 
+/// Guards against the same failure with an answer of known length, which the guard takes from its
+/// server in longer parts.
+#[tokio::test(flavor = "multi_thread")]
+async fn long_parts() {
+    let linked = LinkedFleet::start("long_parts").await;
+    linked.link.inward.delay_ms.store(500, Ordering::SeqCst);
+    let read = stop_within(linked, "/?size=90000&has_length=true").await;
+    assert_eq!(read.expect("a whole answer"), 90_000);
+}
+
 /// Guards against the same failure while another daemon keeps its connection open in silence, so
 /// that the stop does not wait for the connections.
 #[tokio::test(flavor = "multi_thread")]
@@ -384,6 +394,35 @@
     assert_eq!(read.expect("a whole answer"), 90_000);
 }
 
+/// Guards against a stop that does not wait for the answers of a server that has ended and is no
+/// longer listed: it had sent its answers, of which the link has carried a part.
+#[tokio::test(flavor = "multi_thread")]
+async fn ended_server() {
+    let read = stop_after_server("ended_server", false).await;
+    assert_eq!(read.expect("a whole answer"), 200_000);
+}
+
+/// Guards against the same failure where another process has taken the server's place.
+#[tokio::test(flavor = "multi_thread")]
+async fn replaced_server() {
+    let read = stop_after_server("replaced_server", true).await;
+    assert_eq!(read.expect("a whole answer"), 200_000);
+}
+
+/// Ends the server within an answer, then stops its daemon, and returns how the answer ended.
+async fn stop_after_server(name: &str, is_replaced: bool) -> Result<usize, (usize, hyper::Error)> {
+    let mut linked = LinkedFleet::start(name).await;
+    linked.link.outward.bytes_per_s.store(100_000, Ordering::SeqCst);
+    let body = open_answer(&linked.fleet.entry(0), "/?size=200000").await;
+    let server = linked.fleet.backends[1].take().expect("server");
+    let (status, _) = tokio::task::block_in_place(|| server.terminate());
+    println!("{} server has exited: {status}", now());
+    if is_replaced {
+        linked.fleet.start_server(1, "server2");
+    }
+    linked.stop_and_read(1, body).await
+}
+
 /// Guards against an entry daemon that ends its process, or closes the connection of a caller,
 /// before a thin link has carried the last bytes of an answer.
 #[tokio::test(flavor = "multi_thread")]
