proxy: pings between daemons do not wait behind uploads in the kernel

What callers saw: uploads answered 502, and an answer of status 200 cut after its head, over a thin link that carries bytes all the time.

What an entry has written waits in its kernel; a ping, due after 2 s in which only uploads moved, waits behind it for longer than its 3 s, and short windows count as no acknowledgement for 2.5 s. Either closes the connection with all requests and answers on it.

Change: at most 16 KB wait in the kernel for their first transmission on a connection that this daemon opens; the limits stay.

--- a/components/proxy/src/sockets.rs
+++ b/components/proxy/src/sockets.rs
@@ -31,8 +31,17 @@
 /// connections after a while without a byte.
 const UNACKNOWLEDGED_LIMIT: Duration = Duration::from_millis(2_500);
 
-/// Enables probes on a connection that was opened here.
+/// Bytes on a connection to another daemon that wait in the kernel for their first transmission.
+/// Pings, resets and window updates wait behind them, and a ping that is late on a thin link ends
+/// the connection.
+const UNSENT_BYTES: u32 = 16 * 1024;
+
+/// Enables probes on a connection to another daemon that was opened here, and limits the bytes that
+/// wait on it.
 pub(crate) fn probe_opened(stream: &TcpStream) {
+    if let Err(err) = SockRef::from(stream).set_tcp_notsent_lowat(UNSENT_BYTES) {
+        log::debug!("proxy: cannot limit the unsent bytes of a connection: {err}.");
+    }
     set_probes(stream, PROBE_INTERVAL, Some(UNACKNOWLEDGED_LIMIT));
 }
 
