proxy: the local backend server may read a body late

What callers saw: 502 answer-lost after 2.5 s while the server was at work on the request.

Cause: the connection to the local server had the limit on unacknowledged bytes too; a server that does other work before it reads a body keeps its window closed meanwhile.

Change: no such limit on this connection, whose bytes cannot be lost; the kernel resets it when the server's process ends. Beside it lingering_peers: callers that keep their side of an ended connection open, a refused upload whose caller still sends, an endless one; they pass.

--- a/components/proxy/src/pool.rs
+++ b/components/proxy/src/pool.rs
@@ -16,7 +16,7 @@
 use thiserror::Error;
 use tokio::{net::TcpStream, sync::Notify};
 
-use crate::{body::ProxyBody, clock::time_since_start, sockets::probe_opened};
+use crate::{body::ProxyBody, clock::time_since_start, sockets::probe_local};
 
 /// Time for a connection to open. The server is on the same instance: it answers in a fraction of
 /// a millisecond or is not running.
@@ -170,7 +170,7 @@
         let stream = connect.await.map_err(|_| ConnectError::Timeout)??;
         // A small request must not wait for the acknowledgement of the one before.
         stream.set_nodelay(true)?;
-        probe_opened(&stream);
+        probe_local(&stream);
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(MAX_HEAD_BYTES)
             .handshake(TokioIo::new(stream))
--- a/components/proxy/src/sockets.rs
+++ b/components/proxy/src/sockets.rs
@@ -20,8 +20,8 @@
 /// Unanswered probes after which a connection is closed, so that one lost packet does not close
 /// it.
 const PROBES: u32 = 2;
-/// Time without an acknowledgement after which bytes sent on a connection that this daemon opened
-/// count as lost. Longer than the pause of a peer that is stopped for a moment, shorter than callers
+/// Time without an acknowledgement after which bytes sent on a connection that this daemon opened to
+/// another count as lost. Longer than the pause of a peer that is stopped for a moment, shorter than callers
 /// wait for an answer.
 ///
 /// Accepted connections have no such limit. They carry answers, whose receiver may read slowly: the
@@ -36,6 +36,12 @@
 /// the connection.
 const UNSENT_BYTES: u32 = 16 * 1024;
 
+/// Enables probes on a connection to the local backend server. Its bytes cannot be lost, and it may
+/// read a body long after the head.
+pub(crate) fn probe_local(stream: &TcpStream) {
+    set_probes(stream, PROBE_INTERVAL, None);
+}
+
 /// Enables probes on a connection to another daemon that was opened here, and limits the bytes that
 /// wait on it.
 pub(crate) fn probe_opened(stream: &TcpStream) {
