--- a/components/proxy/src/local.rs
+++ b/components/proxy/src/local.rs
@@ -182,16 +182,6 @@
         }
     }
 
-    /// Returns whether no request is arriving, queued or running here, and no answer is being
-    /// sent.
-    pub fn is_idle(&self) -> bool {
-        let current = self.current.load();
-        current.values().all(|entry| {
-            let (incoming, state) = (&entry.guarded.incoming, entry.guarded.gate.state());
-            incoming.load(Ordering::Acquire) == 0 && state.is_idle()
-        })
-    }
-
     /// Refuses the requests that wait for a server here, and all new ones, as not run.
     pub fn refuse_queued(&self) {
         self.current.load().values().for_each(|entry| entry.guarded.gate.drain());
