--- a/components/proxy/src/entry_answer.rs
+++ b/components/proxy/src/entry_answer.rs
@@ -67,7 +67,7 @@
         let BodyProgress { passed, size, age } = progress;
         log::info!(
             attempt, endpoint, passed, size:?, age_ms = age.as_millis() as u64, draining;
-            "proxy: caller left within an answer."
+            "proxy: connection of the caller ended within an answer."
         );
     }
 }
--- a/components/proxy/src/open_exchange.rs
+++ b/components/proxy/src/open_exchange.rs
@@ -76,7 +76,7 @@
         let BodyProgress { passed, size, age } = progress;
         log::info!(
             attempt, passed, size:?, age_ms = age.as_millis() as u64, draining;
-            "guard: the reader of an answer of server {} left.", self.server.id
+            "guard: connection of the reader ended within an answer of server {}.", self.server.id
         );
     }
 }
