Read again: code that the new end of a stop left dead is gone

Since a stop counts the guard's open requests, nothing read the number of uploads that are arriving at a server, or whether a guard's state is idle: both are gone, with the count on each upload. The wait for the guard beside the entry is one shared future in place of a pinned one that may have ended. The endpoint of a request's answer is written out as text only where a line of it is logged, not for each request. Behaviour as it was.

--- a/components/daemon/src/daemon.rs
+++ b/components/daemon/src/daemon.rs
@@ -5,7 +5,6 @@
 
 use std::{
     net::SocketAddr,
-    pin::pin,
     sync::{
         Arc, Mutex, OnceLock,
         atomic::{AtomicBool, Ordering},
@@ -14,7 +13,7 @@
 };
 
 use arc_swap::ArcSwapOption;
-use futures::future::join_all;
+use futures::{FutureExt, future::join_all};
 use sk_claim::ClaimClient;
 use sk_ledger::{Ledger, LedgerSettings};
 use sk_member::{HeartbeatFilter, MemberRecord, MemberStatus, SharedMembers};
@@ -262,18 +261,13 @@
             tokio::time::sleep(half).await;
             servers.refuse_queued();
         }));
-        let mut guard_stop =
-            pin!(stop_guard(self.guard, self.guard_context.open_requests.clone(), end));
+        let open_requests = self.guard_context.open_requests.clone();
+        let guard_stop = stop_guard(self.guard, open_requests, end).boxed().shared();
         let forward_at = end.checked_sub(CLOSE_MARGIN).unwrap_or(end);
-        let guard_ended = tokio::time::timeout_at(forward_at, &mut guard_stop).await.ok();
+        let _ = tokio::time::timeout_at(forward_at, guard_stop.clone()).await;
         let forward_stop = self.forward.stop(end.saturating_duration_since(Instant::now()));
         // Answers of the guard may still be on their way while the callers' connections close.
-        let (is_forward_clean, is_guard_clean) = tokio::join!(forward_stop, async {
-            match guard_ended {
-                Some(is_clean) => is_clean,
-                None => guard_stop.await,
-            }
-        });
+        let (is_forward_clean, is_guard_clean) = tokio::join!(forward_stop, guard_stop);
         let in_flight = self.guard_context.counters.snapshot().in_flight;
         log::info!(is_clean = is_forward_clean, in_flight; "daemon: the entry stopped.");
         // A caller that keeps its connection open must not keep the process running.
--- a/components/decide/src/admitting.rs
+++ b/components/decide/src/admitting.rs
@@ -126,13 +126,6 @@
     pub is_draining: bool,
 }
 
-impl GuardState {
-    /// Returns whether no request runs or waits.
-    pub fn is_idle(&self) -> bool {
-        self.running.iter().chain(&self.queued).all(|count| *count == 0)
-    }
-}
-
 /// Admits requests to one incarnation of one server.
 #[derive(Clone, Debug)]
 pub struct AdmissionGuard {
--- a/components/proxy/src/attempt_history.rs
+++ b/components/proxy/src/attempt_history.rs
@@ -67,8 +67,8 @@
     }
 
     /// Returns the daemon and server of the last attempt that ended, for the log.
-    pub(crate) fn last_target(&self) -> Option<String> {
-        self.records.last().map(|record| record.target().to_string())
+    pub(crate) fn last_target(&self) -> Option<AttemptTarget> {
+        self.records.last().map(|record| record.target().clone())
     }
 
     /// Takes the attempts for the log, the one still running last.
--- a/components/proxy/src/entry_answer.rs
+++ b/components/proxy/src/entry_answer.rs
@@ -7,6 +7,7 @@
 use sk_decide::placing::{CallOutcome, PlacedCall};
 
 use crate::{
+    attempt_record::AttemptTarget,
     body::{BodyError, error_chain},
     clock::time_since_start,
     counters::ProxyCounters,
@@ -21,8 +22,8 @@
     drain_clock: Arc<DrainClock>,
     /// The caller's id of the attempt.
     attempt: Option<HeaderValue>,
-    /// Daemon and server that answered, as the log shows them.
-    endpoint: Option<String>,
+    /// Daemon and server that answered.
+    endpoint: Option<AttemptTarget>,
 }
 
 impl InFlightCount {
@@ -32,14 +33,18 @@
     }
 
     /// Sets the attempt id and the endpoint that are logged if the answer is cut.
-    pub(crate) fn set_attempt(&mut self, attempt: Option<HeaderValue>, endpoint: Option<String>) {
+    pub(crate) fn set_attempt(
+        &mut self,
+        attempt: Option<HeaderValue>,
+        endpoint: Option<AttemptTarget>,
+    ) {
         (self.attempt, self.endpoint) = (attempt, endpoint);
     }
 
     /// Returns the id of the attempt, the endpoint and whether the daemon is draining, for a log
     /// line.
-    fn log_fields(&self) -> (&str, &str, bool) {
-        let endpoint = self.endpoint.as_deref().unwrap_or(NO_TEXT);
+    fn log_fields(&self) -> (&str, String, bool) {
+        let endpoint = self.endpoint.as_ref().map_or(NO_TEXT.to_owned(), ToString::to_string);
         (header_text(self.attempt.as_ref()), endpoint, self.drain_clock.is_draining())
     }
 }
@@ -57,7 +62,7 @@
         let (attempt, endpoint, draining) = self.log_fields();
         let BodyProgress { passed, size, age } = progress;
         log::warn!(
-            attempt, endpoint, passed, size:?, age_ms = age.as_millis() as u64, draining;
+            attempt, endpoint = endpoint.as_str(), passed, size:?, age_ms = age.as_millis() as u64, draining;
             "proxy: an answer was cut after its head: {}.", error_chain(err)
         );
     }
@@ -66,7 +71,7 @@
         let (attempt, endpoint, draining) = self.log_fields();
         let BodyProgress { passed, size, age } = progress;
         log::info!(
-            attempt, endpoint, passed, size:?, age_ms = age.as_millis() as u64, draining;
+            attempt, endpoint = endpoint.as_str(), passed, size:?, age_ms = age.as_millis() as u64, draining;
             "proxy: connection of the caller ended within an answer."
         );
     }
--- a/components/proxy/src/guard.rs
+++ b/components/proxy/src/guard.rs
@@ -32,7 +32,7 @@
     local::GuardedServer,
     open_requests::OpenBody,
     outcome::{EARLIER_STATUS_HEADER, RefusalKind, RequestOutcome},
-    receive::{IncomingCount, receive_body},
+    receive::receive_body,
     times::TimeStage,
     transfers::is_large,
 };
@@ -175,7 +175,6 @@
         let considered = server.gate.consider_upload(&offer, &server.upload_transfers.backlog());
         considered.map_err(|refusal| Box::new(refuse_admission(server, refusal)))?;
     }
-    let _incoming = IncomingCount::new(&server.incoming);
     let request = receive_body(request, &server.upload_transfers).await.map_err(|err| {
         log::info!("guard: the body of a request broke off: {err}.");
         Box::new(refuse(RefusalKind::DeadlineTooNear))
--- a/components/proxy/src/local.rs
+++ b/components/proxy/src/local.rs
@@ -67,8 +67,6 @@
     pub(crate) answer_transfers: Arc<TransferScheduler>,
     /// Schedules uploads to it on the link.
     pub(crate) upload_transfers: Arc<TransferScheduler>,
-    /// Requests whose body is still arriving, before they are offered to the gate.
-    pub(crate) incoming: AtomicU32,
     /// Host header for requests without one.
     pub(crate) host: HeaderValue,
     /// Whether the server announced that it drains, which is final for its process.
@@ -249,7 +247,6 @@
             name: server.name.clone(),
             answer_transfers: Arc::new(TransferScheduler::for_answers(gate.clone())),
             upload_transfers: Arc::default(),
-            incoming: AtomicU32::new(0),
             gate,
             pool: Arc::new(ServerPool::new(server.address, self.limits.pacer)),
             host: HeaderValue::from_str(&server.address.to_string())
--- a/components/proxy/src/receive.rs
+++ b/components/proxy/src/receive.rs
@@ -1,10 +1,7 @@
 //! Receives the bodies of requests over the instance's link. A body is received before its request
 //! occupies a slot, so that a slow link does not keep the server idle.
 
-use std::sync::{
-    Arc,
-    atomic::{AtomicU32, Ordering},
-};
+use std::sync::Arc;
 
 use http::Request;
 use http_body_util::BodyExt;
@@ -15,23 +12,6 @@
     upload::{BodyPrefix, read_prefix},
 };
 
-/// Counts a request as incoming until its body has arrived or the request is abandoned.
-pub(crate) struct IncomingCount<'a>(&'a AtomicU32);
-
-impl<'a> IncomingCount<'a> {
-    /// Adds one to the count.
-    pub(crate) fn new(count: &'a AtomicU32) -> Self {
-        count.fetch_add(1, Ordering::AcqRel);
-        Self(count)
-    }
-}
-
-impl Drop for IncomingCount<'_> {
-    fn drop(&mut self) {
-        self.0.fetch_sub(1, Ordering::AcqRel);
-    }
-}
-
 /// Receives the body of a request when the scheduler allows it, so that the server's slot is not
 /// taken meanwhile. Of a body larger than is kept in memory, the rest follows while the server
 /// reads it.
