daemon: the leave of a server that identified itself is in effect when it is acknowledged

Cause: a daemon that starts asks its server who it is and added it beside the filter of heartbeats. The leave looks the process up in that filter, found none, drained nothing and was acknowledged.

Identities now go through the filter. A leave drains a server known only by its identity, and counts for its later heartbeats whatever start they report; an identity that comes after a heartbeat or leave is ignored. The filter's lock is held until a heartbeat or identity is applied.

The three tests of the filter are new functions' tests.

--- a/components/daemon/src/identify.rs
+++ b/components/daemon/src/identify.rs
@@ -31,7 +31,7 @@
         if let Some(path) = health_path(&port, &service) {
             match request_server_identity(&*port.platform.headers, address, &path).await {
                 Ok(Some(identity)) => {
-                    return add_identified_server(&port, service, address, identity);
+                    return port.add_identified(make_heartbeat(identity, service, address));
                 }
                 Ok(None) => {
                     log::debug!("daemon: the server at {address} does not identify itself.")
@@ -56,19 +56,14 @@
     }
 }
 
-/// Adds a server that identified itself, unless its own heartbeat arrived meanwhile, which is more
-/// complete.
-fn add_identified_server(
-    port: &DaemonPort,
+/// Makes the state of a server that identified itself and so accepts requests. Its start is not
+/// known.
+fn make_heartbeat(
+    identity: ServerIdentity,
     service: ServiceName,
     address: SocketAddr,
-    identity: ServerIdentity,
-) {
-    if !port.servers.endpoints().is_empty() {
-        return;
-    }
-    log::info!("daemon: the local backend server identified itself as {}.", identity.name);
-    port.apply_heartbeat(ServerHeartbeat {
+) -> ServerHeartbeat {
+    ServerHeartbeat {
         name: identity.name,
         started_at: 0,
         sequence: 0,
@@ -77,5 +72,5 @@
         slots: identity.slots,
         status: EndpointStatus::Ready,
         warm_up: Duration::ZERO,
-    });
+    }
 }
--- a/components/daemon/src/port.rs
+++ b/components/daemon/src/port.rs
@@ -203,7 +203,10 @@
             },
             warm_up: Duration::from_millis(heartbeat.warm_up_left),
         };
-        match self.lock_heartbeats().classify(&heartbeat, time_since_start()) {
+        // The lock is held until the heartbeat is applied, so that a leave comes before or after
+        // both.
+        let mut filter = self.lock_heartbeats();
+        match filter.classify(&heartbeat, time_since_start()) {
             HeartbeatStatus::Current => self.apply_heartbeat(heartbeat),
             HeartbeatStatus::Stale => {
                 log::info!("ops: ignored a stale heartbeat of server {name}.")
@@ -238,10 +241,27 @@
         self.heartbeats.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Adds a server that identified itself, unless its own heartbeat or leave, or the heartbeat of
+    /// another server, arrived meanwhile.
+    pub(crate) fn add_identified(&self, identity: ServerHeartbeat) {
+        let mut filter = self.lock_heartbeats();
+        match filter.classify_identity(&identity, time_since_start()) {
+            HeartbeatStatus::Current if self.servers.endpoints().is_empty() => {
+                let name = &identity.name;
+                log::info!("daemon: the local backend server identified itself as {name}.");
+                self.apply_heartbeat(identity);
+            }
+            HeartbeatStatus::Current | HeartbeatStatus::Stale => log::info!(
+                "daemon: ignored the identity of server {}: a heartbeat or leave came first.",
+                identity.name
+            ),
+        }
+    }
+
     /// Adds or updates a server with the content of its heartbeat. The heartbeat is acknowledged
     /// after this, so that an acknowledged drain is in effect at the guard, through which alone the
     /// server receives requests.
-    pub(crate) fn apply_heartbeat(&self, heartbeat: ServerHeartbeat) {
+    fn apply_heartbeat(&self, heartbeat: ServerHeartbeat) {
         let server = heartbeat.server_id();
         self.members.update(|table| table.readmit_server(&server), |()| false);
         self.servers.remove_others_at(heartbeat.address, &server);
--- a/components/member/src/heartbeat.rs
+++ b/components/member/src/heartbeat.rs
@@ -42,10 +42,15 @@
 impl ServerHeartbeat {
     /// Returns the identifier of the process. The name alone may be used again by a later process.
     pub fn server_id(&self) -> ServerId {
-        format!("{}:{}", self.name, self.started_at)
+        make_server_id(&self.name, self.started_at)
     }
 }
 
+/// Returns the identifier of the process that a server's name and start denote.
+fn make_server_id(name: &str, started_at: UnixMillis) -> ServerId {
+    format!("{name}:{started_at}")
+}
+
 /// Whether a heartbeat is current.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum HeartbeatStatus {
@@ -59,7 +64,8 @@
 #[derive(Clone, Debug)]
 struct ProcessState {
     started_at: UnixMillis,
-    sequence: u64,
+    /// Number of its last heartbeat, `None` before the first.
+    sequence: Option<u64>,
     has_left: bool,
     address: Option<SocketAddr>,
     heard_at: Duration,
@@ -86,7 +92,7 @@
             Some(known) if heartbeat.started_at == known.started_at => {
                 // A draining heartbeat is accepted even if it arrives late, since a process that
                 // drains is not expected to accept work again.
-                known.has_left || (heartbeat.sequence <= known.sequence && !is_draining)
+                known.has_left || (Some(heartbeat.sequence) <= known.sequence && !is_draining)
             }
             _ => self.is_replaced(heartbeat, now),
         };
@@ -97,45 +103,72 @@
             started_at: heartbeat.started_at,
             sequence: known
                 .filter(|known| known.started_at == heartbeat.started_at)
-                .map_or(heartbeat.sequence, |known| known.sequence.max(heartbeat.sequence)),
+                .and_then(|known| known.sequence)
+                .max(Some(heartbeat.sequence)),
             has_left: false,
             address: Some(heartbeat.address),
             heard_at: now,
         };
-        self.processes.insert(heartbeat.name.clone(), state);
-        self.remove_oldest();
+        self.insert(&heartbeat.name, state);
+        HeartbeatStatus::Current
+    }
+
+    /// Classifies the state of a server that identified itself when it was asked, and remembers it
+    /// if it is current. It is stale if the server has sent a heartbeat, which is more complete, or
+    /// has left, as the answer may have been on its way meanwhile. Every heartbeat of the server is
+    /// newer.
+    pub fn classify_identity(
+        &mut self,
+        identity: &ServerHeartbeat,
+        now: Duration,
+    ) -> HeartbeatStatus {
+        if self.processes.contains_key(&identity.name) || self.is_replaced(identity, now) {
+            return HeartbeatStatus::Stale;
+        }
+        let state = ProcessState {
+            started_at: identity.started_at,
+            sequence: None,
+            has_left: false,
+            address: Some(identity.address),
+            heard_at: now,
+        };
+        self.insert(&identity.name, state);
         HeartbeatStatus::Current
     }
 
     /// Records that a server leaves, and returns the identifier of its process if it is known.
-    /// `unix_time_ms` is the time on the clock of this instance: if the server was not heard
-    /// before, every process with an earlier start counts as left.
+    /// `unix_time_ms` is the time on the clock of this instance: if no heartbeat of the server
+    /// arrived before, every process with an earlier start counts as left.
     pub fn record_leave(
         &mut self,
         name: &str,
         unix_time_ms: UnixMillis,
         now: Duration,
     ) -> Option<ServerId> {
-        match self.processes.get_mut(name) {
-            Some(process) => {
-                process.has_left = true;
-                Some(format!("{name}:{}", process.started_at))
-            }
-            None => {
-                // A restarted daemon may receive the leave report first and an older heartbeat
-                // after it.
+        let known = self.processes.get_mut(name);
+        let server_id = known.as_ref().map(|known| make_server_id(name, known.started_at));
+        match known {
+            Some(known) if known.sequence.is_some() => known.has_left = true,
+            // A restarted daemon may receive the leave report first and an older heartbeat after
+            // it, also of a server that has identified itself, which does not tell its start.
+            _ => {
                 let state = ProcessState {
                     started_at: unix_time_ms,
-                    sequence: 0,
+                    sequence: None,
                     has_left: true,
                     address: None,
                     heard_at: now,
                 };
-                self.processes.insert(name.to_owned(), state);
-                self.remove_oldest();
-                None
+                self.insert(name, state);
             }
         }
+        server_id
+    }
+
+    /// Remembers the state of a process.
+    fn insert(&mut self, name: &str, state: ProcessState) {
+        self.processes.insert(name.to_owned(), state);
+        self.remove_oldest();
     }
 
     /// Returns whether a running process that started later already uses the address of this
--- a/components/member/tests/server_heartbeats.rs
+++ b/components/member/tests/server_heartbeats.rs
@@ -82,3 +82,42 @@
     }
     assert!(format!("{filter:?}").len() < 64 * 200);
 }
+
+/// A daemon starts and asks its server for its identity, and the server leaves before its next
+/// heartbeat. The leave was acknowledged without effect, because only heartbeats were remembered.
+#[test]
+fn identified_leaves() {
+    let mut filter = HeartbeatFilter::default();
+    assert_eq!(filter.classify_identity(&ready("a", 0, 0), at(1)), HeartbeatStatus::Current);
+    assert_eq!(filter.record_leave("a", 5_000, at(2)).as_deref(), Some("a:0"));
+    // Heartbeats sent before the leave, with and without the start of the process.
+    for started_at in [0, 900] {
+        assert_eq!(filter.classify(&ready("a", started_at, 7), at(3)), HeartbeatStatus::Stale);
+    }
+    assert_eq!(filter.classify_identity(&ready("a", 0, 0), at(3)), HeartbeatStatus::Stale);
+    assert_eq!(filter.classify(&ready("a", 6_000, 1), at(4)), HeartbeatStatus::Current);
+}
+
+/// A server answers the question for its identity after it has sent a heartbeat or its leave. The
+/// answer describes an earlier state and would undo them.
+#[test]
+fn late_identity() {
+    let mut filter = HeartbeatFilter::default();
+    let draining = heartbeat("drains", 0, 3, EndpointStatus::Draining);
+    assert_eq!(filter.classify(&draining, at(1)), HeartbeatStatus::Current);
+    assert_eq!(filter.record_leave("leaves", 5_000, at(1)), None);
+    for name in ["drains", "leaves"] {
+        let identity = ready(name, 0, 0);
+        assert_eq!(filter.classify_identity(&identity, at(2)), HeartbeatStatus::Stale);
+    }
+}
+
+/// Every heartbeat of a server is newer than its identity, also the first one of its process.
+#[test]
+fn heartbeat_after_identity() {
+    let mut filter = HeartbeatFilter::default();
+    assert_eq!(filter.classify_identity(&ready("a", 0, 0), at(1)), HeartbeatStatus::Current);
+    assert_eq!(filter.classify(&ready("a", 0, 0), at(2)), HeartbeatStatus::Current);
+    assert_eq!(filter.classify(&ready("a", 0, 0), at(2)), HeartbeatStatus::Stale);
+    assert_eq!(filter.record_leave("a", 5_000, at(3)).as_deref(), Some("a:0"));
+}
