Numbers of the platform are read with fractions and at any size

Identities (version, sequence, start, revision) stay whole. Negative numbers are refused with an error that names the place.

--- a/components/model/src/declaration.rs
+++ b/components/model/src/declaration.rs
@@ -20,7 +20,7 @@
 /// in a call.
 const MAX_ROUTE_DEADLINE_MS: u64 = 120_000;
 /// Largest weight of one part of a split. Sums over thousands of parts cannot overflow.
-const MAX_SPLIT_WEIGHT: u32 = 1_000_000;
+pub const MAX_SPLIT_WEIGHT: u32 = 1_000_000;
 /// Allowed numbers of servers that one request may be sent to. A request cannot try more replicas
 /// within its deadline, and further attempts only feed an overload.
 const ALLOWED_MAX_ATTEMPTS: std::ops::RangeInclusive<u8> = 1..=16;
--- a/components/model/src/lib.rs
+++ b/components/model/src/lib.rs
@@ -8,6 +8,7 @@
 mod clock;
 mod declaration;
 mod hash;
+mod number;
 mod path;
 mod snapshot;
 mod text_position;
@@ -17,11 +18,12 @@
 pub use change::{ChangeRecord, ChangeRequest, SettingWrites, diff_settings};
 pub use clock::{unix_time, unix_time_ms};
 pub use declaration::{
-    DeclarationError, LimitSetting, LocatedDeclarationError, MAX_DECLARATION_BYTES, RouteHandling,
-    RouteSetting, ServiceSetting, SettingBody, SplitPart, ValueSetting, WorkClass,
-    parse_declaration,
+    DeclarationError, LimitSetting, LocatedDeclarationError, MAX_DECLARATION_BYTES,
+    MAX_SPLIT_WEIGHT, RouteHandling, RouteSetting, ServiceSetting, SettingBody, SplitPart,
+    ValueSetting, WorkClass, parse_declaration,
 };
 pub use hash::{content_hash, hash_json, is_content_hash};
+pub use number::{deserialize_floor, deserialize_floor_option, floor_number};
 pub use path::{
     MAX_PATH_BYTES, MAX_TEAM_BYTES, PathError, SettingPath, TeamName, check_path, check_team,
     team_of,
--- a/components/ops/src/wire.rs
+++ b/components/ops/src/wire.rs
@@ -6,7 +6,7 @@
 use serde::{Deserialize, Serialize};
 use sk_model::{
     DataCentre, ProxyId, RejectedVersion, ServiceName, SettingBody, SettingPath, TeamName,
-    UnixMillis, Version,
+    UnixMillis, Version, deserialize_floor,
 };
 
 /// Announcement of a backend server to the daemon beside it.
@@ -33,12 +33,13 @@
     pub service: String,
     /// Address that it listens on, as IP and port.
     pub address: String,
-    /// Requests that it runs concurrently, 1 to 10000.
+    /// Requests that it runs concurrently, 1 to 10000; a fraction is dropped.
+    #[serde(deserialize_with = "deserialize_floor")]
     pub slots: u32,
     /// Whether it accepts new work.
     pub state: ServerState,
-    /// Milliseconds for which it will still be slow after its start.
-    #[serde(default)]
+    /// Milliseconds for which it will still be slow after its start; a fraction is dropped.
+    #[serde(default, deserialize_with = "deserialize_floor")]
     pub warm_up_left: u64,
     /// Sequence number of the heartbeat.
     pub sequence: u64,
--- a/components/settings/src/daemon_settings.rs
+++ b/components/settings/src/daemon_settings.rs
@@ -5,7 +5,7 @@
 use std::net::{Ipv4Addr, SocketAddr};
 
 use serde::{Deserialize, Serialize};
-use sk_model::{DataCentre, ProxyId};
+use sk_model::{DataCentre, ProxyId, deserialize_floor};
 
 use crate::ExperimentSettings;
 
@@ -297,7 +297,8 @@
     /// Thousandths of a retry that each request adds to the retry budget of its service, 0 to 1000.
     /// Default 100.
     pub retry_deposit: u64,
-    /// Largest retry budget of a service, in retries, 0 to 10000. Default 20.
+    /// Largest retry budget of a service, in retries, 0 to 10000; a fraction is dropped. Default 20.
+    #[serde(deserialize_with = "deserialize_floor")]
     pub retry_burst: u64,
     /// Thousandths of the burst that are kept in reserve, 0 to 900. Default 0. For a burst that
     /// another party limits: daemons learn of each other, and count the repeats of a call, with a
--- a/components/settings/tests/bad_settings.rs
+++ b/components/settings/tests/bad_settings.rs
@@ -164,3 +164,29 @@
         expect!["daemon.toml:14:1: `experiment.cold_hold` is 1001; allowed: 0 to 1000"],
     );
 }
+
+/// A limit that another system computes may have a fraction. The daemon would not start.
+#[test]
+fn fraction_dropped() {
+    for (burst, expected) in [("33.82", 33), ("0.5", 0), ("1e3", 1000), ("33", 33)] {
+        let text = format!("{VALID}\n[placing]\nretry_burst = {burst}\n");
+        let settings = parse_settings(Path::new("daemon.toml"), &text).expect("valid settings");
+        assert_eq!(settings.placing.retry_burst, expected, "{burst}");
+    }
+    for (burst, expected) in [
+        (
+            "-0.5",
+            expect![
+                "daemon.toml:14:15: `retry_burst`: invalid value: floating point `-0.5`, expected a number of at least 0"
+            ],
+        ),
+        (
+            "1e30",
+            expect![
+                "daemon.toml:14:1: `placing.retry_burst` is 18446744073709551615; allowed: 0 to 10000"
+            ],
+        ),
+    ] {
+        assert_refusal(&format!("{VALID}\n[placing]\nretry_burst = {burst}\n"), expected);
+    }
+}
