Test of freed claims: the unreachable server's address is held

The daemon's server now has the address of a socket that is bound and never listens, so that no other process can answer there. Bounds and checks are unchanged.

--- a/components/proxy/tests/keyed_claims.rs
+++ b/components/proxy/tests/keyed_claims.rs
@@ -4,6 +4,7 @@
 
 use std::{
     collections::HashMap,
+    net::SocketAddr,
     sync::{
         Arc, Mutex,
         atomic::{AtomicU32, Ordering},
@@ -14,9 +15,11 @@
 use async_trait::async_trait;
 use common::{FleetPlan, TestAnswer, TestFleet, http1, send, wait_for};
 use futures::future::join_all;
+use sk_member::EndpointStatus;
 use sk_proxy::{
     AttemptId, ClaimGate, ClaimKey, ClaimOutcome, ClaimVerdict, RefusalKind, RequestOutcome,
 };
+use tokio::net::TcpSocket;
 
 /// Keeps claims in memory, for all daemons of a test.
 #[derive(Default)]
@@ -115,8 +118,12 @@
 /// notices nothing.
 #[tokio::test(flavor = "multi_thread")]
 async fn claim_freed_for_retry() {
-    let (mut fleet, _) = start_claimed(2).await;
-    fleet.backends[0].kill().await;
+    let (fleet, _) = start_claimed(2).await;
+    // The address of the unreachable server is held, or another process could listen there.
+    let held = TcpSocket::new_v4().expect("a socket");
+    held.bind(SocketAddr::from(([127, 0, 0, 1], 0))).expect("a port");
+    let unreachable = held.local_addr().expect("an address");
+    fleet.announce(1, "server-1", unreachable, EndpointStatus::Ready);
     for number in 0..10 {
         let path = format!("/reserve?tag=b{number}");
         let answer = send_keyed(&fleet, 0, &path, &format!("back-{number}")).await;
