proxy: answers are read ahead of the link that carries them

- Answers are read into memory (1 MB each, 8 MB a server, 100 ms) and their slots freed.
One that breaks off meanwhile is a failed attempt, tried elsewhere if it may repeat, and no longer a cut answer.
- The guard starts what the link carries when it is made, queues the rest by urgency, refuses what would safely meet its goal alone and may miss it now, and lets its caller return within a quarter of what is left of the goal.
- Answers on the link count in the share by which long work goes before short work.

--- a/components/decide/src/admitting.rs
+++ b/components/decide/src/admitting.rs
@@ -82,6 +82,20 @@
 /// 2.6 % at 1.5 and 0.9 % at two, and at two the most calls are served in time.
 const OVERTAKING_FACTOR: u32 = 2;
 
+/// Divisor of the time to the response-time goal of refused long work, which yields the longest time
+/// after which its caller returns.
+const RETURN_GOAL_DIVISOR: u32 = 4;
+
+/// Returns when the caller of refused long work may come back, if its goal ends in `goal`.
+///
+/// Long work is refused at a queue of a few requests, which is shorter again after one or two of
+/// them. A caller that returns soon can still be answered in time; after half a second it cannot,
+/// and takes the place of one that could.
+pub fn return_within_goal(goal: Duration, rng: &mut (impl Rng + ?Sized)) -> Duration {
+    let longest = goal / RETURN_GOAL_DIVISOR;
+    draw_between(longest / RETURN_GOAL_DIVISOR, longest, rng)
+}
+
 /// Stage of an admitted request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum CallStage {
@@ -250,7 +264,14 @@
         rng: &mut (impl Rng + ?Sized),
     ) -> Refusal {
         let figures = self.figures(request, now);
-        Refusal { figures, ..self.refuse(reason, now, rng) }
+        let refusal = self.refuse(reason, now, rng);
+        let retry_after = match (reason, request.class, request.goal) {
+            (RefusalReason::GoalMissed, WorkClass::Long, Some(goal)) => {
+                return_within_goal(goal.saturating_sub(now), rng)
+            }
+            _ => refusal.retry_after,
+        };
+        Refusal { retry_after, figures, ..refusal }
     }
 
     /// Returns whether a request runs as a trial with the server kept empty beside it. To be asked
@@ -309,6 +330,7 @@
             _ if request.is_exclusive && self.trial != TrialState::None => {
                 Some(RefusalReason::TrialUnderWay)
             }
+            _ if has_room && self.is_late_on_link(request, now) => Some(RefusalReason::GoalMissed),
             _ if has_room || request.is_exclusive => None,
             _ if self.exceeds_max_wait(request, now) => Some(RefusalReason::Busy),
             _ if self.settings.order == QueueOrder::Urgent => {
@@ -421,6 +443,12 @@
     /// case. The one slot kept free lets the first short request after a pause run at once, rather
     /// than wait for a document to end.
     fn long_limit(&self, now: Duration) -> u32 {
+        let in_step = self.link_limit.max_in_step(self.estimate(WorkClass::Long, now));
+        self.long_slots(now).min(in_step).max(1)
+    }
+
+    /// Returns the slots that long work may take, regardless of what is on the link.
+    fn long_slots(&self, now: Duration) -> u32 {
         let slots = self.slots(now);
         let share = self.settings.long_share_of(slots);
         let needed = self.short_peak.level(now).ceil() as u32 + 1;
--- a/components/decide/src/admitting/link.rs
+++ b/components/decide/src/admitting/link.rs
@@ -1,5 +1,10 @@
 //! Limit on long work at a server by what the instance's link carries.
 
+use std::time::Duration;
+
+use crate::admitting::LinkBacklog;
+use crate::transfer_queue::MAX_SENDING;
+
 /// Long requests that may always run: one for each of the two answers that the link carries at a
 /// time and one at the server, so that the link has something to send when one of them ends.
 const MIN_RUNNING: f64 = 3.0;
@@ -7,6 +12,10 @@
 /// has become free is used fully again after some dozens of answers.
 const GROWTH_PER_ANSWER: f64 = 0.25;
 
+/// Requests more than the link needs on average to have an answer to send at any time, since work
+/// varies.
+const LINK_RESERVE: f64 = 1.0;
+
 /// Limit on the long requests that run at once.
 ///
 /// A server can be quicker than its link. It would take in documents on all its slots, and each
@@ -14,25 +23,85 @@
 /// 7.5 Mbit/s are late by more than a second, while short work lacks the slots that they take.
 /// Fewer at once are sent just as fast, and those beyond the limit are refused while there is time
 /// to come back.
+///
+/// Answers that are kept in memory occupy no slot while they wait for the link, and a request may
+/// start as soon as the link is expected to be free when its answer is made: with two answers on the
+/// link and as many more at the server as the link carries in the time of the work. Later ones wait
+/// in the queue, where the most urgent goes first, and not on the link.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct LinkLimit {
     max_running: f64,
     waiting_answers: usize,
+    backlog: LinkBacklog,
 }
 
 impl Default for LinkLimit {
     fn default() -> Self {
-        Self { max_running: f64::from(u32::MAX), waiting_answers: 0 }
+        let backlog = LinkBacklog::default();
+        Self { max_running: f64::from(u32::MAX), waiting_answers: 0, backlog }
     }
 }
 
 impl LinkLimit {
-    /// Returns how many long requests may run at once.
+    /// Returns how many long requests may run at once by the answers that wait in their slots.
     pub(super) fn max_running(&self) -> u32 {
         // The value is never below three, and the cast stops at the largest number.
         self.max_running as u32
     }
 
+    /// Returns how many long requests, which take `work` each, may run so that the link is free when
+    /// their answers are made.
+    pub(super) fn max_in_step(&self, work: Duration) -> u32 {
+        self.max_open(work).saturating_sub(self.backlog.pending)
+    }
+
+    /// Returns how long a request waits for the link before it starts, if `running` others run and
+    /// `ahead` are to start before it.
+    pub(super) fn start_wait(&self, work: Duration, running: u32, ahead: u32) -> Duration {
+        let open = self.backlog.pending.saturating_add(running).saturating_add(ahead);
+        let excess = open.saturating_add(1).saturating_sub(self.max_open(work));
+        self.backlog.transfer_time * excess / MAX_SENDING as u32
+    }
+
+    /// Returns the time from the end of `work` to the end of its answer on the link, if `running`
+    /// others are at the server when it starts; `None` for as many as may be.
+    pub(super) fn answer_time(&self, work: Duration, running: Option<u32>) -> Duration {
+        let transfer_time = self.backlog.transfer_time;
+        if transfer_time.is_zero() {
+            return Duration::ZERO;
+        }
+        let max_open = self.max_open(work);
+        let open = running.map_or(max_open, |running| running + 1 + self.backlog.pending);
+        let link_time = transfer_time * open.min(max_open) / MAX_SENDING as u32;
+        link_time.saturating_sub(work).max(transfer_time)
+    }
+
+    /// Returns the number of answers that the link has to carry.
+    pub(super) fn pending(&self) -> u32 {
+        self.backlog.pending
+    }
+
+    /// Returns the time that the link takes for one answer.
+    pub(super) fn transfer_time(&self) -> Duration {
+        self.backlog.transfer_time
+    }
+
+    /// Sets what the link has to carry.
+    pub(super) fn set_backlog(&mut self, backlog: LinkBacklog) {
+        self.backlog = backlog;
+    }
+
+    /// Returns how many long requests may be at the server or on the link.
+    fn max_open(&self, work: Duration) -> u32 {
+        let transfer_time = self.backlog.transfer_time.as_secs_f64();
+        if transfer_time <= 0.0 {
+            return u32::MAX;
+        }
+        let at_server = work.as_secs_f64() / transfer_time;
+        // The cast stops at the largest number.
+        (MAX_SENDING as f64 * (1.0 + at_server) + LINK_RESERVE).ceil() as u32
+    }
+
     /// Returns how many large answers wait for the link.
     pub(super) fn waiting_answers(&self) -> usize {
         self.waiting_answers
--- a/components/decide/src/admitting/release.rs
+++ b/components/decide/src/admitting/release.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 
 use crate::admitting::{
-    Admission, AdmissionGuard, CallStage, QueueOrder, RefusalReason, Released, Ticket, TrialState,
-    urgency::UrgencyQueue,
+    Admission, AdmissionGuard, CallStage, LinkBacklog, QueueOrder, RefusalReason, Released, Ticket,
+    TrialState, urgency::UrgencyQueue,
 };
 use crate::{WorkClass, WorkKey, class_index};
 
@@ -75,6 +75,16 @@
         }
     }
 
+    /// Records what the link has to carry, and returns the requests that leave the queue for it. To
+    /// be called when an answer begins or ends.
+    pub fn set_answer_backlog(&mut self, backlog: LinkBacklog, now: Duration) -> Released {
+        if !self.settings.limits_long_by_link {
+            return Released::default();
+        }
+        self.link_limit.set_backlog(backlog);
+        self.expire(now)
+    }
+
     /// Returns the time at which a queued request will have waited too long, or a trial's exclusive
     /// time ends, whichever is first.
     pub fn next_expiry(&self) -> Option<Duration> {
@@ -194,8 +204,9 @@
         }
         let share = self.settings.long_share_of(self.slots(now));
         // Long work below its share goes before short work, which would otherwise take every slot
-        // that becomes free; above its share it comes after.
-        let order = match self.running[1] < share {
+        // that becomes free; above its share it comes after. Answers on the link count as well: what
+        // waits for the link needs no slot before others.
+        let order = match self.running[1] + self.link_limit.pending() < share {
             true => [WorkClass::Long, WorkClass::Short],
             false => [WorkClass::Short, WorkClass::Long],
         };
--- a/components/decide/src/admitting/urgent.rs
+++ b/components/decide/src/admitting/urgent.rs
@@ -4,12 +4,12 @@
 
 use std::time::Duration;
 
-use crate::WorkClass;
 use crate::admitting::{
     AdmissionGuard, CallStage, GuardRequest, GuardedCall, QueueOrder, RefusalReason, Released,
     Urgency,
 };
 use crate::class_index;
+use crate::{GOAL_SAFETY_FACTOR, WorkClass};
 
 /// Factor on the work ahead in the order of urgency, for more urgent work that comes later. Calls
 /// that other requests wait for take up to two fifths of a server in a burst; with the work ahead
@@ -78,20 +78,44 @@
         now: Duration,
     ) -> Option<RefusalReason> {
         let class = request.class;
-        let wait = self.urgent_wait(request, now);
-        let service = self.service_time(request, now);
+        let work = self.service_time(request, now);
+        let link_time = self.link_time(class, work, None);
+        let service = work + link_time;
         // More urgent work that comes later goes before it.
-        let wait = wait.mul_f64(LATER_ARRIVALS_FACTOR);
+        let wait = self.urgent_wait(request, now).mul_f64(LATER_ARRIVALS_FACTOR);
         match request {
             _ if self.queued(class) >= self.settings.queue_limit(class) => {
                 Some(self.queue_full_reason(now))
             }
             _ if now + wait + service > request.deadline => Some(RefusalReason::DeadlineTooNear),
             _ if misses_goal(request, wait, service, now) => Some(RefusalReason::GoalMissed),
+            _ if class == WorkClass::Long && risks_goal(request, wait, (work, link_time), now) => {
+                Some(RefusalReason::GoalMissed)
+            }
             _ => None,
         }
     }
 
+    /// Returns whether a request of long work that could start at once would safely meet its goal on
+    /// an idle link, and may miss it behind the answers that are to be sent before its own.
+    pub(super) fn is_late_on_link(&self, request: &GuardRequest, now: Duration) -> bool {
+        let work = self.service_time(request, now);
+        let running = self.running[class_index(request.class)];
+        let link_time = self.link_time(request.class, work, Some(running));
+        let alone = self.link_limit.transfer_time();
+        self.settings.order == QueueOrder::Urgent
+            && risks_goal(request, link_time.saturating_sub(alone), (work, alone), now)
+    }
+
+    /// Returns the time from the end of a request's work to the end of its answer on the link, if
+    /// `running` others of its class run; `None` for as many as may.
+    fn link_time(&self, class: WorkClass, work: Duration, running: Option<u32>) -> Duration {
+        match class {
+            WorkClass::Long => self.link_limit.answer_time(work, running),
+            WorkClass::Short => Duration::ZERO,
+        }
+    }
+
     /// Returns the time that a request would wait for a slot now, in the order of urgency: the time
     /// until a slot is free, and the queued work that goes before it over the slots of its class.
     pub(super) fn urgent_wait(&self, request: &GuardRequest, now: Duration) -> Duration {
@@ -99,11 +123,18 @@
         let service = self.service_time(request, now);
         let urgency = urgency_of(request);
         let ahead = self.urgency_queues[class_index(class)].work_ahead(urgency, service, now);
-        let slots = match class {
-            WorkClass::Long => self.long_limit(now),
-            WorkClass::Short => self.slots(now),
-        };
-        self.time_to_first_slot(now) + ahead / slots.max(1)
+        let by_slots = |slots: u32| self.time_to_first_slot(now) + ahead / slots.max(1);
+        match class {
+            WorkClass::Short => by_slots(self.slots(now)),
+            WorkClass::Long => {
+                let work = self.estimate(class, now);
+                // The queue's limit bounds the quotient.
+                let ahead = (ahead.as_secs_f64() / work.as_secs_f64().max(f64::EPSILON)) as u32;
+                let running = self.running[class_index(class)];
+                let by_link = self.link_limit.start_wait(work, running, ahead);
+                by_slots(self.long_slots(now)).max(by_link)
+            }
+        }
     }
 
     /// Returns the expected time until the first of the running requests ends. What is left of `n`
@@ -159,6 +190,22 @@
     goal.is_some_and(|goal| now + wait + rest > goal && wait > (goal - now) / 2)
 }
 
+/// Returns whether a request that would safely meet its goal without a wait may miss it after one.
+/// `work` varies from request to request, and the time that follows on the link does not.
+///
+/// Long work fills queues for as long as more of it comes than the servers and links carry. At any
+/// length of the queue as much is served; at a length at which most of what is admitted just misses
+/// its goal, nearly none of it is served in time.
+fn risks_goal(
+    request: &GuardRequest,
+    wait: Duration,
+    (work, link_time): (Duration, Duration),
+    now: Duration,
+) -> bool {
+    let rest = work.mul_f64(GOAL_SAFETY_FACTOR) + link_time;
+    request.goal.is_some_and(|goal| now + rest <= goal && now + wait + rest > goal)
+}
+
 /// Returns how urgent a request is.
 pub(super) fn urgency_of(request: &GuardRequest) -> Urgency {
     Urgency { rank: request.rank, due: request.goal.unwrap_or(request.deadline) }
--- a/components/decide/src/lib.rs
+++ b/components/decide/src/lib.rs
@@ -22,6 +22,11 @@
 
 pub use sk_model::WorkClass;
 
+/// Factor on the work expected of a request, within which an answer counts as safely in time.
+/// Log-normal service times whose standard deviation is 0.8 of their mean stay below it in five of
+/// six cases.
+pub(crate) const GOAL_SAFETY_FACTOR: f64 = 1.6;
+
 /// Hash of a kind of work: of the route settings that a request's service time depends on, not of
 /// its path.
 pub type WorkKey = u64;
--- a/components/decide/src/transfer_queue.rs
+++ b/components/decide/src/transfer_queue.rs
@@ -22,7 +22,7 @@
 
 /// Bodies sent at once. Two, so that the link has bytes while one of them waits for its receiver's
 /// acknowledgements; more only makes each take longer.
-const MAX_SENDING: usize = 2;
+pub(crate) const MAX_SENDING: usize = 2;
 /// Time without a byte after which a body loses its permit. Above a round trip over a link whose
 /// queue is full, or a full link would let more and more answers send; below what callers would
 /// notice when a receiver is gone.
@@ -45,6 +45,8 @@
     offered_at: Option<Duration>,
     /// When it first had a permit.
     began_at: Option<Duration>,
+    /// Whether it is in memory and occupies no slot of the server.
+    is_kept: bool,
 }
 
 /// The large bodies that cross one instance's link in one direction. `now` is the time since any
@@ -61,7 +63,17 @@
 impl TransferQueue {
     /// Adds a body, without a permit as yet.
     pub fn begin(&mut self) -> TransferId {
-        self.open.insert(OpenTransfer { sent_at: None, offered_at: None, began_at: None })
+        self.insert(false)
+    }
+
+    /// Adds a body that is in memory and occupies no slot, without a permit as yet.
+    pub fn begin_kept(&mut self) -> TransferId {
+        self.insert(true)
+    }
+
+    fn insert(&mut self, is_kept: bool) -> TransferId {
+        let transfer = OpenTransfer { sent_at: None, offered_at: None, began_at: None, is_kept };
+        self.open.insert(transfer)
     }
 
     /// Returns whether a body may send its next bytes at `now`. A body without a permit gets one if
@@ -75,7 +87,8 @@
             self.waiting.retain(|waiting| *waiting != id);
             if let Some(transfer) = self.open.get_mut(id) {
                 let began_at = transfer.began_at.or(Some(now));
-                *transfer = OpenTransfer { sent_at: Some(now), offered_at: None, began_at };
+                *transfer =
+                    OpenTransfer { sent_at: Some(now), offered_at: None, began_at, ..*transfer };
             }
             return TransferPermit::Granted;
         }
@@ -101,6 +114,20 @@
         LinkBacklog { wait: transfer_time * before / MAX_SENDING as u32, transfer_time, pending }
     }
 
+    /// Returns the same without the bodies whose receivers take nothing, which leave the link to the
+    /// others.
+    pub fn moving_backlog(&self, now: Duration) -> LinkBacklog {
+        let stalled = self.open.iter().filter(|(id, transfer)| {
+            let is_waiting = self.waiting.contains(id);
+            let is_sending =
+                transfer.sent_at.is_some_and(|at| now.saturating_sub(at) < STALL_TIMEOUT);
+            transfer.began_at.is_some() && !is_waiting && !is_sending
+        });
+        let backlog = self.backlog(now);
+        // Bounded like the number of all.
+        LinkBacklog { pending: backlog.pending - stalled.count() as u32, ..backlog }
+    }
+
     /// Ends a body, whether it was sent whole or its receiver left.
     pub fn end(&mut self, id: TransferId) {
         self.open.remove(id);
@@ -119,6 +146,17 @@
         self.waiting.len()
     }
 
+    /// Returns how many bodies wait for a permit and occupy a slot of the server meanwhile.
+    pub fn waiting_in_slots(&self) -> usize {
+        let is_kept = |id: &TransferId| self.open.get(*id).is_some_and(|body| body.is_kept);
+        self.waiting.iter().filter(|id| !is_kept(id)).count()
+    }
+
+    /// Returns how many bodies have not ended.
+    pub fn open_count(&self) -> usize {
+        self.open.len()
+    }
+
     /// Returns the number of bodies with a permit.
     fn sending_count(&self) -> usize {
         self.open.values().filter(|transfer| transfer.sent_at.is_some()).count()
--- a/components/decide/tests/link_permits.rs
+++ b/components/decide/tests/link_permits.rs
@@ -99,3 +99,24 @@
     let permits = simulate(&arrivals, true, 2_000);
     assert_eq!((permits.sent, permits.in_time), (3, 3));
 }
+
+/// Callers that stopped reading hold their answers until the deadline. Counted as bytes that the
+/// link has yet to carry, they would keep the guard from admitting documents for others.
+#[test]
+fn stalled_not_pending() {
+    let at = Duration::from_millis;
+    let mut queue = TransferQueue::default();
+    for _ in 0..4 {
+        let stalled = queue.begin_kept();
+        assert_eq!(queue.request_permit(stalled, at(0)), TransferPermit::Granted);
+        queue.request_permit(stalled, at(1));
+        // The permits of those that take nothing are withdrawn when another one asks.
+        let other = queue.begin_kept();
+        queue.request_permit(other, at(300));
+        queue.end(other);
+    }
+    let moving = queue.begin_kept();
+    assert_eq!(queue.request_permit(moving, at(600)), TransferPermit::Granted);
+    assert_eq!(queue.moving_backlog(at(700)).pending, 1);
+    assert_eq!(queue.backlog(at(700)).pending, 5);
+}
--- a/components/proxy/src/exchange.rs
+++ b/components/proxy/src/exchange.rs
@@ -31,9 +31,10 @@
     outcome::{RefusalKind, RequestOutcome},
     pool::AcquiredSender,
     quarantine::check_for_crash,
+    read_ahead::{AheadBody, PartlyKeptBody, read_ahead},
     times::TimeStage,
-    tracked_body::TrackedBody,
-    transfers::ScheduledBody,
+    tracked_body::{BodyEndHandler, BodyProgress, TrackedBody},
+    transfers::{ScheduledBody, is_large},
 };
 
 /// Divisor of the response-time goal that yields the window over which the retries of callers are
@@ -142,7 +143,7 @@
                 return match verdict {
                     AnswerVerdict::Valid => {
                         let timing = (admitted.upload_time + took, admitted.deadline);
-                        stream_answer(response, exchange, admitted.claim, timing)
+                        stream_answer(response, exchange, admitted.claim, timing).await
                     }
                     verdict => reject_answer(verdict, call.goal(), exchange, admitted.claim).await,
                 };
@@ -248,9 +249,10 @@
     response
 }
 
-/// Streams a server's answer to the entry daemon, until a short time after its deadline.
-fn stream_answer(
-    mut response: Response<Incoming>,
+/// Streams a server's answer to the entry daemon, until a short time after its deadline. The slot is
+/// free from the moment at which the answer has been read, if it can be read ahead.
+async fn stream_answer(
+    response: Response<Incoming>,
     exchange: OpenExchange,
     claim: Option<PendingClaim>,
     (service_time, deadline): (Duration, Instant),
@@ -265,17 +267,43 @@
         );
         return error_answer(RefusalKind::AnswerInvalid, RequestOutcome::Ran);
     }
-    let headers = response.headers_mut();
-    strip_answer(headers);
-    RequestOutcome::Ran.write(headers);
-    write_service_time(headers, service_time);
-    exchange.server.hints().write(headers);
-    let until = deadline + BODY_GRACE;
-    let scheduler = exchange.server.answer_transfers.clone();
-    response.map(|body| {
-        let body = TrackedBody::new(ScheduledBody::new(body, &scheduler), exchange);
-        ExpiringBody::new(body, until).boxed_unsync()
-    })
+    let server = exchange.server.clone();
+    let (mut parts, body) = response.into_parts();
+    let (began, size) = (Instant::now(), body.size_hint().exact());
+    let body = match read_ahead(body, &server.read_ahead_limit, deadline).await {
+        Ok(body) => body,
+        Err((err, passed)) => {
+            exchange.on_failure(&err, BodyProgress { passed, size, age: began.elapsed() });
+            let mut response = error_answer(RefusalKind::AnswerLost, RequestOutcome::Unknown);
+            server.hints().write(response.headers_mut());
+            return response;
+        }
+    };
+    let (until, scheduler) = (deadline + BODY_GRACE, &server.answer_transfers);
+    let body = match body {
+        AheadBody::Whole(body) => {
+            let delivery = exchange.begin_delivery();
+            let body = ScheduledBody::kept(body, scheduler);
+            ExpiringBody::new(TrackedBody::new(body, delivery), until).boxed_unsync()
+        }
+        AheadBody::Part(kept, rest) => {
+            let body = ScheduledBody::new(PartlyKeptBody::new(kept, rest), scheduler);
+            ExpiringBody::new(TrackedBody::new(body, exchange), until).boxed_unsync()
+        }
+        AheadBody::Unread(body) => {
+            let body = ScheduledBody::new(body, scheduler);
+            ExpiringBody::new(TrackedBody::new(body, exchange), until).boxed_unsync()
+        }
+    };
+    let link_time = match is_large(&body) {
+        true => scheduler.expected_time(),
+        false => Duration::ZERO,
+    };
+    strip_answer(&mut parts.headers);
+    RequestOutcome::Ran.write(&mut parts.headers);
+    write_service_time(&mut parts.headers, service_time + link_time);
+    server.hints().write(&mut parts.headers);
+    Response::from_parts(parts, body)
 }
 
 /// Returns the retry delay for a request that a server rejected although it had a free slot.
--- a/components/proxy/src/gate.rs
+++ b/components/proxy/src/gate.rs
@@ -126,10 +126,14 @@
         self.lock().guard.state(time_since_start())
     }
 
-    /// Sets how many large answers wait for the link.
-    pub(crate) fn set_waiting_answers(&self, answers: usize) {
+    /// Sets how many large answers wait for the link while they occupy slots, and what the link has
+    /// to carry in all.
+    pub(crate) fn set_answers(&self, waiting: usize, backlog: LinkBacklog) {
+        let now = time_since_start();
         let mut state = self.lock();
-        let released = state.guard.set_waiting_answers(answers, time_since_start());
+        let released = state.guard.set_waiting_answers(waiting, now);
+        state.deliver(released);
+        let released = state.guard.set_answer_backlog(backlog, now);
         state.deliver(released);
     }
 
--- a/components/proxy/src/lib.rs
+++ b/components/proxy/src/lib.rs
@@ -37,6 +37,7 @@
 mod peers;
 mod pool;
 mod quarantine;
+mod read_ahead;
 mod receive;
 mod request_log;
 mod serve;
--- a/components/proxy/src/local.rs
+++ b/components/proxy/src/local.rs
@@ -23,7 +23,7 @@
 
 use crate::{
     clock::time_since_start, gate::AdmissionGate, hints::ServerHints, outcome::RefusalKind,
-    pool::ServerPool, transfers::TransferScheduler,
+    pool::ServerPool, read_ahead::ReadAheadLimit, transfers::TransferScheduler,
 };
 
 /// Requests over which the failure rate is averaged: about a quarter of a second of a busy server.
@@ -67,6 +67,8 @@
     pub(crate) answer_transfers: Arc<TransferScheduler>,
     /// Schedules uploads to it on the link.
     pub(crate) upload_transfers: Arc<TransferScheduler>,
+    /// Limits its answers that are read ahead of the link.
+    pub(crate) read_ahead_limit: ReadAheadLimit,
     /// Host header for requests without one.
     pub(crate) host: HeaderValue,
     /// Whether the server announced that it drains, which is final for its process.
@@ -247,6 +249,7 @@
             name: server.name.clone(),
             answer_transfers: Arc::new(TransferScheduler::for_answers(gate.clone())),
             upload_transfers: Arc::default(),
+            read_ahead_limit: ReadAheadLimit::default(),
             gate,
             pool: Arc::new(ServerPool::new(server.address, self.limits.pacer)),
             host: HeaderValue::from_str(&server.address.to_string())
--- a/components/proxy/src/transfers.rs
+++ b/components/proxy/src/transfers.rs
@@ -7,6 +7,7 @@
     pin::Pin,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
     task::{Context, Poll, Waker},
+    time::Duration,
 };
 
 use bytes::Bytes;
@@ -22,7 +23,7 @@
 
 /// Size in bytes from which a body is scheduled: several times the packets that a short answer
 /// takes.
-const LARGE_BYTES: u64 = 32 * 1024;
+pub(crate) const LARGE_BYTES: u64 = 32 * 1024;
 
 /// Returns whether a body is scheduled. One of unknown length may be large.
 pub(crate) fn is_large(body: &impl Body) -> bool {
@@ -39,7 +40,7 @@
 #[derive(Default)]
 pub(crate) struct TransferScheduler {
     state: Mutex<SchedulerState>,
-    /// Told how many answers wait, because further ones would only wait longer.
+    /// Told what the link has to carry, because further answers would only wait longer.
     gate: Option<Arc<AdmissionGate>>,
 }
 
@@ -54,6 +55,12 @@
         self.lock().queue.backlog(time_since_start())
     }
 
+    /// Returns the time in which the link is expected to have carried the body that came last.
+    pub(crate) fn expected_time(&self) -> Duration {
+        let LinkBacklog { wait, transfer_time, .. } = self.backlog();
+        wait + transfer_time
+    }
+
     fn lock(&self) -> MutexGuard<'_, SchedulerState> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -81,23 +88,23 @@
         });
     }
 
-    /// Applies a change, wakes the next body that may proceed, and tells the gate how many answers
-    /// wait.
+    /// Applies a change, wakes the next body that may proceed, and tells the gate what the link has
+    /// to carry.
     fn change<T>(&self, change: impl FnOnce(&mut SchedulerState) -> T) -> T {
+        let now = time_since_start();
         let mut state = self.lock();
-        let before = state.queue.waiting_count();
+        let before = (state.queue.waiting_in_slots(), state.queue.open_count());
         let changed = change(&mut state);
-        let waiting = state.queue.waiting_count();
-        let next =
-            state.queue.next_ready(time_since_start()).and_then(|next| state.wakers.remove(next));
+        let after = (state.queue.waiting_in_slots(), state.queue.open_count());
+        let backlog = state.queue.moving_backlog(now);
+        let next = state.queue.next_ready(now).and_then(|next| state.wakers.remove(next));
         drop(state);
         if let Some(waker) = next {
             waker.wake();
         }
-        if let Some(gate) = &self.gate
-            && waiting != before
-        {
-            gate.set_waiting_answers(waiting);
+        if let Some(gate) = self.gate.as_ref().filter(|_| before != after) {
+            let (waiting, _) = after;
+            gate.set_answers(waiting, backlog);
         }
         changed
     }
@@ -127,8 +134,21 @@
 impl<B: Body> ScheduledBody<B> {
     /// Wraps the body of an answer or upload.
     pub(crate) fn new(inner: B, scheduler: &Arc<TransferScheduler>) -> Self {
+        Self::begin(inner, scheduler, TransferQueue::begin)
+    }
+
+    /// Wraps the body of an answer that is kept in memory and occupies no slot.
+    pub(crate) fn kept(inner: B, scheduler: &Arc<TransferScheduler>) -> Self {
+        Self::begin(inner, scheduler, TransferQueue::begin_kept)
+    }
+
+    fn begin(
+        inner: B,
+        scheduler: &Arc<TransferScheduler>,
+        begin: fn(&mut TransferQueue) -> TransferId,
+    ) -> Self {
         let transfer = is_large(&inner).then(|| {
-            let id = scheduler.lock().queue.begin();
+            let id = scheduler.change(|state| begin(&mut state.queue));
             ScheduledTransfer {
                 scheduler: scheduler.clone(),
                 id,
