placing: long work queues in its own data centre only

Elsewhere a document now takes a free slot or none; it queues near by, or wherever there is room if its own data centre has no server in service. An endpoint that was full is not asked again, and four of them, or an eighth of the goal, are the most.

Tests: own_data_centre documents_stay, search_limits full_elsewhere.

--- a/components/decide/src/placing/soonest.rs
+++ b/components/decide/src/placing/soonest.rs
@@ -33,7 +33,7 @@
 use rand::{Rng, RngExt};
 
 use crate::placing::{EndpointDistance, PlaceRequest, PlacementTable, TableEntry};
-use crate::{WorkClass, WorkKey};
+use crate::{GOAL_SAFETY_FACTOR, WorkClass, WorkKey};
 
 /// Penalty of another data centre of the same region while the answer is expected within its goal.
 /// It is more than any goal in use, so that the own data centre wins wherever it meets the goal
@@ -53,10 +53,6 @@
 /// and a wait together, so that such an endpoint ranks behind all that meet the goal. A request
 /// without a goal pays it at every endpoint, which changes no ranking.
 const MISSED_GOAL_PENALTY: Duration = Duration::from_secs(30);
-/// Factor on the work expected of an endpoint, within which an answer counts as safely in time.
-/// Log-normal service times whose standard deviation is 0.8 of their mean stay below it in five of
-/// six cases.
-const GOAL_SAFETY_FACTOR: f64 = 1.6;
 /// Penalty of a certain failure for a request without a goal; an endpoint pays it in proportion to
 /// its failure rate. It is about the whole time that a caller has for an answer, since a failed
 /// request has to be run again or is lost. For a request with a goal, the goal is the penalty.
@@ -93,7 +89,7 @@
             self.entries.iter().zip(failures).enumerate().filter(|(_, (entry, failures))| {
                 super::is_eligible(entry, request)
                     && !entry.gauge.is_ejected()
-                    && (!request.needs_free_slot
+                    && (self.max_wait(entry, request).is_none()
                         || self.has_free_slot(entry, request, *failures, now))
             });
         let mut best: Option<(Duration, usize)> = None;
@@ -156,6 +152,10 @@
     /// may queue; if it looks for a free slot, a short time in the own data centre and not at all
     /// elsewhere.
     ///
+    /// Long work queues in its own data centre only. Where the servers or links of all data centres
+    /// are full, each would otherwise send its documents to the others: as many are served, and most
+    /// of them cross. A free slot elsewhere is used, since nobody there waits for it.
+    ///
     /// The servers of a data centre are at times all full for a moment. Without this wait each
     /// request that met a full server crossed to another data centre, uploads of 60 KB too, for a
     /// slot that would have been free near by some milliseconds later. The wait grows with the
@@ -168,6 +168,11 @@
     ) -> Option<Duration> {
         let kilobytes = request.bytes as f64 / 1000.0;
         match entry.record.distance {
+            EndpointDistance::SameRegion | EndpointDistance::OtherRegion
+                if request.class == WorkClass::Long && self.has_near_endpoint() =>
+            {
+                Some(Duration::ZERO)
+            }
             _ if !request.needs_free_slot => None,
             EndpointDistance::SameCentre => {
                 Some(self.settings.local_wait_per_kilobyte.mul_f64(kilobytes))
@@ -176,6 +181,14 @@
         }
     }
 
+    /// Returns whether the own data centre has an endpoint in service.
+    fn has_near_endpoint(&self) -> bool {
+        let is_near = |entry: &TableEntry| entry.record.distance == EndpointDistance::SameCentre;
+        let is_serving =
+            |entry: &TableEntry| !entry.gauge.is_leaving() && !entry.gauge.is_ejected();
+        self.entries.iter().any(|entry| is_near(entry) && is_serving(entry))
+    }
+
     /// Returns whether an endpoint has a free slot, or will have one soon enough, and does not fail
     /// too often for this to matter.
     fn has_free_slot(
--- a/components/decide/src/slot_search.rs
+++ b/components/decide/src/slot_search.rs
@@ -38,6 +38,8 @@
     /// Endpoints of the present phase that had no free slot.
     busy: Vec<EndpointId>,
     phase: SearchPhase,
+    /// Endpoints that had no free slot for work that may not queue there.
+    full_count: usize,
     /// Time that refusals for want of a free slot have taken.
     refused_for: Duration,
 }
@@ -72,6 +74,15 @@
         }
     }
 
+    /// Excludes an endpoint for good that has no free slot for work that may not queue there, and
+    /// returns whether another one may be asked.
+    pub fn exclude_full(&mut self, id: EndpointId, took: Duration, goal: Option<Duration>) -> bool {
+        self.tried.push(id);
+        self.full_count += 1;
+        self.add_refusal_time(took);
+        self.full_count < MAX_FREE_SLOT_ATTEMPTS && !self.has_refused_too_long(goal)
+    }
+
     /// Records how long an endpoint took to refuse a request for want of a free slot.
     pub fn add_refusal_time(&mut self, took: Duration) {
         self.refused_for += took;
--- a/components/decide/tests/own_data_centre.rs
+++ b/components/decide/tests/own_data_centre.rs
@@ -9,13 +9,14 @@
         Admission, AdmissionGuard, FlowKey, GuardRequest, GuardSettings, QueueOrder, RefusalReason,
     },
     placing::{
-        CallOutcome, EndpointDistance, EndpointRecord, PlaceRequest, PlacementOrder,
+        CallOutcome, EndpointDistance, EndpointRecord, PlaceError, PlaceRequest, PlacementOrder,
         PlacementSettings, PlacementTable,
     },
 };
 
 const UPLOAD: u64 = 1;
 const ALERT: u64 = 2;
+const DOCUMENT: u64 = 3;
 /// The endpoint in the own data centre, and the one in another.
 const NEAR: u64 = 0;
 const FAR: u64 = 1;
@@ -150,3 +151,42 @@
     fail(FAR);
     assert_eq!(place(&table, &attempt(1, 1_000, 300), now), NEAR, "both fail");
 }
+
+/// All data centres are full of documents. Sent to the others, most documents cross and as many are
+/// served; a free slot elsewhere is used, and without a server near by they queue elsewhere.
+#[test]
+fn documents_stay() {
+    let table = two_centres();
+    let now = Duration::from_secs(5);
+    let document = PlaceRequest {
+        class: WorkClass::Long,
+        needs_free_slot: false,
+        ..attempt(DOCUMENT, 90_000, 1_000)
+    };
+    for id in [NEAR, FAR] {
+        train(&table, id, DOCUMENT, 250, now);
+    }
+    let choose = |exclude: &[u64], now: Duration| {
+        let wanted = PlaceRequest { exclude, ..document };
+        let placed = table.choose(&wanted, now, &mut StdRng::seed_from_u64(4));
+        placed.map(|placed| (placed.endpoint(), placed.max_wait()))
+    };
+    assert_eq!(choose(&[], now), Ok((NEAR, None)));
+    assert_eq!(choose(&[NEAR], now), Ok((FAR, Some(Duration::ZERO))), "refused near by");
+    for id in [NEAR, FAR] {
+        table.record_wait(id, millis(500), now);
+    }
+    assert_eq!(choose(&[], now), Ok((NEAR, None)));
+    assert_eq!(choose(&[NEAR], now), Err(PlaceError::AllExcluded), "full elsewhere");
+
+    let far = EndpointRecord {
+        id: FAR,
+        incarnation: 1,
+        slots: 9,
+        distance: EndpointDistance::SameRegion,
+        age: Duration::from_secs(3600),
+    };
+    let without_near = Arc::new(table.rebuild(&[far], now));
+    let placed = without_near.choose(&document, now, &mut StdRng::seed_from_u64(4));
+    assert_eq!(placed.map(|placed| placed.max_wait()), Ok(None), "no server near by");
+}
--- a/components/decide/tests/search_limits.rs
+++ b/components/decide/tests/search_limits.rs
@@ -49,3 +49,20 @@
     search.add_refusal_time(Duration::from_millis(50));
     assert!(search.has_refused_too_long(GOAL));
 }
+
+/// Documents may not queue in other data centres. Each of those that is full is asked once, and a
+/// request does not ask more of them than one that looks for a free slot.
+#[test]
+fn full_elsewhere() {
+    let looks = |took: Duration| {
+        let mut search = SlotSearch::default();
+        let mut looks = 1;
+        while search.exclude_full(looks, took, GOAL) {
+            looks += 1;
+        }
+        assert_eq!(search.excluded().len() as u64, looks, "none is asked again");
+        looks
+    };
+    assert_eq!(looks(Duration::from_millis(4)), 4);
+    assert_eq!(looks(Duration::from_millis(40)), 2);
+}
--- a/components/proxy/src/attempt.rs
+++ b/components/proxy/src/attempt.rs
@@ -93,8 +93,23 @@
         record_size(service, request, &response);
         if RefusalKind::read(response.headers()) == Some(RefusalKind::Busy) {
             let took = history.running.take().map(|running| running.began.elapsed());
-            history.search.exclude_busy(id, took.unwrap_or_default(), request.traits.goal);
-            last = Some(response);
+            let (took, goal) = (took.unwrap_or_default(), request.traits.goal);
+            match request.traits.class {
+                WorkClass::Short => {
+                    history.search.exclude_busy(id, took, goal);
+                    last = Some(response);
+                }
+                WorkClass::Long => {
+                    let may_go_on = history.search.exclude_full(id, took, goal);
+                    // The refusal of an endpoint at which the request may queue says more.
+                    let refusal = last.take().unwrap_or(response);
+                    if !may_go_on {
+                        history.gave_up = Some(GiveUpReason::NoEndpoint);
+                        return refusal;
+                    }
+                    last = Some(refusal);
+                }
+            }
             continue;
         }
         history.search.exclude(id);
