proxy: one body with a prefix, one place that logs cut answers

PartlyKeptBody was PrefixedBody again, for another kind of prefix; PrefixedBody takes any body as its prefix now. OpenExchange and AnswerDelivery held the same three fields and built the same log lines; the exchange now holds its delivery. The tests of answers that are read ahead begin their documents in one place. No change of behaviour; the assertions are as they were.

--- a/components/proxy/src/body.rs
+++ b/components/proxy/src/body.rs
@@ -90,19 +90,24 @@
 }
 
 /// A body whose first part was already read and is returned first.
-pub(crate) struct PrefixedBody<B> {
-    prefix: Bytes,
+pub(crate) struct PrefixedBody<P, B> {
+    prefix: P,
     rest: B,
 }
 
-impl<B> PrefixedBody<B> {
+impl<P, B> PrefixedBody<P, B> {
     /// Puts a prefix before the rest of a body.
-    pub(crate) fn new(prefix: Bytes, rest: B) -> Self {
+    pub(crate) fn new(prefix: P, rest: B) -> Self {
         Self { prefix, rest }
     }
 }
 
-impl<B: Body<Data = Bytes, Error = BodyError> + Unpin> Body for PrefixedBody<B> {
+impl<P, B> Body for PrefixedBody<P, B>
+where
+    P: Body<Data = Bytes, Error = BodyError> + Unpin,
+    B: Body<Data = Bytes> + Unpin,
+    B::Error: Into<BodyError>,
+{
     type Data = Bytes;
     type Error = BodyError;
 
@@ -110,19 +115,18 @@
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
-        if !self.prefix.is_empty() {
-            let prefix = std::mem::take(&mut self.prefix);
-            return Poll::Ready(Some(Ok(Frame::data(prefix))));
+        match self.prefix.is_end_stream() {
+            false => Pin::new(&mut self.prefix).poll_frame(context),
+            true => Pin::new(&mut self.rest).poll_frame(context).map_err(Into::into),
         }
-        Pin::new(&mut self.rest).poll_frame(context)
     }
 
     fn is_end_stream(&self) -> bool {
-        self.prefix.is_empty() && self.rest.is_end_stream()
+        self.prefix.is_end_stream() && self.rest.is_end_stream()
     }
 
     fn size_hint(&self) -> SizeHint {
-        let (rest, prefix) = (self.rest.size_hint(), self.prefix.len() as u64);
+        let (rest, prefix) = (self.rest.size_hint(), self.prefix.size_hint().lower());
         let mut hint = SizeHint::new();
         hint.set_lower(rest.lower() + prefix);
         if let Some(upper) = rest.upper() {
--- a/components/proxy/src/exchange.rs
+++ b/components/proxy/src/exchange.rs
@@ -17,7 +17,7 @@
 
 use crate::{
     answer::{error_answer, refuse, refuse_with_delay},
-    body::{ProxyBody, whole_body},
+    body::{PrefixedBody, ProxyBody, whole_body},
     call::GuardCall,
     claim::{ClaimOutcome, PendingClaim},
     context::GuardContext,
@@ -27,11 +27,11 @@
     headers::{strip_hop_headers, strip_own_headers},
     hints::write_service_time,
     local::GuardedServer,
-    open_exchange::OpenExchange,
+    open_exchange::{AnswerDelivery, OpenExchange},
     outcome::{RefusalKind, RequestOutcome},
     pool::AcquiredSender,
     quarantine::check_for_crash,
-    read_ahead::{AheadBody, PartlyKeptBody, read_ahead},
+    read_ahead::{AheadBody, read_ahead},
     times::TimeStage,
     tracked_body::{BodyEndHandler, BodyProgress, TrackedBody},
     transfers::{ScheduledBody, is_large},
@@ -125,10 +125,12 @@
         match sender.try_send_request(request).await {
             Ok(response) => {
                 let exchange = OpenExchange {
-                    context: context.clone(),
-                    server: server.clone(),
+                    delivery: AnswerDelivery {
+                        context: context.clone(),
+                        server: server.clone(),
+                        attempt: attempt.clone(),
+                    },
                     fingerprint: call.fingerprint,
-                    attempt: attempt.clone(),
                     sender,
                     permit: admitted.permit,
                 };
@@ -263,11 +265,11 @@
     if response.status().is_informational() {
         log::warn!(
             "guard: server {} answered with an unrequested protocol switch.",
-            exchange.server.id
+            exchange.delivery.server.id
         );
         return error_answer(RefusalKind::AnswerInvalid, RequestOutcome::Ran);
     }
-    let server = exchange.server.clone();
+    let server = exchange.delivery.server.clone();
     let (mut parts, body) = response.into_parts();
     let (began, size) = (Instant::now(), body.size_hint().exact());
     let body = match read_ahead(body, &server.read_ahead_limit, deadline).await {
@@ -282,12 +284,11 @@
     let (until, scheduler) = (deadline + BODY_GRACE, &server.answer_transfers);
     let body = match body {
         AheadBody::Whole(body) => {
-            let delivery = exchange.begin_delivery();
             let body = ScheduledBody::kept(body, scheduler);
-            ExpiringBody::new(TrackedBody::new(body, delivery), until).boxed_unsync()
+            ExpiringBody::new(TrackedBody::new(body, exchange.complete()), until).boxed_unsync()
         }
         AheadBody::Part(kept, rest) => {
-            let body = ScheduledBody::new(PartlyKeptBody::new(kept, rest), scheduler);
+            let body = ScheduledBody::new(PrefixedBody::new(kept, rest), scheduler);
             ExpiringBody::new(TrackedBody::new(body, exchange), until).boxed_unsync()
         }
         AheadBody::Unread(body) => {
@@ -324,7 +325,8 @@
     exchange: OpenExchange,
     claim: Option<PendingClaim>,
 ) -> Response<ProxyBody> {
-    let id = &exchange.server.id;
+    let server = &exchange.delivery.server;
+    let id = &server.id;
     let mut response = match verdict {
         AnswerVerdict::NotExecuted => {
             log::info!("guard: server {id} rejected a request without running it.");
@@ -338,7 +340,7 @@
             error_answer(RefusalKind::AnswerInvalid, RequestOutcome::Unknown)
         }
     };
-    exchange.server.hints().write(response.headers_mut());
+    server.hints().write(response.headers_mut());
     response
 }
 
--- a/components/proxy/src/receive.rs
+++ b/components/proxy/src/receive.rs
@@ -27,7 +27,7 @@
     let mut rest = ScheduledBody::new(body, scheduler);
     let body = match read_prefix(&mut rest).await? {
         BodyPrefix::Whole(bytes) => whole_body(bytes),
-        BodyPrefix::Part(bytes) => PrefixedBody::new(bytes, rest).boxed_unsync(),
+        BodyPrefix::Part(bytes) => PrefixedBody::new(whole_body(bytes), rest).boxed_unsync(),
     };
     Ok(Request::from_parts(parts, body))
 }
--- a/components/proxy/src/upload.rs
+++ b/components/proxy/src/upload.rs
@@ -174,6 +174,6 @@
             BodyError::TooLarge
         }
     });
-    let body = PrefixedBody::new(prefix.clone(), rest).boxed_unsync();
+    let body = PrefixedBody::new(whole_body(prefix.clone()), rest).boxed_unsync();
     Ok(UploadBody::Stream { prefix, body: Some(body), is_over_limit })
 }
--- a/components/proxy/tests/answers_ahead.rs
+++ b/components/proxy/tests/answers_ahead.rs
@@ -4,12 +4,13 @@
 
 use std::time::{Duration, Instant};
 
-use common::{FleetPlan, TestFleet, get, http1, relay, wait_for};
+use common::{FleetPlan, TestAnswer, TestFleet, get, http1, relay, wait_for};
 use sk_decide::admitting::GuardSettings;
 use sk_proxy::ServerLimits;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt, copy},
     net::TcpStream,
+    task::JoinHandle,
 };
 
 /// Bytes a second that the link carries out of the guard.
@@ -44,15 +45,22 @@
     fleet
 }
 
+/// Asks for a document, and returns the call once the server has made it.
+async fn begin_document(fleet: &TestFleet, tag: &str) -> JoinHandle<TestAnswer> {
+    let entry = fleet.entry();
+    let path = format!("/documents?tag={tag}&has_length=true&size={DOCUMENT_BYTES}");
+    let document = tokio::spawn(async move { get(&http1(), entry, &path).await });
+    wait_for("the document to be made", || fleet.runs(tag) == 1).await;
+    document
+}
+
 /// Guards against a document that keeps the server's slot until the link has carried it: the server
 /// is idle meanwhile, and short requests wait for seconds or are refused.
 #[tokio::test(flavor = "multi_thread")]
 async fn slot_free_during_transfer() {
     let fleet = start().await;
     let entry = fleet.entry();
-    let path = format!("/documents?tag=document&has_length=true&size={DOCUMENT_BYTES}");
-    let document = tokio::spawn(async move { get(&http1(), entry, &path).await });
-    wait_for("the document to be made", || fleet.runs("document") == 1).await;
+    let document = begin_document(&fleet, "document").await;
     let began = Instant::now();
     let short = tokio::spawn(async move { get(&http1(), entry, "/?tag=short").await });
     wait_for("the short request to run", || fleet.runs("short") == 1).await;
@@ -71,10 +79,7 @@
     let fleet = start().await;
     let entry = fleet.entry();
     for tag in ["first", "second", "third"] {
-        let path = format!("/documents?tag={tag}&has_length=true&size={DOCUMENT_BYTES}");
-        let caller = tokio::spawn(async move { get(&http1(), entry, &path).await });
-        wait_for("the document to be made", || fleet.runs(tag) == 1).await;
-        caller.abort();
+        begin_document(&fleet, tag).await.abort();
     }
     let path = "/documents?tag=last&has_length=true&size=40000";
     let last = tokio::time::timeout(Duration::from_secs(5), get(&http1(), entry, path)).await;
@@ -88,9 +93,7 @@
     let fleet = start().await;
     let entry = fleet.entry();
     for tag in ["one", "two", "three", "four"] {
-        let path = format!("/documents?tag={tag}&has_length=true&size={DOCUMENT_BYTES}");
-        tokio::spawn(async move { get(&http1(), entry, &path).await });
-        wait_for("the document to be made", || fleet.runs(tag) == 1).await;
+        begin_document(&fleet, tag).await;
     }
     let began = Instant::now();
     let answer = get(&http1(), entry, "/?size=4000").await;
@@ -105,9 +108,7 @@
 async fn short_answers_behind() {
     let fleet = start().await;
     let entry = fleet.entry();
-    let path = format!("/documents?tag=document&has_length=true&size={DOCUMENT_BYTES}");
-    let document = tokio::spawn(async move { get(&http1(), entry, &path).await });
-    wait_for("the document to be made", || fleet.runs("document") == 1).await;
+    let document = begin_document(&fleet, "document").await;
     let began = Instant::now();
     for tag in ["first", "second", "third", "fourth"] {
         let path = format!("/?tag={tag}&has_length=true&size=8000");
