Placing and transfers: no work for each endpoint or frame that one decision needs

- Long work looked for a near endpoint once for each far one, quadratic in the endpoints of a service; once a choice now.
The wait that an endpoint allows is computed once.
- The scheduler counted the link's backlog with each frame of a large body, for uploads too, and used it when a body began or ended; it is counted then.
- Short requests asked whether their answers would be late behind documents, which concerns long work alone.

No change of behaviour.

--- a/components/decide/src/admitting.rs
+++ b/components/decide/src/admitting.rs
@@ -330,7 +330,9 @@
             _ if request.is_exclusive && self.trial != TrialState::None => {
                 Some(RefusalReason::TrialUnderWay)
             }
-            _ if has_room && self.is_late_on_link(request, now) => Some(RefusalReason::GoalMissed),
+            _ if class == WorkClass::Long && has_room && self.is_late_on_link(request, now) => {
+                Some(RefusalReason::GoalMissed)
+            }
             _ if has_room || request.is_exclusive => None,
             _ if self.exceeds_max_wait(request, now) => Some(RefusalReason::Busy),
             _ if self.settings.order == QueueOrder::Urgent => {
--- a/components/decide/src/placing/call.rs
+++ b/components/decide/src/placing/call.rs
@@ -45,7 +45,7 @@
     ) -> Self {
         let entry = &table.entries[index];
         entry.gauge.begin_request(now);
-        let max_wait = table.max_wait(entry, request);
+        let max_wait = table.max_wait(entry, request, table.queues_near(request));
         let work = table.work_key_of(request);
         Self { table: Arc::clone(table), index, work, max_wait, is_probe, has_head: false }
     }
--- a/components/decide/src/placing/soonest.rs
+++ b/components/decide/src/placing/soonest.rs
@@ -85,12 +85,14 @@
     ) -> Option<usize> {
         let usual = self.usual_work(self.work_key_of(request), now).max(MIN_USUAL_WORK);
         let failures = self.excess_failure_rates(now);
+        let queues_near = self.queues_near(request);
         let eligible =
             self.entries.iter().zip(failures).enumerate().filter(|(_, (entry, failures))| {
                 super::is_eligible(entry, request)
                     && !entry.gauge.is_ejected()
-                    && (self.max_wait(entry, request).is_none()
-                        || self.has_free_slot(entry, request, *failures, now))
+                    && self
+                        .max_wait(entry, request, queues_near)
+                        .is_none_or(|max_wait| self.has_free_slot(entry, max_wait, *failures, now))
             });
         let mut best: Option<(Duration, usize)> = None;
         for (index, (entry, failures)) in eligible {
@@ -150,11 +152,7 @@
 
     /// Returns how long a request may wait for a slot at an endpoint: for any time (`None`) if it
     /// may queue; if it looks for a free slot, a short time in the own data centre and not at all
-    /// elsewhere.
-    ///
-    /// Long work queues in its own data centre only. Where the servers or links of all data centres
-    /// are full, each would otherwise send its documents to the others: as many are served, and most
-    /// of them cross. A free slot elsewhere is used, since nobody there waits for it.
+    /// elsewhere. `queues_near` is that of [`PlacementTable::queues_near`].
     ///
     /// The servers of a data centre are at times all full for a moment. Without this wait each
     /// request that met a full server crossed to another data centre, uploads of 60 KB too, for a
@@ -165,12 +163,11 @@
         &self,
         entry: &TableEntry,
         request: &PlaceRequest<'_>,
+        queues_near: bool,
     ) -> Option<Duration> {
         let kilobytes = request.bytes as f64 / 1000.0;
         match entry.record.distance {
-            EndpointDistance::SameRegion | EndpointDistance::OtherRegion
-                if request.class == WorkClass::Long && self.has_near_endpoint() =>
-            {
+            EndpointDistance::SameRegion | EndpointDistance::OtherRegion if queues_near => {
                 Some(Duration::ZERO)
             }
             _ if !request.needs_free_slot => None,
@@ -181,12 +178,18 @@
         }
     }
 
-    /// Returns whether the own data centre has an endpoint in service.
-    fn has_near_endpoint(&self) -> bool {
+    /// Returns whether a request may queue in its own data centre only: long work, if the data
+    /// centre has an endpoint in service.
+    ///
+    /// Where the servers or links of all data centres are full, each would otherwise send its
+    /// documents to the others: as many are served, and most of them cross. A free slot elsewhere is
+    /// used, since nobody there waits for it.
+    pub(super) fn queues_near(&self, request: &PlaceRequest<'_>) -> bool {
         let is_near = |entry: &TableEntry| entry.record.distance == EndpointDistance::SameCentre;
         let is_serving =
             |entry: &TableEntry| !entry.gauge.is_leaving() && !entry.gauge.is_ejected();
-        self.entries.iter().any(|entry| is_near(entry) && is_serving(entry))
+        request.class == WorkClass::Long
+            && self.entries.iter().any(|entry| is_near(entry) && is_serving(entry))
     }
 
     /// Returns whether an endpoint has a free slot, or will have one soon enough, and does not fail
@@ -194,11 +197,10 @@
     fn has_free_slot(
         &self,
         entry: &TableEntry,
-        request: &PlaceRequest<'_>,
+        max_wait: Duration,
         failures: f64,
         now: Duration,
     ) -> bool {
-        let max_wait = self.max_wait(entry, request).unwrap_or(Duration::MAX);
         let factors = &self.settings.factors;
         let is_soon =
             !factors.wait || entry.gauge.wait(now) <= max_wait.saturating_add(FREE_SLOT_TOLERANCE);
--- a/components/proxy/src/transfers.rs
+++ b/components/proxy/src/transfers.rs
@@ -92,17 +92,19 @@
     /// to carry.
     fn change<T>(&self, change: impl FnOnce(&mut SchedulerState) -> T) -> T {
         let now = time_since_start();
+        let counts = |queue: &TransferQueue| (queue.waiting_in_slots(), queue.open_count());
         let mut state = self.lock();
-        let before = (state.queue.waiting_in_slots(), state.queue.open_count());
+        let before = counts(&state.queue);
         let changed = change(&mut state);
-        let after = (state.queue.waiting_in_slots(), state.queue.open_count());
-        let backlog = state.queue.moving_backlog(now);
+        let after = counts(&state.queue);
+        let gate = self.gate.as_ref().filter(|_| before != after);
+        let news = gate.map(|gate| (gate, state.queue.moving_backlog(now)));
         let next = state.queue.next_ready(now).and_then(|next| state.wakers.remove(next));
         drop(state);
         if let Some(waker) = next {
             waker.wake();
         }
-        if let Some(gate) = self.gate.as_ref().filter(|_| before != after) {
+        if let Some((gate, backlog)) = news {
             let (waiting, _) = after;
             gate.set_answers(waiting, backlog);
         }
