guard: large bodies that take long on the link have a line

Cause: nothing told why a large answer was late on its link.

Change: a body that took a second or more on the link is logged at its end with its wait for the first permit, the number of its permits, the bodies that were open, and whether it went whole. Calls of the transfer queue take the time.

--- a/components/decide/src/transfer_queue.rs
+++ b/components/decide/src/transfer_queue.rs
@@ -37,8 +37,25 @@
     Wait(Duration),
 }
 
+/// What a body's way over the link was like, for diagnosis.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct TransferSummary {
+    /// Time from its arrival to its first permit, or to its end if it had none.
+    pub waited: Duration,
+    /// Time from its arrival to its end.
+    pub took: Duration,
+    /// Number of permits that it had, of which all but the last were withdrawn.
+    pub permits: u32,
+    /// Number of bodies that were open at its end, itself included.
+    pub open: usize,
+}
+
 #[derive(Clone, Copy, Debug)]
 struct OpenTransfer {
+    /// When it came.
+    arrived_at: Duration,
+    /// Number of permits that it had.
+    permits: u32,
     /// When it last sent bytes, if it has a permit.
     sent_at: Option<Duration>,
     /// When it was notified that it could have a permit, while it waits.
@@ -62,18 +79,24 @@
 
 impl TransferQueue {
     /// Adds a body, without a permit as yet.
-    pub fn begin(&mut self) -> TransferId {
-        self.insert(false)
+    pub fn begin(&mut self, now: Duration) -> TransferId {
+        self.insert(false, now)
     }
 
     /// Adds a body that is in memory and occupies no slot, without a permit as yet.
-    pub fn begin_kept(&mut self) -> TransferId {
-        self.insert(true)
+    pub fn begin_kept(&mut self, now: Duration) -> TransferId {
+        self.insert(true, now)
     }
 
-    fn insert(&mut self, is_kept: bool) -> TransferId {
-        let transfer = OpenTransfer { sent_at: None, offered_at: None, began_at: None, is_kept };
-        self.open.insert(transfer)
+    fn insert(&mut self, is_kept: bool, now: Duration) -> TransferId {
+        self.open.insert(OpenTransfer {
+            arrived_at: now,
+            permits: 0,
+            sent_at: None,
+            offered_at: None,
+            began_at: None,
+            is_kept,
+        })
     }
 
     /// Returns whether a body may send its next bytes at `now`. A body without a permit gets one if
@@ -86,9 +109,10 @@
         if has_permit || (is_next && self.sending_count() < MAX_SENDING) {
             self.waiting.retain(|waiting| *waiting != id);
             if let Some(transfer) = self.open.get_mut(id) {
-                let began_at = transfer.began_at.or(Some(now));
-                *transfer =
-                    OpenTransfer { sent_at: Some(now), offered_at: None, began_at, ..*transfer };
+                transfer.permits += u32::from(!has_permit);
+                transfer.sent_at = Some(now);
+                transfer.offered_at = None;
+                transfer.began_at.get_or_insert(now);
             }
             return TransferPermit::Granted;
         }
@@ -128,10 +152,13 @@
         LinkBacklog { pending: backlog.pending - stalled.count() as u32, ..backlog }
     }
 
-    /// Ends a body, whether it was sent whole or its receiver left.
-    pub fn end(&mut self, id: TransferId) {
-        self.open.remove(id);
+    /// Ends a body, whether it was sent whole or its receiver left. Returns `None` if it had ended.
+    pub fn end(&mut self, id: TransferId, now: Duration) -> Option<TransferSummary> {
         self.waiting.retain(|waiting| *waiting != id);
+        let open = self.open.len();
+        let OpenTransfer { arrived_at, began_at, permits, .. } = self.open.remove(id)?;
+        let waited = began_at.unwrap_or(now).saturating_sub(arrived_at);
+        Some(TransferSummary { waited, took: now.saturating_sub(arrived_at), permits, open })
     }
 
     /// Returns a body that waits and could have a permit now, to be notified of it.
--- a/components/decide/tests/link_limit.rs
+++ b/components/decide/tests/link_limit.rs
@@ -90,8 +90,8 @@
                     made.push(*ticket);
                 }
                 let id = *document.transfer.get_or_insert_with(|| match document.is_kept {
-                    true => queue.begin_kept(),
-                    false => queue.begin(),
+                    true => queue.begin_kept(time),
+                    false => queue.begin(time),
                 });
                 if queue.request_permit(id, time) == TransferPermit::Granted {
                     sending.push(*ticket);
@@ -113,7 +113,7 @@
             let document = open.remove(&ticket).expect("it is open");
             if let Some(id) = document.transfer {
                 queue.record_completed(id, time);
-                queue.end(id);
+                queue.end(id, time);
             }
             match now - document.came <= GOAL_MS {
                 true => result.in_time += 1,
--- a/components/decide/tests/link_permits.rs
+++ b/components/decide/tests/link_permits.rs
@@ -39,7 +39,7 @@
         for (index, (_, is_stalled)) in
             arrivals.iter().enumerate().filter(|(_, (came, _))| *came == now)
         {
-            let id = queue.begin();
+            let id = queue.begin(time);
             let is_stalled = *is_stalled;
             open.insert(index, Document { id, came: now, left: DOCUMENT, is_stalled });
         }
@@ -63,7 +63,7 @@
         open.retain(|_, document| {
             let is_sent = document.left == 0;
             if is_sent {
-                queue.end(document.id);
+                queue.end(document.id, time);
                 result.sent += 1;
                 result.in_time += usize::from(now - document.came <= GOAL_MS);
             }
@@ -107,15 +107,15 @@
     let at = Duration::from_millis;
     let mut queue = TransferQueue::default();
     for _ in 0..4 {
-        let stalled = queue.begin_kept();
+        let stalled = queue.begin_kept(at(0));
         assert_eq!(queue.request_permit(stalled, at(0)), TransferPermit::Granted);
         queue.request_permit(stalled, at(1));
         // The permits of those that take nothing are withdrawn when another one asks.
-        let other = queue.begin_kept();
+        let other = queue.begin_kept(at(300));
         queue.request_permit(other, at(300));
-        queue.end(other);
+        queue.end(other, at(300));
     }
-    let moving = queue.begin_kept();
+    let moving = queue.begin_kept(at(600));
     assert_eq!(queue.request_permit(moving, at(600)), TransferPermit::Granted);
     assert_eq!(queue.moving_backlog(at(700)).pending, 1);
     assert_eq!(queue.backlog(at(700)).pending, 5);
--- a/components/decide/tests/upload_link.rs
+++ b/components/decide/tests/upload_link.rs
@@ -101,7 +101,7 @@
         if ms % PAUSE_MS == 0 {
             let backlog = queue.backlog(now);
             if guard.consider_upload(&request(ms), &backlog, now, &mut rng).is_ok() {
-                let (id, unsent) = (queue.begin(), UPLOAD - WINDOW);
+                let (id, unsent) = (queue.begin(now), UPLOAD - WINDOW);
                 coming.push(ComingUpload { id, came: ms, unsent, on_link: WINDOW });
             } else {
                 result.refused += 1;
@@ -125,7 +125,7 @@
             let is_coming = upload.on_link + upload.unsent > 0;
             if !is_coming {
                 queue.record_completed(upload.id, now);
-                queue.end(upload.id);
+                queue.end(upload.id, now);
                 match guard.offer(&request(upload.came), now, &mut rng) {
                     Admission::Run(ticket) => {
                         running.push_back((ms + WORK_MS, upload.came, ticket))
--- a/components/lab/src/link.rs
+++ b/components/lab/src/link.rs
@@ -48,8 +48,8 @@
     /// Adds an answer. The link has to be brought forward to this time before.
     pub(crate) fn begin(&mut self, call: CallIndex, ticket: Option<Ticket>, bytes: u64) {
         let id = match ticket {
-            Some(_) => self.queue.begin(),
-            None => self.queue.begin_kept(),
+            Some(_) => self.queue.begin(self.updated_at),
+            None => self.queue.begin_kept(self.updated_at),
         };
         let left = bytes as f64;
         self.open.push(SimulatedTransfer { call, ticket, id, left, is_sending: false });
@@ -66,7 +66,7 @@
         let carried: Vec<_> = self.open.extract_if(.., is_sent).collect();
         for transfer in &carried {
             self.queue.record_completed(transfer.id, now);
-            self.queue.end(transfer.id);
+            self.queue.end(transfer.id, now);
         }
         carried
     }
--- a/components/proxy/src/transfers.rs
+++ b/components/proxy/src/transfers.rs
@@ -14,7 +14,7 @@
 use hyper::body::{Body, Frame, SizeHint};
 use sk_decide::{
     admitting::LinkBacklog,
-    transfer_queue::{TransferId, TransferPermit, TransferQueue},
+    transfer_queue::{TransferId, TransferPermit, TransferQueue, TransferSummary},
 };
 use slotmap::SecondaryMap;
 use tokio::time::{Sleep, sleep};
@@ -25,6 +25,9 @@
 /// takes.
 pub(crate) const LARGE_BYTES: u64 = 32 * 1024;
 
+/// Time on the link from which a body's transfer is logged.
+const SLOW_TRANSFER: Duration = Duration::from_secs(1);
+
 /// Returns whether a body is scheduled. One of unknown length may be large.
 pub(crate) fn is_large(body: &impl Body) -> bool {
     body.size_hint().upper().is_none_or(|size| size >= LARGE_BYTES)
@@ -79,13 +82,22 @@
 
     /// Removes a body, and counts its transfer if it was complete.
     fn end(&self, id: TransferId, is_whole: bool) {
-        self.change(|state| {
+        let now = time_since_start();
+        let summary = self.change(|state| {
             if is_whole {
-                state.queue.record_completed(id, time_since_start());
+                state.queue.record_completed(id, now);
             }
-            state.queue.end(id);
             state.wakers.remove(id);
+            state.queue.end(id, now)
         });
+        if let Some(summary) = summary.filter(|summary| summary.took >= SLOW_TRANSFER) {
+            let TransferSummary { waited, took, permits, open } = summary;
+            log::info!(
+                waited_ms = waited.as_millis() as u64, took_ms = took.as_millis() as u64, permits,
+                open, is_whole;
+                "guard: a large body took long on the link."
+            );
+        }
     }
 
     /// Applies a change, wakes the next body that may proceed, and tells the gate what the link has
@@ -147,10 +159,10 @@
     fn begin(
         inner: B,
         scheduler: &Arc<TransferScheduler>,
-        begin: fn(&mut TransferQueue) -> TransferId,
+        begin: fn(&mut TransferQueue, Duration) -> TransferId,
     ) -> Self {
         let transfer = is_large(&inner).then(|| {
-            let id = scheduler.change(|state| begin(&mut state.queue));
+            let id = scheduler.change(|state| begin(&mut state.queue, time_since_start()));
             ScheduledTransfer {
                 scheduler: scheduler.clone(),
                 id,
