transfer queue: an answer whose reader has begun gets the next permit

Callers saw: documents that stopped in the middle.

Cause: a body that sends nothing for 250 ms gives its permit back, and waited for the next one behind all others. The reader of the document was a daemon with a tenth of a core, which takes turns of 100 ms.

Change: among the bodies that wait, those that had a permit come first.

Why it works: what has begun ends before more begins. A permit is still kept only while bytes move, so that a reader that has stopped delays the others as little as before.

Measured: link_permits begun_first failed before.

--- a/components/decide/src/transfer_queue.rs
+++ b/components/decide/src/transfer_queue.rs
@@ -76,7 +76,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct TransferQueue {
     open: SlotMap<TransferId, OpenTransfer>,
-    /// Bodies without a permit, in the order in which they came.
+    /// Bodies without a permit, in the order in which they get one.
     waiting: VecDeque<TransferId>,
     /// Time from the first permit of a body to its end.
     transfer_time: ServiceEstimate,
@@ -106,7 +106,8 @@
     }
 
     /// Returns whether a body may send its next bytes at `now`. A body without a permit gets one if
-    /// it is the first that waits and few enough send; until then it waits in the order of arrival.
+    /// it is the first that waits and few enough send. Bodies wait in the order of arrival, but one
+    /// that had a permit goes before those that had none, because its reader has begun.
     pub fn request_permit(&mut self, id: TransferId, now: Duration) -> TransferPermit {
         self.revoke_stalled(now);
         let Some(transfer) = self.open.get(id) else { return TransferPermit::Granted };
@@ -123,14 +124,17 @@
             return TransferPermit::Granted;
         }
         if !self.waiting.contains(&id) {
-            self.waiting.push_back(id);
+            let is_unbegun = |other: &TransferId| self.began_at(*other).is_none();
+            let first_unbegun = self.waiting.iter().position(is_unbegun);
+            let place = first_unbegun.filter(|_| self.began_at(id).is_some());
+            self.waiting.insert(place.unwrap_or(self.waiting.len()), id);
         }
         TransferPermit::Wait(STALL_TIMEOUT)
     }
 
     /// Records how long a body took that has crossed the link whole.
     pub fn record_completed(&mut self, id: TransferId, now: Duration) {
-        if let Some(began_at) = self.open.get(id).and_then(|transfer| transfer.began_at) {
+        if let Some(began_at) = self.began_at(id) {
             self.transfer_time.add(now.saturating_sub(began_at), now);
         }
     }
@@ -192,6 +196,11 @@
         self.open.len()
     }
 
+    /// Returns when a body first had a permit.
+    fn began_at(&self, id: TransferId) -> Option<Duration> {
+        self.open.get(id).and_then(|transfer| transfer.began_at)
+    }
+
     /// Returns the number of bodies with a permit.
     fn sending_count(&self) -> usize {
         self.open.values().filter(|transfer| transfer.has_permit).count()
--- a/components/decide/tests/link_permits.rs
+++ b/components/decide/tests/link_permits.rs
@@ -138,6 +138,27 @@
     }
 }
 
+/// A document lost its permit because its reader was busy for a moment. It waited behind all others
+/// for its next one, and its caller left with a part of it.
+#[test]
+fn begun_first() {
+    let at = Duration::from_millis;
+    let granted = TransferPermit::Granted;
+    let mut queue = TransferQueue::default();
+    let [late, first, second, third] = [0; 4].map(|now| queue.begin_kept(at(now)));
+    assert_eq!(queue.request_permit(late, at(0)), granted);
+    assert_eq!(queue.request_permit(first, at(240)), granted);
+    for id in [second, third] {
+        assert_ne!(queue.request_permit(id, at(240)), granted);
+    }
+    // The reader is back after the second has got the permit.
+    assert_eq!(queue.request_permit(second, at(260)), granted);
+    assert_ne!(queue.request_permit(late, at(300)), granted);
+    queue.end(first, at(310));
+    assert_ne!(queue.request_permit(third, at(310)), granted);
+    assert_eq!(queue.request_permit(late, at(310)), granted);
+}
+
 /// A link on which nothing ends for a while is slow, not idle. The time of its answers must not be
 /// taken to fall meanwhile, or the guard admits more and more of them.
 #[test]
