admitting: one slow reader does not keep documents from the link

After an answer to a reader that took 20 s, every document with a nearer deadline would have been refused, on an idle link as well, and no further time would ever have been known.

Change: the time of an answer on the link is that for which it had a permit, the reserve is that of its own time alone, and on an idle link long work starts in any case. The queue is checked again after each start.

--- a/components/decide/src/admitting/link.rs
+++ b/components/decide/src/admitting/link.rs
@@ -73,18 +73,18 @@
         self.link_time(work, running, self.backlog.transfer_time)
     }
 
-    /// Returns the same time with a reserve, which few answers exceed.
+    /// Returns the time from the end of `work` by which the answer has very likely left the link.
     pub(super) fn high_answer_time(&self, work: Duration, running: u32) -> Duration {
         self.link_time(work, Some(running), self.backlog.high_transfer_time)
     }
 
-    fn link_time(&self, work: Duration, running: Option<u32>, transfer_time: Duration) -> Duration {
+    fn link_time(&self, work: Duration, running: Option<u32>, own: Duration) -> Duration {
         let open = match running {
             Some(running) => running + 1 + self.backlog.pending,
             None => self.max_open(work),
         };
-        let link_time = transfer_time * open / MAX_SENDING as u32;
-        link_time.saturating_sub(work).max(transfer_time)
+        let before = self.backlog.transfer_time * (open - 1) / MAX_SENDING as u32;
+        (before + own / MAX_SENDING as u32).saturating_sub(work).max(own)
     }
 
     /// Returns the number of answers that the link has to carry.
--- a/components/decide/src/admitting/release.rs
+++ b/components/decide/src/admitting/release.rs
@@ -57,6 +57,8 @@
         while let Some(ticket) = self.take_next_startable(now) {
             self.set_running(ticket, now);
             released.start.push(ticket);
+            // It goes before the others on the link.
+            self.refuse_late(now, &mut released);
         }
         released
     }
--- a/components/decide/src/admitting/urgent.rs
+++ b/components/decide/src/admitting/urgent.rs
@@ -107,8 +107,9 @@
             && risks_goal(request, link_time.saturating_sub(alone), (work, alone), now)
     }
 
-    /// Returns whether the answer to a request that started now may still be on the link at its
-    /// deadline. Its caller, or a daemon that stops by then, would cut it.
+    /// Returns whether the answer to a request of long work that started now may still be on the link
+    /// at its deadline, behind others. Its caller, or a daemon that stops by then, would cut it. On an
+    /// idle link it may start in any case, because the times of earlier answers need not hold any more.
     pub(super) fn risks_deadline_on_link(
         &self,
         class: WorkClass,
@@ -117,8 +118,9 @@
         now: Duration,
     ) -> bool {
         let running = self.running[class_index(class)];
-        let link_time = || self.link_limit.high_answer_time(work, running);
-        class == WorkClass::Long && now + work + link_time() > deadline
+        let link_time = self.link_limit.high_answer_time(work, running);
+        let is_idle = running + self.link_limit.pending() == 0 || link_time.is_zero();
+        class == WorkClass::Long && !is_idle && now + work + link_time > deadline
     }
 
     /// Returns the time from the end of a request's work to the end of its answer on the link, if
--- a/components/decide/src/transfer_queue.rs
+++ b/components/decide/src/transfer_queue.rs
@@ -67,6 +67,8 @@
     offered_at: Option<Duration>,
     /// When it first had a permit.
     began_at: Option<Duration>,
+    /// Time for which it has had a permit, up to the last bytes that it sent.
+    held: Duration,
     /// Whether it is in memory and occupies no slot of the server.
     is_kept: bool,
 }
@@ -78,7 +80,7 @@
     open: SlotMap<TransferId, OpenTransfer>,
     /// Bodies without a permit, in the order in which they get one.
     waiting: VecDeque<TransferId>,
-    /// Time from the first permit of a body to its end.
+    /// Time for which a body has a permit.
     transfer_time: ServiceEstimate,
 }
 
@@ -101,6 +103,7 @@
             sent_at: Duration::ZERO,
             offered_at: None,
             began_at: None,
+            held: Duration::ZERO,
             is_kept,
         })
     }
@@ -116,7 +119,10 @@
         if has_permit || (is_next && self.sending_count() < MAX_SENDING) {
             self.waiting.retain(|waiting| *waiting != id);
             if let Some(transfer) = self.open.get_mut(id) {
-                transfer.permits += u32::from(!has_permit);
+                match has_permit {
+                    true => transfer.held += now.saturating_sub(transfer.sent_at),
+                    false => transfer.permits += 1,
+                }
                 (transfer.has_permit, transfer.sent_at) = (true, now);
                 transfer.offered_at = None;
                 transfer.began_at.get_or_insert(now);
@@ -132,11 +138,17 @@
         TransferPermit::Wait(STALL_TIMEOUT)
     }
 
-    /// Records how long a body took that has crossed the link whole.
+    /// Records for how long a body had a permit that has crossed the link whole. While it had none, the
+    /// link carried others.
     pub fn record_completed(&mut self, id: TransferId, now: Duration) {
-        if let Some(began_at) = self.began_at(id) {
-            self.transfer_time.add(now.saturating_sub(began_at), now);
-        }
+        let Some(transfer) = self.open.get(id).filter(|transfer| transfer.permits > 0) else {
+            return;
+        };
+        let rest = match transfer.has_permit {
+            true => now.saturating_sub(transfer.sent_at),
+            false => Duration::ZERO,
+        };
+        self.transfer_time.add(transfer.held + rest, now);
     }
 
     /// Returns what the link carries before a body that comes now.
@@ -210,8 +222,9 @@
     /// bytes.
     fn revoke_stalled(&mut self, now: Duration) {
         for transfer in self.open.values_mut() {
-            if now.saturating_sub(transfer.sent_at) >= STALL_TIMEOUT {
+            if transfer.has_permit && now.saturating_sub(transfer.sent_at) >= STALL_TIMEOUT {
                 transfer.has_permit = false;
+                transfer.held += STALL_TIMEOUT;
             }
         }
         // A body whose receiver stopped while it waited does not ask again when it is notified, and
--- a/components/decide/tests/link_limit.rs
+++ b/components/decide/tests/link_limit.rs
@@ -227,6 +227,16 @@
     assert!(matches!(offer_late(&mut guard_with(2), 500), Admission::Run(_)));
 }
 
+/// The last answer went to a very slow reader. Refused for its time, no document would start any
+/// more, and no other time would ever be known.
+#[test]
+fn idle_link() {
+    let mut guard = guard_with(0);
+    let slow = Duration::from_secs(20);
+    tell(&mut guard, LinkBacklog { transfer_time: slow, high_transfer_time: slow, ..backlog(0) });
+    assert!(matches!(offer_late(&mut guard, 4_000), Admission::Run(_)));
+}
+
 /// A full link got one more document whenever the server had nothing else to do.
 #[test]
 fn full_link() {
--- a/components/decide/tests/link_permits.rs
+++ b/components/decide/tests/link_permits.rs
@@ -159,6 +159,26 @@
     assert_eq!(queue.request_permit(late, at(310)), granted);
 }
 
+/// A reader far away takes its answer in seconds, and the link is free for others most of them.
+/// Counted whole, they would keep the guard from admitting documents.
+#[test]
+fn time_with_permit() {
+    let at = Duration::from_millis;
+    let mut queue = TransferQueue::default();
+    let far = queue.begin_kept(at(0));
+    for now in (0..4_000).step_by(1_000) {
+        queue.request_permit(far, at(now));
+        queue.request_permit(far, at(now + 20));
+        // The permit is withdrawn.
+        let other = queue.begin_kept(at(now + 300));
+        queue.request_permit(other, at(now + 300));
+        queue.end(other, at(now + 300));
+    }
+    queue.record_completed(far, at(4_000));
+    queue.end(far, at(4_000));
+    assert_eq!(queue.backlog(at(4_000)).transfer_time, at(4 * 270));
+}
+
 /// A link on which nothing ends for a while is slow, not idle. The time of its answers must not be
 /// taken to fall meanwhile, or the guard admits more and more of them.
 #[test]
