admitting: the first documents of a daemon are as few as its link needs

Cause: nothing limited documents before the first had ended at the server. Evidence: guard d-16 added its server at 24.98 s; between 25.3 and 25.65 s thirteen answers came onto its link, of which the last waited 2.45 s for their turn.

Change: until a long request has ended, three run: one for each answer that the link carries at a time and one at the server. Servers whose answers are short run as many as before from then on.

--- a/components/decide/src/admitting/link.rs
+++ b/components/decide/src/admitting/link.rs
@@ -33,12 +33,14 @@
     max_running: f64,
     waiting_answers: usize,
     backlog: LinkBacklog,
+    /// Whether a long request has ended.
+    has_ended: bool,
 }
 
 impl Default for LinkLimit {
     fn default() -> Self {
         let backlog = LinkBacklog::default();
-        Self { max_running: f64::from(u32::MAX), waiting_answers: 0, backlog }
+        Self { max_running: f64::from(u32::MAX), waiting_answers: 0, backlog, has_ended: false }
     }
 }
 
@@ -105,9 +107,9 @@
     /// Returns how many long requests may be at the server or on the link.
     fn max_open(&self, work: Duration) -> u32 {
         let transfer_time = self.backlog.transfer_time.as_secs_f64();
-        // Nothing is known of the link before it has carried an answer. The answers of some servers
-        // are all short, and none of them ever counts here.
-        if transfer_time <= 0.0 && self.backlog.pending == 0 {
+        // Nothing is known of the link before it has carried an answer, and nothing of the answers
+        // before work has ended. Those of some servers are all short, and none ever counts here.
+        if transfer_time <= 0.0 && self.backlog.pending == 0 && self.has_ended {
             return u32::MAX;
         }
         let at_server = match transfer_time > 0.0 {
@@ -134,6 +136,7 @@
 
     /// Records that a long request ended, and raises the limit if no answer waits.
     pub(super) fn record_end(&mut self) {
+        self.has_ended = true;
         if self.waiting_answers == 0 {
             self.max_running = (self.max_running + GROWTH_PER_ANSWER).min(f64::from(u32::MAX));
         }
