--- a/components/decide/src/admitting/link.rs
+++ b/components/decide/src/admitting/link.rs
@@ -80,6 +80,8 @@
         self.link_time(work, Some(running), self.backlog.high_transfer_time)
     }
 
+    /// Returns the time from the end of `work` to the end of its answer, which takes `own` once it is
+    /// its turn.
     fn link_time(&self, work: Duration, running: Option<u32>, own: Duration) -> Duration {
         let open = match running {
             Some(running) => running + 1 + self.backlog.pending,
--- a/components/decide/src/transfer_queue.rs
+++ b/components/decide/src/transfer_queue.rs
@@ -153,7 +153,8 @@
 
     /// Returns what the link carries before a body that comes now.
     pub fn backlog(&self, now: Duration) -> LinkBacklog {
-        // While bodies wait, the link is slow and not idle, and its last samples hold.
+        // While bodies wait, the link is slow and not idle, and old samples hold: none is older than
+        // the start of the clock.
         let at = if self.waiting.is_empty() { now } else { Duration::ZERO };
         let transfer_time = self.transfer_time.expected(at);
         let high_transfer_time = self.transfer_time.high_estimate(at);
