--- a/components/daemon/src/daemon.rs
+++ b/components/daemon/src/daemon.rs
@@ -20,8 +20,8 @@
 use sk_ops::{OpsHandle, SharedPort, start_ops};
 use sk_proxy::{
     FailedCalls, ForwardContext, GuardContext, GuardToken, ListenerActivity, ListenerHandle,
-    LocalServerList, LocalServiceName, OpenRequests, PeerClient, ProxyCounters, SharedQuarantine,
-    SharedTable, serve_forward, serve_guard,
+    LocalServerList, LocalServiceName, OpenRequests, PeerClient, ProxyCounters, RefusedRequests,
+    RunningRequests, SharedQuarantine, SharedTable, serve_forward, serve_guard,
 };
 use sk_report::AckBuffer;
 use sk_settings::{DaemonSettings, SpreadMode};
@@ -455,6 +455,7 @@
         guard_context,
         counters: parts.counters.clone(),
         max_body_bytes: settings.guard.max_body_bytes,
+        refused: RefusedRequests::default(),
         headers: parts.platform.headers.clone(),
         local_service: parts.local_service.clone(),
     }
@@ -469,6 +470,7 @@
         counters: parts.counters.clone(),
         headers: parts.platform.headers.clone(),
         failed_calls: FailedCalls::default(),
+        running: RunningRequests::default(),
         transit_clocks: Default::default(),
         open_requests: Arc::default(),
         drain_clock: Arc::default(),
--- a/components/daemon/src/options.rs
+++ b/components/daemon/src/options.rs
@@ -103,6 +103,10 @@
         transit: !is_disabled(settings, Mechanism::Transit),
         wait: !is_disabled(settings, Mechanism::WaitHints),
         outliers: !is_disabled(settings, Mechanism::Outliers),
+        nested_first: !is_disabled(settings, Mechanism::NestedFirst),
+        slot_odds: !is_disabled(settings, Mechanism::SlotOdds),
+        near_first: !is_disabled(settings, Mechanism::NearFirst),
+        returns: !is_disabled(settings, Mechanism::Returns),
     }
 }
 
--- a/components/decide/src/admitting.rs
+++ b/components/decide/src/admitting.rs
@@ -12,7 +12,7 @@
 use rand::Rng;
 use slotmap::{SlotMap, new_key_type};
 
-use crate::admitting::estimate::{DecayingPeak, ServiceEstimate};
+use crate::admitting::estimate::{DecayingMean, DecayingPeak, ServiceEstimate};
 use crate::admitting::link::LinkLimit;
 use crate::admitting::queue::FlowQueue;
 use crate::admitting::urgency::UrgencyQueue;
@@ -69,6 +69,9 @@
     pub goal: Option<Duration>,
     /// Rank among the requests that wait, 0 first.
     pub rank: u8,
+    /// Whether a request that has started at another server waits for it. It then goes before all
+    /// others, whatever its rank.
+    pub is_nested: bool,
     /// Kind of work; each kind has its own estimate of the service time.
     pub work: WorkKey,
     /// Longest time for which it may wait for a slot, `None` for any time. A request that would
@@ -82,6 +85,10 @@
 /// 2.6 % at 1.5 and 0.9 % at two, and at two the most calls are served in time.
 const OVERTAKING_FACTOR: u32 = 2;
 
+/// Slots kept free of long work beyond the mean number of calls of started requests, which come in
+/// bursts.
+const NESTED_RESERVE: u32 = 1;
+
 /// Divisor of the time to the response-time goal of refused long work, which yields the longest time
 /// after which its caller returns.
 const RETURN_GOAL_DIVISOR: u32 = 4;
@@ -112,6 +119,7 @@
     flow: FlowKey,
     stage: CallStage,
     work: WorkKey,
+    is_nested: bool,
     deadline: Duration,
     /// Latest time at which it may start.
     latest_start: Duration,
@@ -155,6 +163,8 @@
     work_estimates: HashMap<WorkKey, ServiceEstimate>,
     /// Peak of the slots that short work has lately used at once.
     short_peak: DecayingPeak,
+    /// Mean number of calls of started requests that ran or waited here lately.
+    nested_demand: DecayingMean,
     trial: TrialState,
     /// Limit that the instance's link sets to long work.
     link_limit: LinkLimit,
@@ -174,6 +184,7 @@
             estimates: Default::default(),
             work_estimates: HashMap::new(),
             short_peak: DecayingPeak::default(),
+            nested_demand: DecayingMean::default(),
             trial: TrialState::None,
             link_limit: LinkLimit::default(),
             is_draining: false,
@@ -193,11 +204,15 @@
         let class = request.class;
         let service = self.service_time(request, now);
         let (latest_start, late_reason) = self.latest_start(request, service, now);
+        if request.is_nested {
+            self.nested_demand.add(f64::from(self.nested_count()), now);
+        }
         let ticket = self.calls.insert(GuardedCall {
             class,
             flow: request.flow,
             stage: CallStage::Queued,
             work: request.work,
+            is_nested: request.is_nested,
             deadline: request.deadline,
             latest_start,
             late_reason,
@@ -426,6 +441,12 @@
         self.running.iter().sum()
     }
 
+    /// Returns the number of calls of started requests that run or wait.
+    fn nested_count(&self) -> u32 {
+        // The slots and the queue's limit bound it.
+        self.calls.values().filter(|call| call.is_nested).count() as u32
+    }
+
     /// Returns the slots available: all of a warm server, a growing part of a cold one. A cold
     /// server that gets a full load at once serves all of it too late.
     fn slots(&self, now: Duration) -> u32 {
@@ -457,9 +478,22 @@
     /// Returns the slots that long work may take, regardless of what is on the link.
     fn long_slots(&self, now: Duration) -> u32 {
         let slots = self.slots(now);
-        let share = self.settings.long_share_of(slots);
         let needed = self.short_peak.level(now).ceil() as u32 + 1;
-        share.max(slots.saturating_sub(needed)).min(self.link_limit.max_running()).max(1)
+        let long_slots = self.long_share(now).max(slots.saturating_sub(needed));
+        long_slots.min(self.link_limit.max_running()).max(1)
+    }
+
+    /// Returns the slots that long work gets in contention: its share, as far as the calls of
+    /// started requests leave it one, and at least one slot.
+    ///
+    /// Requests that have started elsewhere hold a slot there until their calls end. Where documents
+    /// take the slots that these calls need, the calls wait, the requests behind them take longer,
+    /// and the servers of the calling service fill up with requests that do nothing.
+    fn long_share(&self, now: Duration) -> u32 {
+        let slots = self.slots(now);
+        let nested = self.nested_demand.level(now).ceil() as u32;
+        let left = slots.saturating_sub(nested.saturating_add(NESTED_RESERVE));
+        self.settings.long_share_of(slots).min(left).max(1)
     }
 
     /// Returns whether a request of a class could start at once without overtaking one that waits.
--- a/components/decide/src/admitting/estimate.rs
+++ b/components/decide/src/admitting/estimate.rs
@@ -13,6 +13,9 @@
 const ESTIMATE_HALVING: Duration = Duration::from_secs(1);
 /// Halvings after which an estimate counts as zero for all purposes; it bounds the divisor.
 const MAX_HALVINGS: u32 = 20;
+/// Time over which a mean of arrivals is taken: longer than their bursts, and shorter than the changes
+/// of a load that a proxy has to follow.
+const MEAN_TIME: Duration = Duration::from_secs(1);
 /// Time in which a peak falls to half: longer than the gaps of a service with a call a second.
 const PEAK_HALVING: Duration = Duration::from_secs(2);
 
@@ -61,6 +64,33 @@
     }
 }
 
+/// Mean of a quantity over about the last [`MEAN_TIME`], sampled at the arrivals of requests.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct DecayingMean {
+    mean: f64,
+    at: Duration,
+}
+
+impl DecayingMean {
+    /// Adds the value found at `now`.
+    pub(crate) fn add(&mut self, value: f64, now: Duration) {
+        let kept = self.kept_share(now);
+        self.mean = self.mean * kept + value * (1.0 - kept);
+        self.at = now;
+    }
+
+    /// Returns the mean, lower the longer no sample came.
+    pub(crate) fn level(&self, now: Duration) -> f64 {
+        self.mean * self.kept_share(now)
+    }
+
+    /// Returns the weight of the mean after the time since the last sample.
+    fn kept_share(&self, now: Duration) -> f64 {
+        let idle = now.saturating_sub(self.at);
+        (-idle.as_secs_f64() / MEAN_TIME.as_secs_f64()).exp()
+    }
+}
+
 /// The highest recent value of a quantity.
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct DecayingPeak {
--- a/components/decide/src/admitting/release.rs
+++ b/components/decide/src/admitting/release.rs
@@ -212,10 +212,12 @@
         if let TrialState::Waiting(ticket) = self.trial {
             return (self.running_count() == 0).then_some(ticket);
         }
-        let share = self.settings.long_share_of(self.slots(now));
         // Long work below its share goes before short work, which would otherwise take every slot
         // that becomes free; above its share it comes after. Answers on the link count as well: what
-        // waits for the link needs no slot before others.
+        // waits for the link needs no slot before others. Calls of started requests go before all
+        // long work but the first.
+        let nested = self.urgency_queues[class_index(WorkClass::Short)].nested_len();
+        let share = if nested > 0 { 1 } else { self.long_share(now) };
         let order = match self.running[1] + self.link_limit.pending() < share {
             true => [WorkClass::Long, WorkClass::Short],
             false => [WorkClass::Short, WorkClass::Long],
--- a/components/decide/src/admitting/urgency.rs
+++ b/components/decide/src/admitting/urgency.rs
@@ -1,10 +1,11 @@
 //! A queue by urgency, for work that is long beside a round trip.
 //!
 //! The requests of a server that take a tenth of a second and more differ in what they are worth:
-//! calls that other requests wait for, confirmations, look-ups. The next to start is of the most
-//! urgent rank; within it those that can still meet their response-time goal go before those that
-//! cannot, and of each the one whose goal ends first. First come, first served would make all of
-//! them late once a queue has formed; with this order a queue makes only some late.
+//! calls that other requests wait for, confirmations, look-ups. Calls of requests that have started
+//! elsewhere go first, because those hold a slot until the call ends. Of the others the next to start
+//! is of the most urgent rank; within it those that can still meet their response-time goal go before
+//! those that cannot, and of each the one whose goal ends first. First come, first served would make
+//! all of them late once a queue has formed; with this order a queue makes only some late.
 
 use std::time::Duration;
 
@@ -13,14 +14,17 @@
 /// How urgent a request is.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Urgency {
+    /// Whether a request that has started elsewhere waits for it.
+    pub is_nested: bool,
     /// Rank of its route, 0 first.
     pub rank: u8,
     /// When its response-time goal ends, or else its deadline, on the clock of `now`.
     pub due: Duration,
 }
 
-/// Key that orders queued requests: rank, whether the goal is out of reach, its end, arrival.
-type OrderKey = (u8, bool, Duration, u64);
+/// Key that orders queued requests: whether nobody waits at a server, rank, whether the goal is out of
+/// reach, its end, arrival.
+type OrderKey = (bool, u8, bool, Duration, u64);
 
 #[derive(Clone, Copy, Debug)]
 struct QueuedCall {
@@ -39,7 +43,8 @@
 }
 
 fn order_key(urgency: Urgency, work: Duration, sequence: u64, now: Duration) -> OrderKey {
-    (urgency.rank, now + work > urgency.due, urgency.due, sequence)
+    let is_late = now + work > urgency.due;
+    (!urgency.is_nested, urgency.rank, is_late, urgency.due, sequence)
 }
 
 /// The queue. It holds some dozens of requests, so plain scans are the fastest.
@@ -85,6 +90,12 @@
         self.calls.retain(|call| call.ticket != ticket);
     }
 
+    /// Returns the number of queued calls of requests that have started elsewhere.
+    pub(super) fn nested_len(&self) -> u32 {
+        // The queue's limit bounds it.
+        self.calls.iter().filter(|call| call.urgency.is_nested).count() as u32
+    }
+
     pub(super) fn tickets(&self) -> impl Iterator<Item = Ticket> {
         self.calls.iter().map(|call| call.ticket)
     }
--- a/components/decide/src/admitting/urgent.rs
+++ b/components/decide/src/admitting/urgent.rs
@@ -55,6 +55,8 @@
     ) -> (Duration, RefusalReason) {
         let by_deadline = request.deadline.saturating_sub(service);
         let latest = match (self.settings.order, request.goal) {
+            // Its caller has begun and would fail without it, so it may be late.
+            _ if request.is_nested => by_deadline,
             (QueueOrder::Urgent, Some(goal)) if goal > now => {
                 by_deadline.min(goal + (goal - now) / 2)
             }
@@ -82,12 +84,15 @@
         let link_time = self.link_time(class, work, None);
         let service = work + link_time;
         // More urgent work that comes later goes before it.
-        let wait = self.urgent_wait(request, now).mul_f64(LATER_ARRIVALS_FACTOR);
+        let later = if request.is_nested { 1.0 } else { LATER_ARRIVALS_FACTOR };
+        let wait = self.urgent_wait(request, now).mul_f64(later);
         match request {
             _ if self.queued(class) >= self.settings.queue_limit(class) => {
                 Some(self.queue_full_reason(now))
             }
             _ if now + wait + service > request.deadline => Some(RefusalReason::DeadlineTooNear),
+            // A late call is worth more than the work that would be lost with it.
+            _ if request.is_nested => None,
             _ if misses_goal(request, wait, service, now) => Some(RefusalReason::GoalMissed),
             _ if class == WorkClass::Long && risks_goal(request, wait, (work, link_time), now) => {
                 Some(RefusalReason::GoalMissed)
@@ -164,15 +169,16 @@
     }
 
     /// Returns how long a request that may queue would wait for a slot, for daemons that choose
-    /// among servers. Zero while a slot is free.
-    pub fn wait_hint(&self, now: Duration) -> Duration {
+    /// among servers; `is_nested` as in [`GuardRequest::is_nested`]. Zero while a slot is free.
+    pub fn wait_hint(&self, is_nested: bool, now: Duration) -> Duration {
         if self.running_count() < self.slots(now) {
             return Duration::ZERO;
         }
+        let goes_before = |call: &GuardedCall| call.is_nested || !is_nested;
         let queued: Duration = self
             .calls
             .values()
-            .filter(|call| call.stage == CallStage::Queued)
+            .filter(|call| call.stage == CallStage::Queued && goes_before(call))
             .map(|call| self.work_time(call.work, call.class, now))
             .sum();
         self.time_to_first_slot(now) + queued / self.slots(now).max(1)
@@ -224,5 +230,6 @@
 
 /// Returns how urgent a request is.
 pub(super) fn urgency_of(request: &GuardRequest) -> Urgency {
-    Urgency { rank: request.rank, due: request.goal.unwrap_or(request.deadline) }
+    let due = request.goal.unwrap_or(request.deadline);
+    Urgency { is_nested: request.is_nested, rank: request.rank, due }
 }
--- a/components/decide/src/placing.rs
+++ b/components/decide/src/placing.rs
@@ -17,6 +17,7 @@
 use rand::Rng;
 use thiserror::Error;
 
+use crate::placing::slot_odds::SlotOdds;
 use crate::{WorkClass, WorkKey};
 
 pub use crate::placing::call::{CallOutcome, PlacedCall};
@@ -30,6 +31,7 @@
 mod mean;
 mod outlier;
 mod settings;
+mod slot_odds;
 mod soonest;
 mod two_choices;
 
@@ -94,6 +96,8 @@
     pub needs_free_slot: bool,
     /// Time left until its response-time goal, if it has one.
     pub goal: Option<Duration>,
+    /// Whether a request that has started at another server waits for it.
+    pub is_nested: bool,
 }
 
 /// Why a request could not be placed. It did not run.
@@ -122,6 +126,10 @@
     pub(crate) entries: Vec<TableEntry>,
     /// Sizes of answers by kind of work.
     sizes: Arc<WorkMeans<SizeMean>>,
+    /// How attempts to find a free slot ended.
+    slot_odds: Arc<SlotOdds>,
+    /// How attempts ended that were made after another endpoint had no room.
+    move_odds: Arc<SlotOdds>,
     /// Locked while an endpoint is ejected. Two threads that each eject one would otherwise both
     /// count the other endpoint as in service and exceed the limit on ejections.
     pub(crate) ejection_lock: Arc<Mutex<()>>,
@@ -130,7 +138,14 @@
 impl PlacementTable {
     /// Creates a table without endpoints.
     pub fn new(settings: PlacementSettings) -> Self {
-        Self { settings, entries: Vec::new(), sizes: Arc::default(), ejection_lock: Arc::default() }
+        Self {
+            settings,
+            entries: Vec::new(),
+            sizes: Arc::default(),
+            slot_odds: Arc::default(),
+            move_odds: Arc::default(),
+            ejection_lock: Arc::default(),
+        }
     }
 
     /// Creates the table for a changed membership. Counters carry over to the same incarnation
@@ -153,6 +168,8 @@
             settings: self.settings,
             entries: records.iter().map(entry_of).collect(),
             sizes: Arc::clone(&self.sizes),
+            slot_odds: Arc::clone(&self.slot_odds),
+            move_odds: Arc::clone(&self.move_odds),
             ejection_lock: Arc::clone(&self.ejection_lock),
         };
         table.reinstate_excess(now);
@@ -198,14 +215,37 @@
         }
     }
 
-    /// Records how long a request would wait for a slot at an endpoint, as its guard reports. The
-    /// report counts until that wait would be over.
-    pub fn record_wait(&self, id: EndpointId, wait: Duration, now: Duration) {
+    /// Records how long a request would wait for a slot at an endpoint, as its guard reports;
+    /// `is_nested` as in [`PlaceRequest::is_nested`]. The report counts until that wait would be
+    /// over.
+    pub fn record_wait(&self, id: EndpointId, is_nested: bool, wait: Duration, now: Duration) {
         if let Some(entry) = self.entries.iter().find(|entry| entry.record.id == id) {
-            entry.gauge.set_wait(now + wait.min(MAX_REPORTED_WAIT));
+            entry.gauge.set_wait(is_nested, wait.min(MAX_REPORTED_WAIT), now);
         }
     }
 
+    /// Records whether an attempt to find a free slot was in vain.
+    pub fn record_slot_search(&self, is_vain: bool, now: Duration) {
+        self.slot_odds.record(is_vain, now);
+    }
+
+    /// Returns whether most attempts to find a free slot have lately been in vain, so that requests
+    /// had better queue at once.
+    pub fn is_asking_vain(&self, now: Duration) -> bool {
+        self.settings.factors.slot_odds && self.slot_odds.is_asking_vain(now)
+    }
+
+    /// Records whether an attempt was in vain that was made after another endpoint had no room.
+    pub fn record_move(&self, is_vain: bool, now: Duration) {
+        self.move_odds.record(is_vain, now);
+    }
+
+    /// Returns whether most of such attempts have lately been in vain, so that a request that finds
+    /// no room had better go back to its caller at once.
+    pub fn is_moving_vain(&self, now: Duration) -> bool {
+        self.settings.factors.slot_odds && self.move_odds.is_asking_vain(now)
+    }
+
     /// Records the failure rate that an endpoint's guard reports, from 0 to 1. It can only raise
     /// the rate that this daemon has seen itself, and decays like it.
     pub fn record_failure_rate(&self, id: EndpointId, part: f64, now: Duration) {
--- a/components/decide/src/placing/gauge.rs
+++ b/components/decide/src/placing/gauge.rs
@@ -12,6 +12,11 @@
 const HINT_STEPS: u64 = 255;
 /// Bits that the load takes in a packed hint.
 const HINT_BITS: u32 = 8;
+/// Bits that the wait takes in a packed report: up to a second.
+const WAIT_BITS: u32 = 20;
+/// Time in which a reported wait falls to about a third, in the expectation of a request that may
+/// queue: about as long as queues last in a burst.
+const WAIT_DECAY: Duration = Duration::from_secs(1);
 /// Divisor of the weight of one request in the failure rate. With this value two failures in a row
 /// make a rate of 0.3, a penalty of three tenths of the goal, and ten successes bring it below
 /// 0.05; one failure makes 0.17, at which an endpoint still counts as healthy.
@@ -34,8 +39,10 @@
     warm_up_start: AtomicI64,
     /// Microsecond at which a probe is due, zero while in service.
     ejected_until: AtomicU64,
-    /// Microsecond until which no slot is expected to be free.
-    wait_until: AtomicU64,
+    /// Last reported waits for a slot, of requests of callers and of calls of started requests, which
+    /// go before these: the wait in its low bits and the time of the report above them, both in
+    /// microseconds.
+    waits: [AtomicU64; 2],
     /// Transit time of requests, without the wait and the work at the guard.
     transit: LatencyMean,
     /// Requests whose answer's head has not come yet.
@@ -63,7 +70,7 @@
             hint: AtomicU64::new(0),
             warm_up_start: AtomicI64::new(signed_micros(now) - signed_micros(age)),
             ejected_until: AtomicU64::new(0),
-            wait_until: AtomicU64::new(0),
+            waits: Default::default(),
             transit: LatencyMean::default(),
             unanswered: AtomicU32::new(0),
             silent_since: AtomicU64::new(0),
@@ -130,7 +137,8 @@
             0 => 0,
             _ => micros(now).saturating_sub(self.silent_since.load(Ordering::Relaxed)),
         };
-        let expected = self.wait(now) + work * SILENCE_FACTOR;
+        let wait = self.wait(false, now).max(self.wait(true, now));
+        let expected = wait + work * SILENCE_FACTOR;
         measured.max(Duration::from_micros(silence).saturating_sub(expected))
     }
 
@@ -163,15 +171,32 @@
         }
     }
 
-    /// Stores the time until which no slot is expected to be free.
-    pub(super) fn set_wait(&self, until: Duration) {
-        self.wait_until.store(micros(until), Ordering::Relaxed);
+    /// Stores the wait for a slot that calls of started requests, or requests of callers, would have
+    /// at `now`. It is below the bound that [`WAIT_BITS`] sets.
+    pub(super) fn set_wait(&self, is_nested: bool, wait: Duration, now: Duration) {
+        let packed = (micros(now) << WAIT_BITS) | micros(wait).min((1 << WAIT_BITS) - 1);
+        self.waits[usize::from(is_nested)].store(packed, Ordering::Relaxed);
     }
 
-    /// Returns how long a request would wait for a slot, as last reported.
-    pub(super) fn wait(&self, now: Duration) -> Duration {
-        let until = self.wait_until.load(Ordering::Relaxed);
-        Duration::from_micros(until.saturating_sub(micros(now)))
+    /// Returns how long until such a request could get a slot if nobody else came, by the last report:
+    /// the wait that was reported, less the time since then.
+    pub(super) fn wait(&self, is_nested: bool, now: Duration) -> Duration {
+        let (wait, age) = self.reported_wait(is_nested, now);
+        wait.saturating_sub(age)
+    }
+
+    /// Returns how long such a request is expected to wait for a slot, by the last report. A queue
+    /// lasts longer than the wait in it, since others keep coming.
+    pub(super) fn lasting_wait(&self, is_nested: bool, now: Duration) -> Duration {
+        let (wait, age) = self.reported_wait(is_nested, now);
+        wait.mul_f64((-age.as_secs_f64() / WAIT_DECAY.as_secs_f64()).exp())
+    }
+
+    /// Returns the last reported wait and the time since the report.
+    fn reported_wait(&self, is_nested: bool, now: Duration) -> (Duration, Duration) {
+        let packed = self.waits[usize::from(is_nested)].load(Ordering::Relaxed);
+        let at = Duration::from_micros(packed >> WAIT_BITS);
+        (Duration::from_micros(packed & ((1 << WAIT_BITS) - 1)), now.saturating_sub(at))
     }
 
     /// Counts a request that has ended in the failure rate.
--- a/components/decide/src/placing/settings.rs
+++ b/components/decide/src/placing/settings.rs
@@ -80,11 +80,29 @@
     pub wait: bool,
     /// Ejection of endpoints that stand out by failures or slowness.
     pub outliers: bool,
+    /// Calls of started requests, which go before requests of callers.
+    pub nested_first: bool,
+    /// How attempts to find a free slot ended.
+    pub slot_odds: bool,
+    /// Whether the goal is met in the own data centre, before a free slot is looked for elsewhere.
+    pub near_first: bool,
+    /// Time that earlier attempts of a returning request have taken.
+    pub returns: bool,
 }
 
 impl Default for PlacementFactors {
     fn default() -> Self {
-        Self { by_work: true, failures: true, transit: true, wait: true, outliers: true }
+        Self {
+            by_work: true,
+            failures: true,
+            transit: true,
+            wait: true,
+            outliers: true,
+            nested_first: true,
+            slot_odds: true,
+            near_first: true,
+            returns: true,
+        }
     }
 }
 
--- a/components/decide/src/placing/soonest.rs
+++ b/components/decide/src/placing/soonest.rs
@@ -42,9 +42,9 @@
 /// Penalty of another data centre of the same region where the goal is missed or none is set: some
 /// round trips, since an answer that comes sooner by more than these is worth the crossing.
 const OTHER_CENTRE_LATE_PENALTY: Duration = Duration::from_millis(15);
-/// The same penalty for long work. Its answers are large, and one that is late either way is as
-/// good to its caller from near by, as long as it is later by no more than about the goal once
-/// more.
+/// The same penalty for long work, whose answers are large, and for requests whose goal has passed.
+/// An answer that is late either way is as good to its caller from near by, as long as it is later by
+/// no more than about the goal once more.
 const OTHER_CENTRE_LATE_LONG_PENALTY: Duration = Duration::from_secs(1);
 /// Penalty of another region. It is more than any wait that callers accept, so that no request
 /// leaves its region to save a wait.
@@ -65,6 +65,9 @@
 /// and would attract the requests that the others have no slot for. It still gets some requests
 /// when these queue, while the others make callers wait for long.
 const MIN_FAILING_RATE: f64 = 0.25;
+/// Factor on the wait that a guard reported, within which a request counts as safely in time. Other
+/// daemons have sent requests there since, by the same report.
+const WAIT_SAFETY_FACTOR: u32 = 2;
 /// Largest random part of a cost, as a fraction of the usual work. Daemons that all know the same
 /// would otherwise all send to the same server.
 const COST_JITTER: f64 = 0.3;
@@ -74,6 +77,16 @@
 /// carried the report was in transit for about as long.
 const FREE_SLOT_TOLERANCE: Duration = Duration::from_millis(2);
 
+/// Parts of the time from sending a request to its answer.
+struct ExpectedTimes {
+    /// Wait for a slot.
+    wait: Duration,
+    /// Time on the way.
+    transit: Duration,
+    /// Service time.
+    work: Duration,
+}
+
 impl PlacementTable {
     /// Returns the index of the endpoint with the least cost, or `None` if no endpoint may take the
     /// request.
@@ -86,20 +99,36 @@
         let usual = self.usual_work(self.work_key_of(request), now).max(MIN_USUAL_WORK);
         let failures = self.excess_failure_rates(now);
         let queues_near = self.queues_near(request);
-        let eligible =
-            self.entries.iter().zip(failures).enumerate().filter(|(_, (entry, failures))| {
-                super::is_eligible(entry, request)
-                    && !entry.gauge.is_ejected()
-                    && self
-                        .max_wait(entry, request, queues_near)
-                        .is_none_or(|max_wait| self.has_free_slot(entry, max_wait, *failures, now))
+        let in_service: Vec<(usize, &TableEntry, f64)> = self
+            .entries
+            .iter()
+            .zip(failures)
+            .enumerate()
+            .map(|(index, (entry, failures))| (index, entry, failures))
+            .filter(|(_, entry, _)| super::is_eligible(entry, request))
+            .filter(|(_, entry, _)| !entry.gauge.is_ejected())
+            .collect();
+        // While a wait near by is short enough, no free slot elsewhere is worth the crossing.
+        let stays_near = self.settings.factors.near_first
+            && request.needs_free_slot
+            && request.class == WorkClass::Short
+            && in_service.iter().any(|(_, entry, failures)| {
+                entry.record.distance == EndpointDistance::SameCentre
+                    && self.is_in_time(entry, request, (usual, *failures), now)
             });
+        let eligible = in_service.iter().filter(|(_, entry, failures)| {
+            let is_near = entry.record.distance == EndpointDistance::SameCentre;
+            (is_near || !stays_near)
+                && self.max_wait(entry, request, queues_near).is_none_or(|max_wait| {
+                    self.has_free_slot(entry, request, max_wait, *failures, now)
+                })
+        });
         let mut best: Option<(Duration, usize)> = None;
-        for (index, (entry, failures)) in eligible {
+        for (index, entry, failures) in eligible {
             let jitter = usual.mul_f64(rng.random_range(0.0..COST_JITTER));
-            let cost = self.cost(entry, request, (usual, failures), now) + jitter;
+            let cost = self.cost(entry, request, (usual, *failures), now) + jitter;
             if best.is_none_or(|(least, _)| cost < least) {
-                best = Some((cost, index));
+                best = Some((cost, *index));
             }
         }
         best.map(|(_, index)| index)
@@ -115,22 +144,13 @@
         (usual, failures): (Duration, f64),
         now: Duration,
     ) -> Duration {
-        let gauge = &entry.gauge;
-        // An old measurement counts less and less, so that a server that was slow is tried again.
-        let work = gauge.latency(self.work_key_of(request)).decayed_towards(usual, now);
-        // A cold server takes about twice as long.
-        let work = work.div_f64(gauge.warm_fraction(&self.settings, now).max(0.5));
-        let factors = &self.settings.factors;
-        let wait = if factors.wait { gauge.wait(now) } else { Duration::ZERO };
-        let transit = if factors.transit { gauge.transit(work, now) } else { Duration::ZERO };
-        let is_in_time = failures <= MAX_HEALTHY_FAILURE_RATE
-            && request
-                .goal
-                .is_some_and(|goal| wait + transit + work.mul_f64(GOAL_SAFETY_FACTOR) <= goal);
+        let ExpectedTimes { wait, transit, work } = self.expected_times(entry, request, usual, now);
+        let is_in_time = self.is_in_time(entry, request, (usual, failures), now);
+        let has_passed = request.goal == Some(Duration::ZERO);
         let distance_penalty = match entry.record.distance {
             EndpointDistance::SameCentre => Duration::ZERO,
             EndpointDistance::SameRegion if is_in_time => OTHER_CENTRE_IN_TIME_PENALTY,
-            EndpointDistance::SameRegion if request.class == WorkClass::Long => {
+            EndpointDistance::SameRegion if request.class == WorkClass::Long || has_passed => {
                 OTHER_CENTRE_LATE_LONG_PENALTY
             }
             EndpointDistance::SameRegion => OTHER_CENTRE_LATE_PENALTY,
@@ -141,6 +161,42 @@
         wait + transit + work + distance_penalty + missed_goal_penalty + failure_penalty
     }
 
+    /// Returns whether a request at an endpoint is expected to meet its goal safely; false without a
+    /// goal.
+    fn is_in_time(
+        &self,
+        entry: &TableEntry,
+        request: &PlaceRequest<'_>,
+        (usual, failures): (Duration, f64),
+        now: Duration,
+    ) -> bool {
+        let ExpectedTimes { wait, transit, work } = self.expected_times(entry, request, usual, now);
+        let time = wait * WAIT_SAFETY_FACTOR + transit + work.mul_f64(GOAL_SAFETY_FACTOR);
+        failures <= MAX_HEALTHY_FAILURE_RATE && request.goal.is_some_and(|goal| time <= goal)
+    }
+
+    /// Returns what a request's time at an endpoint is expected to consist of.
+    fn expected_times(
+        &self,
+        entry: &TableEntry,
+        request: &PlaceRequest<'_>,
+        usual: Duration,
+        now: Duration,
+    ) -> ExpectedTimes {
+        let (gauge, factors) = (&entry.gauge, &self.settings.factors);
+        // An old measurement counts less and less, so that a server that was slow is tried again.
+        let work = gauge.latency(self.work_key_of(request)).decayed_towards(usual, now);
+        // A cold server takes about twice as long.
+        let work = work.div_f64(gauge.warm_fraction(&self.settings, now).max(0.5));
+        let wait = match factors.wait {
+            true if request.needs_free_slot => gauge.wait(request.is_nested, now),
+            true => gauge.lasting_wait(request.is_nested, now),
+            false => Duration::ZERO,
+        };
+        let transit = if factors.transit { gauge.transit(work, now) } else { Duration::ZERO };
+        ExpectedTimes { wait, transit, work }
+    }
+
     /// Returns the key that a request's service times are kept under: the kind of its work, or its
     /// class where kinds are not told apart.
     pub(super) fn work_key_of(&self, request: &PlaceRequest<'_>) -> WorkKey {
@@ -197,13 +253,14 @@
     fn has_free_slot(
         &self,
         entry: &TableEntry,
+        request: &PlaceRequest<'_>,
         max_wait: Duration,
         failures: f64,
         now: Duration,
     ) -> bool {
         let factors = &self.settings.factors;
-        let is_soon =
-            !factors.wait || entry.gauge.wait(now) <= max_wait.saturating_add(FREE_SLOT_TOLERANCE);
+        let wait = entry.gauge.wait(request.is_nested, now);
+        let is_soon = !factors.wait || wait <= max_wait.saturating_add(FREE_SLOT_TOLERANCE);
         is_soon && failures < MIN_FAILING_RATE
     }
 
--- a/components/decide/tests/guard_bounds.rs
+++ b/components/decide/tests/guard_bounds.rs
@@ -95,6 +95,7 @@
                     is_exclusive,
                     goal: None,
                     rank: 0,
+                    is_nested: false,
                     work: 0,
                     max_wait: None,
                 };
--- a/components/decide/tests/link_limit.rs
+++ b/components/decide/tests/link_limit.rs
@@ -53,6 +53,7 @@
         is_exclusive: false,
         goal: Some(at(now + GOAL_MS)),
         rank: 2,
+        is_nested: false,
         work: 1,
         max_wait: None,
     }
--- a/components/decide/tests/model/mod.rs
+++ b/components/decide/tests/model/mod.rs
@@ -259,6 +259,7 @@
             may_probe: true,
             needs_free_slot: false,
             goal: None,
+            is_nested: false,
         };
         let table = &self.daemons[index % DAEMONS].0;
         let Ok(placed) = table.choose(&place, now, &mut self.rng) else {
@@ -279,6 +280,7 @@
             is_exclusive: false,
             goal: None,
             rank: 0,
+            is_nested: false,
             work: 0,
             max_wait: None,
         };
--- a/components/decide/tests/placing_rules.rs
+++ b/components/decide/tests/placing_rules.rs
@@ -20,6 +20,7 @@
     may_probe: true,
     needs_free_slot: false,
     goal: None,
+    is_nested: false,
 };
 
 fn record(id: u64) -> EndpointRecord {
--- a/components/decide/tests/upload_link.rs
+++ b/components/decide/tests/upload_link.rs
@@ -38,6 +38,7 @@
         is_exclusive: false,
         goal: Some(came + Duration::from_millis(GOAL_MS)),
         rank: 0,
+        is_nested: false,
         work: 1,
         max_wait: None,
     }
--- a/components/decide/tests/urgent_queue.rs
+++ b/components/decide/tests/urgent_queue.rs
@@ -109,6 +109,7 @@
             is_exclusive: false,
             goal: Some(now + millis(figures.goal)),
             rank: figures.rank,
+            is_nested: false,
             work: kind as u64,
             max_wait: None,
         };
@@ -233,6 +234,7 @@
         is_exclusive: false,
         goal: Some(now + millis(KINDS[kind].goal)),
         rank: KINDS[kind].rank,
+        is_nested: false,
         work: kind as u64,
         max_wait: None,
     };
@@ -262,6 +264,7 @@
         is_exclusive: false,
         goal: None,
         rank: 0,
+        is_nested: false,
         work: 1,
         max_wait: Some(Duration::ZERO),
     };
--- a/components/lab/src/lib.rs
+++ b/components/lab/src/lib.rs
@@ -9,6 +9,7 @@
 mod figures;
 mod fleet;
 mod link;
+mod nested;
 mod scenario;
 mod simulation;
 
@@ -16,6 +17,7 @@
 pub use figures::{RouteFigures, RunFigures};
 pub use fleet::DaemonPolicy;
 pub use scenario::{
-    FaultKind, FaultPlan, LoadPlan, RoutePlan, Scenario, ScenarioError, ServerPlan, parse_scenario,
+    FaultKind, FaultPlan, LoadPlan, NestedPlan, RoutePlan, Scenario, ScenarioError, ServerPlan,
+    parse_scenario,
 };
 pub use simulation::run_scenario;
--- a/components/lab/src/scenario.rs
+++ b/components/lab/src/scenario.rs
@@ -77,6 +77,24 @@
     /// Whether its answers are large, so that it is long work. Default false.
     #[serde(default)]
     pub is_long: bool,
+    /// Calls that a server makes for such a request. It keeps its slot until they have ended.
+    #[serde(default)]
+    pub calls: Option<NestedPlan>,
+}
+
+/// Calls that servers make for the requests of a route, after their own work.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct NestedPlan {
+    /// Name of the route that the calls take. That route makes no calls itself.
+    pub route: String,
+    /// Calls for one request, 1 to 10.
+    pub times: u32,
+    /// Share of the requests that make them, 0 to 1.
+    pub share: f64,
+    /// Whether they are made at once, and not one after the other. Default false.
+    #[serde(default)]
+    pub together: bool,
 }
 
 /// Callers of one data centre.
@@ -195,6 +213,11 @@
         check_range("work_ms", &route.name, route.work_ms, 0.1, 60_000.0, "0.1 to 60000")?;
         check_range("spread", &route.name, route.spread, 0.0, 10.0, "0 to 10")?;
         check_range("weight", &route.name, route.weight, 0.0, 1e6, "0 to 1000000")?;
+        if let Some(calls) = &route.calls {
+            check_range("times", &route.name, calls.times.into(), 1.0, 10.0, "1 to 10")?;
+            check_range("share", &route.name, calls.share, 0.0, 1.0, "0 to 1")?;
+            check_called(route, &scenario.routes)?;
+        }
     }
     for load in &scenario.load {
         // Callers connect to daemons, and in a scenario each daemon stands beside a server.
@@ -232,6 +255,16 @@
     }
 }
 
+/// Rejects calls that take an unknown route, or one whose requests make calls.
+fn check_called(route: &RoutePlan, routes: &[RoutePlan]) -> Result<(), ScenarioError> {
+    let Some(calls) = &route.calls else { return Ok(()) };
+    let called = routes.iter().find(|other| other.name == calls.route);
+    match called.is_some_and(|called| called.calls.is_none()) {
+        true => Ok(()),
+        false => Err(invalid_value("route", &route.name, &calls.route, "a route without calls")),
+    }
+}
+
 fn invalid_value(
     key: &'static str,
     entry: &str,
--- a/components/proxy/src/attempt.rs
+++ b/components/proxy/src/attempt.rs
@@ -71,7 +71,11 @@
         };
         let elapsed = request.began.elapsed();
         let terms = match request.call.next_hop(elapsed, history.retries) {
-            Ok(context) => AttemptTerms { context, elapsed, max_wait: placed.max_wait() },
+            Ok(context) => AttemptTerms {
+                context,
+                goal: request.goal_remaining(),
+                max_wait: placed.max_wait(),
+            },
             Err(err) => {
                 return last.unwrap_or_else(|| count_own_refusal(context, refuse_next_hop(err)));
             }
@@ -89,9 +93,18 @@
         let response = send_attempt(context, endpoint, message).await;
         let hints = ReadHints::read(response.headers());
         history.record_answer(&response, &hints);
-        record_hints(service, id, &hints);
+        record_hints(service, request, id, &hints);
         record_size(service, request, &response);
-        if RefusalKind::read(response.headers()) == Some(RefusalKind::Busy) {
+        let is_busy = RefusalKind::read(response.headers()) == Some(RefusalKind::Busy);
+        if terms.max_wait.is_some() && request.traits.class == WorkClass::Short {
+            service.placement.record_slot_search(is_busy, time_since_start());
+        }
+        if terms.max_wait.is_none() && history.free_moves > 0 {
+            let kind = RefusalKind::read(response.headers());
+            let is_vain = kind.is_some_and(RefusalKind::is_capacity_refusal);
+            service.placement.record_move(is_vain, time_since_start());
+        }
+        if is_busy {
             let took = history.running.take().map(|running| running.began.elapsed());
             let (took, goal) = (took.unwrap_or_default(), request.traits.goal);
             match request.traits.class {
@@ -147,13 +160,13 @@
 }
 
 /// Passes the guard's hints about an endpoint on to placement.
-fn record_hints(service: &TableService, id: EndpointId, hints: &ReadHints) {
+fn record_hints(service: &TableService, request: &EntryRequest, id: EndpointId, hints: &ReadHints) {
     let now = time_since_start();
     if let Some(percent) = hints.load {
         service.placement.record_load(id, f64::from(percent.min(100)) / 100.0, now);
     }
     if let Some(wait) = hints.wait {
-        service.placement.record_wait(id, wait, now);
+        service.placement.record_wait(id, request.traits.is_nested, wait, now);
     }
     if let Some(permille) = hints.failure_permille {
         service.placement.record_failure_rate(id, f64::from(permille) / 1000.0, now);
@@ -177,16 +190,28 @@
 ) -> Option<PlacedCall> {
     let may_probe = request.traits.is_repeatable && request.body.is_whole();
     let exclude = history.search.excluded();
-    let may_queue_at_once = request.traits.class == WorkClass::Long || !request.body.is_whole();
+    let now = time_since_start();
+    let traits = &request.traits;
+    let may_queue_at_once = traits.class == WorkClass::Long
+        || traits.is_nested
+        || !request.body.is_whole()
+        || service.placement.is_asking_vain(now);
     let needs_free_slot =
         history.search.needs_free_slot(service.placement.settings().order, may_queue_at_once);
-    let class = request.traits.class;
+    let (class, work) = (traits.class, traits.work);
     let goal = request.goal_remaining();
-    let work = request.traits.work;
     let bytes = request.body.sample().len() as u64 + service.placement.usual_size(work);
-    let wanted =
-        PlaceRequest { class, work, bytes, exclude: &exclude, may_probe, needs_free_slot, goal };
-    service.placement.choose(&wanted, time_since_start(), &mut rand::rng()).ok()
+    let wanted = PlaceRequest {
+        class,
+        work,
+        bytes,
+        exclude: &exclude,
+        may_probe,
+        needs_free_slot,
+        goal,
+        is_nested: traits.is_nested,
+    };
+    service.placement.choose(&wanted, now, &mut rand::rng()).ok()
 }
 
 /// Returns the refusal of a call that may not be passed on: too many hops or too little time.
@@ -375,6 +400,12 @@
     {
         return RetryVerdict::GiveUp(GiveUpReason::RefusalsTooSlow);
     }
+    if failure.kind.is_some_and(RefusalKind::is_capacity_refusal)
+        && !request.traits.is_nested
+        && service.placement.is_moving_vain(time_since_start())
+    {
+        return RetryVerdict::GiveUp(GiveUpReason::NoEndpoint);
+    }
     if request.max_attempts.is_some_and(|max| history.server_attempts >= max) {
         return RetryVerdict::GiveUp(GiveUpReason::ServerLimitReached);
     }
--- a/components/proxy/src/call.rs
+++ b/components/proxy/src/call.rs
@@ -52,6 +52,9 @@
     goal_us: Option<u64>,
     /// Priority among queued requests.
     pub(crate) rank: u8,
+    /// Whether a server waits for it, for a request that it runs.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub(crate) is_nested: bool,
     /// Kind of work, by which service times are estimated.
     pub(crate) work: WorkKey,
     /// Longest wait for a slot in microseconds, unbounded if `None`.
@@ -106,6 +109,8 @@
     /// Response-time goal of the route, counted from the arrival at the entry daemon.
     pub(crate) goal: Option<Duration>,
     pub(crate) rank: u8,
+    /// Whether a server waits for it, for a request that it runs.
+    pub(crate) is_nested: bool,
     pub(crate) work: WorkKey,
 }
 
@@ -113,8 +118,8 @@
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct AttemptTerms {
     pub(crate) context: CallContext,
-    /// Time since the request arrived.
-    pub(crate) elapsed: Duration,
+    /// Time until the response-time goal ends, if there is one.
+    pub(crate) goal: Option<Duration>,
     /// Longest wait for a slot, unbounded if `None`.
     pub(crate) max_wait: Option<Duration>,
 }
@@ -129,7 +134,6 @@
         traits: &CallTraits,
     ) -> Self {
         let context = &terms.context;
-        let goal = traits.goal.map(|goal| goal.saturating_sub(terms.elapsed));
         Self {
             service,
             server,
@@ -142,8 +146,9 @@
             fingerprint: traits.fingerprint,
             team: traits.source.team,
             caller: traits.source.caller,
-            goal_us: goal.map(whole_micros),
+            goal_us: terms.goal.map(whole_micros),
             rank: traits.rank,
+            is_nested: traits.is_nested,
             work: traits.work,
             max_wait_us: terms.max_wait.map(whole_micros),
             clock: clock_id(),
--- a/components/proxy/src/context.rs
+++ b/components/proxy/src/context.rs
@@ -11,7 +11,8 @@
     body::ProxyBody, call::GuardToken, claim::ClaimGate, counters::ProxyCounters,
     drain::DrainClock, failed_calls::FailedCalls, header_translation::HeaderTranslation,
     local::LocalServerList, open_requests::OpenRequests, outcome::RefusalKind, peers::PeerClient,
-    quarantine::SharedQuarantine, table::SharedTable,
+    quarantine::SharedQuarantine, returning::RefusedRequests, running_requests::RunningRequests,
+    table::SharedTable,
 };
 
 /// Shared state of the entry side.
@@ -26,6 +27,8 @@
     pub counters: Arc<ProxyCounters>,
     /// Largest body of a request, in bytes.
     pub max_body_bytes: u64,
+    /// Requests that were refused here and may come again.
+    pub refused: RefusedRequests,
     /// Translation of the headers that callers use.
     pub headers: Arc<dyn HeaderTranslation>,
     /// Service beside this daemon, as its settings name it; servers receive it as the origin of a
@@ -53,6 +56,8 @@
     pub headers: Arc<dyn HeaderTranslation>,
     /// Failed calls of the server, for the log lines of the requests for which it made them.
     pub failed_calls: FailedCalls,
+    /// Requests that the server is running.
+    pub running: RunningRequests,
     /// Clocks of the sending daemons, by which transit delays are estimated.
     pub transit_clocks: Mutex<TransitClocks>,
     /// Requests whose answers have not ended.
--- a/components/proxy/src/entry.rs
+++ b/components/proxy/src/entry.rs
@@ -15,6 +15,7 @@
     clock::stable_hash,
     headers::{KEY_HEADER, join_cookies, strip_hop_headers, strip_own_headers},
     outcome::{RefusalKind, RequestOutcome},
+    returning::{RefusedRequests, RequestKey},
     table::RouteMatch,
     upload::{UploadBody, UploadError},
 };
@@ -29,6 +30,10 @@
     pub(crate) body: UploadBody,
     pub(crate) call: CallContext,
     pub(crate) began: Instant,
+    /// When the caller first sent it here, if earlier attempts were refused.
+    pub(crate) first_arrival: Instant,
+    /// Identifies the request and its caller.
+    pub(crate) key: RequestKey,
     pub(crate) traits: CallTraits,
     /// Largest number of servers that it may be sent to, if the route limits it.
     pub(crate) max_attempts: Option<u8>,
@@ -91,6 +96,7 @@
         call: CallContext,
         origin: CallOrigin,
         limit: u64,
+        refused: &RefusedRequests,
     ) -> Result<Self, DaemonAnswer> {
         let began = Instant::now();
         check_key(&request)?;
@@ -99,7 +105,14 @@
         clean_headers(&mut parts, host);
         body.set_length(&mut parts.headers);
         let traits = call_traits(&parts, &body, route, origin);
-        Ok(Self { parts, body, call, began, traits, max_attempts: route.setting.max_attempts })
+        let caller = traits.source.caller.to_le_bytes();
+        let key = stable_hash(&[&caller, &traits.fingerprint.to_le_bytes()]);
+        let first_arrival = match route.service.placement.settings().factors.returns {
+            true => refused.take_first_arrival(key, began),
+            false => began,
+        };
+        let max_attempts = route.setting.max_attempts;
+        Ok(Self { parts, body, call, began, first_arrival, key, traits, max_attempts })
     }
 
     /// Creates the head of one attempt.
@@ -111,9 +124,10 @@
         head
     }
 
-    /// Returns the time remaining until its response-time goal, if there is one.
+    /// Returns the time remaining until its response-time goal, if there is one, counted from the
+    /// caller's first attempt.
     pub(crate) fn goal_remaining(&self) -> Option<Duration> {
-        self.traits.goal.map(|goal| goal.saturating_sub(self.began.elapsed()))
+        self.traits.goal.map(|goal| goal.saturating_sub(self.first_arrival.elapsed()))
     }
 
     /// Returns the time remaining until its deadline.
@@ -132,6 +146,11 @@
 }
 
 impl CallOrigin {
+    /// Returns whether a server waits for the request, for one that it runs.
+    fn is_nested(&self) -> bool {
+        matches!(self, Self::Nested(_))
+    }
+
     /// Hashes the origin; fair shares among callers are counted by it.
     fn key(&self) -> u64 {
         match self {
@@ -176,6 +195,7 @@
         source: CallSource { team: route.team, caller: origin.key() },
         goal: route.setting.goal_ms.map(Duration::from_millis),
         rank: route.setting.rank,
+        is_nested: route.service.placement.settings().factors.nested_first && origin.is_nested(),
         work: work_key(route.setting),
     }
 }
--- a/components/proxy/src/exchange.rs
+++ b/components/proxy/src/exchange.rs
@@ -24,7 +24,7 @@
     expiring_body::ExpiringBody,
     gate::AdmitPermit,
     header_translation::{AnswerVerdict, ServerRequestInfo},
-    headers::{strip_hop_headers, strip_own_headers},
+    headers::{header_text, strip_hop_headers, strip_own_headers},
     hints::write_service_time,
     local::GuardedServer,
     open_exchange::{AnswerDelivery, OpenExchange},
@@ -82,7 +82,7 @@
     match RequestOutcome::read(response.headers()) {
         Some(RequestOutcome::NotRun) if *stage == SendStage::Resent => {
             let mut response = error_answer(RefusalKind::AnswerLost, RequestOutcome::Unknown);
-            server.hints().write(response.headers_mut());
+            server.hints(call.is_nested).write(response.headers_mut());
             response
         }
         _ => response,
@@ -102,6 +102,7 @@
     let attempt = context.headers.attempt_id(request.headers()).cloned();
     let mut request = server_request(context, request, server, call, admitted.deadline);
     let mut copy = resendable_copy(&request, call);
+    let _run = context.running.begin(header_text(attempt.as_ref()));
     loop {
         let AcquiredSender { mut sender, idle } =
             match server.pool.acquire(call.is_repeatable).await {
@@ -129,6 +130,7 @@
                         context: context.clone(),
                         server: server.clone(),
                         attempt: attempt.clone(),
+                        is_nested: call.is_nested,
                     },
                     fingerprint: call.fingerprint,
                     sender,
@@ -177,7 +179,7 @@
                         "guard: connection to server {} failed before the answer: {err}.",
                         server.id
                     );
-                    return end_broken(context, server, &admitted.permit, &err);
+                    return end_broken(context, server, call, &admitted.permit, &err);
                 }
             },
         }
@@ -237,6 +239,7 @@
 fn end_broken(
     context: &Arc<GuardContext>,
     server: &Arc<GuardedServer>,
+    call: &GuardCall,
     permit: &AdmitPermit,
     err: &hyper::Error,
 ) -> Response<ProxyBody> {
@@ -247,7 +250,7 @@
         check_for_crash(context.quarantine.clone(), context.servers.clone(), server.clone());
     }
     let mut response = error_answer(RefusalKind::AnswerLost, RequestOutcome::Unknown);
-    server.hints().write(response.headers_mut());
+    server.hints(call.is_nested).write(response.headers_mut());
     response
 }
 
@@ -269,7 +272,7 @@
         );
         return error_answer(RefusalKind::AnswerInvalid, RequestOutcome::Ran);
     }
-    let server = exchange.delivery.server.clone();
+    let (server, is_nested) = (exchange.delivery.server.clone(), exchange.delivery.is_nested);
     let (mut parts, body) = response.into_parts();
     let (began, size) = (Instant::now(), body.size_hint().exact());
     let body = match read_ahead(body, &server.read_ahead_limit, deadline).await {
@@ -277,7 +280,7 @@
         Err((err, passed)) => {
             exchange.on_failure(&err, BodyProgress { passed, size, age: began.elapsed() });
             let mut response = error_answer(RefusalKind::AnswerLost, RequestOutcome::Unknown);
-            server.hints().write(response.headers_mut());
+            server.hints(is_nested).write(response.headers_mut());
             return response;
         }
     };
@@ -303,7 +306,7 @@
     strip_answer(&mut parts.headers);
     RequestOutcome::Ran.write(&mut parts.headers);
     write_service_time(&mut parts.headers, service_time + link_time);
-    server.hints().write(&mut parts.headers);
+    server.hints(is_nested).write(&mut parts.headers);
     Response::from_parts(parts, body)
 }
 
@@ -325,7 +328,7 @@
     exchange: OpenExchange,
     claim: Option<PendingClaim>,
 ) -> Response<ProxyBody> {
-    let server = &exchange.delivery.server;
+    let (server, is_nested) = (&exchange.delivery.server, exchange.delivery.is_nested);
     let id = &server.id;
     let mut response = match verdict {
         AnswerVerdict::NotExecuted => {
@@ -340,7 +343,7 @@
             error_answer(RefusalKind::AnswerInvalid, RequestOutcome::Unknown)
         }
     };
-    server.hints().write(response.headers_mut());
+    server.hints(is_nested).write(response.headers_mut());
     response
 }
 
--- a/components/proxy/src/forward.rs
+++ b/components/proxy/src/forward.rs
@@ -2,7 +2,7 @@
 
 use std::{net::IpAddr, sync::Arc, time::Duration};
 
-use http::{Request, Response, StatusCode, header};
+use http::{HeaderMap, Request, Response, StatusCode, header};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use sk_decide::{deadline::ENTRY_GRACE, placing::CallOutcome};
@@ -86,7 +86,8 @@
     let origin = origin_of(context, &request, caller);
     let limit = table.limits().map_or(u64::MAX, |limits| limits.max_body_bytes);
     let limit = limit.min(context.max_body_bytes);
-    match EntryRequest::read(request, host.as_deref(), &route, call, origin, limit).await {
+    let refused = &context.refused;
+    match EntryRequest::read(request, host.as_deref(), &route, call, origin, limit, refused).await {
         Ok(request) => forward_read(context, &route, request, request_log).await,
         Err(response) => count_own_refusal(context, *response),
     }
@@ -121,6 +122,9 @@
     {
         mark_outcome_unknown(&mut response);
     }
+    if RequestOutcome::read(response.headers()) == Some(RequestOutcome::NotRun) {
+        context.refused.record(request.key, request.first_arrival);
+    }
     response
 }
 
@@ -161,7 +165,16 @@
 
 /// Returns where a request comes from: a service beside this daemon, or a caller outside.
 fn origin_of(context: &ForwardContext, request: &Request<Incoming>, caller: IpAddr) -> CallOrigin {
-    let service =
-        is_nested(request.headers()).then(|| context.guard_context.servers.first_service());
+    let headers = request.headers();
+    let is_nested = is_nested(headers) || is_call_of_running(context, headers);
+    let service = is_nested.then(|| context.guard_context.servers.first_service());
     service.flatten().map_or(CallOrigin::Outside(caller), CallOrigin::Nested)
 }
+
+/// Returns whether the local server makes a call for a request that it is running. The id of a call
+/// alone proves nothing, since callers choose their ids.
+fn is_call_of_running(context: &ForwardContext, headers: &HeaderMap) -> bool {
+    let attempt = context.headers.attempt_id(headers);
+    let parent = attempt.and_then(|attempt| context.headers.parent_request_id(attempt));
+    parent.is_some_and(|parent| context.guard_context.running.contains(parent))
+}
--- a/components/proxy/src/gate.rs
+++ b/components/proxy/src/gate.rs
@@ -115,10 +115,11 @@
         state.deliver(released);
     }
 
-    /// Returns the load in percent and the time that a request would now wait for a slot.
-    pub(crate) fn load_and_wait(&self) -> (u32, Duration) {
+    /// Returns the load in percent and the time that a request would now wait for a slot; `is_nested`
+    /// as in [`GuardRequest::is_nested`].
+    pub(crate) fn load_and_wait(&self, is_nested: bool) -> (u32, Duration) {
         let (state, now) = (self.lock(), time_since_start());
-        ((state.guard.load(now) * 100.0).round() as u32, state.guard.wait_hint(now))
+        ((state.guard.load(now) * 100.0).round() as u32, state.guard.wait_hint(is_nested, now))
     }
 
     /// Returns the counts.
--- a/components/proxy/src/guard.rs
+++ b/components/proxy/src/guard.rs
@@ -147,7 +147,7 @@
     let upload_time = arrival.at.elapsed();
     let permit = match admit(context, &server, call, &offer).await {
         Ok(permit) => permit,
-        Err(refusal) => return refuse_admission(&server, refusal),
+        Err(refusal) => return refuse_admission(&server, offer.is_nested, refusal),
     };
     let key = claim_key(&request, call);
     let claim = match claim(context, key, deadline).await {
@@ -173,7 +173,8 @@
     let is_upload = is_large(request.body());
     if is_upload {
         let considered = server.gate.consider_upload(&offer, &server.upload_transfers.backlog());
-        considered.map_err(|refusal| Box::new(refuse_admission(server, refusal)))?;
+        considered
+            .map_err(|refusal| Box::new(refuse_admission(server, offer.is_nested, refusal)))?;
     }
     let request = receive_body(request, &server.upload_transfers).await.map_err(|err| {
         log::info!("guard: the body of a request broke off: {err}.");
@@ -205,10 +206,14 @@
 }
 
 /// Creates the answer for a refusal by the gate.
-fn refuse_admission(server: &GuardedServer, refusal: Refusal) -> Response<ProxyBody> {
+fn refuse_admission(
+    server: &GuardedServer,
+    is_nested: bool,
+    refusal: Refusal,
+) -> Response<ProxyBody> {
     let Refusal { reason, retry_after, figures } = refusal;
     let mut response = refuse_with_delay(server.refusal_kind(reason), retry_after);
-    server.hints().write(response.headers_mut());
+    server.hints(is_nested).write(response.headers_mut());
     if let Some(figures) = figures {
         write_figures(response.headers_mut(), &figures);
     }
@@ -250,6 +255,7 @@
         is_exclusive,
         goal: call.goal().map(|goal| now + goal),
         rank: call.rank,
+        is_nested: call.is_nested,
         work: call.work,
         max_wait: call.max_wait(),
     }
--- a/components/proxy/src/header_translation.rs
+++ b/components/proxy/src/header_translation.rs
@@ -51,7 +51,7 @@
     fn attempt_id<'a>(&self, headers: &'a HeaderMap) -> Option<&'a HeaderValue>;
 
     /// Returns the id of the request for which a server makes this call, if the call's id contains
-    /// it. Used only in logs.
+    /// it.
     fn parent_request_id<'a>(&self, attempt: &'a HeaderValue) -> Option<&'a str>;
 
     /// Returns how long the caller will wait, if the request states it.
--- a/components/proxy/src/lib.rs
+++ b/components/proxy/src/lib.rs
@@ -40,6 +40,8 @@
 mod read_ahead;
 mod receive;
 mod request_log;
+mod returning;
+mod running_requests;
 mod serve;
 mod sockets;
 mod table;
@@ -71,6 +73,8 @@
 };
 pub use peers::PeerClient;
 pub use quarantine::SharedQuarantine;
+pub use returning::RefusedRequests;
+pub use running_requests::RunningRequests;
 pub use serve::{ListenerHandle, serve_forward, serve_guard};
 pub use sk_decide::quarantine::SuspectRecord;
 pub use table::{
--- a/components/proxy/src/local.rs
+++ b/components/proxy/src/local.rs
@@ -292,9 +292,10 @@
         let _ = self.failure_permille.fetch_update(Ordering::Relaxed, Ordering::Relaxed, update);
     }
 
-    /// Returns the server's load, wait and failure rate.
-    pub(crate) fn hints(&self) -> ServerHints {
-        let (load, wait) = self.gate.load_and_wait();
+    /// Returns the server's load, wait and failure rate; `is_nested` tells for which requests the
+    /// wait is.
+    pub(crate) fn hints(&self, is_nested: bool) -> ServerHints {
+        let (load, wait) = self.gate.load_and_wait(is_nested);
         ServerHints { load, wait, failure_permille: self.failure_permille.load(Ordering::Relaxed) }
     }
 
--- a/components/proxy/src/open_exchange.rs
+++ b/components/proxy/src/open_exchange.rs
@@ -24,6 +24,8 @@
     pub(crate) server: Arc<GuardedServer>,
     /// The caller's id of the attempt.
     pub(crate) attempt: Option<HeaderValue>,
+    /// Whether another server waits for the answer, for a request that it runs.
+    pub(crate) is_nested: bool,
 }
 
 /// An exchange whose answer is still being read. If its caller leaves, it is dropped, and the
--- a/components/settings/src/experiment.rs
+++ b/components/settings/src/experiment.rs
@@ -40,4 +40,12 @@
     /// Replacing the least urgent request of a full queue, which goes back to its sender.
     #[serde(rename = "made-room")]
     Eviction,
+    /// Preferring calls of started requests over requests of callers.
+    NestedFirst,
+    /// Queueing at once where most attempts to find a free slot are in vain.
+    SlotOdds,
+    /// Waiting in the own data centre while the goal is met there.
+    NearFirst,
+    /// Counting the goal of a request that was refused before from its first attempt.
+    Returns,
 }
