--- a/components/decide/src/admitting/estimate.rs
+++ b/components/decide/src/admitting/estimate.rs
@@ -66,21 +66,21 @@
 
 /// Mean of a quantity over about the last [`MEAN_TIME`], sampled at the arrivals of requests.
 #[derive(Clone, Copy, Debug, Default)]
-pub(crate) struct DecayingMean {
+pub(super) struct DecayingMean {
     mean: f64,
     at: Duration,
 }
 
 impl DecayingMean {
     /// Adds the value found at `now`.
-    pub(crate) fn add(&mut self, value: f64, now: Duration) {
+    pub(super) fn add(&mut self, value: f64, now: Duration) {
         let kept = self.kept_share(now);
         self.mean = self.mean * kept + value * (1.0 - kept);
         self.at = now;
     }
 
     /// Returns the mean, lower the longer no sample came.
-    pub(crate) fn level(&self, now: Duration) -> f64 {
+    pub(super) fn level(&self, now: Duration) -> f64 {
         self.mean * self.kept_share(now)
     }
 
