--- a/components/decide/src/placing/slot_odds.rs
+++ b/components/decide/src/placing/slot_odds.rs
@@ -10,7 +10,7 @@
 use std::time::Duration;
 
 /// Share of vain attempts above which requests queue without asking for a free slot.
-const MAX_VAIN_SHARE: f64 = 0.2;
+const MAX_VAIN_SHARE: f64 = 0.15;
 /// Weight of one attempt in that share. A single one says little, and a daemon of few requests, to
 /// which messages cost little, goes on asking.
 const ATTEMPT_WEIGHT: f64 = 1.0 / 16.0;
