--- a/components/lab/tests/nested_calls.rs
+++ b/components/lab/tests/nested_calls.rs
@@ -1,12 +1,9 @@
 //! Services that call each other, below and above the load that they can carry.
 
-use std::time::Duration;
+mod common;
 
-use sk_decide::{
-    admitting::{GuardSettings, QueueOrder},
-    placing::{PlacementFactors, PlacementOrder, PlacementSettings},
-};
-use sk_lab::{DaemonPolicy, RunFigures, Scenario, parse_scenario, run_scenario};
+use common::policy;
+use sk_lab::{RunFigures, Scenario, parse_scenario, run_scenario};
 
 const SCENARIO: &str = include_str!("../../../examples/lab/services-that-call.toml");
 
@@ -20,29 +17,8 @@
     scenario
 }
 
-fn policy(factors: PlacementFactors) -> DaemonPolicy {
-    DaemonPolicy {
-        placement: PlacementSettings {
-            order: PlacementOrder::Soonest,
-            warm_up: Duration::from_secs(3),
-            factors,
-            ..PlacementSettings::default()
-        },
-        guard: GuardSettings {
-            order: QueueOrder::Urgent,
-            short_queue: 48,
-            long_queue: 24,
-            retry_after_min: Duration::from_millis(150),
-            retry_after_window: Duration::from_millis(700),
-            ..GuardSettings::default()
-        },
-        free_moves: 4,
-        reads_ahead: true,
-    }
-}
-
 fn play(load: f64) -> RunFigures {
-    run_scenario(&scenario(load), &policy(PlacementFactors::default()), 1)
+    run_scenario(&scenario(load), &policy(), 1)
 }
 
 /// Returns the requests of callers that were answered within the goal.
--- a/components/lab/tests/thin_links.rs
+++ b/components/lab/tests/thin_links.rs
@@ -1,12 +1,10 @@
 //! Documents that fill the links beside their servers.
 
+mod common;
+
+use common::policy;
 use expect_test::expect;
-use sk_decide::{
-    admitting::{GuardSettings, QueueOrder},
-    placing::{PlacementOrder, PlacementSettings},
-};
 use sk_lab::{DaemonPolicy, RunFigures, Scenario, parse_scenario, run_scenario};
-use std::time::Duration;
 
 const SCENARIO: &str = include_str!("../../../examples/lab/documents-on-thin-links.toml");
 
@@ -14,26 +12,6 @@
     parse_scenario(SCENARIO).expect("valid scenario")
 }
 
-fn policy() -> DaemonPolicy {
-    DaemonPolicy {
-        placement: PlacementSettings {
-            order: PlacementOrder::Soonest,
-            warm_up: Duration::from_secs(3),
-            ..PlacementSettings::default()
-        },
-        guard: GuardSettings {
-            order: QueueOrder::Urgent,
-            short_queue: 48,
-            long_queue: 24,
-            retry_after_min: Duration::from_millis(150),
-            retry_after_window: Duration::from_millis(700),
-            ..GuardSettings::default()
-        },
-        free_moves: 4,
-        reads_ahead: true,
-    }
-}
-
 /// Returns the share of the documents that were answered within the goal.
 fn in_goal(figures: &RunFigures) -> f64 {
     let documents = &figures.routes["document"];
