--- a/components/decide/src/admitting/urgency.rs
+++ b/components/decide/src/admitting/urgency.rs
@@ -22,8 +22,8 @@
     pub due: Duration,
 }
 
-/// Key that orders queued requests: whether nobody waits at a server, rank, whether the goal is out of
-/// reach, its end, arrival.
+/// Key that orders queued requests: whether no started request waits for it, rank, whether the goal is
+/// out of reach, its end, arrival.
 type OrderKey = (bool, u8, bool, Duration, u64);
 
 #[derive(Clone, Copy, Debug)]
--- a/components/decide/src/admitting/urgent.rs
+++ b/components/decide/src/admitting/urgent.rs
@@ -55,7 +55,7 @@
     ) -> (Duration, RefusalReason) {
         let by_deadline = request.deadline.saturating_sub(service);
         let latest = match (self.settings.order, request.goal) {
-            // Its caller has begun and would fail without it, so it may be late.
+            // A request that has started would fail without it, so it may be late.
             _ if request.is_nested => by_deadline,
             (QueueOrder::Urgent, Some(goal)) if goal > now => {
                 by_deadline.min(goal + (goal - now) / 2)
@@ -91,7 +91,7 @@
                 Some(self.queue_full_reason(now))
             }
             _ if now + wait + service > request.deadline => Some(RefusalReason::DeadlineTooNear),
-            // A late call is worth more than the work that would be lost with it.
+            // A late call costs less than the work that would be lost with it.
             _ if request.is_nested => None,
             _ if misses_goal(request, wait, service, now) => Some(RefusalReason::GoalMissed),
             _ if class == WorkClass::Long && risks_goal(request, wait, (work, link_time), now) => {
--- a/components/decide/src/placing.rs
+++ b/components/decide/src/placing.rs
@@ -216,8 +216,8 @@
     }
 
     /// Records how long a request would wait for a slot at an endpoint, as its guard reports;
-    /// `is_nested` as in [`PlaceRequest::is_nested`]. The report counts until that wait would be
-    /// over.
+    /// `is_nested` as in [`PlaceRequest::is_nested`]. For a request that asks for a free slot the
+    /// report counts until that wait would be over; for one that may queue it fades.
     pub fn record_wait(&self, id: EndpointId, is_nested: bool, wait: Duration, now: Duration) {
         if let Some(entry) = self.entries.iter().find(|entry| entry.record.id == id) {
             entry.gauge.set_wait(is_nested, wait.min(MAX_REPORTED_WAIT), now);
@@ -229,8 +229,8 @@
         self.slot_odds.record(is_vain, now);
     }
 
-    /// Returns whether most attempts to find a free slot have lately been in vain, so that requests
-    /// had better queue at once.
+    /// Returns whether so many attempts to find a free slot have lately been in vain that requests had
+    /// better queue at once.
     pub fn is_asking_vain(&self, now: Duration) -> bool {
         self.settings.factors.slot_odds && self.slot_odds.is_asking_vain(now)
     }
@@ -240,8 +240,8 @@
         self.move_odds.record(is_vain, now);
     }
 
-    /// Returns whether most of such attempts have lately been in vain, so that a request that finds
-    /// no room had better go back to its caller at once.
+    /// Returns whether so many of such attempts have lately been in vain that a request which finds no
+    /// room had better go back to its caller at once.
     pub fn is_moving_vain(&self, now: Duration) -> bool {
         self.settings.factors.slot_odds && self.move_odds.is_asking_vain(now)
     }
--- a/components/proxy/src/exchange.rs
+++ b/components/proxy/src/exchange.rs
@@ -102,7 +102,7 @@
     let attempt = context.headers.attempt_id(request.headers()).cloned();
     let mut request = server_request(context, request, server, call, admitted.deadline);
     let mut copy = resendable_copy(&request, call);
-    let _run = context.running.begin(header_text(attempt.as_ref()));
+    let _running = attempt.as_ref().map(|id| context.running.begin(header_text(Some(id))));
     loop {
         let AcquiredSender { mut sender, idle } =
             match server.pool.acquire(call.is_repeatable).await {
