placing: the expected times of an endpoint are computed once for its cost

The cost of an endpoint computed them a second time to tell whether the goal is met, for each endpoint of a service and each attempt.

--- a/components/decide/src/placing/soonest.rs
+++ b/components/decide/src/placing/soonest.rs
@@ -114,7 +114,11 @@
             && request.class == WorkClass::Short
             && in_service.iter().any(|(_, entry, failures)| {
                 entry.record.distance == EndpointDistance::SameCentre
-                    && self.is_in_time(entry, request, (usual, *failures), now)
+                    && is_in_time(
+                        &self.expected_times(entry, request, usual, now),
+                        *failures,
+                        request.goal,
+                    )
             });
         let eligible = in_service.iter().filter(|(_, entry, failures)| {
             let is_near = entry.record.distance == EndpointDistance::SameCentre;
@@ -144,8 +148,8 @@
         (usual, failures): (Duration, f64),
         now: Duration,
     ) -> Duration {
-        let ExpectedTimes { wait, transit, work } = self.expected_times(entry, request, usual, now);
-        let is_in_time = self.is_in_time(entry, request, (usual, failures), now);
+        let times = self.expected_times(entry, request, usual, now);
+        let is_in_time = is_in_time(&times, failures, request.goal);
         let has_passed = request.goal == Some(Duration::ZERO);
         let distance_penalty = match entry.record.distance {
             EndpointDistance::SameCentre => Duration::ZERO,
@@ -158,23 +162,10 @@
         };
         let missed_goal_penalty = if is_in_time { Duration::ZERO } else { MISSED_GOAL_PENALTY };
         let failure_penalty = request.goal.unwrap_or(FAILURE_PENALTY).mul_f64(failures);
+        let ExpectedTimes { wait, transit, work } = times;
         wait + transit + work + distance_penalty + missed_goal_penalty + failure_penalty
     }
 
-    /// Returns whether a request at an endpoint is expected to meet its goal safely; false without a
-    /// goal.
-    fn is_in_time(
-        &self,
-        entry: &TableEntry,
-        request: &PlaceRequest<'_>,
-        (usual, failures): (Duration, f64),
-        now: Duration,
-    ) -> bool {
-        let ExpectedTimes { wait, transit, work } = self.expected_times(entry, request, usual, now);
-        let time = wait * WAIT_SAFETY_FACTOR + transit + work.mul_f64(GOAL_SAFETY_FACTOR);
-        failures <= MAX_HEALTHY_FAILURE_RATE && request.goal.is_some_and(|goal| time <= goal)
-    }
-
     /// Returns what a request's time at an endpoint is expected to consist of.
     fn expected_times(
         &self,
@@ -293,3 +284,10 @@
         known.get(known.len() / 2).copied().unwrap_or_default()
     }
 }
+
+/// Returns whether an endpoint is expected to meet a goal safely; false without a goal.
+fn is_in_time(times: &ExpectedTimes, failures: f64, goal: Option<Duration>) -> bool {
+    let ExpectedTimes { wait, transit, work } = *times;
+    let time = wait * WAIT_SAFETY_FACTOR + transit + work.mul_f64(GOAL_SAFETY_FACTOR);
+    failures <= MAX_HEALTHY_FAILURE_RATE && goal.is_some_and(|goal| time <= goal)
+}
