guard: a server's stated limit is read, logged and measured

The logs of the incident hold neither what a server named nor what was refused for it, so that "not read", "kept by each daemon for itself" and "passed by repeats" look the same.

`Server-Limit` is read from each answer of the server's own process, by `read_terms` of the header translation; a native server states it as `x-sapphirekeel-server-limit`. Each change is a line of the guard, the limit in force a gauge and a field of the state dump. A statement that cannot be read leaves the last one. Nothing acts on the limit yet.

--- a/components/daemon/src/dump.rs
+++ b/components/daemon/src/dump.rs
@@ -93,6 +93,7 @@
         open_slots: guard.map_or(0, |guard| guard.slots),
         running: guard.map_or([0; 2], |guard| guard.running),
         queued: guard.map_or([0; 2], |guard| guard.queued),
+        limit_per_thousand_s: guard.and_then(|guard| guard.limit_per_thousand_s),
     };
     (endpoint.service.clone(), view)
 }
--- a/components/daemon/src/scrape.rs
+++ b/components/daemon/src/scrape.rs
@@ -16,6 +16,7 @@
 //! | `sapphirekeel_members` | gauge | `status` | daemons known, by status |
 //! | `sapphirekeel_server_running`, `_queued`, `_slots` | gauge | `service` | the guard's counts |
 //! | `sapphirekeel_control_bytes_total` | counter | `direction` | bytes of control traffic |
+//! | `sapphirekeel_server_limit_per_thousand_seconds` | gauge | `service` | requests that the server states as its limit; absent without one |
 //! | `sapphirekeel_quarantined` | gauge | | requests refused because they crash servers |
 
 use std::{collections::BTreeMap, convert::Infallible, sync::Arc, time::Duration};
@@ -223,5 +224,12 @@
     let slots = servers(|server| u64::from(server.open_slots));
     writer.gauge("sapphirekeel_server_running", "Requests at the server.", "service", &running)?;
     writer.gauge("sapphirekeel_server_queued", "Requests in the queue.", "service", &queued)?;
-    writer.gauge("sapphirekeel_server_slots", "Slots of the server.", "service", &slots)
+    writer.gauge("sapphirekeel_server_slots", "Slots of the server.", "service", &slots)?;
+    let limits: Vec<(&str, u64)> = state
+        .servers
+        .iter()
+        .filter_map(|(service, view)| Some((service.as_str(), view.limit_per_thousand_s?)))
+        .collect();
+    let help = "Requests in a thousand seconds that the server states as its limit.";
+    writer.gauge("sapphirekeel_server_limit_per_thousand_seconds", help, "service", &limits)
 }
--- a/components/decide/src/admitting.rs
+++ b/components/decide/src/admitting.rs
@@ -21,6 +21,7 @@
 use crate::{CLASS_COUNT, WorkClass, WorkKey, class_index};
 
 pub use crate::admitting::outcome::{Admission, AdmitFigures, Refusal, RefusalReason, Released};
+pub use crate::admitting::rate_limit::StatedRate;
 pub use crate::admitting::settings::{GuardSettings, QueueOrder};
 pub use crate::admitting::upload::LinkBacklog;
 pub use crate::admitting::urgency::Urgency;
@@ -29,6 +30,7 @@
 mod link;
 mod outcome;
 mod queue;
+mod rate_limit;
 mod release;
 mod settings;
 mod upload;
@@ -147,6 +149,8 @@
     pub slots: u32,
     /// Whether new requests are refused because the server drains.
     pub is_draining: bool,
+    /// Requests in a thousand seconds that the server states as its limit, `None` without one.
+    pub limit_per_thousand_s: Option<u64>,
 }
 
 /// Admits requests to one incarnation of one server.
@@ -168,6 +172,8 @@
     trial: TrialState,
     /// Limit that the instance's link sets to long work.
     link_limit: LinkLimit,
+    /// Last statement of the server about the requests that it takes.
+    stated_rate: StatedRate,
     is_draining: bool,
 }
 
@@ -187,6 +193,7 @@
             nested_demand: DecayingMean::default(),
             trial: TrialState::None,
             link_limit: LinkLimit::default(),
+            stated_rate: StatedRate::Unlimited,
             is_draining: false,
         }
     }
@@ -304,9 +311,17 @@
             queued: [self.queued(WorkClass::Short), self.queued(WorkClass::Long)],
             slots: self.slots(now),
             is_draining: self.is_draining,
+            limit_per_thousand_s: self.stated_rate.per_thousand_seconds(),
         }
     }
 
+    /// Records what the server states about the requests that it takes, and returns the statement
+    /// before, if it differed.
+    pub fn record_stated_rate(&mut self, rate: StatedRate) -> Option<StatedRate> {
+        let before = std::mem::replace(&mut self.stated_rate, rate);
+        (before != rate).then_some(before)
+    }
+
     /// Returns the load to report to other daemons, from 0 to 1: zero when idle, one with all slots
     /// taken and the short queue half full.
     pub fn load(&self, now: Duration) -> f64 {
--- a/components/ops/src/wire.rs
+++ b/components/ops/src/wire.rs
@@ -127,6 +127,9 @@
     pub running: [u32; 2],
     /// Requests waiting for a slot, short and long.
     pub queued: [u32; 2],
+    /// Requests in a thousand seconds that it states as its limit; absent without one.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub limit_per_thousand_s: Option<u64>,
 }
 
 /// The control traffic of one daemon.
--- a/components/proxy/src/exchange.rs
+++ b/components/proxy/src/exchange.rs
@@ -5,7 +5,7 @@
 use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
-use http::{HeaderMap, Request, Response, header};
+use http::{HeaderMap, Request, Response, StatusCode, header};
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
 use sk_decide::{
@@ -144,6 +144,10 @@
                 times.observe(&call.service, outcome, TimeStage::Server, took);
                 let is_own = matches!(verdict, AnswerVerdict::Valid | AnswerVerdict::NotExecuted);
                 server.record_end(status.is_server_error() || !is_own);
+                // Another server at the address answers only that it is not the one expected.
+                if is_own && status != StatusCode::MISDIRECTED_REQUEST {
+                    server.record_terms(&context.headers.read_terms(headers));
+                }
                 return match verdict {
                     AnswerVerdict::Valid => {
                         let timing = (admitted.upload_time + took, admitted.deadline);
--- a/components/proxy/src/gate.rs
+++ b/components/proxy/src/gate.rs
@@ -11,7 +11,7 @@
 use sk_decide::{
     admitting::{
         Admission, AdmissionGuard, GuardRequest, GuardSettings, GuardState, LinkBacklog, Refusal,
-        RefusalReason, Released, Ticket,
+        RefusalReason, Released, StatedRate, Ticket,
     },
     quarantine::Fingerprint,
 };
@@ -122,6 +122,12 @@
         ((state.guard.load(now) * 100.0).round() as u32, state.guard.wait_hint(is_nested, now))
     }
 
+    /// Records what the server states about the requests that it takes, and returns the statement
+    /// before, if it differed.
+    pub(crate) fn record_stated_rate(&self, rate: StatedRate) -> Option<StatedRate> {
+        self.lock().guard.record_stated_rate(rate)
+    }
+
     /// Returns the counts.
     pub(crate) fn state(&self) -> GuardState {
         self.lock().guard.state(time_since_start())
--- a/components/proxy/src/header_translation.rs
+++ b/components/proxy/src/header_translation.rs
@@ -4,12 +4,12 @@
 
 use std::{fmt::Debug, time::Duration};
 
-use http::{HeaderMap, HeaderValue, Response, StatusCode};
-use sk_decide::deadline::CallContext;
+use http::{HeaderMap, HeaderName, HeaderValue, Response, StatusCode};
+use sk_decide::{admitting::StatedRate, deadline::CallContext};
 
 use crate::{
     body::ProxyBody,
-    headers::{read_number, write_context},
+    headers::{RATE_LIMIT_HEADER, read_number, write_context},
 };
 
 /// What a backend server receives about a request, beside the caller's own headers.
@@ -36,6 +36,14 @@
     Incomplete,
 }
 
+/// What a backend server states about itself in the head of an answer.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct ServerTerms {
+    /// Requests a second that it takes from all callers together; `None` if the statement cannot be
+    /// read, in which case the last one still holds.
+    pub rate: Option<StatedRate>,
+}
+
 /// Identity that a backend server reports in the answer to a health request.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ServerIdentity {
@@ -68,6 +76,9 @@
         attempt: Option<&HeaderValue>,
     ) -> AnswerVerdict;
 
+    /// Reads what a server states about itself in the head of an answer of its own.
+    fn read_terms(&self, headers: &HeaderMap) -> ServerTerms;
+
     /// Reads a server's identity from its answer to a health request; `None` if it is unhealthy,
     /// is leaving or states no identity.
     fn read_identity(&self, status: StatusCode, headers: &HeaderMap) -> Option<ServerIdentity>;
@@ -107,6 +118,10 @@
         AnswerVerdict::Valid
     }
 
+    fn read_terms(&self, headers: &HeaderMap) -> ServerTerms {
+        ServerTerms { rate: read_stated_rate(headers, &RATE_LIMIT_HEADER) }
+    }
+
     fn read_identity(&self, _status: StatusCode, _headers: &HeaderMap) -> Option<ServerIdentity> {
         // Servers announce themselves every second.
         None
@@ -114,3 +129,17 @@
 
     fn write_answer(&self, _response: &mut Response<ProxyBody>) {}
 }
+
+/// Reads a server's limit of requests a second, a decimal number, from a header: the least one if
+/// there are several, and [`StatedRate::Unlimited`] if there is none. Returns `None` if none of
+/// them can be read.
+pub fn read_stated_rate(headers: &HeaderMap, name: &HeaderName) -> Option<StatedRate> {
+    let parse = |value: &HeaderValue| value.to_str().ok()?.trim().parse::<f64>().ok();
+    let rates = headers.get_all(name).iter().filter_map(parse);
+    let least = rates.filter(|rate| rate.is_finite() && *rate >= 0.0).min_by(f64::total_cmp);
+    match least {
+        Some(rate) => Some(StatedRate::PerSecond(rate)),
+        None if headers.contains_key(name) => None,
+        None => Some(StatedRate::Unlimited),
+    }
+}
--- a/components/proxy/src/headers.rs
+++ b/components/proxy/src/headers.rs
@@ -17,6 +17,10 @@
 /// Header with the retries of the layers above. A service copies it into nested calls.
 pub const RETRIED_HEADER: &str = "x-sapphirekeel-retried";
 
+/// Header with the requests a second that a backend server takes from all callers together.
+pub(crate) const RATE_LIMIT_HEADER: HeaderName =
+    HeaderName::from_static("x-sapphirekeel-server-limit");
+
 /// Header by which a caller requires that a request does not run twice.
 pub(crate) const KEY_HEADER: &str = "idempotency-key";
 
--- a/components/proxy/src/lib.rs
+++ b/components/proxy/src/lib.rs
@@ -61,6 +61,7 @@
 pub use forward::forward;
 pub use header_translation::{
     AnswerVerdict, HeaderTranslation, NativeHeaders, ServerIdentity, ServerRequestInfo,
+    ServerTerms, read_stated_rate,
 };
 pub use headers::{DEADLINE_HEADER, HOPS_HEADER, RETRIED_HEADER};
 pub use identity::{IdentityError, request_server_identity};
@@ -76,7 +77,7 @@
 pub use returning::RefusedRequests;
 pub use running_requests::RunningRequests;
 pub use serve::{ListenerHandle, serve_forward, serve_guard};
-pub use sk_decide::quarantine::SuspectRecord;
+pub use sk_decide::{admitting::StatedRate, quarantine::SuspectRecord};
 pub use table::{
     RouteMatch, RouteTable, ServiceKey, SharedTable, TableEndpoint, TableOwner, TableService,
     TableTuning,
--- a/components/proxy/src/local.rs
+++ b/components/proxy/src/local.rs
@@ -15,15 +15,16 @@
 use arc_swap::ArcSwap;
 use http::HeaderValue;
 use sk_decide::{
-    admitting::{GuardSettings, GuardState, RefusalReason},
+    admitting::{GuardSettings, GuardState, RefusalReason, StatedRate},
     pacing::PacerSettings,
 };
 use sk_member::{EndpointRecord, EndpointStatus, ServerId};
 use sk_model::ServiceName;
 
 use crate::{
-    clock::time_since_start, gate::AdmissionGate, hints::ServerHints, outcome::RefusalKind,
-    pool::ServerPool, read_ahead::ReadAheadLimit, transfers::TransferScheduler,
+    clock::time_since_start, gate::AdmissionGate, header_translation::ServerTerms,
+    hints::ServerHints, outcome::RefusalKind, pool::ServerPool, read_ahead::ReadAheadLimit,
+    transfers::TransferScheduler,
 };
 
 /// Requests over which the failure rate is averaged: about a quarter of a second of a busy server.
@@ -292,6 +293,20 @@
         let _ = self.failure_permille.fetch_update(Ordering::Relaxed, Ordering::Relaxed, update);
     }
 
+    /// Records what the server states about itself in an answer.
+    pub(crate) fn record_terms(&self, terms: &ServerTerms) {
+        let changed = terms.rate.map(|rate| (rate, self.gate.record_stated_rate(rate)));
+        match changed {
+            Some((StatedRate::PerSecond(limit), Some(_))) => {
+                log::info!(limit; "guard: server {} limits its requests a second.", self.id);
+            }
+            Some((StatedRate::Unlimited, Some(_))) => {
+                log::info!("guard: server {} no longer limits its requests.", self.id);
+            }
+            Some((_, None)) | None => {}
+        }
+    }
+
     /// Returns the server's load, wait and failure rate; `is_nested` tells for which requests the
     /// wait is.
     pub(crate) fn hints(&self, is_nested: bool) -> ServerHints {
