--- a/components/standin/src/backend.rs
+++ b/components/standin/src/backend.rs
@@ -4,7 +4,7 @@
 use std::{
     net::SocketAddr,
     sync::{
-        Arc,
+        Arc, Mutex, PoisonError,
         atomic::{AtomicBool, Ordering},
     },
     time::Duration,
@@ -12,7 +12,7 @@
 
 use anyhow::Context;
 use bytes::Bytes;
-use http::{HeaderName, Request, Response};
+use http::{HeaderName, HeaderValue, Request, Response};
 use http_body_util::{BodyExt, Full};
 use hyper::{body::Incoming, service::service_fn};
 use hyper_util::{
@@ -93,6 +93,8 @@
     address: SocketAddr,
     activity: Arc<BackendActivity>,
     is_draining: AtomicBool,
+    /// Headers that all of its answers have.
+    answer_headers: Mutex<Vec<(HeaderName, HeaderValue)>>,
 }
 
 /// Running stand-in.
@@ -112,7 +114,8 @@
         TcpListener::bind(options.address).await.context("cannot bind the backend server")?;
     let address = listener.local_addr()?;
     let (activity, is_draining) = (Arc::default(), AtomicBool::new(false));
-    let state = Arc::new(BackendState { options, address, activity, is_draining });
+    let answer_headers = Mutex::default();
+    let state = Arc::new(BackendState { options, address, activity, is_draining, answer_headers });
     let stop = watch::Sender::new(false);
     let tasks = vec![
         tokio::spawn(serve_connections(listener, state.clone(), stop.subscribe())),
@@ -137,6 +140,19 @@
         self.state.activity.counts()
     }
 
+    /// Sets headers that all of its answers have from now on, such as `x-sapphirekeel-server-limit`.
+    ///
+    /// # Panics
+    ///
+    /// Panics if a name or value is not valid in a header.
+    pub fn set_answer_headers(&self, pairs: &[(&'static str, &str)]) {
+        let parse = |(name, value): &(&'static str, &str)| {
+            (HeaderName::from_static(name), HeaderValue::from_str(value).expect("a header value"))
+        };
+        let headers = pairs.iter().map(parse).collect();
+        *self.state.answer_headers.lock().unwrap_or_else(PoisonError::into_inner) = headers;
+    }
+
     /// Waits until a request crashes the stand-in. A process that runs one then exits.
     pub async fn wait_crashed(&self) {
         self.state.activity.wait_crashed().await;
@@ -219,7 +235,12 @@
             let reported = options.reported_load.unwrap_or(load);
             Ok(json_answer(&json!({ "load": reported })))
         }
-        _ => run_request(&state, request, &plan).await,
+        _ => {
+            let mut answer = run_request(&state, request, &plan).await?;
+            let headers = state.answer_headers.lock().unwrap_or_else(PoisonError::into_inner);
+            answer.headers_mut().extend(headers.iter().cloned());
+            Ok(answer)
+        }
     }
 }
 
