guard: the limit that a server states holds for all daemons together

Cause: no daemon acted on a server's statement. Admission goes by slots, and a server in need that answers quickly always has a free one.

All requests to a server pass its guard, so the guard alone keeps the limit, with a token bucket for a second of it. An admitted request holds a token until it is sent, queued or not; a repeat on a new connection takes another one. What has no room is refused at once (`rate-limited`) and moved to another endpoint; the guard's wait hint includes the time to the next token. A lower limit returns the queued requests it leaves no room for. An answer to a request sent before the last statement may only lower it, since answers come out of order. At a limit of zero one request in 4 s finds out whether it has ended. A server that was running before its daemon gets four requests until an answer tells.

--- a/components/daemon/src/port.rs
+++ b/components/daemon/src/port.rs
@@ -40,6 +40,10 @@
     team_records::{read_team, store_to_ops_error, write_team},
 };
 
+/// Highest number of a heartbeat, counted from 0 or 1, at which its server has just started; one may
+/// have been lost.
+const MAX_START_SEQUENCE: u64 = 2;
+
 /// The parts of the daemon that these calls use.
 pub(crate) struct DaemonPort {
     pub(crate) manager_sha256: String,
@@ -173,6 +177,7 @@
             address,
             last_announced_at,
             warm_up: None,
+            was_running: false,
         });
         publish_endpoints(&self.servers, &self.members);
         Ok(())
@@ -207,7 +212,10 @@
         // both.
         let mut filter = self.lock_heartbeats();
         match filter.classify(&heartbeat, time_since_start()) {
-            HeartbeatStatus::Current => self.apply_heartbeat(heartbeat),
+            HeartbeatStatus::Current => {
+                let was_running = heartbeat.sequence > MAX_START_SEQUENCE;
+                self.apply_heartbeat(heartbeat, was_running);
+            }
             HeartbeatStatus::Stale => {
                 log::info!("ops: ignored a stale heartbeat of server {name}.")
             }
@@ -249,7 +257,7 @@
             HeartbeatStatus::Current if self.servers.endpoints().is_empty() => {
                 let name = &identity.name;
                 log::info!("daemon: the local backend server identified itself as {name}.");
-                self.apply_heartbeat(identity);
+                self.apply_heartbeat(identity, true);
             }
             HeartbeatStatus::Current | HeartbeatStatus::Stale => log::info!(
                 "daemon: ignored the identity of server {}: a heartbeat or leave came first.",
@@ -261,7 +269,7 @@
     /// Adds or updates a server with the content of its heartbeat. The heartbeat is acknowledged
     /// after this, so that an acknowledged drain is in effect at the guard, through which alone the
     /// server receives requests.
-    fn apply_heartbeat(&self, heartbeat: ServerHeartbeat) {
+    fn apply_heartbeat(&self, heartbeat: ServerHeartbeat, was_running: bool) {
         let server = heartbeat.server_id();
         self.members.update(|table| table.readmit_server(&server), |()| false);
         self.servers.remove_others_at(heartbeat.address, &server);
@@ -277,6 +285,7 @@
             address: heartbeat.address,
             last_announced_at: Instant::now(),
             warm_up: Some(heartbeat.warm_up),
+            was_running,
         });
         publish_endpoints(&self.servers, &self.members);
     }
--- a/components/decide/src/admitting.rs
+++ b/components/decide/src/admitting.rs
@@ -15,6 +15,7 @@
 use crate::admitting::estimate::{DecayingMean, DecayingPeak, ServiceEstimate};
 use crate::admitting::link::LinkLimit;
 use crate::admitting::queue::FlowQueue;
+use crate::admitting::rate_limit::RateLimit;
 use crate::admitting::urgency::UrgencyQueue;
 use crate::admitting::urgent::urgency_of;
 use crate::backoff::draw_between;
@@ -120,6 +121,8 @@
     class: WorkClass,
     flow: FlowKey,
     stage: CallStage,
+    /// Whether the server has received it, at least in part.
+    is_sent: bool,
     work: WorkKey,
     is_nested: bool,
     deadline: Duration,
@@ -172,8 +175,8 @@
     trial: TrialState,
     /// Limit that the instance's link sets to long work.
     link_limit: LinkLimit,
-    /// Last statement of the server about the requests that it takes.
-    stated_rate: StatedRate,
+    /// Limit of requests a second that the server states.
+    rate_limit: RateLimit,
     is_draining: bool,
 }
 
@@ -193,7 +196,7 @@
             nested_demand: DecayingMean::default(),
             trial: TrialState::None,
             link_limit: LinkLimit::default(),
-            stated_rate: StatedRate::Unlimited,
+            rate_limit: RateLimit::unlimited(),
             is_draining: false,
         }
     }
@@ -218,6 +221,7 @@
             class,
             flow: request.flow,
             stage: CallStage::Queued,
+            is_sent: false,
             work: request.work,
             is_nested: request.is_nested,
             deadline: request.deadline,
@@ -273,6 +277,8 @@
         let retry_min = match reason {
             RefusalReason::ColdStart => self.warm_up_left(now).min(settings.retry_after_min),
             RefusalReason::Draining | RefusalReason::Busy => Duration::ZERO,
+            // Another server may have room sooner than one with a low limit.
+            RefusalReason::RateLimited => self.rate_wait(now).min(settings.retry_after_min),
             _ => settings.retry_after_min,
         };
         let retry_after = draw_between(retry_min, retry_min + settings.retry_after_window, rng);
@@ -311,17 +317,10 @@
             queued: [self.queued(WorkClass::Short), self.queued(WorkClass::Long)],
             slots: self.slots(now),
             is_draining: self.is_draining,
-            limit_per_thousand_s: self.stated_rate.per_thousand_seconds(),
+            limit_per_thousand_s: self.rate_limit.stated().per_thousand_seconds(),
         }
     }
 
-    /// Records what the server states about the requests that it takes, and returns the statement
-    /// before, if it differed.
-    pub fn record_stated_rate(&mut self, rate: StatedRate) -> Option<StatedRate> {
-        let before = std::mem::replace(&mut self.stated_rate, rate);
-        (before != rate).then_some(before)
-    }
-
     /// Returns the load to report to other daemons, from 0 to 1: zero when idle, one with all slots
     /// taken and the short queue half full.
     pub fn load(&self, now: Duration) -> f64 {
@@ -359,6 +358,7 @@
         match request {
             _ if self.is_draining => Some(RefusalReason::Draining),
             _ if left.is_zero() || service > left => Some(RefusalReason::DeadlineTooNear),
+            _ if self.has_reached_rate(0, now) => Some(RefusalReason::RateLimited),
             _ if request.is_exclusive && self.trial != TrialState::None => {
                 Some(RefusalReason::TrialUnderWay)
             }
--- a/components/decide/src/admitting/outcome.rs
+++ b/components/decide/src/admitting/outcome.rs
@@ -30,6 +30,9 @@
     /// The queue is full because the server has just started.
     #[display("cold-start")]
     ColdStart,
+    /// The limit that the server states leaves no room for it.
+    #[display("rate-limited")]
+    RateLimited,
     /// It must run alone, and another trial has the server or the server did not empty in time.
     #[display("trial-under-way")]
     TrialUnderWay,
--- a/components/decide/src/admitting/release.rs
+++ b/components/decide/src/admitting/release.rs
@@ -131,7 +131,7 @@
     }
 
     /// Removes a request, queued or running, and ends its trial if it is one.
-    fn remove(&mut self, ticket: Ticket) {
+    pub(super) fn remove(&mut self, ticket: Ticket) {
         let Some(call) = self.calls.remove(ticket) else { return };
         let queue = &mut self.fair_queues[class_index(call.class)];
         match call.stage {
@@ -170,7 +170,7 @@
     }
 
     /// Returns all requests that wait, a waiting trial among them.
-    fn waiting(&self) -> impl Iterator<Item = Ticket> {
+    pub(super) fn waiting(&self) -> impl Iterator<Item = Ticket> {
         let trial = match self.trial {
             TrialState::Waiting(ticket) => Some(ticket),
             _ => None,
--- a/components/decide/src/admitting/upload.rs
+++ b/components/decide/src/admitting/upload.rs
@@ -61,6 +61,7 @@
         let is_full = self.running_count() + link.pending >= self.slots(now);
         match request.max_wait {
             _ if let Some(reason) = self.refusal_reason(&at_server, now) => Some(reason),
+            _ if self.has_reached_rate(link.pending, now) => Some(RefusalReason::RateLimited),
             Some(max_wait) if link.wait > max_wait || (is_full && max_wait.is_zero()) => {
                 Some(RefusalReason::Busy)
             }
--- a/components/decide/src/admitting/urgent.rs
+++ b/components/decide/src/admitting/urgent.rs
@@ -169,8 +169,13 @@
     }
 
     /// Returns how long a request that may queue would wait for a slot, for daemons that choose
-    /// among servers; `is_nested` as in [`GuardRequest::is_nested`]. Zero while a slot is free.
+    /// among servers; `is_nested` as in [`GuardRequest::is_nested`]. Zero while a slot is free and the
+    /// server's limit leaves room.
     pub fn wait_hint(&self, is_nested: bool, now: Duration) -> Duration {
+        self.slot_wait_hint(is_nested, now).max(self.rate_wait(now))
+    }
+
+    fn slot_wait_hint(&self, is_nested: bool, now: Duration) -> Duration {
         if self.running_count() < self.slots(now) {
             return Duration::ZERO;
         }
--- a/components/proxy/src/attempt.rs
+++ b/components/proxy/src/attempt.rs
@@ -95,12 +95,12 @@
         history.record_answer(&response, &hints);
         record_hints(service, request, id, &hints);
         record_size(service, request, &response);
-        let is_busy = RefusalKind::read(response.headers()) == Some(RefusalKind::Busy);
+        let kind = RefusalKind::read(response.headers());
+        let is_busy = terms.max_wait.is_some() && kind.is_some_and(RefusalKind::is_search_miss);
         if terms.max_wait.is_some() && request.traits.class == WorkClass::Short {
             service.placement.record_slot_search(is_busy, time_since_start());
         }
         if terms.max_wait.is_none() && history.free_moves > 0 {
-            let kind = RefusalKind::read(response.headers());
             let is_vain = kind.is_some_and(RefusalKind::is_capacity_refusal);
             service.placement.record_move(is_vain, time_since_start());
         }
--- a/components/proxy/src/exchange.rs
+++ b/components/proxy/src/exchange.rs
@@ -9,6 +9,7 @@
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
 use sk_decide::{
+    admitting::RefusalReason,
     backoff::draw_between,
     deadline::{BODY_GRACE, CallContext},
     idle_limit::MIN_STALE_IDLE,
@@ -20,9 +21,11 @@
     body::{PrefixedBody, ProxyBody, whole_body},
     call::GuardCall,
     claim::{ClaimOutcome, PendingClaim},
+    clock::time_since_start,
     context::GuardContext,
     expiring_body::ExpiringBody,
     gate::AdmitPermit,
+    guard::refuse_admission,
     header_translation::{AnswerVerdict, ServerRequestInfo},
     headers::{header_text, strip_hop_headers, strip_own_headers},
     hints::write_service_time,
@@ -122,7 +125,13 @@
         if admitted.deadline <= Instant::now() {
             return refuse_unsent(admitted, RefusalKind::DeadlineTooNear).await;
         }
-        admitted.record_sent(call, stage);
+        // The answer to a request that is sent now is newer than all that has been heard.
+        let sent_at = time_since_start();
+        if !admitted.record_sent(call, stage) {
+            let refusal = server.gate.refuse(RefusalReason::RateLimited);
+            release_unsent(admitted).await;
+            return refuse_admission(server, call.is_nested, refusal);
+        }
         match sender.try_send_request(request).await {
             Ok(response) => {
                 let exchange = OpenExchange {
@@ -146,7 +155,7 @@
                 server.record_end(status.is_server_error() || !is_own);
                 // Another server at the address answers only that it is not the one expected.
                 if is_own && status != StatusCode::MISDIRECTED_REQUEST {
-                    server.record_terms(&context.headers.read_terms(headers));
+                    server.record_terms(&context.headers.read_terms(headers), sent_at);
                 }
                 return match verdict {
                     AnswerVerdict::Valid => {
@@ -203,13 +212,18 @@
 }
 
 impl AdmittedRequest {
-    /// Records that the server may receive the request from now on.
-    fn record_sent(&mut self, call: &GuardCall, stage: &mut SendStage) {
+    /// Records that the server may receive the request from now on, and returns whether it may be
+    /// sent.
+    #[must_use]
+    fn record_sent(&mut self, call: &GuardCall, stage: &mut SendStage) -> bool {
+        if !self.permit.record_sent(call.fingerprint) {
+            return false;
+        }
         if *stage != SendStage::Resent {
             *stage = SendStage::Sent;
         }
-        self.permit.record_sent(call.fingerprint);
         self.set_claim(ClaimOutcome::Unknown);
+        true
     }
 
     /// Records that no byte of the request was sent, unless a first copy was.
@@ -232,11 +246,16 @@
 
 /// Refuses an admitted request that was not sent, and releases its slot and claim.
 async fn refuse_unsent(admitted: AdmittedRequest, kind: RefusalKind) -> Response<ProxyBody> {
+    release_unsent(admitted).await;
+    refuse(kind)
+}
+
+/// Releases the slot and the claim of an admitted request that was not sent.
+async fn release_unsent(admitted: AdmittedRequest) {
     drop(admitted.permit);
     if let Some(claim) = admitted.claim {
         claim.release_unrun().await;
     }
-    refuse(kind)
 }
 
 /// Ends a request whose connection broke before the head of an answer.
--- a/components/proxy/src/gate.rs
+++ b/components/proxy/src/gate.rs
@@ -122,10 +122,19 @@
         ((state.guard.load(now) * 100.0).round() as u32, state.guard.wait_hint(is_nested, now))
     }
 
-    /// Records what the server states about the requests that it takes, and returns the statement
-    /// before, if it differed.
-    pub(crate) fn record_stated_rate(&self, rate: StatedRate) -> Option<StatedRate> {
-        self.lock().guard.record_stated_rate(rate)
+    /// Lets only a few requests through until an answer tells whether the server limits them.
+    pub(crate) fn expect_limit(&self) {
+        self.lock().guard.expect_limit(time_since_start());
+    }
+
+    /// Records what the answer to a request that was sent at `sent_at` states about the requests
+    /// that the server takes, and returns whether that has changed.
+    pub(crate) fn record_stated_rate(&self, rate: StatedRate, sent_at: Duration) -> bool {
+        let mut state = self.lock();
+        let (has_changed, released) =
+            state.guard.record_stated_rate(rate, sent_at, time_since_start());
+        state.deliver(released);
+        has_changed
     }
 
     /// Returns the counts.
@@ -200,7 +209,8 @@
         AdmitPermit { gate: self.clone(), ticket, is_ended: false }
     }
 
-    fn refuse(&self, reason: RefusalReason) -> Refusal {
+    /// Creates the refusal for a reason.
+    pub(crate) fn refuse(&self, reason: RefusalReason) -> Refusal {
         self.lock().guard.refuse(reason, time_since_start(), &mut rand::rng())
     }
 
@@ -246,14 +256,23 @@
 }
 
 impl AdmitPermit {
-    /// Records that the request is being sent to the server.
-    pub(crate) fn record_sent(&self, fingerprint: Fingerprint) {
-        self.gate.lock().sent.insert(self.ticket, fingerprint);
+    /// Records that the request is being sent to the server, and returns whether it may be: the
+    /// server's limit may have come down since the request was admitted.
+    #[must_use]
+    pub(crate) fn record_sent(&self, fingerprint: Fingerprint) -> bool {
+        let mut state = self.gate.lock();
+        let may_send = state.guard.record_sent(self.ticket, time_since_start());
+        if may_send {
+            state.sent.insert(self.ticket, fingerprint);
+        }
+        may_send
     }
 
     /// Records that nothing was sent after all.
     pub(crate) fn record_unsent(&self) {
-        self.gate.lock().sent.remove(self.ticket);
+        let mut state = self.gate.lock();
+        state.guard.record_unsent(self.ticket, time_since_start());
+        state.sent.remove(self.ticket);
     }
 
     /// Records that the connection broke while the server had the request.
--- a/components/proxy/src/guard.rs
+++ b/components/proxy/src/guard.rs
@@ -206,7 +206,7 @@
 }
 
 /// Creates the answer for a refusal by the gate.
-fn refuse_admission(
+pub(crate) fn refuse_admission(
     server: &GuardedServer,
     is_nested: bool,
     refusal: Refusal,
--- a/components/proxy/src/local.rs
+++ b/components/proxy/src/local.rs
@@ -43,6 +43,9 @@
     pub last_announced_at: Instant,
     /// How much longer it warms up after its start; `None` if only the limits define it.
     pub warm_up: Option<Duration>,
+    /// Whether it is known to have been running before this daemon heard of it. It may then have
+    /// stated a limit of requests that this daemon does not know.
+    pub was_running: bool,
 }
 
 /// Limits for the backend servers beside a daemon.
@@ -245,6 +248,9 @@
             started_at = if warm_up.is_zero() { Duration::ZERO } else { started_at };
         }
         let gate = Arc::new(AdmissionGate::new(settings, started_at));
+        if server.was_running {
+            gate.expect_limit();
+        }
         Arc::new(GuardedServer {
             id: server.endpoint.server.clone(),
             name: server.name.clone(),
@@ -293,17 +299,18 @@
         let _ = self.failure_permille.fetch_update(Ordering::Relaxed, Ordering::Relaxed, update);
     }
 
-    /// Records what the server states about itself in an answer.
-    pub(crate) fn record_terms(&self, terms: &ServerTerms) {
-        let changed = terms.rate.map(|rate| (rate, self.gate.record_stated_rate(rate)));
+    /// Records what the server states about itself in the answer to a request that was sent at
+    /// `sent_at`.
+    pub(crate) fn record_terms(&self, terms: &ServerTerms, sent_at: Duration) {
+        let changed = terms.rate.filter(|rate| self.gate.record_stated_rate(*rate, sent_at));
         match changed {
-            Some((StatedRate::PerSecond(limit), Some(_))) => {
+            Some(StatedRate::PerSecond(limit)) => {
                 log::info!(limit; "guard: server {} limits its requests a second.", self.id);
             }
-            Some((StatedRate::Unlimited, Some(_))) => {
+            Some(StatedRate::Unlimited) => {
                 log::info!("guard: server {} no longer limits its requests.", self.id);
             }
-            Some((_, None)) | None => {}
+            None => {}
         }
     }
 
--- a/components/proxy/src/outcome.rs
+++ b/components/proxy/src/outcome.rs
@@ -129,6 +129,8 @@
     Draining = "draining",
     /// The queue is full because the server has just started.
     ColdStart = "cold-start",
+    /// The limit that the backend server states leaves no room.
+    RateLimited = "rate-limited",
     /// The request must run alone, which is not possible now.
     TrialUnderWay = "trial-under-way",
     /// The request crashed servers and is quarantined.
@@ -156,10 +158,22 @@
         Self::ALL.iter().copied().find(|kind| kind.as_str().as_bytes() == text)
     }
 
-    /// Returns whether the endpoint lacked capacity: no slot, no place in its queue, or none in
-    /// time.
+    /// Returns whether the endpoint lacked capacity: no slot, no place in its queue, none in time,
+    /// or no room in its limit.
     pub(crate) fn is_capacity_refusal(self) -> bool {
-        matches!(self, Self::Busy | Self::GoalMissed | Self::QueueFull | Self::DeadlineTooNear)
+        matches!(
+            self,
+            Self::Busy
+                | Self::GoalMissed
+                | Self::QueueFull
+                | Self::DeadlineTooNear
+                | Self::RateLimited
+        )
+    }
+
+    /// Returns whether the endpoint could not start a request at once that may not queue.
+    pub(crate) fn is_search_miss(self) -> bool {
+        matches!(self, Self::Busy | Self::RateLimited)
     }
 
     /// Returns whether another endpoint may decide differently. A quarantined request or a claimed
@@ -189,6 +203,7 @@
             RefusalReason::ShareExceeded => Self::ShareExceeded,
             RefusalReason::Draining => Self::Draining,
             RefusalReason::ColdStart => Self::ColdStart,
+            RefusalReason::RateLimited => Self::RateLimited,
             RefusalReason::TrialUnderWay => Self::TrialUnderWay,
         }
     }
--- a/components/proxy/tests/common/mod.rs
+++ b/components/proxy/tests/common/mod.rs
@@ -136,6 +136,7 @@
             address,
             last_announced_at,
             warm_up: None,
+            was_running: false,
         });
     }
 
--- a/components/proxy/tests/stated_limits.rs
+++ b/components/proxy/tests/stated_limits.rs
@@ -6,6 +6,7 @@
 
 use common::{FleetPlan, TestAnswer, TestFleet, get, http1};
 use http::StatusCode;
+use sk_proxy::{RefusalKind, RequestOutcome};
 
 /// Span over which arrivals are counted.
 const SPAN: Duration = Duration::from_secs(4);
@@ -38,14 +39,14 @@
 struct Callers(Vec<tokio::task::JoinHandle<Vec<(Duration, TestAnswer)>>>);
 
 impl Callers {
-    fn start(fleet: &TestFleet, pause: Duration, time: Duration) -> Self {
+    fn start(fleet: &TestFleet, path: &'static str, pause: Duration, time: Duration) -> Self {
         let call = |entry| async move {
             let (client, begin, mut sent) = (http1(), Instant::now(), Vec::new());
             while begin.elapsed() < time {
                 let client = client.clone();
                 sent.push(tokio::spawn(async move {
                     let sent_at = Instant::now();
-                    let answer = get(&client, entry, "/query").await;
+                    let answer = get(&client, entry, path).await;
                     (sent_at.elapsed(), answer)
                 }));
                 tokio::time::sleep(pause).await;
@@ -76,7 +77,7 @@
     let limit = 5.0;
     fleet.backends[0].set_answer_headers(&[("x-sapphirekeel-server-limit", "5")]);
     let time = SETTLE_TIME + SPAN + Duration::from_secs(1);
-    let callers = Callers::start(&fleet, Duration::from_millis(40), time);
+    let callers = Callers::start(&fleet, "/query", Duration::from_millis(40), time);
     tokio::time::sleep(SETTLE_TIME).await;
     let peak = count_peak(&fleet, 0, time - SETTLE_TIME).await;
     assert!(peak <= allowed(limit), "{peak} requests in {SPAN:?}, allowed {}", allowed(limit));
@@ -86,3 +87,75 @@
         assert!(took < Duration::from_secs(1), "{took:?}");
     }
 }
+
+/// Guards against callers that wait for a server whose limit has no room for them, when no other is
+/// left: they learn at once that nothing ran and when to come back.
+#[tokio::test(flavor = "multi_thread")]
+async fn rejected_at_once() {
+    let fleet = TestFleet::start(FleetPlan::new(1)).await;
+    let limit = 5.0;
+    fleet.backends[0].set_answer_headers(&[("x-sapphirekeel-server-limit", "5")]);
+    let time = SETTLE_TIME + SPAN;
+    let callers = Callers::start(&fleet, "/query", Duration::from_millis(50), time);
+    tokio::time::sleep(SETTLE_TIME).await;
+    let peak = count_peak(&fleet, 0, time - SETTLE_TIME).await;
+    assert!(peak <= allowed(limit), "{peak} requests in {SPAN:?}, allowed {}", allowed(limit));
+    let answers = callers.join().await;
+    let rejected: Vec<_> =
+        answers.iter().filter(|(_, answer)| answer.status != StatusCode::OK).collect();
+    assert!(rejected.len() > 50, "{} of {}", rejected.len(), answers.len());
+    for (took, answer) in rejected {
+        assert_eq!(answer.reason(), Some(RefusalKind::RateLimited), "{answer:?}");
+        assert_eq!(answer.outcome(), Some(RequestOutcome::NotRun));
+        assert!(answer.headers.contains_key("retry-after"));
+        assert!(*took < Duration::from_millis(500), "{took:?}");
+    }
+}
+
+/// Guards against the calls of servers and repeats that come on top of a limit: each request here
+/// makes a call to the same service, and a third of them lose their answers and are sent again.
+#[tokio::test(flavor = "multi_thread")]
+async fn calls_and_repeats() {
+    let fleet = TestFleet::start(FleetPlan::new(2)).await;
+    let limit = 4.0;
+    fleet.backends[0].set_answer_headers(&[("x-sapphirekeel-server-limit", "4")]);
+    let time = SETTLE_TIME + SPAN;
+    let pause = Duration::from_millis(60);
+    let nested = Callers::start(&fleet, "/query?nest=1", pause, time);
+    let repeated = Callers::start(&fleet, "/query?fault=drop", pause * 2, time);
+    tokio::time::sleep(SETTLE_TIME).await;
+    let peak = count_peak(&fleet, 0, time - SETTLE_TIME).await;
+    assert!(peak <= allowed(limit), "{peak} requests in {SPAN:?}, allowed {}", allowed(limit));
+    let served = nested.join().await;
+    let served = served.iter().filter(|(_, answer)| answer.status == StatusCode::OK).count();
+    assert!(served > 50, "{served} served by the other server");
+    repeated.join().await;
+}
+
+/// Guards against a server that stays limited after its limit has changed or ended.
+#[tokio::test(flavor = "multi_thread")]
+async fn limit_ends() {
+    let fleet = TestFleet::start(FleetPlan::new(1)).await;
+    let (client, entry) = (http1(), fleet.entry());
+    let served = async |requests: u32| {
+        let mut served = 0;
+        for _ in 0..requests {
+            served += u32::from(get(&client, entry, "/query").await.status == StatusCode::OK);
+        }
+        served
+    };
+    let name =
+        |text| fleet.backends[0].set_answer_headers(&[("x-sapphirekeel-server-limit", text)]);
+    for text in ["1", "soon", "-4"] {
+        name(text);
+        assert!(served(30).await <= 3, "a statement that cannot be read leaves the last one");
+        tokio::time::sleep(Duration::from_secs(1)).await;
+    }
+    name("1000000000000");
+    assert!(served(50).await >= 48);
+    name("1");
+    assert!(served(30).await <= 3);
+    fleet.backends[0].set_answer_headers(&[]);
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    assert!(served(50).await >= 48);
+}
