guard: a server that states in an answer that it leaves gets nothing more

The same cause as with stated limits, found by looking for it: a server's word in its answers that nobody reads. What callers would see: requests placed at a server after it said that it leaves, for as long as its heartbeat takes, and lost when it ends.

`Server-Leaving: 1` (natively `x-sapphirekeel-server-leaving`) drains the server's guard like its own announcement: what waits is placed elsewhere, what runs is answered, and the daemons hear of it with the members. The guard is the only way to its server, so this binds all entries at once. The last 64 such processes are remembered, since a late announcement after the others have lapsed would list the server anew.

--- a/components/proxy/src/exchange.rs
+++ b/components/proxy/src/exchange.rs
@@ -155,7 +155,8 @@
                 server.record_end(status.is_server_error() || !is_own);
                 // Another server at the address answers only that it is not the one expected.
                 if is_own && status != StatusCode::MISDIRECTED_REQUEST {
-                    server.record_terms(&context.headers.read_terms(headers), sent_at);
+                    let terms = context.headers.read_terms(headers);
+                    context.servers.record_terms(server, &terms, sent_at);
                 }
                 return match verdict {
                     AnswerVerdict::Valid => {
--- a/components/proxy/src/header_translation.rs
+++ b/components/proxy/src/header_translation.rs
@@ -9,7 +9,7 @@
 
 use crate::{
     body::ProxyBody,
-    headers::{RATE_LIMIT_HEADER, read_number, write_context},
+    headers::{LEAVING_HEADER, RATE_LIMIT_HEADER, read_number, write_context},
 };
 
 /// What a backend server receives about a request, beside the caller's own headers.
@@ -42,6 +42,8 @@
     /// Requests a second that it takes from all callers together; `None` if the statement cannot be
     /// read, in which case the last one still holds.
     pub rate: Option<StatedRate>,
+    /// Whether it leaves and takes no further requests.
+    pub is_leaving: bool,
 }
 
 /// Identity that a backend server reports in the answer to a health request.
@@ -119,7 +121,10 @@
     }
 
     fn read_terms(&self, headers: &HeaderMap) -> ServerTerms {
-        ServerTerms { rate: read_stated_rate(headers, &RATE_LIMIT_HEADER) }
+        ServerTerms {
+            rate: read_stated_rate(headers, &RATE_LIMIT_HEADER),
+            is_leaving: is_set(headers, &LEAVING_HEADER),
+        }
     }
 
     fn read_identity(&self, _status: StatusCode, _headers: &HeaderMap) -> Option<ServerIdentity> {
@@ -143,3 +148,8 @@
         None => Some(StatedRate::Unlimited),
     }
 }
+
+/// Returns whether a header that marks a state has the value `1`.
+pub fn is_set(headers: &HeaderMap, name: &HeaderName) -> bool {
+    headers.get_all(name).iter().any(|value| value.as_bytes() == b"1")
+}
--- a/components/proxy/src/headers.rs
+++ b/components/proxy/src/headers.rs
@@ -21,6 +21,10 @@
 pub(crate) const RATE_LIMIT_HEADER: HeaderName =
     HeaderName::from_static("x-sapphirekeel-server-limit");
 
+/// Header of a backend server's answers, with the value `1` once it leaves.
+pub(crate) const LEAVING_HEADER: HeaderName =
+    HeaderName::from_static("x-sapphirekeel-server-leaving");
+
 /// Header by which a caller requires that a request does not run twice.
 pub(crate) const KEY_HEADER: &str = "idempotency-key";
 
--- a/components/proxy/src/lib.rs
+++ b/components/proxy/src/lib.rs
@@ -61,7 +61,7 @@
 pub use forward::forward;
 pub use header_translation::{
     AnswerVerdict, HeaderTranslation, NativeHeaders, ServerIdentity, ServerRequestInfo,
-    ServerTerms, read_stated_rate,
+    ServerTerms, is_set, read_stated_rate,
 };
 pub use headers::{DEADLINE_HEADER, HOPS_HEADER, RETRIED_HEADER};
 pub use identity::{IdentityError, request_server_identity};
--- a/components/proxy/src/local.rs
+++ b/components/proxy/src/local.rs
@@ -3,10 +3,10 @@
 //! predecessor.
 
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, VecDeque},
     net::SocketAddr,
     sync::{
-        Arc, Mutex, PoisonError,
+        Arc, Mutex, MutexGuard, PoisonError,
         atomic::{AtomicBool, AtomicU32, Ordering},
     },
     time::{Duration, Instant},
@@ -29,6 +29,9 @@
 
 /// Requests over which the failure rate is averaged: about a quarter of a second of a busy server.
 const FAILURE_MEAN_REQUESTS: u32 = 12;
+/// Number of processes remembered that have stated that they leave. An instance runs one server at
+/// a time, so dozens of restarts fit.
+const MAX_LEFT_SERVERS: usize = 64;
 
 /// A backend server beside this daemon.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -99,8 +102,14 @@
     limits: ServerLimits,
     current: ArcSwap<ServerMap>,
     lock: Mutex<()>,
+    left: Mutex<LeftServers>,
 }
 
+/// The server processes that stated last in an answer that they leave, also after their
+/// announcements have lapsed: a late announcement must not bring work back.
+#[derive(Default)]
+struct LeftServers(VecDeque<ServerId>);
+
 impl LocalServerList {
     /// Creates an empty list.
     pub fn new(limits: ServerLimits) -> Self {
@@ -119,6 +128,9 @@
     pub fn announce(&self, mut server: LocalServer) {
         self.change(|servers| {
             let service = server.endpoint.service.clone();
+            if self.lock_left().contains(&server.endpoint.server) {
+                server.endpoint.status = EndpointStatus::Draining;
+            }
             let current_entry = servers.remove(&service);
             let is_same = |entry: &ServerEntry| entry.server.is_same_process(&server);
             let guarded = match current_entry {
@@ -215,6 +227,32 @@
         self.current.load().keys().next().cloned()
     }
 
+    /// Records what a server states about itself in the answer to a request that was sent at
+    /// `sent_at`. One that leaves gets nothing more from now on, as if it had announced it.
+    pub(crate) fn record_terms(
+        &self,
+        server: &GuardedServer,
+        terms: &ServerTerms,
+        sent_at: Duration,
+    ) {
+        let id = &server.id;
+        let changed = terms.rate.filter(|rate| server.gate.record_stated_rate(*rate, sent_at));
+        match changed {
+            Some(StatedRate::PerSecond(limit)) => {
+                log::info!(limit; "guard: server {id} limits its requests a second.");
+            }
+            Some(StatedRate::Unlimited) => {
+                log::info!("guard: server {id} no longer limits its requests.");
+            }
+            None => {}
+        }
+        if terms.is_leaving && !server.has_announced_drain.load(Ordering::Acquire) {
+            log::info!("guard: server {id} states in an answer that it leaves.");
+            self.lock_left().insert(id);
+            self.drain_server(id);
+        }
+    }
+
     /// Removes a server that has died. If it announces itself again, it had not died.
     pub(crate) fn remove(&self, id: &ServerId) {
         self.retain(|entry| entry.guarded.id != *id);
@@ -268,6 +306,10 @@
         })
     }
 
+    fn lock_left(&self) -> MutexGuard<'_, LeftServers> {
+        self.left.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Applies a change to a copy of the list and swaps it in.
     fn change(&self, change: impl FnOnce(&mut ServerMap)) {
         let _guard = self.lock.lock().unwrap_or_else(PoisonError::into_inner);
@@ -277,6 +319,19 @@
     }
 }
 
+impl LeftServers {
+    fn insert(&mut self, id: &ServerId) {
+        if self.0.len() == MAX_LEFT_SERVERS {
+            self.0.pop_front();
+        }
+        self.0.push_back(id.clone());
+    }
+
+    fn contains(&self, id: &ServerId) -> bool {
+        self.0.contains(id)
+    }
+}
+
 impl LocalServer {
     /// Returns whether both describe the same process of a server.
     fn is_same_process(&self, other: &Self) -> bool {
@@ -299,21 +354,6 @@
         let _ = self.failure_permille.fetch_update(Ordering::Relaxed, Ordering::Relaxed, update);
     }
 
-    /// Records what the server states about itself in the answer to a request that was sent at
-    /// `sent_at`.
-    pub(crate) fn record_terms(&self, terms: &ServerTerms, sent_at: Duration) {
-        let changed = terms.rate.filter(|rate| self.gate.record_stated_rate(*rate, sent_at));
-        match changed {
-            Some(StatedRate::PerSecond(limit)) => {
-                log::info!(limit; "guard: server {} limits its requests a second.", self.id);
-            }
-            Some(StatedRate::Unlimited) => {
-                log::info!("guard: server {} no longer limits its requests.", self.id);
-            }
-            None => {}
-        }
-    }
-
     /// Returns the server's load, wait and failure rate; `is_nested` tells for which requests the
     /// wait is.
     pub(crate) fn hints(&self, is_nested: bool) -> ServerHints {
