--- a/components/lab/src/figures.rs
+++ b/components/lab/src/figures.rs
@@ -42,6 +42,8 @@
     pub messages: u64,
     /// Requests that servers started.
     pub runs: u64,
+    /// When requests reached each server that stated a limit, by the server's index.
+    pub limited_arrivals: BTreeMap<usize, Vec<Duration>>,
 }
 
 impl RunFigures {
--- a/components/lab/src/scenario.rs
+++ b/components/lab/src/scenario.rs
@@ -6,6 +6,7 @@
 use std::collections::BTreeSet;
 
 use serde::Deserialize;
+use sk_decide::admitting::StatedRate;
 use thiserror::Error;
 
 /// A fleet with its load and faults. Times are in milliseconds where the name ends in `_ms`,
@@ -140,6 +141,13 @@
         /// Factor on the work of each request on it.
         factor: f64,
     },
+    /// One server states in its answers that it takes a number of requests a second.
+    StatedLimit {
+        /// Index of the server among all servers, in the order of the file.
+        server: usize,
+        /// Requests a second, 0 to 1000000.
+        per_second: f64,
+    },
 }
 
 impl Scenario {
@@ -147,7 +155,9 @@
     pub(crate) fn rate_factor(&self, second: f64) -> f64 {
         self.active_factor(second, |kind| match kind {
             FaultKind::Burst { factor } => Some(factor),
-            FaultKind::Slow { .. } | FaultKind::SlowServer { .. } => None,
+            FaultKind::Slow { .. }
+            | FaultKind::SlowServer { .. }
+            | FaultKind::StatedLimit { .. } => None,
         })
     }
 
@@ -156,15 +166,34 @@
         self.active_factor(second, |kind| match kind {
             FaultKind::Slow { factor } => Some(factor),
             FaultKind::SlowServer { server: slow, factor } if slow == server => Some(factor),
-            FaultKind::SlowServer { .. } | FaultKind::Burst { .. } => None,
+            FaultKind::SlowServer { .. }
+            | FaultKind::Burst { .. }
+            | FaultKind::StatedLimit { .. } => None,
         })
     }
 
+    /// Returns what a server, given by its index, states at a second of the run about the requests
+    /// that it takes; the least of several limits.
+    pub(crate) fn stated_rate(&self, server: usize, second: f64) -> StatedRate {
+        let limits = self.active_faults(second).filter_map(|kind| match kind {
+            FaultKind::StatedLimit { server: limited, per_second } if limited == server => {
+                Some(per_second)
+            }
+            _ => None,
+        });
+        limits.min_by(f64::total_cmp).map_or(StatedRate::Unlimited, StatedRate::PerSecond)
+    }
+
     /// Multiplies the factors that `factor_of` returns for the faults that are active at a second.
     fn active_factor(&self, second: f64, factor_of: impl Fn(FaultKind) -> Option<f64>) -> f64 {
-        let active =
-            self.faults.iter().filter(|fault| (fault.at..fault.at + fault.lasts).contains(&second));
-        active.filter_map(|fault| factor_of(fault.kind)).product()
+        self.active_faults(second).filter_map(factor_of).product()
+    }
+
+    /// Returns the faults that are active at a second.
+    fn active_faults(&self, second: f64) -> impl Iterator<Item = FaultKind> {
+        let is_active =
+            move |fault: &&FaultPlan| (fault.at..fault.at + fault.lasts).contains(&second);
+        self.faults.iter().filter(is_active).map(|fault| fault.kind)
     }
 }
 
@@ -219,6 +248,11 @@
             check_called(route, &scenario.routes)?;
         }
     }
+    for fault in &scenario.faults {
+        if let FaultKind::StatedLimit { per_second, .. } = fault.kind {
+            check_range("per_second", "a stated limit", per_second, 0.0, 1e6, "0 to 1000000")?;
+        }
+    }
     for load in &scenario.load {
         // Callers connect to daemons, and in a scenario each daemon stands beside a server.
         check_known("data_centre", "load", &load.data_centre, &centres)?;
--- a/components/lab/src/simulation.rs
+++ b/components/lab/src/simulation.rs
@@ -11,7 +11,8 @@
 use sk_decide::{
     WorkClass,
     admitting::{
-        Admission, FlowKey, GuardRequest, RefusalReason, Released, Ticket, return_within_goal,
+        Admission, FlowKey, GuardRequest, RefusalReason, Released, StatedRate, Ticket,
+        return_within_goal,
     },
     backoff::draw_between,
     placing::{CallOutcome, PlaceRequest, PlacedCall},
@@ -334,7 +335,12 @@
 
     /// Starts a request on a server and draws the time that it takes.
     fn start_work(&mut self, index: CallIndex, server: ServerIndex, ticket: Ticket) {
+        let may_send = self.servers[server].guard.record_sent(ticket, self.now);
+        debug_assert!(may_send, "an admitted request has room in the limit");
         self.figures.runs += 1;
+        if self.stated_rate(server) != StatedRate::Unlimited {
+            self.figures.limited_arrivals.entry(server).or_default().push(self.now);
+        }
         self.calls[index].work_started = self.now;
         let route = &self.scenario.routes[self.calls[index].route];
         let work_ms =
@@ -345,9 +351,17 @@
         );
     }
 
+    /// Returns what a server states now about the requests that it takes.
+    fn stated_rate(&self, server: ServerIndex) -> StatedRate {
+        self.scenario.stated_rate(server, self.now.as_secs_f64())
+    }
+
     /// Frees the slot of a finished request and sends its answer, over the link if it is large.
     pub(crate) fn finish_work(&mut self, parent: &ParentCall) {
         let &ParentCall { call: index, server, ticket } = parent;
+        let (rate, sent_at) = (self.stated_rate(server), self.calls[index].work_started);
+        let (_, released) = self.servers[server].guard.record_stated_rate(rate, sent_at, self.now);
+        self.apply_release(server, released);
         let is_large = self.scenario.routes[self.calls[index].route].is_long;
         let takes_link = is_large && self.servers[server].link.is_some();
         let occupies_slot = takes_link && !self.policy.reads_ahead;
@@ -442,11 +456,13 @@
         let table = &self.daemons[daemon][&self.servers[server].service];
         table.record_wait(server as u64, is_nested, wait, self.now);
         let Some(mut placed) = self.calls[index].placed_call.take() else { return };
+        let is_search_miss = placed.max_wait().is_some()
+            && matches!(refusal, Some(RefusalReason::Busy | RefusalReason::RateLimited));
         if placed.max_wait().is_none() && self.calls[index].free_moves_used > 0 {
             table.record_move(refusal.is_some(), self.now);
         }
         if placed.max_wait().is_some() && self.work_class(index) == WorkClass::Short {
-            table.record_slot_search(refusal == Some(RefusalReason::Busy), self.now);
+            table.record_slot_search(is_search_miss, self.now);
         }
         placed.record_head(None, self.now);
         match refusal {
@@ -455,7 +471,7 @@
                 placed.finish(CallOutcome::Success, took, self.now);
                 self.end_answered(index);
             }
-            Some(RefusalReason::Busy) => {
+            Some(_) if is_search_miss => {
                 let is_long = self.work_class(index) == WorkClass::Long;
                 let call = &mut self.calls[index];
                 let goal = Some(millis(self.scenario.routes[call.route].goal_ms));
