members: a server that drains stays out of service through restarts of its daemon

The trace: its daemon d4 recorded the statement, was killed 3 s later and listed the server again by its next heartbeat; the entry d3 had not passed such an answer on itself, but had seen the server drain in the members.

Each daemon remembers the servers that any member has listed as draining, beside those whose answers it passed on. No request is placed there again: a drain is final for its process.

--- a/components/daemon/src/daemon.rs
+++ b/components/daemon/src/daemon.rs
@@ -180,6 +180,7 @@
             parts.table.clone(),
             parts.config.clone(),
             parts.members.clone(),
+            parts.servers.clone(),
             table_owner(settings),
         )),
         tokio::spawn(tasks::expire_servers(parts.servers.clone(), parts.members.clone(), ttl)),
--- a/components/daemon/src/tasks.rs
+++ b/components/daemon/src/tasks.rs
@@ -8,7 +8,8 @@
 
 use sk_logs::OutageLog;
 use sk_member::{
-    LocalReachability, MemberRecord, MemberSnapshot, ReachabilityMarks, SharedMembers,
+    EndpointStatus, LocalReachability, MemberRecord, MemberSnapshot, ReachabilityMarks,
+    SharedMembers,
 };
 use sk_model::ServiceName;
 use sk_proxy::{LocalServerList, RouteTable, SharedTable, TableOwner, time_since_start};
@@ -24,6 +25,7 @@
     table: SharedTable,
     config: Arc<ConfigHolder>,
     members: Arc<SharedMembers>,
+    servers: Arc<LocalServerList>,
     owner: TableOwner,
 ) {
     let mut versions = config.subscribe();
@@ -32,6 +34,7 @@
         versions.mark_unchanged();
         let snapshot = snapshots.borrow_and_update().clone();
         let records = usable_records(&snapshot, &members.marks());
+        record_left_servers(records.iter().copied(), &servers);
         let before = table.load_full();
         let next = RouteTable::build(
             &before,
@@ -51,6 +54,18 @@
     }
 }
 
+/// Remembers the servers that drain, which is final for their processes: the daemon beside one may
+/// start again and list it by a late heartbeat.
+fn record_left_servers<'a>(
+    records: impl Iterator<Item = &'a MemberRecord>,
+    servers: &LocalServerList,
+) {
+    let endpoints = records.flat_map(|record| &record.endpoints);
+    endpoints
+        .filter(|endpoint| endpoint.status == EndpointStatus::Draining)
+        .for_each(|endpoint| servers.record_left(&endpoint.server));
+}
+
 /// Returns the records whose servers may receive work: those of reachable daemons, and those of
 /// unreachable daemons that run a service which no reachable daemon runs.
 ///
--- a/components/proxy/src/local.rs
+++ b/components/proxy/src/local.rs
@@ -178,6 +178,12 @@
         true
     }
 
+    /// Records that a server process leaves, beside this daemon or another one. No request is placed
+    /// there any more, also if it is announced as ready later.
+    pub fn record_left(&self, id: &str) {
+        self.left.insert(id);
+    }
+
     /// Removes servers that have not announced themselves for `ttl`, and closes connections that
     /// have been idle for long.
     pub fn remove_expired(&self, now: Instant, ttl: Duration) {
