metrics: delay in transit at the guard, and late wake-ups of a daemon

The logs of the incident do not tell a call that waited on a full link from one that waited for the processor, at its entry or at its guard.

The histogram of request times has a stage `transit`, observed for each message of another daemon. A counter has the time by which the task that looks after the local servers was woken too late, and a line says so from 100 ms at once. No decision depends on either.

--- a/components/daemon/src/daemon.rs
+++ b/components/daemon/src/daemon.rs
@@ -183,7 +183,12 @@
             parts.servers.clone(),
             table_owner(settings),
         )),
-        tokio::spawn(tasks::expire_servers(parts.servers.clone(), parts.members.clone(), ttl)),
+        tokio::spawn(tasks::expire_servers(
+            parts.servers.clone(),
+            parts.members.clone(),
+            parts.counters.clone(),
+            ttl,
+        )),
         tokio::spawn(watch_reachability(parts.unreachable.clone(), parts.members.clone())),
         tokio::spawn(tasks::flush_reports(parts.ack_buffer.clone(), parts.store.clone(), flush)),
         tokio::spawn(send_metrics(settings.metrics.address, port, parts.counters.clone())),
--- a/components/daemon/src/scrape.rs
+++ b/components/daemon/src/scrape.rs
@@ -2,12 +2,13 @@
 //!
 //! | Name | Kind | Labels | Meaning |
 //! |---|---|---|---|
-//! | `sapphirekeel_request_seconds` | histogram | `service`, `outcome`, `stage` | time of requests; stages `whole`, `queue`, `server` |
+//! | `sapphirekeel_request_seconds` | histogram | `service`, `outcome`, `stage` | time of requests; stages `whole`, `transit`, `queue`, `server` |
 //! | `sapphirekeel_requests_total` | counter | `outcome` | callers' requests that ended here |
 //! | `sapphirekeel_refusals_total` | counter | `reason` | answers that the daemon gave itself, as entry and as guard |
 //! | `sapphirekeel_retries_total` | counter | | retries, which draw on the retry budget |
 //! | `sapphirekeel_retries_denied_total` | counter | | failed attempts that were not retried |
 //! | `sapphirekeel_cut_answers_total` | counter | | answers that ended in an error after their head |
+//! | `sapphirekeel_wake_delay_microseconds_total` | counter | | time by which tasks were woken too late |
 //! | `sapphirekeel_in_flight` | gauge | | callers' requests in this daemon |
 //! | `sapphirekeel_config_version` | gauge | | version in force |
 //! | `sapphirekeel_config_since_seconds` | gauge | | age of the version in force |
@@ -180,6 +181,11 @@
         "Answers that ended in an error after their head.",
         counts.cut_answers,
     )?;
+    single(
+        "sapphirekeel_wake_delay_microseconds_total",
+        "Time by which tasks were woken too late.",
+        u64::try_from(parts.counters.wake_delay().as_micros()).unwrap_or(u64::MAX),
+    )?;
     writer.gauge(
         "sapphirekeel_in_flight",
         "Callers' requests in this daemon.",
--- a/components/daemon/src/tasks.rs
+++ b/components/daemon/src/tasks.rs
@@ -12,13 +12,17 @@
     SharedMembers,
 };
 use sk_model::ServiceName;
-use sk_proxy::{LocalServerList, RouteTable, SharedTable, TableOwner, time_since_start};
+use sk_proxy::{
+    LocalServerList, ProxyCounters, RouteTable, SharedTable, TableOwner, time_since_start,
+};
 use sk_report::AckBuffer;
 use sk_spread::ConfigHolder;
 use sk_store::SharedStore;
 
 /// Interval between checks for backend servers that no longer announce themselves.
 const EXPIRE_INTERVAL: Duration = Duration::from_millis(200);
+/// Delay of a task's wake-up from which it is logged: half of what callers notice.
+const LONG_WAKE_DELAY: Duration = Duration::from_millis(100);
 
 /// Rebuilds the route table whenever the configuration or the members change.
 pub(crate) async fn build_tables(
@@ -101,15 +105,27 @@
 pub(crate) async fn expire_servers(
     servers: Arc<LocalServerList>,
     members: Arc<SharedMembers>,
+    counters: Arc<ProxyCounters>,
     ttl: Duration,
 ) {
     loop {
+        let due = Instant::now() + EXPIRE_INTERVAL;
         tokio::time::sleep(EXPIRE_INTERVAL).await;
+        record_wake_delay(due.elapsed(), &counters);
         servers.remove_expired(Instant::now(), ttl);
         publish_endpoints(&servers, &members);
     }
 }
 
+/// Records by how much a task was woken too late. Requests and the departures of their callers wait
+/// for the processor as long.
+fn record_wake_delay(delay: Duration, counters: &ProxyCounters) {
+    counters.add_wake_delay(delay);
+    if delay >= LONG_WAKE_DELAY {
+        log::warn!(delay_ms = delay.as_millis() as u64; "daemon: short of processor time.");
+    }
+}
+
 /// Writes acknowledgements to the platform, with a pause before each write.
 pub(crate) async fn flush_reports(buffer: Arc<AckBuffer>, store: SharedStore, pause: Duration) {
     let outage = OutageLog::new("report", "the platform's store");
--- a/components/proxy/src/counters.rs
+++ b/components/proxy/src/counters.rs
@@ -3,11 +3,13 @@
 use std::{
     collections::BTreeMap,
     sync::atomic::{AtomicU64, Ordering},
+    time::Duration,
 };
 
 use serde::{Deserialize, Serialize};
 
 use crate::{
+    clock::whole_micros,
     outcome::{RefusalKind, RequestOutcome},
     times::RequestTimes,
 };
@@ -22,6 +24,7 @@
     retries: AtomicU64,
     retries_denied: AtomicU64,
     cut_answers: AtomicU64,
+    wake_delay_us: AtomicU64,
     times: RequestTimes,
 }
 
@@ -34,6 +37,7 @@
             retries: AtomicU64::new(0),
             retries_denied: AtomicU64::new(0),
             cut_answers: AtomicU64::new(0),
+            wake_delay_us: AtomicU64::new(0),
             times: RequestTimes::default(),
         }
     }
@@ -68,6 +72,16 @@
         &self.times
     }
 
+    /// Adds the time by which a task of this daemon was woken too late.
+    pub fn add_wake_delay(&self, delay: Duration) {
+        self.wake_delay_us.fetch_add(whole_micros(delay), Ordering::Relaxed);
+    }
+
+    /// Returns the time by which tasks were woken too late, in all.
+    pub fn wake_delay(&self) -> Duration {
+        Duration::from_micros(load(&self.wake_delay_us))
+    }
+
     /// Returns a snapshot of the counters.
     pub fn snapshot(&self) -> CounterSnapshot {
         let counted = RefusalKind::ALL.iter().zip(&self.refusals);
--- a/components/proxy/src/guard.rs
+++ b/components/proxy/src/guard.rs
@@ -66,6 +66,8 @@
         Some(mut call) => {
             let mut clocks = context.transit_clocks.lock().unwrap_or_else(PoisonError::into_inner);
             let transit_delay = call.mark_received(&mut clocks, accepted_at);
+            let times = context.counters.times();
+            times.observe(&call.service, "received", TimeStage::Transit, transit_delay);
             (call, transit_delay)
         }
     };
--- a/components/proxy/src/times.rs
+++ b/components/proxy/src/times.rs
@@ -14,6 +14,8 @@
 pub enum TimeStage {
     /// From the arrival at the entry daemon to the head of the answer.
     Whole,
+    /// Delay in transit from another daemon beyond the fastest message, as its guard estimates it.
+    Transit,
     /// In the guard's queue.
     Queue,
     /// From admission to the head of the server's answer.
@@ -24,6 +26,7 @@
     fn as_str(self) -> &'static str {
         match self {
             Self::Whole => "whole",
+            Self::Transit => "transit",
             Self::Queue => "queue",
             Self::Server => "server",
         }
