Test: a call is run after its deadline over a link that has been full since the start

Reproduces what the users saw (GONE: a call with some 540 ms left reached a server 1,047 ms after it was sent) by the first of the hypotheses: the guard compares a message with the fastest one it knows of the same daemon, and after a start of all daemons at once all of them were slow. The link delays by 500 ms from the opening of its connection on, later by 1,000 ms; the call is run for a caller that is gone.

--- a/components/proxy/tests/slow_link.rs
+++ b/components/proxy/tests/slow_link.rs
@@ -15,7 +15,10 @@
 use sk_proxy::DEADLINE_HEADER;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
-    net::tcp::{OwnedReadHalf, OwnedWriteHalf},
+    net::{
+        TcpListener, TcpStream,
+        tcp::{OwnedReadHalf, OwnedWriteHalf},
+    },
     time::Instant,
 };
 
@@ -102,3 +105,62 @@
     tokio::time::sleep(Duration::from_millis(2_500)).await;
     assert_eq!(fleet.runs("late"), 0, "no caller waits for it");
 }
+
+/// Relays bytes to a guard over a link that is full from the opening of each connection on: the
+/// guard accepts it late, and all that follows is delayed by `delay_ms`. The opposite direction is
+/// not delayed.
+async fn relay_full_link(guard: SocketAddr, delay_ms: Arc<AtomicU64>) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("local port");
+    let address = listener.local_addr().expect("address");
+    tokio::spawn(async move {
+        while let Ok((near, _)) = listener.accept().await {
+            let delay_ms = delay_ms.clone();
+            tokio::spawn(async move {
+                let (mut near_in, near_out) = near.into_split();
+                let delay = || Duration::from_millis(delay_ms.load(Ordering::Relaxed));
+                tokio::time::sleep(delay()).await;
+                let far = TcpStream::connect(guard).await.expect("the guard listens");
+                let (far_in, mut far_out) = far.into_split();
+                tokio::spawn(carry(far_in, near_out, Arc::default()));
+                let (chunks, mut due) = tokio::sync::mpsc::unbounded_channel();
+                tokio::spawn(async move {
+                    while let Some((at, chunk)) = due.recv().await {
+                        tokio::time::sleep_until(at).await;
+                        let chunk: Vec<u8> = chunk;
+                        if far_out.write_all(&chunk).await.is_err() {
+                            return;
+                        }
+                    }
+                });
+                let mut chunk = vec![0; 16 * 1024];
+                while let Ok(size @ 1..) = near_in.read(&mut chunk).await {
+                    let _ = chunks.send((Instant::now() + delay(), chunk[..size].to_vec()));
+                }
+            });
+        }
+    });
+    address
+}
+
+/// Guards against a call being run half a second after its deadline, where a link has been full
+/// since its daemons started: the fastest message that the guard knows was slow itself, and what
+/// all messages have lost on the way is not seen.
+#[tokio::test(flavor = "multi_thread")]
+async fn full_since_start() {
+    let mut fleet = TestFleet::start(FleetPlan::new(1)).await;
+    let delay_ms = Arc::new(AtomicU64::new(500));
+    let guard = relay_full_link(fleet.daemons[1].guard, delay_ms.clone()).await;
+    fleet.move_guard(1, guard);
+    let (entry, client) = (fleet.entry(), http1());
+    assert_eq!(send(&client, entry, "GET", "/?tag=early", &[], "").await.status, 200);
+    // Longer than the opening of the connection counts as a measure of the link.
+    tokio::time::sleep(Duration::from_millis(1_100)).await;
+    delay_ms.store(1_000, Ordering::Relaxed);
+    let answer = send(&client, entry, "GET", "/?tag=late", &[(DEADLINE_HEADER, "540")], "").await;
+    assert!(answer.status.is_server_error(), "{answer:?}");
+    // Longer than the transit takes.
+    tokio::time::sleep(Duration::from_millis(1_500)).await;
+    assert_eq!(fleet.runs("late"), 0, "no caller waits for it");
+    delay_ms.store(0, Ordering::Relaxed);
+    assert_eq!(send(&client, entry, "GET", "/?tag=after", &[], "").await.status, 200);
+}
