transit: answers bound the clock of their daemon, so that a full link shows from the start

What callers saw: nothing; servers ran calls up to half a second after their callers had left, at a time when servers were short after a start of everything at once.

Cause: a call carries the time of its sending by its sender's clock, and its guard takes off its deadline what it took beyond the fastest message of that daemon. After a start of all daemons at once the fastest one was slow itself; the opening of the connection, which shows this, counts for a second. What all messages have lost on the way was not seen, and a call with some 540 ms left was run after a second.

Answers now carry the guard's clock. A daemon keeps by how much that clock is ahead of its own at least, as the fastest answer shows, and sends the bound along with its calls; the guard takes off the larger of both estimates. The bound is too wide by no more than the fastest answer took on its way back, and the answer to this call has to come back as well.

That this is what the users saw is concluded from the times of their record: the call was 507 ms late by its deadline.

--- a/components/decide/src/transit_time.rs
+++ b/components/decide/src/transit_time.rs
@@ -9,6 +9,11 @@
 //! between arrival and departure is that of the fastest message, and whatever another message shows
 //! beyond it was spent in transit.
 //!
+//! Where a link has been full since its daemons started, the fastest message was slow itself, and
+//! what all of them have lost is not seen. Answers show it: an answer that leaves at a time of one
+//! clock and arrives at a time of the other bounds the difference of the clocks from the other side.
+//! The daemon that gets the answers keeps this bound and sends it along with its next message.
+//!
 //! Before the first message there is the opening of its connection. It began at a known time of the
 //! sender's clock and was seen here, which makes it a message as well; and it crossed the same link
 //! in both directions, so that what follows it closely takes about as long as it took.
@@ -24,11 +29,65 @@
 const DRIFT_PER_MILLION: i64 = 200;
 /// Clocks that are remembered: several times the daemons of a large fleet, since each restart adds
 /// one. At the limit all are forgotten and learned again from the next message of each.
-const MAX_CLOCKS: usize = 4096;
+pub const MAX_CLOCKS: usize = 4096;
 
 /// Time after the opening of a connection for which it shows how full the link is.
 pub const OPENING_VALIDITY: Duration = Duration::from_secs(1);
 
+/// Least amount by which the clock of another daemon is ahead of the own one, as its answers show.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ClockBound {
+    /// The other daemon's clock.
+    pub clock: ClockId,
+    /// Microseconds, negative if it is behind.
+    pub ahead_micros: i64,
+}
+
+/// A daemon's clock as its answers show it.
+#[derive(Clone, Copy, Debug)]
+pub struct AnswerClock {
+    bound: ClockBound,
+    seen_at: Duration,
+}
+
+impl AnswerClock {
+    /// Creates the record of a clock from an answer that left at `sent_at` by it and arrived at
+    /// `now`.
+    pub fn new(clock: ClockId, sent_at: Duration, now: Duration) -> Self {
+        let ahead_micros = signed_micros(sent_at) - signed_micros(now);
+        Self { bound: ClockBound { clock, ahead_micros }, seen_at: now }
+    }
+
+    /// Adds a further answer. An answer by another clock replaces the record: the daemon has started
+    /// again.
+    pub fn record_answer(&mut self, clock: ClockId, sent_at: Duration, now: Duration) {
+        let mut new = Self::new(clock, sent_at, now);
+        if clock == self.bound.clock {
+            let known = self.bound(now).ahead_micros;
+            new.bound.ahead_micros = new.bound.ahead_micros.max(known);
+        }
+        *self = new;
+    }
+
+    /// Returns the bound at `now`, which loosens with the drift of the clocks.
+    pub fn bound(&self, now: Duration) -> ClockBound {
+        let drift = drift_micros(self.seen_at, now);
+        ClockBound { ahead_micros: self.bound.ahead_micros - drift, ..self.bound }
+    }
+}
+
+impl ClockBound {
+    /// Returns the longest time for which a message can have been in transit that left at `sent_at`
+    /// by its sender's clock and arrived at `now`, if the sender knows this bound of the clock here.
+    ///
+    /// It is longer than the transit by at most the time that the fastest answer took on its way
+    /// back, which the answer to this message will take as well.
+    pub fn longest_transit(&self, sent_at: Duration, now: Duration) -> Duration {
+        let micros = signed_micros(now) - signed_micros(sent_at) - self.ahead_micros;
+        Duration::from_micros(micros.max(0).unsigned_abs())
+    }
+}
+
 /// The opening of a connection, as the side that opened it measured it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct LinkOpening {
@@ -70,8 +129,7 @@
         let micros = signed_micros(now) - signed_micros(sent_at);
         let first = ClockOffset { micros, seen_at: now, opening: None };
         let offset = self.offset_or_insert(clock, first);
-        let passed = signed_micros(now) - signed_micros(offset.seen_at);
-        let drift = passed * DRIFT_PER_MILLION / 1_000_000;
+        let drift = drift_micros(offset.seen_at, now);
         offset.micros = micros.min(offset.micros + drift);
         offset.seen_at = now;
         let late = Duration::from_micros((micros - offset.micros).unsigned_abs());
@@ -100,6 +158,11 @@
     }
 }
 
+/// Returns by how many microseconds two clocks can drift apart from one time to another.
+fn drift_micros(from: Duration, to: Duration) -> i64 {
+    (signed_micros(to) - signed_micros(from)) * DRIFT_PER_MILLION / 1_000_000
+}
+
 fn signed_micros(time: Duration) -> i64 {
     i64::try_from(time.as_micros()).unwrap_or(i64::MAX)
 }
--- a/components/decide/tests/transit_times.rs
+++ b/components/decide/tests/transit_times.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use sk_decide::transit_time::{LinkOpening, TransitClocks};
+use sk_decide::transit_time::{AnswerClock, LinkOpening, TransitClocks};
 
 const CLOCK: u64 = 7;
 
@@ -88,3 +88,45 @@
     clocks.record_opening(CLOCK, opening, millis(1_400));
     assert!(clocks.record_message(CLOCK, millis(6_300), millis(1_400)) <= millis(1));
 }
+
+/// Guards against a delay that all messages of a daemon have had since the start and that is
+/// therefore not seen: its sender knows better from the answers, which came over a free link.
+#[test]
+fn full_since_start() {
+    let hour = Duration::from_secs(3600);
+    let mut clocks = TransitClocks::default();
+    // The first message takes 500 ms, its answer 2 ms.
+    assert_eq!(clocks.record_message(CLOCK, hour, millis(500)), Duration::ZERO);
+    let answers = AnswerClock::new(CLOCK + 1, millis(501), hour + millis(503));
+    let bound = answers.bound(hour + millis(2_000));
+    let late = clocks.record_message(CLOCK, hour + millis(2_000), millis(3_000));
+    assert!(late <= millis(501), "nothing here shows more: {late:?}");
+    let longest = bound.longest_transit(hour + millis(2_000), millis(3_000));
+    assert!(longest >= millis(1_000) && longest <= millis(1_003), "{longest:?}");
+}
+
+/// Guards against calls over a free link that count as late, by clocks that drift or by one slow
+/// answer.
+#[test]
+fn answers_bound() {
+    let at = Duration::from_secs;
+    let mut answers = AnswerClock::new(CLOCK, at(0), millis(800));
+    for second in 1..3_600_u64 {
+        // This clock gains a tenth of a millisecond a second on the other one.
+        let now = at(second) + Duration::from_micros(100 * second);
+        let slow = if second % 7 == 0 { 900 } else { 1 };
+        answers.record_answer(CLOCK, at(second), now + millis(slow));
+        let longest = answers.bound(now).longest_transit(now, at(second) + millis(1));
+        assert!(longest <= millis(4), "{longest:?} after {second} s");
+        assert!(longest >= millis(1), "never less than the transit: {longest:?} after {second} s");
+    }
+}
+
+/// Guards against the clock of an earlier process being taken for that of its successor.
+#[test]
+fn replaced_process() {
+    let mut answers = AnswerClock::new(CLOCK, Duration::from_secs(9_000), millis(1));
+    answers.record_answer(CLOCK + 1, millis(5), millis(1_006));
+    let bound = answers.bound(millis(1_006));
+    assert_eq!((bound.clock, bound.ahead_micros), (CLOCK + 1, -1_001_000));
+}
--- a/components/proxy/src/call.rs
+++ b/components/proxy/src/call.rs
@@ -12,7 +12,7 @@
     admitting::{CallerKey, FlowKey, TeamKey},
     deadline::CallContext,
     quarantine::Fingerprint,
-    transit_time::{ClockId, LinkOpening, TransitClocks},
+    transit_time::{AnswerClock, ClockBound, ClockId, LinkOpening, TransitClocks},
 };
 use sk_model::WorkClass;
 use subtle::ConstantTimeEq;
@@ -67,6 +67,28 @@
     /// When the connection was opened, on calls sent shortly after that.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     opening: Option<CallOpening>,
+    /// What the sender knows of the receiver's clock.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    bound: Option<CallClockBound>,
+}
+
+/// A [`ClockBound`] of the receiver's clock.
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+struct CallClockBound {
+    clock: ClockId,
+    ahead_us: i64,
+}
+
+impl From<ClockBound> for CallClockBound {
+    fn from(bound: ClockBound) -> Self {
+        Self { clock: bound.clock, ahead_us: bound.ahead_micros }
+    }
+}
+
+impl From<CallClockBound> for ClockBound {
+    fn from(bound: CallClockBound) -> Self {
+        Self { clock: bound.clock, ahead_micros: bound.ahead_us }
+    }
 }
 
 /// When a connection was opened and how long that took, in microseconds by the clock of the side
@@ -154,13 +176,20 @@
             clock: clock_id(),
             sent_us: 0,
             opening: None,
+            bound: None,
         }
     }
 
     /// Subtracts the time that the call waited for a connection, and stamps it with the current
-    /// time.
-    pub(crate) fn mark_sent(&mut self, waited: Duration, opening: LinkOpening) {
+    /// time and with what is known of the receiver's clock.
+    pub(crate) fn mark_sent(
+        &mut self,
+        waited: Duration,
+        opening: LinkOpening,
+        clock: Option<&AnswerClock>,
+    ) {
         let now = transit_now();
+        self.bound = clock.map(|clock| clock.bound(now).into());
         self.deduct(waited);
         self.sent_us = whole_micros(now);
         self.opening = opening.is_followed_by(now).then(|| opening.into());
@@ -177,8 +206,12 @@
         if let Some(opening) = self.opening {
             clocks.record_opening(self.clock, opening.into(), accepted_at);
         }
-        let delay =
-            clocks.record_message(self.clock, Duration::from_micros(self.sent_us), transit_now());
+        let (sent_at, now) = (Duration::from_micros(self.sent_us), transit_now());
+        let late = clocks.record_message(self.clock, sent_at, now);
+        // A bound of another clock is that of an earlier process here.
+        let bound = self.bound.filter(|bound| bound.clock == clock_id()).map(ClockBound::from);
+        let longest = bound.map(|bound| bound.longest_transit(sent_at, now));
+        let delay = late.max(longest.unwrap_or_default());
         self.deduct(delay);
         delay
     }
--- a/components/proxy/src/guard.rs
+++ b/components/proxy/src/guard.rs
@@ -28,7 +28,7 @@
     exchange::{AdmittedRequest, SendStage, send},
     gate::AdmitPermit,
     headers::{KEY_HEADER, header_text, strip_hop_headers, strip_own_headers},
-    hints::{write_failed_calls, write_figures, write_guard_time},
+    hints::{write_clock, write_failed_calls, write_figures, write_guard_time},
     local::GuardedServer,
     open_requests::OpenBody,
     outcome::{EARLIER_STATUS_HEADER, RefusalKind, RequestOutcome},
@@ -73,7 +73,9 @@
     };
     let version = request.version();
     let request = request.map(|body| CheckedBody::new(body, version).boxed_unsync());
-    forward_to_server(context, request, call, Some(transit_delay)).await
+    let mut response = forward_to_server(context, request, call, Some(transit_delay)).await;
+    write_clock(response.headers_mut());
+    response
 }
 
 /// Forwards one request to the local backend server, or refuses it as not run.
--- a/components/proxy/src/hints.rs
+++ b/components/proxy/src/hints.rs
@@ -4,10 +4,10 @@
 use std::time::Duration;
 
 use http::{HeaderMap, HeaderName, HeaderValue};
-use sk_decide::admitting::AdmitFigures;
+use sk_decide::{admitting::AdmitFigures, transit_time::ClockId};
 
 use crate::{
-    clock::whole_micros,
+    clock::{clock_id, transit_now, whole_micros},
     header_translation::is_set,
     headers::{LEAVING_HEADER, read_number},
 };
@@ -26,6 +26,8 @@
 /// Failure rate of the server's last requests, in thousandths. The guard sees all of them; each
 /// entry daemon would have to lose some of its own to find out.
 const FAILURE_HEADER: HeaderName = HeaderName::from_static("x-sapphirekeel-failing");
+/// The guard's clock: its identifier, a space, and its time in microseconds when it answered.
+const CLOCK_HEADER: HeaderName = HeaderName::from_static("x-sapphirekeel-clock");
 /// Figures that a refusal was based on, for the log of the entry daemon.
 const FIGURES_HEADER: HeaderName = HeaderName::from_static("x-sapphirekeel-figures");
 
@@ -95,6 +97,19 @@
     headers.insert(GUARD_TIME_HEADER, whole_micros(took).into());
 }
 
+/// Writes the time of this daemon's clock, at which the answer leaves.
+pub(crate) fn write_clock(headers: &mut HeaderMap) {
+    let text = format!("{} {}", clock_id(), whole_micros(transit_now()));
+    let text = HeaderValue::from_str(&text).expect("numbers are a valid header value");
+    headers.insert(CLOCK_HEADER, text);
+}
+
+/// Returns the clock of the guard that sent an answer, and the time at which the answer left by it.
+pub(crate) fn read_clock(headers: &HeaderMap) -> Option<(ClockId, Duration)> {
+    let (clock, sent_us) = headers.get(CLOCK_HEADER)?.to_str().ok()?.split_once(' ')?;
+    Some((clock.parse().ok()?, Duration::from_micros(sent_us.parse().ok()?)))
+}
+
 /// Writes the figures that a refusal was based on.
 pub(crate) fn write_figures(headers: &mut HeaderMap, figures: &AdmitFigures) {
     let text = HeaderValue::from_str(&figures.to_string());
@@ -123,6 +138,7 @@
         WAIT_HEADER,
         FAILURE_HEADER,
         LEAVING_HEADER,
+        CLOCK_HEADER,
         FIGURES_HEADER,
     ] {
         headers.remove(name);
--- a/components/proxy/src/peers.rs
+++ b/components/proxy/src/peers.rs
@@ -5,7 +5,7 @@
     collections::HashMap,
     io,
     sync::{
-        Arc,
+        Arc, Mutex, MutexGuard, PoisonError,
         atomic::{AtomicU64, Ordering},
     },
     time::Duration,
@@ -22,7 +22,7 @@
     client::conn::http2::{self, SendRequest},
 };
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
-use sk_decide::transit_time::LinkOpening;
+use sk_decide::transit_time::{AnswerClock, LinkOpening, MAX_CLOCKS};
 use thiserror::Error;
 use tokio::{net::TcpStream, time::Instant};
 
@@ -30,6 +30,7 @@
     body::{ProxyBody, error_chain},
     call::{GuardCall, GuardToken},
     clock::{time_since_start, transit_now, whole_micros},
+    hints::read_clock,
     sockets::probe_opened,
 };
 
@@ -115,13 +116,15 @@
 #[derive(Clone)]
 pub struct PeerClient {
     connections: Arc<ArcSwap<ConnectionMap>>,
+    /// Clocks of the guards, as their answers show them.
+    clocks: Arc<Mutex<HashMap<Authority, AnswerClock>>>,
     token: GuardToken,
 }
 
 impl PeerClient {
     /// Creates a client without connections.
     pub fn new(token: GuardToken) -> Self {
-        Self { connections: Arc::default(), token }
+        Self { connections: Arc::default(), clocks: Arc::default(), token }
     }
 
     /// Sends a request to a guard and returns the head of its answer.
@@ -148,10 +151,14 @@
                 self.remove(guard, &shared);
                 continue;
             }
-            call.mark_sent(asked_at.elapsed(), connection.opening);
+            let clock = self.lock_clocks().get(guard).copied();
+            call.mark_sent(asked_at.elapsed(), connection.opening, clock.as_ref());
             call.write(request.headers_mut());
             let mut failure = match connection.sender.try_send_request(request).await {
-                Ok(response) => return Ok(response),
+                Ok(response) => {
+                    self.record_clock(guard, &response);
+                    return Ok(response);
+                }
                 Err(failure) => failure,
             };
             let unsent = failure.take_message();
@@ -166,6 +173,24 @@
         Err(PeerError::Unsent(ended))
     }
 
+    /// Records what an answer shows of its guard's clock.
+    fn record_clock(&self, guard: &Authority, response: &Response<Incoming>) {
+        let Some((clock, sent_at)) = read_clock(response.headers()) else { return };
+        let now = transit_now();
+        let mut clocks = self.lock_clocks();
+        if clocks.len() >= MAX_CLOCKS && !clocks.contains_key(guard) {
+            clocks.clear();
+        }
+        clocks
+            .entry(guard.clone())
+            .and_modify(|known| known.record_answer(clock, sent_at, now))
+            .or_insert_with(|| AnswerClock::new(clock, sent_at, now));
+    }
+
+    fn lock_clocks(&self) -> MutexGuard<'_, HashMap<Authority, AnswerClock>> {
+        self.clocks.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Returns the connection to a guard, which is opened if there is none.
     fn connection_to(&self, guard: &Authority) -> SharedConnection {
         if let Some(shared) = self.connections.load().get(guard) {
