platform: a store that comes back from an older copy

The platform's new term: in a drill the store may come back from a copy some seconds old; what it had acknowledged since is gone, revisions are given out again, `Store-Era` rises.

Positions in the store's history were revisions alone. After such a return a watch from a known one misses every version written at a revision that had been given out before, until the next version; so does a daemon that takes over a watch from a peer's position. A watched object written again below the known revision was not noticed. Reports of the last seconds were gone for good, and daemons "pending" that have the version.

Reports written in the last minute are written again. Contacts were already compared and rewritten every ten seconds; leases of keyed requests do not exist on this platform.

--- a/components/report/src/ack_buffer.rs
+++ b/components/report/src/ack_buffer.rs
@@ -4,8 +4,9 @@
 //! conditional on the revision, so no acknowledgement is lost or reverted.
 
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, VecDeque},
     sync::{Mutex, MutexGuard, PoisonError},
+    time::{Duration, Instant},
 };
 
 use serde::{Serialize, de::DeserializeOwned};
@@ -23,6 +24,8 @@
 /// Largest number of versions written in one flush, so that a data centre that was cut off for
 /// long does not write everything it missed in one burst.
 const MAX_FLUSHED_VERSIONS: usize = 16;
+/// Age of a copy that the store may come back from, several times that of the users' platform.
+const MAX_COPY_AGE: Duration = Duration::from_secs(60);
 
 /// Acknowledgements by proxy.
 type AckMap = BTreeMap<ProxyId, ProxyAck>;
@@ -58,6 +61,15 @@
     times: TimesByVersion,
 }
 
+/// Data that was stored lately, in the order of writing.
+#[derive(Default)]
+struct WrittenData {
+    /// [`ObjectStore::restore_count`](sk_store::ObjectStore::restore_count) at the last flush.
+    restore_count: u64,
+    acks: VecDeque<(Instant, ProxyAck)>,
+    times: VecDeque<(Instant, (Version, DataCentre), InForceTimes)>,
+}
+
 /// Acknowledgements that wait to be stored.
 ///
 /// Two relays of a data centre may have the same acknowledgements. Merging is idempotent, so each
@@ -65,12 +77,17 @@
 pub struct AckBuffer {
     prefix: String,
     pending: Mutex<PendingAcks>,
+    written: Mutex<WrittenData>,
 }
 
 impl AckBuffer {
     /// Creates an empty buffer whose objects are stored under `key_prefix`.
     pub fn new(key_prefix: &str) -> Self {
-        Self { prefix: report_prefix(key_prefix), pending: Mutex::default() }
+        Self {
+            prefix: report_prefix(key_prefix),
+            pending: Mutex::default(),
+            written: Mutex::default(),
+        }
     }
 
     /// Adds acknowledgements; adding one twice has no effect.
@@ -92,28 +109,34 @@
     }
 
     /// Writes the pending data to the platform: one object for each data centre, and one for each
-    /// version there.
+    /// version there. If the platform has come back from an older copy, what was written shortly
+    /// before is written again.
     ///
     /// # Errors
     ///
     /// Returns a [`ReportError`]; the data that was not written is pending again.
     pub async fn flush(&self, store: &SharedStore) -> Result<(), ReportError> {
+        self.restore_written(store.restore_count());
         let acks = std::mem::take(&mut self.pending().acks);
         let mut result = Ok(());
         for (data_centre, acks) in acks {
-            if let Err(err) = self.write_acks(store, &data_centre, &acks).await {
-                // Lost acknowledgements would leave proxies "pending" for ever although they have
-                // the version.
-                self.restore_acks(acks);
-                result = Err(err);
+            match self.write_acks(store, &data_centre, &acks).await {
+                Ok(()) => self.written().record_acks(acks),
+                Err(err) => {
+                    // Lost acknowledgements would leave proxies "pending" for ever although they
+                    // have the version.
+                    self.restore_acks(acks.into_values());
+                    result = Err(err);
+                }
             }
         }
         for ((version, data_centre), times) in self.take_times() {
-            if let Err(err) = self.write_times(store, version, &data_centre, &times).await {
-                let mut pending = self.pending();
-                let pending_times = pending.times.entry((version, data_centre)).or_default();
-                times.iter().for_each(|(proxy, since)| merge_time(pending_times, proxy, *since));
-                result = Err(err);
+            match self.write_times(store, version, &data_centre, &times).await {
+                Ok(()) => self.written().record_times((version, data_centre), times),
+                Err(err) => {
+                    self.restore_times((version, data_centre), &times);
+                    result = Err(err);
+                }
             }
         }
         result
@@ -123,14 +146,44 @@
         self.pending.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Makes acknowledgements pending again after they could not be written.
-    fn restore_acks(&self, acks: AckMap) {
+    fn written(&self) -> MutexGuard<'_, WrittenData> {
+        self.written.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Makes what was written lately pending again, if the store has lost what it acknowledged.
+    fn restore_written(&self, restore_count: u64) {
+        let (acks, times) = {
+            let mut written = self.written();
+            if written.restore_count == restore_count {
+                return;
+            }
+            written.restore_count = restore_count;
+            written.forget_old(Instant::now());
+            (std::mem::take(&mut written.acks), std::mem::take(&mut written.times))
+        };
+        log::info!(
+            acks = acks.len(), versions = times.len();
+            "report: the store has come back from an older copy; writing the last reports again."
+        );
+        self.restore_acks(acks.into_iter().map(|(_, ack)| ack));
+        times.iter().for_each(|(_, key, times)| self.restore_times(key.clone(), times));
+    }
+
+    /// Makes acknowledgements pending again.
+    fn restore_acks(&self, acks: impl Iterator<Item = ProxyAck>) {
         let mut pending = self.pending();
-        for ack in acks.into_values() {
+        for ack in acks {
             merge_ack(pending.acks.entry(ack.data_centre.clone()).or_default(), ack);
         }
     }
 
+    /// Makes the times of a version in a data centre pending again.
+    fn restore_times(&self, key: (Version, DataCentre), times: &InForceTimes) {
+        let mut pending = self.pending();
+        let pending_times = pending.times.entry(key).or_default();
+        times.iter().for_each(|(proxy, since)| merge_time(pending_times, proxy, *since));
+    }
+
     /// Removes and returns the times of the newest versions. Those beyond the bound, as after an
     /// outage, are left to the next flush.
     fn take_times(&self) -> TimesByVersion {
@@ -175,6 +228,31 @@
     }
 }
 
+impl WrittenData {
+    fn record_acks(&mut self, acks: AckMap) {
+        let now = Instant::now();
+        self.forget_old(now);
+        self.acks.extend(acks.into_values().map(|ack| (now, ack)));
+    }
+
+    fn record_times(&mut self, key: (Version, DataCentre), times: InForceTimes) {
+        let now = Instant::now();
+        self.forget_old(now);
+        self.times.push_back((now, key, times));
+    }
+
+    /// Forgets what no copy of the store can lack any more.
+    fn forget_old(&mut self, now: Instant) {
+        let is_old = |at: &Instant| now.saturating_duration_since(*at) > MAX_COPY_AGE;
+        while self.acks.front().is_some_and(|(at, _)| is_old(at)) {
+            self.acks.pop_front();
+        }
+        while self.times.front().is_some_and(|(at, ..)| is_old(at)) {
+            self.times.pop_front();
+        }
+    }
+}
+
 /// Merges data into an object under a condition on its revision, and returns whether the object
 /// was created.
 async fn update_object<T: Default + Clone + PartialEq + Serialize + DeserializeOwned>(
--- a/components/store/src/api.rs
+++ b/components/store/src/api.rs
@@ -12,7 +12,8 @@
 
 /// Key of an object, such as `sapphirekeel/head`.
 pub type ObjectKey = String;
-/// Revision of an object. It grows with every write to the platform and is never reused.
+/// Revision of an object. It grows with every write to the platform and is not reused, unless the
+/// platform comes back from an older copy; see [`ObjectStore::restore_count`].
 pub type Revision = u64;
 /// A store shared by the parts of one process.
 pub type SharedStore = Arc<dyn ObjectStore>;
@@ -70,4 +71,10 @@
         after: Revision,
         timeout: Duration,
     ) -> Result<Option<StoredObject>, StoreError>;
+
+    /// Returns a number that rises when the store is found to have come back from an older copy.
+    /// What was written in the last seconds before may be gone, and revisions are given out again.
+    fn restore_count(&self) -> u64 {
+        0
+    }
 }
--- a/components/store/src/http_call.rs
+++ b/components/store/src/http_call.rs
@@ -43,6 +43,8 @@
     pub status: StatusCode,
     /// How long a refused caller is to wait before its next call.
     pub retry_after: Duration,
+    /// Headers of the answer.
+    pub headers: HeaderMap,
     /// Body of the answer.
     pub body: Bytes,
 }
@@ -120,12 +122,13 @@
 async fn read_answer(response: Response<Incoming>) -> Result<CallAnswer, StoreError> {
     let status = response.status();
     let retry_after = read_retry_after(response.headers());
-    let body = Limited::new(response.into_body(), MAX_ANSWER_BYTES)
+    let (parts, body) = response.into_parts();
+    let body = Limited::new(body, MAX_ANSWER_BYTES)
         .collect()
         .await
         .map_err(|err| StoreError::Unknown { reason: err.to_string() })?
         .to_bytes();
-    Ok(CallAnswer { status, retry_after, body })
+    Ok(CallAnswer { status, retry_after, headers: parts.headers, body })
 }
 
 /// Returns the wait from the header `Retry-After`, in seconds with an optional fraction.
