--- a/components/decide/src/admitting/rate_limit.rs
+++ b/components/decide/src/admitting/rate_limit.rs
@@ -136,6 +136,11 @@
         before != rate
     }
 
+    /// Returns whether anything limits the requests.
+    pub(super) fn is_limited(&self) -> bool {
+        self.bucket.is_some()
+    }
+
     /// Returns how many requests may be sent at `now`.
     pub(super) fn room(&self, now: Duration) -> u32 {
         match &self.bucket {
@@ -234,12 +239,16 @@
     /// Returns whether the server's limit leaves no room for a further request, beside the admitted
     /// ones that are not sent yet and `pending` others.
     pub(super) fn has_reached_rate(&self, pending: u32, now: Duration) -> bool {
-        self.rate_limit.room(now) <= self.unsent_count().saturating_add(pending)
+        let taken = || self.unsent_count().saturating_add(pending);
+        self.rate_limit.is_limited() && self.rate_limit.room(now) <= taken()
     }
 
     /// Returns the time until the server's limit leaves room for a further request.
     pub(super) fn rate_wait(&self, now: Duration) -> Duration {
-        self.rate_limit.wait(self.unsent_count().saturating_add(1), now)
+        match self.rate_limit.is_limited() {
+            true => self.rate_limit.wait(self.unsent_count().saturating_add(1), now),
+            false => Duration::ZERO,
+        }
     }
 
     /// Returns the number of admitted requests that are not sent yet.
