guard: a server that has just started is not taken for one that may have stated a limit

A daemon that asks its server for its identity cannot tell how long it has been running, and let four requests through until the first answer. The first heartbeat tells, and ends this. After a start of everything at once, servers would otherwise begin with four of their slots.

--- a/components/decide/src/admitting/rate_limit.rs
+++ b/components/decide/src/admitting/rate_limit.rs
@@ -184,6 +184,14 @@
         self.rate_limit = RateLimit::unconfirmed(now);
     }
 
+    /// Ends the caution of [`AdmissionGuard::expect_limit`]: the server has just started and cannot
+    /// have stated a limit before.
+    pub fn expect_no_limit(&mut self) {
+        if self.rate_limit.stated() == StatedRate::Unlimited {
+            self.rate_limit = RateLimit::unlimited();
+        }
+    }
+
     /// Records what the answer to a request states about the requests that the server takes.
     /// Returns whether that has changed, and the requests that leave the queue for it.
     ///
--- a/components/decide/tests/rate_limits.rs
+++ b/components/decide/tests/rate_limits.rs
@@ -189,6 +189,21 @@
     assert!(send(&mut guard, later, &mut rng).is_some(), "an answer without a limit ends it");
 }
 
+/// Guards against a server that has just started and gets a few requests only, since its daemon took
+/// it for one that was running before.
+#[test]
+fn started_server() {
+    let mut guard = new_guard(QueueOrder::Fair);
+    let mut rng = StdRng::seed_from_u64(1);
+    let now = Duration::from_secs(1);
+    guard.expect_limit(now);
+    guard.expect_no_limit();
+    assert_eq!((0..12).filter(|_| send(&mut guard, now, &mut rng).is_some()).count(), 12);
+    state(&mut guard, StatedRate::PerSecond(1.0), now, now);
+    guard.expect_no_limit();
+    assert!(send(&mut guard, now, &mut rng).is_none(), "a limit that was stated holds");
+}
+
 /// Guards against callers that wait for their deadline at a server without room, or come back
 /// before it has any.
 #[test]
--- a/components/proxy/src/gate.rs
+++ b/components/proxy/src/gate.rs
@@ -127,6 +127,11 @@
         self.lock().guard.expect_limit(time_since_start());
     }
 
+    /// Ends that caution: the server has just started.
+    pub(crate) fn expect_no_limit(&self) {
+        self.lock().guard.expect_no_limit();
+    }
+
     /// Records what the answer to a request that was sent at `sent_at` states about the requests
     /// that the server takes, and returns whether that has changed.
     pub(crate) fn record_stated_rate(&self, rate: StatedRate, sent_at: Duration) -> bool {
--- a/components/proxy/src/local.rs
+++ b/components/proxy/src/local.rs
@@ -131,6 +131,9 @@
                     if is_draining(&current_entry.server) {
                         server.endpoint.status = EndpointStatus::Draining;
                     }
+                    if current_entry.server.was_running && !server.was_running {
+                        current_entry.guarded.gate.expect_no_limit();
+                    }
                     current_entry.guarded
                 }
                 current_entry => {
