guard: a limit that cannot be read keeps no server at a few requests

A server that was running before its daemon gets four requests until an answer tells its limit; an answer whose statement cannot be read told nothing, for good.

--- a/components/decide/src/admitting/rate_limit.rs
+++ b/components/decide/src/admitting/rate_limit.rs
@@ -4,7 +4,7 @@
 //! them pass its guard, so the guard alone keeps the limit; shares of the daemons would have to be
 //! agreed on, and would be wrong whenever callers move from one daemon to another.
 
-use std::time::Duration;
+use std::{cmp::Reverse, time::Duration};
 
 use crate::admitting::{AdmissionGuard, RefusalReason, Released, Ticket};
 
@@ -185,7 +185,7 @@
     }
 
     /// Ends the caution of [`AdmissionGuard::expect_limit`]: the server has just started and cannot
-    /// have stated a limit before.
+    /// have stated a limit before, or states none that can be read. A limit that was heard holds.
     pub fn expect_no_limit(&mut self) {
         if self.rate_limit.stated() == StatedRate::Unlimited {
             self.rate_limit = RateLimit::unlimited();
@@ -203,22 +203,24 @@
         sent_at: Duration,
         now: Duration,
     ) -> (bool, Released) {
-        let has_changed = self.rate_limit.record_statement(rate, sent_at, now);
-        let mut released = Released::default();
-        let excess = self.unsent_count().saturating_sub(self.rate_limit.room(now));
-        if has_changed && excess > 0 {
-            let mut waiting: Vec<Ticket> = self.waiting().collect();
-            // What has the most time left can best go elsewhere; calls of started requests stay.
-            waiting.sort_by_key(|ticket| {
-                let call = self.calls.get(*ticket);
-                call.map(|call| (call.is_nested, std::cmp::Reverse(call.latest_start)))
-            });
-            for ticket in waiting.into_iter().take(excess as usize) {
-                self.remove(ticket);
-                released.refused.push((ticket, RefusalReason::RateLimited));
-            }
+        match self.rate_limit.record_statement(rate, sent_at, now) {
+            true => (true, self.refuse_beyond_rate(now)),
+            false => (false, Released::default()),
         }
-        (has_changed, released)
+    }
+
+    /// Removes and returns the waiting requests for which the limit leaves no room, not run. What has
+    /// the most time left can best go elsewhere; calls of started requests stay longest.
+    fn refuse_beyond_rate(&mut self, now: Duration) -> Released {
+        let excess = self.unsent_count().saturating_sub(self.rate_limit.room(now));
+        let mut waiting: Vec<Ticket> = self.waiting().collect();
+        waiting.sort_by_key(|ticket| {
+            self.calls.get(*ticket).map(|call| (call.is_nested, Reverse(call.latest_start)))
+        });
+        waiting.truncate(excess as usize);
+        waiting.iter().for_each(|ticket| self.remove(*ticket));
+        let refused = waiting.into_iter().map(|ticket| (ticket, RefusalReason::RateLimited));
+        Released { start: Vec::new(), refused: refused.collect() }
     }
 
     /// Takes a request from the limit that is about to be sent, for the first time or again, and
--- a/components/proxy/src/gate.rs
+++ b/components/proxy/src/gate.rs
@@ -127,7 +127,7 @@
         self.lock().guard.expect_limit(time_since_start());
     }
 
-    /// Ends that caution: the server has just started.
+    /// Ends that caution, unless a limit was heard.
     pub(crate) fn expect_no_limit(&self) {
         self.lock().guard.expect_no_limit();
     }
--- a/components/proxy/src/local.rs
+++ b/components/proxy/src/local.rs
@@ -246,6 +246,7 @@
             Some(StatedRate::Unlimited) => {
                 log::info!("guard: server {id} no longer limits its requests.");
             }
+            None if terms.rate.is_none() => server.gate.expect_no_limit(),
             None => {}
         }
         if terms.is_leaving && !server.has_announced_drain.load(Ordering::Acquire) {
