members: servers whose ids may be used again are not remembered as left

Daemons remember for good the servers that drain, by their ids, and a native server's successor may choose its id. The platform's servers have a new one each start.

Only where ids are unique are servers remembered now; elsewhere a drain holds as long as the server is listed, as before. Nothing changes on the platform's form.

--- a/components/daemon/src/options.rs
+++ b/components/daemon/src/options.rs
@@ -12,7 +12,7 @@
 };
 use sk_model::ServiceName;
 use sk_proxy::{ServerLimits, TableOwner, TableTuning};
-use sk_settings::{DaemonSettings, Mechanism, PlacingOrder};
+use sk_settings::{DaemonSettings, Mechanism, PlacingOrder, PlatformKind};
 
 use crate::platform::PlatformAdapter;
 
@@ -133,5 +133,7 @@
             ..admitting::GuardSettings::default()
         },
         pacer: PacerSettings { limit: settings.guard.connections, ..PacerSettings::default() },
+        // A native server chooses its id itself, and its successor may choose the same.
+        has_unique_ids: settings.platform.form == PlatformKind::Objects,
     }
 }
--- a/components/proxy/src/local.rs
+++ b/components/proxy/src/local.rs
@@ -55,6 +55,9 @@
     pub guard: GuardSettings,
     /// Number of connections and the pace at which they are opened.
     pub pacer: PacerSettings,
+    /// Whether no later process uses the id of a server, so that those that have left can be told
+    /// from new ones.
+    pub has_unique_ids: bool,
 }
 
 /// Guard state of one process of a server.
@@ -106,7 +109,8 @@
 impl LocalServerList {
     /// Creates an empty list.
     pub fn new(limits: ServerLimits) -> Self {
-        Self { limits, ..Self::default() }
+        let left = LeftServers::new(limits.has_unique_ids);
+        Self { limits, left, ..Self::default() }
     }
 
     /// Returns the server of a service.
--- a/components/proxy/tests/leaving_answers.rs
+++ b/components/proxy/tests/leaving_answers.rs
@@ -10,9 +10,16 @@
 use common::{FleetPlan, TestFleet, get, http1};
 use http::StatusCode;
 use sk_member::EndpointStatus;
+use sk_proxy::ServerLimits;
 
 const LEAVING: [(&str, &str); 1] = [("x-sapphirekeel-server-leaving", "1")];
 
+/// Returns a plan in which no two processes of servers have the same id.
+fn unique_plan(servers: usize) -> FleetPlan {
+    let limits = ServerLimits { has_unique_ids: true, ..ServerLimits::default() };
+    FleetPlan { limits, ..FleetPlan::new(servers) }
+}
+
 /// Sends requests to an entry until one of them has been answered by a server.
 async fn reach(entry: SocketAddr, server: &str) {
     let client = http1();
@@ -67,7 +74,7 @@
 /// leaves, after its announcements have lapsed.
 #[tokio::test(flavor = "multi_thread")]
 async fn lapsed_server() {
-    let fleet = TestFleet::start(FleetPlan::new(2)).await;
+    let fleet = TestFleet::start(unique_plan(2)).await;
     fleet.backends[0].set_answer_headers(&LEAVING);
     reach(fleet.entry(), "server-1").await;
     let servers = &fleet.daemons[1].servers;
@@ -86,7 +93,7 @@
 /// only a late announcement: the entry that passed the answer on still knows.
 #[tokio::test(flavor = "multi_thread")]
 async fn restarted_daemon() {
-    let plan = FleetPlan { servers: vec![false, true, true, false], ..FleetPlan::new(2) };
+    let plan = FleetPlan { servers: vec![false, true, true, false], ..unique_plan(2) };
     let fleet = TestFleet::start(plan).await;
     fleet.backends[0].set_answer_headers(&LEAVING);
     reach(fleet.entry(), "server-1").await;
@@ -101,3 +108,18 @@
     }
     assert_eq!(fleet.backends[0].counts().begun, begun);
 }
+
+/// Guards against a server that is never used again, since an earlier process had its id and left:
+/// native servers may use an id again.
+#[tokio::test(flavor = "multi_thread")]
+async fn reused_id() {
+    let mut fleet = TestFleet::start(FleetPlan::new(1)).await;
+    fleet.backends[0].set_answer_headers(&LEAVING);
+    reach(fleet.entry(), "server-1").await;
+    fleet.backends[0].kill().await;
+    let new = fleet.start_server(1, "server-1").await;
+    fleet.rebuild();
+    let answer = get(&http1(), fleet.entry(), "/query").await;
+    assert_eq!(answer.status, StatusCode::OK, "{answer:?}");
+    assert_eq!(fleet.backends[new].counts().begun, 1);
+}
--- a/components/proxy/tests/slots_freed.rs
+++ b/components/proxy/tests/slots_freed.rs
@@ -17,7 +17,7 @@
     FleetPlan {
         slots: SLOTS,
         work: Duration::from_millis(50),
-        limits: ServerLimits { guard, pacer },
+        limits: ServerLimits { guard, pacer, ..ServerLimits::default() },
         ..FleetPlan::new(1)
     }
 }
