Workspaces: keys of callers, names at servers; versions of servers in member records

The platform's configuration may contain workspaces (its word: tenants) whose callers send keys, and orders to move a service to servers of another version. Nothing of this was read: on a deployment with workspaces the key was passed on to servers, and requests with keys that no version held ran.

Requests on routes that are not public need the key of a workspace, which is hashed at the border of the platform and removed before the request goes on; servers receive the workspace's name. A daemon that may hold an old configuration answers an unknown key with 503 rather than 401. The priority of a workspace precedes that of the route. Member records carry the version that a server reports.

--- a/components/daemon/src/daemon.rs
+++ b/components/daemon/src/daemon.rs
@@ -19,9 +19,9 @@
 use sk_member::{HeartbeatFilter, MemberRecord, MemberStatus, SharedMembers};
 use sk_ops::{OpsHandle, SharedPort, start_ops};
 use sk_proxy::{
-    FailedCalls, ForwardContext, GuardContext, GuardToken, ListenerActivity, ListenerHandle,
-    LocalServerList, LocalServiceName, OpenRequests, PeerClient, ProxyCounters, RefusedRequests,
-    RunningRequests, SharedQuarantine, SharedTable, serve_forward, serve_guard,
+    ConfigAge, FailedCalls, ForwardContext, GuardContext, GuardToken, ListenerActivity,
+    ListenerHandle, LocalServerList, LocalServiceName, OpenRequests, PeerClient, ProxyCounters,
+    RefusedRequests, RunningRequests, SharedQuarantine, SharedTable, serve_forward, serve_guard,
 };
 use sk_report::AckBuffer;
 use sk_settings::{DaemonSettings, SpreadMode};
@@ -40,8 +40,8 @@
     metrics::send_metrics,
     notices::QuarantineNotices,
     options::{
-        claim_settings, fleet_secret, local_service, quarantine_settings, server_limits,
-        table_owner,
+        claim_settings, fleet_secret, local_service, max_key_age, quarantine_settings,
+        server_limits, table_owner,
     },
     platform::PlatformAdapter,
     port::DaemonPort,
@@ -464,9 +464,17 @@
         refused: RefusedRequests::default(),
         headers: parts.platform.headers.clone(),
         local_service: parts.local_service.clone(),
+        config_age: config_age(parts),
+        max_key_age: max_key_age(settings),
     }
 }
 
+/// Returns a reader of the time since this daemon was known to hold the newest configuration.
+fn config_age(parts: &DaemonParts) -> ConfigAge {
+    let spread = parts.spread.clone();
+    Arc::new(move || spread.get()?.source_age())
+}
+
 fn guard_context(settings: &DaemonSettings, parts: &DaemonParts) -> GuardContext {
     GuardContext {
         servers: parts.servers.clone(),
--- a/components/daemon/src/identify.rs
+++ b/components/daemon/src/identify.rs
@@ -72,5 +72,6 @@
         slots: identity.slots,
         status: EndpointStatus::Ready,
         warm_up: Duration::ZERO,
+        version: String::new(),
     }
 }
--- a/components/daemon/src/options.rs
+++ b/components/daemon/src/options.rs
@@ -33,6 +33,12 @@
     ClaimSettings { key_prefix: key_prefix.to_owned(), ..ClaimSettings::default() }
 }
 
+/// Returns the age of a daemon's configuration from which it accepts no keys of workspaces.
+pub(crate) fn max_key_age(settings: &DaemonSettings) -> Option<Duration> {
+    let workspaces = &settings.workspaces;
+    workspaces.strict_revocation.then(|| Duration::from_millis(workspaces.revoke_ms))
+}
+
 /// Returns the secret that daemons prove to each other. It includes the key prefix: if two fleets
 /// were given the same secret by mistake, a daemon that gets an address of the other fleet would
 /// otherwise be admitted there, with a different history under the same versions.
--- a/components/daemon/src/port.rs
+++ b/components/daemon/src/port.rs
@@ -167,6 +167,7 @@
             server: announcement.server,
             slots: announcement.slots,
             status,
+            version: announcement.version,
         };
         let readmit = |table: &mut MemberTable| table.readmit_server(&endpoint.server);
         self.members.update(readmit, |()| false);
@@ -207,6 +208,7 @@
                 ServerState::Draining => EndpointStatus::Draining,
             },
             warm_up: Duration::from_millis(heartbeat.warm_up_left),
+            version: heartbeat.version,
         };
         // The lock is held until the heartbeat is applied, so that a leave comes before or after
         // both.
@@ -278,6 +280,7 @@
             server,
             slots: heartbeat.slots,
             status: heartbeat.status,
+            version: heartbeat.version,
         };
         self.servers.announce(LocalServer {
             name: heartbeat.name,
--- a/components/member/src/heartbeat.rs
+++ b/components/member/src/heartbeat.rs
@@ -7,7 +7,7 @@
 
 use sk_model::{ServiceName, UnixMillis};
 
-use crate::{EndpointStatus, ServerId};
+use crate::{EndpointStatus, ServerId, ServerVersion};
 
 /// Largest number of processes remembered; the one heard longest ago is removed first. An instance
 /// runs one server at a time, so dozens of restarts fit, and a late heartbeat of any of these
@@ -37,6 +37,8 @@
     pub status: EndpointStatus,
     /// Remaining time in which the server is slow after its start.
     pub warm_up: Duration,
+    /// Version of the server's software, empty if it reports none.
+    pub version: ServerVersion,
 }
 
 impl ServerHeartbeat {
--- a/components/member/src/lib.rs
+++ b/components/member/src/lib.rs
@@ -34,6 +34,7 @@
 pub use overlay::{OverlayPlan, choose_links};
 pub use record::{
     EndpointRecord, EndpointStatus, Incarnation, MemberRecord, MemberStatus, ServerId,
+    ServerVersion,
 };
 pub use rumor::{MemberRumor, RumorQueue};
 pub use shared_members::{MemberSnapshot, SharedMembers};
--- a/components/member/src/record.rs
+++ b/components/member/src/record.rs
@@ -15,6 +15,8 @@
 /// Identifier of a backend server's process: the one that the server announces, or its name and
 /// start, such as `board:1700000000000`. Processes of one name that report no start share it.
 pub type ServerId = String;
+/// Version of a backend server's software, as the server reports it.
+pub type ServerVersion = String;
 
 /// Participation of a daemon in the fleet.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Serialize, Deserialize)]
@@ -57,6 +59,9 @@
     pub slots: u32,
     /// Whether the server accepts new work.
     pub status: EndpointStatus,
+    /// Version of the server's software, empty while it is not known.
+    #[serde(default)]
+    pub version: ServerVersion,
 }
 
 /// Description of a daemon, published by the daemon itself.
--- a/components/member/tests/server_heartbeats.rs
+++ b/components/member/tests/server_heartbeats.rs
@@ -19,6 +19,7 @@
         slots: 12,
         status,
         warm_up: Duration::ZERO,
+        version: String::new(),
     }
 }
 
--- a/components/member/tests/support/mod.rs
+++ b/components/member/tests/support/mod.rs
@@ -30,6 +30,7 @@
         server: server.to_owned(),
         slots: 12,
         status: EndpointStatus::Ready,
+        version: String::new(),
     }
 }
 
--- a/components/model/src/declaration.rs
+++ b/components/model/src/declaration.rs
@@ -11,7 +11,7 @@
     de::{DeTable, DeValue, Deserializer},
 };
 
-use crate::{ServiceName, TextPosition};
+use crate::{ServiceName, TextPosition, WorkspaceSetting};
 
 /// Largest accepted declaration, in bytes. Settings are usually far smaller, so that a team with a
 /// thousand of them still fits one platform value.
@@ -118,6 +118,9 @@
     /// Priority among the requests that wait for a server, 0 is served first. Default 0.
     #[serde(default, skip_serializing_if = "is_first_rank")]
     pub rank: u8,
+    /// Whether callers need no key of a workspace. Without workspaces no route needs one.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub is_public: bool,
 }
 
 impl RouteSetting {
@@ -135,6 +138,7 @@
             goal_ms: None,
             max_attempts: None,
             rank: 0,
+            is_public: false,
         }
     }
 
@@ -189,6 +193,8 @@
     Value(ValueSetting),
     /// Limits what callers may send. Where several are declared, the strictest values apply.
     Limits(LimitSetting),
+    /// Declares a workspace. Where there is one, routes that are not public need a key.
+    Workspace(WorkspaceSetting),
 }
 
 /// Why a declaration cannot be read.
@@ -201,10 +207,10 @@
     #[error("{0}")]
     Syntax(String),
     /// The key `kind` is missing or is not a string.
-    #[error("`kind` is missing or not a string; allowed: service, route, value, limits")]
+    #[error("`kind` is missing or not a string; allowed: service, route, value, limits, workspace")]
     NoKind,
     /// The kind is unknown.
-    #[error("`kind` is {0}; allowed: service, route, value, limits")]
+    #[error("`kind` is {0}; allowed: service, route, value, limits, workspace")]
     UnknownKind(String),
     /// A field has a value outside its bounds.
     #[error("`{field}` is {found}; allowed: {allowed}")]
@@ -267,6 +273,7 @@
         "route" => RouteSetting::deserialize(fields).map(SettingBody::Route),
         "value" => ValueSetting::deserialize(fields).map(SettingBody::Value),
         "limits" => LimitSetting::deserialize(fields).map(SettingBody::Limits),
+        "workspace" => WorkspaceSetting::deserialize(fields).map(SettingBody::Workspace),
         kind => {
             let error = DeclarationError::UnknownKind(kind.to_owned());
             return Err(LocatedDeclarationError { position, error });
@@ -344,6 +351,10 @@
             Self::Value(value) if value.text.len() > MAX_DECLARATION_BYTES => {
                 out_of_bounds("text", &value.text.len(), "at most 65536 bytes")
             }
+            Self::Workspace(workspace) => match workspace.find_fault() {
+                Some((field, allowed)) => out_of_bounds(field, &"out of bounds", allowed),
+                None => Ok(()),
+            },
             _ => Ok(()),
         }
     }
--- a/components/model/src/lib.rs
+++ b/components/model/src/lib.rs
@@ -13,6 +13,7 @@
 mod snapshot;
 mod text_position;
 mod validate;
+mod workspace;
 
 pub use ack::{ProxyAck, RejectedVersion};
 pub use change::{ChangeRecord, ChangeRequest, SettingWrites, diff_settings};
@@ -31,6 +32,7 @@
 pub use snapshot::{ConfigSnapshot, SnapshotRoot, TeamTree, TreeRef};
 pub use text_position::TextPosition;
 pub use validate::{ConfigFault, validate_trees};
+pub use workspace::WorkspaceSetting;
 
 /// Number of an accepted configuration. Zero means that there is no configuration yet.
 pub type Version = u64;
--- a/components/model/src/validate.rs
+++ b/components/model/src/validate.rs
@@ -36,6 +36,16 @@
         /// Host and prefix that both match.
         claim: String,
     },
+    /// Two workspaces have the same name or the same key, so it is not known whose a request is.
+    #[error("workspaces {first} and {second} have the same {shared}")]
+    WorkspaceClash {
+        /// Path of the first workspace.
+        first: SettingPath,
+        /// Path of the second workspace.
+        second: SettingPath,
+        /// What they share: `name` or `key`.
+        shared: String,
+    },
     /// A path is malformed or lies outside the subtree that holds it.
     #[error("setting {path} does not belong in the subtree of {team}")]
     ForeignPath {
@@ -69,6 +79,7 @@
         }
     }
     check_routes(trees, &services, &mut faults);
+    check_workspaces(trees, &mut faults);
     faults
 }
 
@@ -111,3 +122,22 @@
         }
     }
 }
+
+/// Checks that no two workspaces have the same name or a key in common.
+fn check_workspaces(trees: &BTreeMap<TeamName, Arc<TeamTree>>, faults: &mut Vec<ConfigFault>) {
+    let mut names: BTreeMap<&str, &SettingPath> = BTreeMap::new();
+    let mut keys: BTreeMap<&str, &SettingPath> = BTreeMap::new();
+    for (path, body) in trees.values().flat_map(|tree| &tree.settings) {
+        let SettingBody::Workspace(workspace) = body else { continue };
+        let same_name = names.insert(&workspace.name, path).map(|first| (first, "name"));
+        let mut shared_keys = workspace.key_sha256.iter().filter_map(|key| keys.insert(key, path));
+        let same_key = shared_keys.next().map(|first| (first, "key"));
+        for (first, shared) in same_name.into_iter().chain(same_key) {
+            faults.push(ConfigFault::WorkspaceClash {
+                first: first.clone(),
+                second: path.clone(),
+                shared: shared.to_owned(),
+            });
+        }
+    }
+}
--- a/components/ops/src/announcement.rs
+++ b/components/ops/src/announcement.rs
@@ -15,6 +15,8 @@
 /// Slots that a server may announce. A server without slots would never receive work, and more
 /// slots than the largest server has would disable the guard's limit.
 const ALLOWED_SLOTS: RangeInclusive<u32> = 1..=10_000;
+/// Longest version of a server's software, in bytes. It is sent to every daemon.
+const MAX_VERSION_BYTES: usize = 64;
 /// Longest identifier of a server's process, in characters. It is sent to every daemon.
 const MAX_SERVER_CHARS: usize = 64;
 /// Largest number of services beside one daemon. An instance runs one server or a few; each is sent
@@ -50,6 +52,9 @@
         announcement if !is_server_id(&announcement.server) => {
             Err(malformed(&"`server`; allowed: 1 to 64 of A-Z a-z 0-9 - _ . :"))
         }
+        _ if announcement.version.len() > MAX_VERSION_BYTES => {
+            Err(malformed(&"`version`; allowed: at most 64 bytes"))
+        }
         announcement if !ALLOWED_SLOTS.contains(&announcement.slots) => {
             Err(malformed(&"`slots`; allowed: 1 to 10000"))
         }
@@ -80,6 +85,9 @@
             Err(malformed(&"the id; allowed: 1 to 64 of A-Z a-z 0-9 - _ . :"))
         }
         _ if heartbeat.service.is_empty() => Err(malformed(&"`service`; allowed: a name")),
+        _ if heartbeat.version.len() > MAX_VERSION_BYTES => {
+            Err(malformed(&"`version`; allowed: at most 64 bytes"))
+        }
         heartbeat if !ALLOWED_SLOTS.contains(&heartbeat.slots) => {
             Err(malformed(&"`slots`; allowed: 1 to 10000"))
         }
--- a/components/ops/src/wire.rs
+++ b/components/ops/src/wire.rs
@@ -24,6 +24,9 @@
     /// Whether it accepts no new work.
     #[serde(default)]
     pub is_draining: bool,
+    /// Version of its software, at most 64 characters; empty if it has none.
+    #[serde(default, skip_serializing_if = "String::is_empty")]
+    pub version: String,
 }
 
 /// A heartbeat of the local backend server, in the platform's format. Other fields are ignored.
@@ -46,6 +49,9 @@
     /// Start of its process in milliseconds since the Unix epoch, on its own clock.
     #[serde(default)]
     pub born: Option<UnixMillis>,
+    /// Version of its software, at most 64 characters; empty if it has none.
+    #[serde(default)]
+    pub version: String,
 }
 
 /// Whether a backend server accepts new work.
--- a/components/ops/tests/foreign_announcement.rs
+++ b/components/ops/tests/foreign_announcement.rs
@@ -16,6 +16,7 @@
         address: address.to_owned(),
         slots: 12,
         is_draining: false,
+        version: String::new(),
     }
 }
 
--- a/components/proxy/src/attempt.rs
+++ b/components/proxy/src/attempt.rs
@@ -252,7 +252,8 @@
 ) -> AttemptMessage {
     let (name, server) = (service.name.clone(), endpoint.server.clone());
     let from = context.local_service.load().as_ref().map(|from| Arc::from(from.as_str()));
-    let call = GuardCall::new(name, server, from, terms, &request.traits);
+    let workspace = request.workspace.as_ref().map(|workspace| workspace.name.clone());
+    let call = GuardCall::new(name, server, from, workspace, terms, &request.traits);
     AttemptMessage { request: request.head().map(|()| body), call }
 }
 
--- a/components/proxy/src/call.rs
+++ b/components/proxy/src/call.rs
@@ -34,6 +34,9 @@
     pub(crate) server: Arc<str>,
     /// Service beside the entry daemon, so that the server knows where the request originates.
     pub(crate) from: Option<Arc<str>>,
+    /// Workspace whose key the caller sent.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub(crate) workspace: Option<Arc<str>>,
     /// Remaining time in microseconds.
     remaining_us: u64,
     /// Hops of the call, this one included.
@@ -152,6 +155,7 @@
         service: Arc<str>,
         server: Arc<str>,
         from: Option<Arc<str>>,
+        workspace: Option<Arc<str>>,
         terms: &AttemptTerms,
         traits: &CallTraits,
     ) -> Self {
@@ -160,6 +164,7 @@
             service,
             server,
             from,
+            workspace,
             remaining_us: whole_micros(context.remaining),
             hops: context.hops,
             retried: context.retried_above,
--- a/components/proxy/src/context.rs
+++ b/components/proxy/src/context.rs
@@ -1,6 +1,9 @@
 //! Shared state that the daemon gives to the request path.
 
-use std::sync::{Arc, Mutex};
+use std::{
+    sync::{Arc, Mutex},
+    time::Duration,
+};
 
 use arc_swap::ArcSwapOption;
 use http::Response;
@@ -34,8 +37,18 @@
     /// Service beside this daemon, as its settings name it; servers receive it as the origin of a
     /// request.
     pub local_service: LocalServiceName,
+    /// How old this daemon's knowledge of the newest configuration is.
+    pub config_age: ConfigAge,
+    /// Age of that knowledge from which requests that need a key are refused, so that a key that was
+    /// taken away does not serve on at a daemon that is cut off. `None` serves by the last
+    /// configuration known.
+    pub max_key_age: Option<Duration>,
 }
 
+/// Returns the time since this daemon was last known to hold the newest configuration; `None` if
+/// that is unknown.
+pub type ConfigAge = Arc<dyn Fn() -> Option<Duration> + Send + Sync>;
+
 /// The service beside a daemon, which changes with the daemon's settings.
 pub type LocalServiceName = Arc<ArcSwapOption<ServiceName>>;
 
--- a/components/proxy/src/entry.rs
+++ b/components/proxy/src/entry.rs
@@ -1,7 +1,7 @@
 //! A caller's request at its entry daemon: checked, cleaned of headers that must not pass, and
 //! described for placement.
 
-use std::{net::IpAddr, time::Duration};
+use std::{net::IpAddr, sync::Arc, time::Duration};
 
 use http::{Method, Request, StatusCode, Version, header, request::Parts};
 use hyper::body::Incoming;
@@ -18,6 +18,7 @@
     returning::{RefusedRequests, RequestKey},
     table::RouteMatch,
     upload::{UploadBody, UploadError},
+    workspaces::TableWorkspace,
 };
 
 /// Longest `Idempotency-Key`, in bytes: several times a UUID, and short beside a key of the
@@ -37,6 +38,8 @@
     pub(crate) traits: CallTraits,
     /// Largest number of servers that it may be sent to, if the route limits it.
     pub(crate) max_attempts: Option<u8>,
+    /// Workspace whose key it carries, if the route needs a key.
+    pub(crate) workspace: Option<Arc<TableWorkspace>>,
 }
 
 /// Checks that a request uses a supported protocol version and method.
@@ -94,7 +97,7 @@
         host: Option<&str>,
         route: &RouteMatch<'_>,
         call: CallContext,
-        origin: CallOrigin,
+        (origin, workspace): (CallOrigin, Option<Arc<TableWorkspace>>),
         limit: u64,
         refused: &RefusedRequests,
     ) -> Result<Self, DaemonAnswer> {
@@ -104,7 +107,10 @@
         let body = body.map_err(|err| refuse_upload(&err))?;
         clean_headers(&mut parts, host);
         body.set_length(&mut parts.headers);
-        let traits = call_traits(&parts, &body, route, origin);
+        let mut traits = call_traits(&parts, &body, route, origin);
+        if let Some(workspace) = &workspace {
+            traits.rank = workspace.request_rank(route.setting.rank);
+        }
         let caller = traits.source.caller.to_le_bytes();
         let key = stable_hash(&[&caller, &traits.fingerprint.to_le_bytes()]);
         let first_arrival = match route.service.placement.settings().factors.returns {
@@ -112,7 +118,7 @@
             false => began,
         };
         let max_attempts = route.setting.max_attempts;
-        Ok(Self { parts, body, call, began, first_arrival, key, traits, max_attempts })
+        Ok(Self { parts, body, call, began, first_arrival, key, traits, max_attempts, workspace })
     }
 
     /// Creates the head of one attempt.
@@ -147,7 +153,7 @@
 
 impl CallOrigin {
     /// Returns whether a server waits for the request, for one that it runs.
-    fn is_nested(&self) -> bool {
+    pub(crate) fn is_nested(&self) -> bool {
         matches!(self, Self::Nested(_))
     }
 
--- a/components/proxy/src/exchange.rs
+++ b/components/proxy/src/exchange.rs
@@ -400,6 +400,7 @@
         context: remaining_context(call, deadline),
         server: &server.name,
         from: call.from.as_deref(),
+        workspace: call.workspace.as_deref(),
     };
     context.headers.write_request(headers, &info);
     if !headers.contains_key(header::HOST) {
--- a/components/proxy/src/forward.rs
+++ b/components/proxy/src/forward.rs
@@ -2,13 +2,13 @@
 
 use std::{net::IpAddr, sync::Arc, time::Duration};
 
-use http::{HeaderMap, Request, Response, StatusCode, header};
+use http::{HeaderMap, HeaderValue, Request, Response, StatusCode, header};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use sk_decide::{deadline::ENTRY_GRACE, placing::CallOutcome};
 
 use crate::{
-    answer::{daemon_answer, error_answer, refuse},
+    answer::{DaemonAnswer, daemon_answer, error_answer, refuse},
     attempt::answer_request,
     attempt_history::AttemptHistory,
     body::ProxyBody,
@@ -22,8 +22,12 @@
     table::{RouteMatch, RouteTable},
     times::TimeStage,
     tracked_body::TrackedBody,
+    workspaces::{KeyFault, TableWorkspace},
 };
 
+/// Age of the knowledge that the configuration is the newest one, up to which an unknown key is
+/// rejected for good. Somewhat longer than a version takes to reach all daemons.
+const MAX_CONFIRMED_AGE: Duration = Duration::from_millis(2_500);
 /// Metrics label of requests that no route leads to a service.
 const NO_SERVICE: &str = "none";
 
@@ -63,7 +67,7 @@
 /// Finds the route of a request, reads the request and forwards it.
 async fn forward_routed(
     context: &ForwardContext,
-    request: Request<Incoming>,
+    mut request: Request<Incoming>,
     caller: IpAddr,
     request_log: &mut RequestLog,
 ) -> Response<ProxyBody> {
@@ -84,11 +88,19 @@
     request_log.deadline = Some(call.remaining);
     (request_log.rank, request_log.goal_ms) = (route.setting.rank, route.setting.goal_ms);
     let origin = origin_of(context, &request, caller);
+    let workspace = match authenticate(context, &table, &route, &mut request, &origin) {
+        Ok(workspace) => workspace,
+        Err(response) => return count_own_refusal(context, *response),
+    };
+    request_log.workspace = workspace.as_ref().map(|workspace| workspace.name.clone());
     let limit = table.limits().map_or(u64::MAX, |limits| limits.max_body_bytes);
     let limit = limit.min(context.max_body_bytes);
-    let refused = &context.refused;
-    match EntryRequest::read(request, host.as_deref(), &route, call, origin, limit, refused).await {
-        Ok(request) => forward_read(context, &route, request, request_log).await,
+    let (refused, sender) = (&context.refused, (origin, workspace));
+    match EntryRequest::read(request, host.as_deref(), &route, call, sender, limit, refused).await {
+        Ok(request) => {
+            request_log.rank = request.traits.rank;
+            forward_read(context, &route, request, request_log).await
+        }
         Err(response) => count_own_refusal(context, *response),
     }
 }
@@ -163,6 +175,51 @@
     count_own_refusal(context, response)
 }
 
+/// Returns the workspace of a request on a route that needs a key, and removes the key, which
+/// concerns this daemon only. `None` where no key is needed: without workspaces, on public routes,
+/// and for calls that the local server makes for a request that it is running.
+///
+/// # Errors
+///
+/// Returns the refusal of a request without a key that is known and may still be used.
+fn authenticate(
+    context: &ForwardContext,
+    table: &RouteTable,
+    route: &RouteMatch<'_>,
+    request: &mut Request<Incoming>,
+    origin: &CallOrigin,
+) -> Result<Option<Arc<TableWorkspace>>, DaemonAnswer> {
+    let workspaces = table.workspaces();
+    if !workspaces.requires_keys() {
+        return Ok(None);
+    }
+    let found = workspaces.find(request.headers()).cloned();
+    request.headers_mut().remove(header::AUTHORIZATION);
+    let is_older_than = |limit: Duration| (context.config_age)().is_none_or(|age| age > limit);
+    match found {
+        _ if route.setting.is_public || origin.is_nested() => Ok(None),
+        // A key that was added lately must not be rejected for good.
+        Err(KeyFault::Unknown) if is_older_than(MAX_CONFIRMED_AGE) => {
+            Err(Box::new(refuse(RefusalKind::KeyUnconfirmed)))
+        }
+        Err(fault) => Err(Box::new(reject_key(fault))),
+        Ok(_) if context.max_key_age.is_some_and(is_older_than) => {
+            Err(Box::new(refuse(RefusalKind::KeyUnconfirmed)))
+        }
+        Ok(workspace) => Ok(Some(workspace)),
+    }
+}
+
+/// Returns the answer to a request without a key that is known.
+fn reject_key(fault: KeyFault) -> Response<ProxyBody> {
+    log::debug!("proxy: a request without a valid key: {fault:?}.");
+    let kind = RefusalKind::Unauthenticated;
+    let mut response = daemon_answer(StatusCode::UNAUTHORIZED, RequestOutcome::NotRun, kind);
+    let challenge = HeaderValue::from_static("Bearer");
+    response.headers_mut().insert(header::WWW_AUTHENTICATE, challenge);
+    response
+}
+
 /// Returns where a request comes from: a service beside this daemon, or a caller outside.
 fn origin_of(context: &ForwardContext, request: &Request<Incoming>, caller: IpAddr) -> CallOrigin {
     let headers = request.headers();
--- a/components/proxy/src/header_translation.rs
+++ b/components/proxy/src/header_translation.rs
@@ -9,7 +9,7 @@
 
 use crate::{
     body::ProxyBody,
-    headers::{LEAVING_HEADER, RATE_LIMIT_HEADER, read_number, write_context},
+    headers::{LEAVING_HEADER, RATE_LIMIT_HEADER, WORKSPACE_HEADER, read_number, write_context},
 };
 
 /// What a backend server receives about a request, beside the caller's own headers.
@@ -21,6 +21,8 @@
     pub server: &'a str,
     /// Service beside the entry daemon, where it is known.
     pub from: Option<&'a str>,
+    /// Workspace whose key the caller sent, if the request needs a key.
+    pub workspace: Option<&'a str>,
 }
 
 /// How the head of a server's answer is classified.
@@ -109,6 +111,12 @@
 
     fn write_request(&self, headers: &mut HeaderMap, info: &ServerRequestInfo<'_>) {
         write_context(headers, &info.context);
+        // The platform and the settings allow visible ASCII characters only.
+        let name = info.workspace.and_then(|name| HeaderValue::from_str(name).ok());
+        match name {
+            Some(name) => drop(headers.insert(WORKSPACE_HEADER, name)),
+            None => drop(headers.remove(WORKSPACE_HEADER)),
+        }
     }
 
     fn classify_answer(
--- a/components/proxy/src/headers.rs
+++ b/components/proxy/src/headers.rs
@@ -25,6 +25,9 @@
 pub(crate) const LEAVING_HEADER: HeaderName =
     HeaderName::from_static("x-sapphirekeel-server-leaving");
 
+/// Header with the name of the workspace whose key the caller sent.
+pub(crate) const WORKSPACE_HEADER: HeaderName = HeaderName::from_static("x-sapphirekeel-workspace");
+
 /// Header by which a caller requires that a request does not run twice.
 pub(crate) const KEY_HEADER: &str = "idempotency-key";
 
--- a/components/proxy/src/lib.rs
+++ b/components/proxy/src/lib.rs
@@ -50,12 +50,13 @@
 mod tracked_body;
 mod transfers;
 mod upload;
+mod workspaces;
 
 pub use body::{BodyError, ProxyBody};
 pub use call::GuardToken;
 pub use claim::{AttemptId, ClaimGate, ClaimKey, ClaimOutcome, ClaimVerdict};
 pub use clock::time_since_start;
-pub use context::{ForwardContext, GuardContext, LocalServiceName};
+pub use context::{ConfigAge, ForwardContext, GuardContext, LocalServiceName};
 pub use counters::{CounterSnapshot, ProxyCounters};
 pub use drain::DrainClock;
 pub use failed_calls::FailedCalls;
@@ -84,3 +85,4 @@
     TableTuning,
 };
 pub use times::{RequestTimes, TimeStage};
+pub use workspaces::{TableWorkspace, WorkspaceAllowance, WorkspaceTable};
--- a/components/proxy/src/outcome.rs
+++ b/components/proxy/src/outcome.rs
@@ -97,6 +97,11 @@
     NoConfiguration = "no-configuration",
     /// No route matches.
     NoRoute = "no-route",
+    /// The route needs the key of a workspace, and the request has none that is known.
+    Unauthenticated = "unauthenticated",
+    /// The key is not known here, or may have been taken away, and this daemon cannot tell whether it
+    /// holds the newest configuration.
+    KeyUnconfirmed = "key-unconfirmed",
     /// The service has no endpoint that takes work.
     NoEndpoint = "no-endpoint",
     /// The request uses a protocol version or method that is not carried.
--- a/components/proxy/src/request_log.rs
+++ b/components/proxy/src/request_log.rs
@@ -33,7 +33,9 @@
     pub(crate) deadline: Option<Duration>,
     /// Attempts made for the request.
     pub(crate) history: AttemptHistory,
-    /// Rank of the route.
+    /// Workspace whose key the caller sent.
+    pub(crate) workspace: Option<Arc<str>>,
+    /// Rank among waiting requests.
     pub(crate) rank: u8,
     /// Response-time goal of the route.
     pub(crate) goal_ms: Option<u64>,
@@ -65,6 +67,7 @@
             service: None,
             deadline: None,
             history: AttemptHistory::default(),
+            workspace: None,
             rank: 0,
             goal_ms: None,
             call: None,
@@ -141,6 +144,7 @@
             path = self.path.as_str(),
             version = self.version,
             service = self.service.as_deref().unwrap_or(NO_TEXT),
+            workspace = self.workspace.as_deref().unwrap_or(NO_TEXT),
             status = end.status,
             outcome = end.outcome,
             reason = end.reason,
--- a/components/proxy/src/table.rs
+++ b/components/proxy/src/table.rs
@@ -28,7 +28,7 @@
 };
 use slotmap::{SlotMap, new_key_type};
 
-use crate::clock::stable_hash;
+use crate::{clock::stable_hash, workspaces::WorkspaceTable};
 
 /// Time after the start of this daemon in which newly known servers count as warm. Most of them
 /// have run for long; treating all as cold would send each the same small share.
@@ -131,6 +131,8 @@
     /// Shared with earlier tables of the same configuration.
     routes: Arc<RouteMap>,
     limits: Option<LimitSetting>,
+    /// Shared with earlier tables of the same configuration.
+    workspaces: Arc<WorkspaceTable>,
 }
 
 /// The route of a request.
@@ -193,7 +195,8 @@
         });
         let limits = limits.reduce(strictest);
         let trees = snapshot.trees.clone();
-        Self { version: snapshot.version(), trees, services, routes, limits }
+        let workspaces = Arc::new(WorkspaceTable::build(snapshot));
+        Self { version: snapshot.version(), trees, services, routes, limits, workspaces }
     }
 
     /// Returns whether the table was built from exactly this configuration.
@@ -214,6 +217,11 @@
         self.limits.as_ref()
     }
 
+    /// Returns the workspaces.
+    pub fn workspaces(&self) -> &WorkspaceTable {
+        &self.workspaces
+    }
+
     /// Returns the services.
     pub fn services(&self) -> impl Iterator<Item = &TableService> {
         self.services.values()
--- a/components/proxy/tests/common/mod.rs
+++ b/components/proxy/tests/common/mod.rs
@@ -128,7 +128,13 @@
         status: EndpointStatus,
     ) {
         let (service, server) = (SERVICE.to_owned(), server.to_owned());
-        let endpoint = EndpointRecord { service, server, slots: self.plan.slots, status };
+        let endpoint = EndpointRecord {
+            service,
+            server,
+            slots: self.plan.slots,
+            status,
+            version: String::new(),
+        };
         let last_announced_at = Instant::now();
         self.daemons[daemon].servers.announce(LocalServer {
             name: endpoint.server.clone(),
@@ -241,6 +247,8 @@
         refused: RefusedRequests::default(),
         headers: Arc::new(NativeHeaders),
         local_service: Arc::default(),
+        config_age: Arc::new(|| Some(Duration::ZERO)),
+        max_key_age: None,
     };
     TestDaemon {
         name: format!("daemon-{index}"),
--- a/components/proxy/tests/table_sound.rs
+++ b/components/proxy/tests/table_sound.rs
@@ -50,6 +50,7 @@
         server: format!("server{index}"),
         slots: 12,
         status: if is_ready { EndpointStatus::Ready } else { EndpointStatus::Draining },
+        version: String::new(),
     });
     let endpoints = prop::collection::vec(endpoint, 0..3);
     (0..5_u8, status(), endpoints).prop_map(|(index, status, endpoints)| MemberRecord {
--- a/components/settings/src/check.rs
+++ b/components/settings/src/check.rs
@@ -55,6 +55,8 @@
     check_member_and_guard(&checker, settings)?;
     check_placing_and_output(&checker, settings)?;
     check_experiment(&checker, settings)?;
+    let revoke_ms = settings.workspaces.revoke_ms;
+    checker.require_range("workspaces.revoke_ms", revoke_ms, 1_000..=600_000, "1000 to 600000")?;
     let hash = &settings.operators.manager_sha256;
     checker.require(
         "operators.manager_sha256",
--- a/components/settings/src/daemon_settings.rs
+++ b/components/settings/src/daemon_settings.rs
@@ -46,6 +46,9 @@
     /// How much is logged.
     #[serde(default)]
     pub logs: LogSettings,
+    /// How keys of workspaces are treated.
+    #[serde(default)]
+    pub workspaces: WorkspaceSettings,
     /// Mechanisms that are disabled to measure their effect.
     #[serde(default)]
     pub experiment: ExperimentSettings,
@@ -352,6 +355,25 @@
     pub manager_sha256: String,
 }
 
+/// How keys of workspaces are treated.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct WorkspaceSettings {
+    /// Whether a daemon that is cut off from the configuration source accepts no keys, since one of
+    /// them may have been taken away. Default false: it serves by the last configuration known.
+    pub strict_revocation: bool,
+    /// Milliseconds within which a key that is taken away has no effect any more where
+    /// `strict_revocation` is set, 1000 to 600000. Default 5000.
+    #[serde(deserialize_with = "deserialize_floor")]
+    pub revoke_ms: u64,
+}
+
+impl Default for WorkspaceSettings {
+    fn default() -> Self {
+        Self { strict_revocation: false, revoke_ms: 5_000 }
+    }
+}
+
 /// Where metrics are sent and served.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
--- a/components/spread/schema/peer.capnp
+++ b/components/spread/schema/peer.capnp
@@ -114,6 +114,8 @@
   server @1 :Text;
   slots @2 :UInt32;
   isReady @3 :Bool;
+  version @4 :Text;
+  # Version of the server's software; empty if unknown.
 }
 
 struct Update {
--- a/components/spread/src/codec.rs
+++ b/components/spread/src/codec.rs
@@ -164,6 +164,7 @@
     builder.set_server(&endpoint.server);
     builder.set_slots(endpoint.slots);
     builder.set_is_ready(endpoint.status == EndpointStatus::Ready);
+    builder.set_version(&endpoint.version);
 }
 
 /// Decodes member records.
@@ -245,6 +246,7 @@
             true => EndpointStatus::Ready,
             false => EndpointStatus::Draining,
         },
+        version: read_text(reader.get_version()?)?,
     })
 }
 
--- a/components/spread/src/driver.rs
+++ b/components/spread/src/driver.rs
@@ -90,6 +90,12 @@
     pub fn state(&self) -> SpreadState {
         self.stats.state(self.config.is_ready())
     }
+
+    /// Returns the time since this daemon was known to hold the newest configuration; `None` if that
+    /// is unknown.
+    pub fn source_age(&self) -> Option<Duration> {
+        self.stats.source_age()
+    }
 }
 
 /// Receiving ends of the queues between tasks.
--- a/components/spread/src/state.rs
+++ b/components/spread/src/state.rs
@@ -7,6 +7,7 @@
         Mutex, PoisonError,
         atomic::{AtomicU64, Ordering},
     },
+    time::Duration,
 };
 
 use capnp::MessageSize;
@@ -195,6 +196,11 @@
         change(&mut self.parts.lock().unwrap_or_else(PoisonError::into_inner))
     }
 
+    /// Returns the time since the source was known to have nothing newer than the version held here.
+    pub(crate) fn source_age(&self) -> Option<Duration> {
+        self.with_parts(|parts| parts.source_read_at.map(|read_at| read_at.elapsed()))
+    }
+
     /// Returns the current state.
     pub(crate) fn state(&self, is_ready: bool) -> SpreadState {
         let kinds: [KindBytes; CALL_KINDS.len()] = array::from_fn(|index| KindBytes {
--- a/components/spread/tests/record_rumors.rs
+++ b/components/spread/tests/record_rumors.rs
@@ -15,6 +15,7 @@
         server: server.to_owned(),
         slots: 12,
         status,
+        version: String::new(),
     };
     daemon.members.update(|table| table.set_endpoints(vec![endpoint]), |is_changed| *is_changed);
 }
