spread: earlier versions are kept as differences from the next one

On the platform one subtree holds the whole configuration, so the sixteen versions that are kept as bases for deltas shared nothing: with 2,160 routes they took over half of the memory of a daemon. Each is now kept as the writes that turn the next version into it, and restored when a peer asks for a delta from it.

--- a/components/spread/src/config_holder.rs
+++ b/components/spread/src/config_holder.rs
@@ -2,20 +2,16 @@
 //! waits until the daemon is ready. Versions are swapped as a whole and never replaced by an older
 //! one, so that routes never move back and never mix two versions.
 
-use std::{
-    collections::VecDeque,
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
-};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use arc_swap::ArcSwap;
 use sk_model::{ConfigSnapshot, ProxyId, RejectedVersion, UnixMillis, Version, validate_trees};
 use tokio::sync::watch;
 
-use crate::hash_prefix::{RootHashPrefix, root_hash_prefix};
-
-/// Number of earlier snapshots kept as bases for deltas. Subtrees are shared, so each costs one
-/// root.
-const MAX_KEPT_BASES: usize = 16;
+use crate::{
+    hash_prefix::{RootHashPrefix, root_hash_prefix},
+    kept_bases::KeptBases,
+};
 
 /// The version in force and where it came from.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -44,10 +40,10 @@
     Rejected(RejectedVersion),
 }
 
-/// Earlier snapshots by age, and the newest one, which may wait for readiness.
+/// The newest snapshot, which may wait for readiness, and earlier ones.
 #[derive(Default)]
 struct HolderState {
-    bases: VecDeque<Arc<ConfigSnapshot>>,
+    bases: KeptBases,
     newest: Arc<ConfigSnapshot>,
     /// Hash prefix of the newest root, kept because heartbeats send it several times a second.
     newest_prefix: RootHashPrefix,
@@ -136,9 +132,13 @@
         self.ready.send_replace(true);
     }
 
-    /// Returns an earlier configuration by version, if it is still kept.
+    /// Returns the newest configuration or an earlier one by version, if it is still kept.
     pub fn base(&self, version: Version) -> Option<Arc<ConfigSnapshot>> {
-        self.state().bases.iter().find(|base| base.version() == version).cloned()
+        let state = self.state();
+        match state.newest.version() {
+            newest if newest == version => Some(state.newest.clone()),
+            _ => state.bases.find(version, &state.newest),
+        }
     }
 
     /// Accepts a snapshot as a whole if it is newer and valid, and rejects it as a whole
@@ -158,12 +158,9 @@
             return OfferOutcome::Rejected(self.reject(&mut state, &snapshot, reason));
         }
         let snapshot = Arc::new(snapshot);
-        state.bases.push_back(snapshot.clone());
-        if state.bases.len() > MAX_KEPT_BASES {
-            state.bases.pop_front();
-        }
+        let replaced = std::mem::replace(&mut state.newest, snapshot.clone());
+        state.bases.push(&replaced, &snapshot);
         state.newest_prefix = root_hash_prefix(&snapshot.root.hash());
-        state.newest = snapshot;
         state.source = source.to_owned();
         if self.is_ready() {
             self.put_in_force(&state, now);
--- a/components/spread/src/lib.rs
+++ b/components/spread/src/lib.rs
@@ -17,6 +17,7 @@
 mod gate;
 mod hash_prefix;
 mod join;
+mod kept_bases;
 mod link_table;
 mod links;
 mod neighbours;
