proxy: pipelined safe requests of a connection run at once

Callers of one kind of request, half of all, send several on an HTTP/1.1 connection before the first is answered. The HTTP library takes the next request only after the previous answer is written, so the second waited for the first.

A stream below the library hands it one head at a time and reads on while a request is being answered. Heads of safe requests without a body are started on tasks of their own; when the library calls the service for such a request, the call joins the running work. Nothing starts behind a request that is not safe, a body, a malformed head, HTTP/1.0 or `Connection: close`. At most 16 requests and 64 KiB are read ahead on a connection, 256 requests and 8 MiB on a listener. Requests end with their connection, and behind an answer that closes it. The log line states the position in the pipeline and the wait for the turn.

--- a/components/proxy/src/body.rs
+++ b/components/proxy/src/body.rs
@@ -14,6 +14,9 @@
 /// Body of a request or answer, streamed from a peer or created here.
 pub type ProxyBody = UnsyncBoxBody<Bytes, BodyError>;
 
+/// Body of a caller's request; `None` if its head was read ahead and announces no body.
+pub type CallerBody = Option<Incoming>;
+
 /// Why a body ends early. Its reader sees the stream reset or the connection closed.
 #[derive(Debug, Error)]
 pub enum BodyError {
--- a/components/proxy/src/entry.rs
+++ b/components/proxy/src/entry.rs
@@ -4,13 +4,13 @@
 use std::{net::IpAddr, sync::Arc, time::Duration};
 
 use http::{Method, Request, StatusCode, Version, header, request::Parts};
-use hyper::body::Incoming;
 use sk_decide::{WorkKey, deadline::CallContext};
 use sk_model::{RouteHandling, RouteSetting};
 use tokio::time::Instant;
 
 use crate::{
     answer::{DaemonAnswer, daemon_answer},
+    body::CallerBody,
     call::{CallSource, CallTraits},
     clock::stable_hash,
     headers::{KEY_HEADER, join_cookies, strip_hop_headers, strip_own_headers},
@@ -93,7 +93,7 @@
     ///
     /// Returns the refusal of a request whose key or body is not accepted.
     pub(crate) async fn read(
-        request: Request<Incoming>,
+        request: Request<CallerBody>,
         host: Option<&str>,
         route: &RouteMatch<'_>,
         call: CallContext,
@@ -219,7 +219,7 @@
 /// Returns whether a request may run twice. If the route states its handling, that alone decides:
 /// a `GET` may confirm something, and a `POST` may only query. Otherwise the method and the route
 /// decide, and a caller that sends a key requires that its request runs once.
-fn is_repeatable(method: &Method, route: &RouteSetting, has_key: bool) -> bool {
+pub(crate) fn is_repeatable(method: &Method, route: &RouteSetting, has_key: bool) -> bool {
     match route.handling {
         Some(RouteHandling::Safe | RouteHandling::Download) => true,
         Some(RouteHandling::Unsafe | RouteHandling::Upload) => false,
--- a/components/proxy/src/forward.rs
+++ b/components/proxy/src/forward.rs
@@ -4,20 +4,20 @@
 
 use http::{HeaderMap, HeaderValue, Request, Response, StatusCode, header};
 use http_body_util::BodyExt;
-use hyper::body::Incoming;
 use sk_decide::{deadline::ENTRY_GRACE, placing::CallOutcome};
 
 use crate::{
     answer::{DaemonAnswer, daemon_answer, error_answer, refuse},
     attempt::answer_request,
     attempt_history::AttemptHistory,
-    body::ProxyBody,
+    body::{CallerBody, ProxyBody},
     context::{ForwardContext, count_own_refusal},
     entry::{CallOrigin, EntryRequest, check_carried, host_of},
     entry_answer::InFlightCount,
     headers::{is_nested, read_context},
     hints::strip_hints,
     outcome::{RETRY_AFTER_MS_HEADER, RefusalKind, RequestOutcome},
+    pipeline::PipelinePlace,
     request_log::RequestLog,
     table::{RouteMatch, RouteTable},
     times::TimeStage,
@@ -34,29 +34,34 @@
 /// Forwards one request of a caller at an address and streams the answer back.
 pub async fn forward(
     context: Arc<ForwardContext>,
-    request: Request<Incoming>,
+    mut request: Request<CallerBody>,
     caller: IpAddr,
 ) -> Response<ProxyBody> {
+    let place = request.extensions_mut().remove::<PipelinePlace>();
     let drain_clock = context.guard_context.drain_clock.clone();
     let mut count = InFlightCount::new(context.counters.clone(), drain_clock);
     let mut request_log = begin_log(&context, &request, caller);
     let mut response = forward_routed(&context, request, caller, &mut request_log).await;
     strip_hints(response.headers_mut());
     count.set_attempt(request_log.attempt(), request_log.history.last_target());
+    let took = request_log.took();
+    if let Some(place) = place {
+        request_log.pipeline_position = place.position;
+        (response, request_log.pipeline_wait) = place.await_turn(response).await;
+    }
     request_log.write_answered(&response);
     context.headers.write_answer(&mut response);
     let outcome = RequestOutcome::read(response.headers()).unwrap_or(RequestOutcome::Unknown);
     context.counters.count_outcome(outcome);
     let service = request_log.service().unwrap_or(NO_SERVICE);
-    let (times, took) = (context.counters.times(), request_log.took());
-    times.observe(service, outcome.as_str(), TimeStage::Whole, took);
+    context.counters.times().observe(service, outcome.as_str(), TimeStage::Whole, took);
     response.map(|body| TrackedBody::new(body, count).boxed_unsync())
 }
 
 /// Starts the log line of a request.
 fn begin_log(
     context: &Arc<ForwardContext>,
-    request: &Request<Incoming>,
+    request: &Request<CallerBody>,
     caller: IpAddr,
 ) -> RequestLog {
     let attempt = context.headers.attempt_id(request.headers()).cloned();
@@ -67,7 +72,7 @@
 /// Finds the route of a request, reads the request and forwards it.
 async fn forward_routed(
     context: &ForwardContext,
-    mut request: Request<Incoming>,
+    mut request: Request<CallerBody>,
     caller: IpAddr,
     request_log: &mut RequestLog,
 ) -> Response<ProxyBody> {
@@ -186,7 +191,7 @@
     context: &ForwardContext,
     table: &RouteTable,
     route: &RouteMatch<'_>,
-    request: &mut Request<Incoming>,
+    request: &mut Request<CallerBody>,
     origin: &CallOrigin,
 ) -> Result<Option<Arc<TableWorkspace>>, DaemonAnswer> {
     let workspaces = table.workspaces();
@@ -221,7 +226,11 @@
 }
 
 /// Returns where a request comes from: a service beside this daemon, or a caller outside.
-fn origin_of(context: &ForwardContext, request: &Request<Incoming>, caller: IpAddr) -> CallOrigin {
+fn origin_of(
+    context: &ForwardContext,
+    request: &Request<CallerBody>,
+    caller: IpAddr,
+) -> CallOrigin {
     let headers = request.headers();
     let is_nested = is_nested(headers) || is_call_of_running(context, headers);
     let service = is_nested.then(|| context.guard_context.servers.first_service());
--- a/components/proxy/src/lib.rs
+++ b/components/proxy/src/lib.rs
@@ -36,6 +36,7 @@
 mod open_requests;
 mod outcome;
 mod peers;
+mod pipeline;
 mod pool;
 mod quarantine;
 mod read_ahead;
@@ -52,7 +53,7 @@
 mod upload;
 mod workspaces;
 
-pub use body::{BodyError, ProxyBody};
+pub use body::{BodyError, CallerBody, ProxyBody};
 pub use call::GuardToken;
 pub use claim::{AttemptId, ClaimGate, ClaimKey, ClaimOutcome, ClaimVerdict};
 pub use clock::time_since_start;
--- a/components/proxy/src/lingering.rs
+++ b/components/proxy/src/lingering.rs
@@ -16,8 +16,10 @@
     time::Duration,
 };
 
+use futures::FutureExt;
 use tokio::{
-    io::{AsyncRead, AsyncWrite, ReadBuf},
+    io::{AsyncRead, AsyncWrite, Interest, ReadBuf},
+    net::TcpStream,
     time::{Instant, Sleep, sleep, sleep_until},
 };
 
@@ -114,6 +116,18 @@
     }
 }
 
+/// Whether the peer of a connection has closed its side, also while bytes before that are unread.
+pub(crate) trait PeerState {
+    fn is_peer_closed(&self) -> bool;
+}
+
+impl PeerState for LingeringStream<TcpStream> {
+    fn is_peer_closed(&self) -> bool {
+        let ready = self.inner.ready(Interest::READABLE).now_or_never();
+        ready.is_some_and(|ready| ready.is_ok_and(|ready| ready.is_read_closed()))
+    }
+}
+
 impl<S> Drop for LingeringStream<S> {
     fn drop(&mut self) {
         if self.linger.is_some() {
--- a/components/proxy/src/request_log.rs
+++ b/components/proxy/src/request_log.rs
@@ -39,6 +39,10 @@
     pub(crate) rank: u8,
     /// Response-time goal of the route.
     pub(crate) goal_ms: Option<u64>,
+    /// Number of requests in front of it on its connection when it was read.
+    pub(crate) pipeline_position: usize,
+    /// Time that it, or its answer, waited for its turn on the connection.
+    pub(crate) pipeline_wait: Duration,
     /// Number in [`FailedCalls`](crate::FailedCalls), if the local server makes this call for a
     /// request of its own.
     call: Option<CallNumber>,
@@ -70,6 +74,8 @@
             workspace: None,
             rank: 0,
             goal_ms: None,
+            pipeline_position: 0,
+            pipeline_wait: Duration::ZERO,
             call: None,
             is_written: false,
         }
@@ -153,6 +159,8 @@
             rank = self.rank,
             goal_ms = self.goal_ms.unwrap_or_default(),
             deadline_ms,
+            pipeline_position = self.pipeline_position,
+            pipeline_wait_ms = self.pipeline_wait.as_millis() as u64,
             took_ms = self.took().as_millis() as u64;
             "proxy: {}.", end.text
         );
--- a/components/proxy/src/serve.rs
+++ b/components/proxy/src/serve.rs
@@ -12,6 +12,10 @@
     time::Duration,
 };
 
+use futures::{
+    FutureExt,
+    future::{BoxFuture, Either},
+};
 use http::{HeaderValue, Request, Response, Version, header};
 use hyper::{body::Incoming, service::service_fn};
 use hyper_util::{
@@ -23,14 +27,16 @@
 
 use crate::{
     answer::refuse_with_delay,
-    body::{ProxyBody, error_chain},
+    body::{CallerBody, ProxyBody, error_chain},
     clock::transit_now,
     context::{ForwardContext, GuardContext},
+    entry::is_repeatable,
     forward::forward,
     guard::handle_peer_request,
     headers::is_nested,
     lingering::{LingeringStream, ListenerActivity},
     outcome::RefusalKind,
+    pipeline::{EarlyService, PipelineBudget, PipelineStream, RequestHead, Turn, TurnBody},
     sockets::probe_accepted,
 };
 
@@ -171,11 +177,42 @@
     let server = build_server(ENTRY_HEAD_BYTES, ENTRY_STREAMS, ENTRY_RESETS);
     let table = context.table.clone();
     let idle = move || table.load().limits().map_or(HEAD_TIMEOUT, idle_limit);
-    serve(ENTRY_LOG, listener, server, idle, move |request, peer| {
-        forward(context.clone(), request, peer.address)
+    let drain_state = Arc::<DrainState>::default();
+    let service = ForwardService { context: context.clone(), drain_state: drain_state.clone() };
+    let early = Some((Arc::new(service) as Arc<dyn EarlyService>, Arc::default()));
+    serve((ENTRY_LOG, listener), (server, idle), drain_state, early, move |request, peer| {
+        forward(context.clone(), request.map(Some), peer.address)
     })
 }
 
+/// Runs requests of callers ahead of their turn.
+struct ForwardService {
+    context: Arc<ForwardContext>,
+    drain_state: Arc<DrainState>,
+}
+
+impl EarlyService for ForwardService {
+    fn is_safe(&self, head: &RequestHead) -> bool {
+        let table = self.context.table.load();
+        let host = head.host.as_ref().and_then(|host| host.to_str().ok());
+        let host = head.uri.authority().map(|authority| authority.as_str()).or(host);
+        let route = table.find(host, head.uri.path());
+        route.is_some_and(|route| is_repeatable(&head.method, route.setting, head.has_key))
+    }
+
+    fn is_open(&self) -> bool {
+        !self.drain_state.has_reached(DrainStage::Leaving)
+    }
+
+    fn run(
+        &self,
+        request: Request<CallerBody>,
+        caller: IpAddr,
+    ) -> BoxFuture<'static, Response<ProxyBody>> {
+        forward(self.context.clone(), request, caller).boxed()
+    }
+}
+
 /// Serves other daemons on a listener, on behalf of the local backend server.
 pub fn serve_guard(listener: TcpListener, context: Arc<GuardContext>) -> ListenerHandle {
     let mut server = build_server(GUARD_HEAD_BYTES, GUARD_STREAMS, GUARD_RESETS).http2_only();
@@ -187,13 +224,10 @@
         .max_local_error_reset_streams(None)
         .max_send_buf_size(SEND_BUFFER)
         .initial_stream_window_size(GUARD_STREAM_WINDOW);
-    serve(
-        GUARD_LOG,
-        listener,
-        server,
-        || HEAD_TIMEOUT,
-        move |request, peer| handle_peer_request(context.clone(), request, peer.accepted_at),
-    )
+    let (server, drain_state) = ((server, || HEAD_TIMEOUT), Arc::default());
+    serve((GUARD_LOG, listener), server, drain_state, None, move |request, peer| {
+        handle_peer_request(context.clone(), request, peer.accepted_at)
+    })
 }
 
 /// Returns how long a caller's connection may go without a whole head. The library's timer starts
@@ -224,13 +258,16 @@
     server
 }
 
+/// What starts requests of a listener ahead of their turn, and the bounds for it.
+type EarlyParts = (Arc<dyn EarlyService>, Arc<PipelineBudget>);
+
 /// Accepts connections in a task and passes their requests to `handle`. `idle` returns the current
 /// limit of [`idle_limit`].
 fn serve<L, H, F>(
-    listener_log: ListenerLog,
-    listener: TcpListener,
-    server: ServerBuilder,
-    idle: L,
+    listener: (ListenerLog, TcpListener),
+    server: (ServerBuilder, L),
+    drain_state: Arc<DrainState>,
+    early: Option<EarlyParts>,
     handle: H,
 ) -> ListenerHandle
 where
@@ -239,12 +276,11 @@
     F: Future<Output = Response<ProxyBody>> + Send + 'static,
 {
     let stop = watch::Sender::new(false);
-    let drain_state = Arc::new(DrainState::default());
     let activity = Arc::new(ListenerActivity::default());
     let accept = accept_until_stopped(
-        (listener_log, listener),
-        (server, idle),
-        handle,
+        listener,
+        server,
+        (handle, early),
         (drain_state.clone(), activity.clone()),
         stop.subscribe(),
     );
@@ -255,7 +291,7 @@
 async fn accept_until_stopped<L, H, F>(
     (listener_log, listener): (ListenerLog, TcpListener),
     (mut server, idle): (ServerBuilder, L),
-    handle: H,
+    (handle, early): (H, Option<EarlyParts>),
     (drain_state, activity): (Arc<DrainState>, Arc<ListenerActivity>),
     mut stopped: watch::Receiver<bool>,
 ) where
@@ -284,14 +320,23 @@
         probe_accepted(&stream);
         let (handle, drain, drain_state) =
             (handle.clone(), drain_state.clone(), drain_state.clone());
+        let stream = LingeringStream::new(stream, activity.clone());
+        let (stream, link) = match &early {
+            Some((service, budget)) => {
+                let parts = (service.clone(), budget.clone());
+                let (stream, link) = PipelineStream::pipelined(stream, parts, peer.address);
+                (stream, Some(link))
+            }
+            None => (PipelineStream::plain(stream), None),
+        };
         let service = service_fn(move |request| {
-            let answer = answer_or_refuse(&handle, &drain_state, request, peer);
+            let turn = link.as_ref().and_then(|link| Turn::begin(link, &request));
+            let answer = answer_in_turn(&handle, &drain_state, (request, turn), peer);
             async move { Ok::<_, Infallible>(answer.await) }
         });
         // Limits may have changed since the previous connection.
         server.http1().header_read_timeout(idle());
-        let stream = TokioIo::new(LingeringStream::new(stream, activity.clone()));
-        let connection = server.serve_connection(stream, service).into_owned();
+        let connection = server.serve_connection(TokioIo::new(stream), service).into_owned();
         let connection = graceful.watch(connection);
         tokio::spawn(async move {
             if let Err(err) = connection.await {
@@ -306,22 +351,30 @@
     graceful.shutdown().await;
 }
 
-/// Handles one request, or refuses it if the listener is shutting down.
-fn answer_or_refuse<H, F>(
+/// Handles one request in its turn on its connection, or joins it if it is already running. Refuses
+/// it if the listener is shutting down.
+fn answer_in_turn<H, F>(
     handle: &H,
     drain_state: &Arc<DrainState>,
-    request: Request<Incoming>,
+    (mut request, mut turn): (Request<Incoming>, Option<Turn>),
     peer: AcceptedPeer,
-) -> impl Future<Output = Response<ProxyBody>> + Send + use<H, F>
+) -> impl Future<Output = Response<TurnBody>> + Send + use<H, F>
 where
     H: Fn(Request<Incoming>, AcceptedPeer) -> F,
     F: Future<Output = Response<ProxyBody>> + Send + 'static,
 {
     let is_http1 = request.version() == Version::HTTP_11;
     let is_refused = drain_state.has_reached(DrainStage::Refusing) && !is_nested(request.headers());
-    // Boxed, because the library reserves room for a whole future in each connection, also an idle
-    // one.
-    let answer = (!is_refused).then(|| Box::pin(handle(request, peer)));
+    if let Some(place) = turn.as_ref().and_then(Turn::place) {
+        request.extensions_mut().insert(place);
+    }
+    let answer = match turn.as_mut().and_then(Turn::take_started) {
+        Some(started) => Some(Either::Left(started)),
+        None if is_refused => None,
+        // Boxed, because the library reserves room for a whole future in each connection, also an
+        // idle one.
+        None => Some(Either::Right(Box::pin(handle(request, peer)))),
+    };
     let drain_state = drain_state.clone();
     async move {
         let mut response = match answer {
@@ -331,6 +384,9 @@
         if is_http1 && drain_state.has_reached(DrainStage::Leaving) {
             response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
         }
-        response
+        match turn {
+            Some(turn) => turn.end(response),
+            None => response.map(TurnBody::without_turn),
+        }
     }
 }
--- a/components/proxy/src/upload.rs
+++ b/components/proxy/src/upload.rs
@@ -13,9 +13,9 @@
 use bytes::{Bytes, BytesMut};
 use http::{Request, header};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
-use hyper::body::{Body, Incoming};
+use hyper::body::Body;
 
-use crate::body::{BodyError, CheckedBody, PrefixedBody, ProxyBody, whole_body};
+use crate::body::{BodyError, CallerBody, CheckedBody, PrefixedBody, ProxyBody, whole_body};
 
 /// Largest body that is kept so that it can be sent again, in bytes. Covers nearly all queries and
 /// confirmations; at a thousand requests in flight it is 64 MB at the very worst, and documents
@@ -53,11 +53,12 @@
     /// Reads a body, or its first part if it is large. `limit` is the largest body in bytes, and
     /// `wait` the longest time for what is read here.
     pub(crate) async fn read(
-        request: Request<Incoming>,
+        request: Request<CallerBody>,
         limit: u64,
         wait: Duration,
     ) -> (http::request::Parts, Result<Self, UploadError>) {
         let (parts, body) = request.into_parts();
+        let Some(body) = body else { return (parts, Ok(Self::Whole(Bytes::new()))) };
         let body = CheckedBody::new(body, parts.version);
         if body.size_hint().lower() > limit {
             if !parts.headers.contains_key(header::EXPECT) {
