proxy, daemon: counter of pipelined requests

Only log lines told whether callers pipeline. The counter sapphirekeel_pipelined_total, also in the state dump, counts requests that were read behind another one on their connection.

--- a/components/daemon/src/scrape.rs
+++ b/components/daemon/src/scrape.rs
@@ -8,6 +8,7 @@
 //! | `sapphirekeel_retries_total` | counter | | retries, which draw on the retry budget |
 //! | `sapphirekeel_retries_denied_total` | counter | | failed attempts that were not retried |
 //! | `sapphirekeel_cut_answers_total` | counter | | answers that ended in an error after their head |
+//! | `sapphirekeel_pipelined_total` | counter | | callers' requests that were read behind another one on their connection |
 //! | `sapphirekeel_wake_delay_microseconds_total` | counter | | time by which tasks were woken too late |
 //! | `sapphirekeel_in_flight` | gauge | | callers' requests in this daemon |
 //! | `sapphirekeel_config_version` | gauge | | version in force |
@@ -176,6 +177,11 @@
         "Failed attempts that were not tried again.",
         counts.retries_denied,
     )?;
+    single(
+        "sapphirekeel_pipelined_total",
+        "Requests that were read behind another one on their connection.",
+        counts.pipelined,
+    )?;
     single(
         "sapphirekeel_cut_answers_total",
         "Answers that ended in an error after their head.",
--- a/components/proxy/src/counters.rs
+++ b/components/proxy/src/counters.rs
@@ -24,6 +24,7 @@
     retries: AtomicU64,
     retries_denied: AtomicU64,
     cut_answers: AtomicU64,
+    pipelined: AtomicU64,
     wake_delay_us: AtomicU64,
     times: RequestTimes,
 }
@@ -37,6 +38,7 @@
             retries: AtomicU64::new(0),
             retries_denied: AtomicU64::new(0),
             cut_answers: AtomicU64::new(0),
+            pipelined: AtomicU64::new(0),
             wake_delay_us: AtomicU64::new(0),
             times: RequestTimes::default(),
         }
@@ -64,6 +66,9 @@
     pub retries_denied: u64,
     /// Answers that ended in an error after their head.
     pub cut_answers: u64,
+    /// Callers' requests that were read behind another one on their connection.
+    #[serde(default)]
+    pub pipelined: u64,
 }
 
 impl ProxyCounters {
@@ -97,6 +102,7 @@
             retries: load(&self.retries),
             retries_denied: load(&self.retries_denied),
             cut_answers: load(&self.cut_answers),
+            pipelined: load(&self.pipelined),
         }
     }
 
@@ -125,6 +131,11 @@
         self.retries_denied.fetch_add(1, Ordering::Relaxed);
     }
 
+    /// Counts a request that was read behind another one on its connection.
+    pub(crate) fn count_pipelined(&self) {
+        self.pipelined.fetch_add(1, Ordering::Relaxed);
+    }
+
     /// Counts an answer that ended in an error after its head.
     pub(crate) fn count_cut(&self) {
         self.cut_answers.fetch_add(1, Ordering::Relaxed);
--- a/components/proxy/src/forward.rs
+++ b/components/proxy/src/forward.rs
@@ -46,6 +46,7 @@
     count.set_attempt(request_log.attempt(), request_log.history.last_target());
     let took = request_log.took();
     if let Some(place) = place {
+        context.counters.count_pipelined();
         request_log.pipeline_position = place.position;
         (response, request_log.pipeline_wait) = place.await_turn(response).await;
     }
--- a/components/proxy/tests/pipeline_order.rs
+++ b/components/proxy/tests/pipeline_order.rs
@@ -27,6 +27,7 @@
         assert_eq!(caller.read().await.expect("an answer").tag(), tag);
         assert_eq!(fleet.runs(tag), 1);
     }
+    assert_eq!(fleet.daemons[0].counters.snapshot().pipelined, 2);
 }
 
 /// Guards against heads that are lost, repeated or cut where they arrive in parts of any size.
