Allowances: buckets of owners, tokens of holders, and the call between daemons

Workspaces may have a rate and a burst over all daemons, and nothing enforces them yet. sk_decide::allowance decides without I/O: the owner's bucket, the holder's tokens, the bucket of a daemon whose owner does not answer, and the choice of the owner by rendezvous hashing. sk-allowance keeps the state of one daemon, and the capnp call `allowances @8` carries asks, batched by owner.

--- /dev/null
+++ b/components/decide/src/allowance/fleet.rs
@@ -0,0 +1,81 @@
+//! Which daemons share an allowance, and which of them owns its bucket.
+
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
+
+/// Time for which a daemon that is no longer heard of counts as one that may still serve.
+const KNOWN_TIME: Duration = Duration::from_secs(20);
+
+/// How a daemon takes part, as another one sees it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum MemberPresence {
+    /// It is heard of.
+    Alive,
+    /// It is not heard of, and may still serve requests.
+    Lost,
+    /// It has said that it leaves.
+    Left,
+}
+
+/// The daemons that share an allowance.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct FleetView {
+    /// Daemons that are alive, in the order of their names.
+    pub alive: Vec<Arc<str>>,
+    /// Number of daemons known in the last 20 s that have not left.
+    pub known: u32,
+}
+
+impl FleetView {
+    /// Returns the part of the known daemons that is alive.
+    pub fn alive_part(&self) -> f64 {
+        self.alive.len() as f64 / f64::from(self.known.max(1))
+    }
+}
+
+/// Remembers when daemons were last alive.
+#[derive(Clone, Debug, Default)]
+pub struct FleetTracker {
+    last_alive: BTreeMap<Arc<str>, Duration>,
+}
+
+impl FleetTracker {
+    /// Records the members as they are now, and returns who shares an allowance.
+    pub fn observe<'a>(
+        &mut self,
+        members: impl Iterator<Item = (&'a str, MemberPresence)>,
+        now: Duration,
+    ) -> FleetView {
+        let mut alive = Vec::new();
+        for (name, presence) in members {
+            match presence {
+                MemberPresence::Alive => {
+                    let name: Arc<str> = Arc::from(name);
+                    self.last_alive.insert(name.clone(), now);
+                    alive.push(name);
+                }
+                MemberPresence::Left => drop(self.last_alive.remove(name)),
+                MemberPresence::Lost => (),
+            }
+        }
+        self.last_alive.retain(|_, at| now.saturating_sub(*at) <= KNOWN_TIME);
+        alive.sort_unstable();
+        FleetView { alive, known: self.last_alive.len() as u32 }
+    }
+}
+
+/// Returns the owner of a workspace's bucket by rendezvous hashing: the same daemon wherever the
+/// same daemons are alive, and unchanged when another one leaves.
+pub fn choose_owner<'a>(workspace: &str, alive: &'a [Arc<str>]) -> Option<&'a Arc<str>> {
+    alive.iter().max_by_key(|name| rendezvous_weight(workspace, name))
+}
+
+/// Returns a hash of two names (FNV-1a with the finalizer of SplitMix64), the same in all releases.
+fn rendezvous_weight(workspace: &str, daemon: &str) -> u64 {
+    let bytes = workspace.bytes().chain([0]).chain(daemon.bytes());
+    let mut hash = bytes.fold(0xcbf2_9ce4_8422_2325, |hash: u64, byte| {
+        (hash ^ u64::from(byte)).wrapping_mul(0x0000_0100_0000_01b3)
+    });
+    hash = (hash ^ (hash >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    hash = (hash ^ (hash >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    hash ^ (hash >> 31)
+}
--- /dev/null
+++ b/components/decide/src/allowance/owner.rs
@@ -0,0 +1,94 @@
+//! The bucket of a workspace at the daemon that owns it.
+
+use std::time::Duration;
+
+use super::{AllowanceRate, LONGEST_RETRY, TokenWant, token_interval};
+
+/// Refill time that the bucket holds beyond the burst. Holders that were refused ask again only
+/// after a pause, and the tokens of that pause must not be lost.
+const PAUSE_CREDIT: Duration = Duration::from_millis(100);
+/// Part of the tokens beyond the needed ones that one holder gets ahead of need, so that one holder
+/// does not empty the bucket for the others.
+const AHEAD_PART: f64 = 0.5;
+
+/// What an owner grants to one holder.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct TokenGrant {
+    /// Tokens granted.
+    pub tokens: u32,
+    /// Time until a request that found no token may come back; zero if all needed tokens were
+    /// granted.
+    pub retry_after: Duration,
+}
+
+/// Token bucket of one workspace at its owner.
+#[derive(Clone, Debug)]
+pub struct OwnerBucket {
+    rate: AllowanceRate,
+    /// Part of the known daemons that is alive. The others continue on their own parts.
+    part: f64,
+    level: f64,
+    filled_at: Duration,
+    /// Time up to which tokens are promised to callers that were refused.
+    promised_until: Duration,
+}
+
+impl OwnerBucket {
+    /// Creates a bucket with a single token, so that a change of owner grants no burst twice and a
+    /// workspace of few requests loses none.
+    pub fn new(rate: AllowanceRate, part: f64, now: Duration) -> Self {
+        Self { rate, part, level: 1.0, filled_at: now, promised_until: now }
+    }
+
+    /// Changes the limit or the part of the daemons that is alive; a lower capacity takes effect at
+    /// once.
+    pub fn set_terms(&mut self, rate: AllowanceRate, part: f64, now: Duration) {
+        if (self.rate, self.part) != (rate, part) {
+            self.refill(now);
+            (self.rate, self.part) = (rate, part);
+            self.level = self.level.min(self.capacity());
+            self.promised_until = self.promised_until.min(now);
+        }
+    }
+
+    /// Grants tokens to a holder: the needed ones if there are enough, and some ahead of need.
+    pub fn grant(&mut self, want: TokenWant, now: Duration) -> TokenGrant {
+        self.refill(now);
+        // Repeats have run already. The debt is bounded, so that it cannot block a workspace for
+        // longer than a window.
+        self.level = (self.level - f64::from(want.spent)).max(-self.capacity());
+        let needed = f64::from(want.needed).min(self.level.floor()).max(0.0);
+        self.level -= needed;
+        let ahead = f64::from(want.ahead).min((self.level * AHEAD_PART).floor()).max(0.0);
+        self.level -= ahead;
+        let missing = want.needed - needed as u32;
+        let retry_after = match missing {
+            0 => Duration::ZERO,
+            missing => self.promise(missing, now),
+        };
+        TokenGrant { tokens: (needed + ahead) as u32, retry_after }
+    }
+
+    /// Returns when the first of `missing` requests may come back, and promises a token to each.
+    fn promise(&mut self, missing: u32, now: Duration) -> Duration {
+        let interval = token_interval(self.refill_rate());
+        let first = now + interval.mul_f64((1.0 - self.level).max(0.0));
+        let at = self.promised_until.max(first).min(now + LONGEST_RETRY);
+        self.promised_until = (at + interval * missing).min(now + LONGEST_RETRY);
+        at - now
+    }
+
+    fn refill_rate(&self) -> f64 {
+        self.rate.rate_per_s * self.part
+    }
+
+    fn capacity(&self) -> f64 {
+        (self.rate.burst * self.part).max(1.0) + self.refill_rate() * PAUSE_CREDIT.as_secs_f64()
+    }
+
+    fn refill(&mut self, now: Duration) {
+        let elapsed = now.saturating_sub(self.filled_at).as_secs_f64();
+        self.filled_at = self.filled_at.max(now);
+        self.level = (self.level + elapsed * self.refill_rate()).min(self.capacity());
+    }
+}
--- a/components/decide/src/lib.rs
+++ b/components/decide/src/lib.rs
@@ -8,6 +8,7 @@
 //! [`Duration`]: std::time::Duration
 
 pub mod admitting;
+pub mod allowance;
 pub mod backoff;
 pub mod deadline;
 pub mod fetch_gate;
--- a/components/spread/schema/peer.capnp
+++ b/components/spread/schema/peer.capnp
@@ -27,6 +27,8 @@
   # Reports to a relay which versions daemons hold.
   notices @7 (body :Data) -> ();
   # Sends notices about requests, such as those that crash servers.
+  allowances @8 (asks :List(AllowanceAsk)) -> (grants :List(AllowanceGrant));
+  # Asks the owner of workspaces' limits for tokens; one grant for each ask, in their order.
 }
 
 interface Ticket {
@@ -153,3 +155,21 @@
   # Newest rejected version, if newer than `version`; 0 means none.
   reason @6 :Text;
 }
+
+struct AllowanceAsk {
+  workspace @0 :Text;
+  needed @1 :UInt32;
+  # Tokens for requests that wait.
+  ahead @2 :UInt32;
+  # Tokens ahead of need.
+  spent @3 :UInt32;
+  # Tokens for requests that were sent without one.
+}
+
+struct AllowanceGrant {
+  isLimited @0 :Bool;
+  # The owner knows a limit of the workspace.
+  tokens @1 :UInt32;
+  retryMillis @2 :UInt32;
+  # Time until a request without a token may come back.
+}
--- a/components/spread/src/driver.rs
+++ b/components/spread/src/driver.rs
@@ -19,6 +19,7 @@
 
 use crate::{
     acks::{deliver_acks, flush_acks},
+    allowances::{AllowancePort, send_asks},
     config_holder::ConfigHolder,
     connect::serve_session,
     counted::ControlMeter,
@@ -66,6 +67,8 @@
     pub acks: Arc<dyn AckSink>,
     /// Notices about requests; without it none are distributed.
     pub notices: Option<Arc<dyn NoticeExchange>>,
+    /// Limits of workspaces; without it none are granted here.
+    pub allowances: Option<AllowancePort>,
     /// Counts control bytes.
     pub meter: Arc<ControlMeter>,
 }
@@ -178,13 +181,14 @@
 async fn run_tasks(
     options: SpreadOptions,
     listener: std::net::TcpListener,
-    parts: SpreadParts,
+    mut parts: SpreadParts,
     stats: Arc<SpreadStats>,
 ) {
     let listener = match TcpListener::from_std(listener) {
         Ok(listener) => listener,
         Err(err) => return log::error!("spread: cannot listen: {err}."),
     };
+    let asks = parts.allowances.as_mut().map(AllowancePort::take_calls);
     let (node, receivers) = make_node(options, parts, stats);
     let stage = watch::Sender::new(JoinStage::Pending);
     tokio::join!(
@@ -197,6 +201,7 @@
         monitor_neighbours(&node),
         send_own_record(&node),
         send_notices(&node),
+        send_asks(&node, asks),
         watch_source(&node),
         serve_confirmations(&node, receivers.confirm_requests),
         forward_versions(&node, receivers.forward_tasks),
@@ -232,6 +237,7 @@
         acks: parts.acks,
         ack_batch: Default::default(),
         notices: parts.notices,
+        allowances: parts.allowances.map(|port| port.desk),
         meter: parts.meter,
         stats,
         pool: Default::default(),
--- a/components/spread/src/lib.rs
+++ b/components/spread/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod ack_batch;
 mod acks;
+mod allowances;
 mod auth;
 mod backoff;
 mod codec;
@@ -42,6 +43,7 @@
 #[path = "generated/peer_capnp.rs"]
 mod peer_capnp;
 
+pub use allowances::AllowancePort;
 pub use config_holder::{ConfigHolder, ConfigStatus, OfferOutcome};
 pub use counted::{ControlBytes, ControlMeter};
 pub use driver::{SpreadHandle, SpreadParts, StateReader, start_spread};
--- a/components/spread/src/node.rs
+++ b/components/spread/src/node.rs
@@ -8,6 +8,7 @@
     time::Duration,
 };
 
+use sk_allowance::AllowanceDesk;
 use sk_logs::OutageLog;
 use sk_member::{FreshnessProof, FreshnessTracker, MemberRecord, MemberSnapshot, SharedMembers};
 use sk_model::{ConfigSnapshot, ProxyId, Version, unix_time_ms};
@@ -53,6 +54,7 @@
     /// Acknowledgements to pass on if this daemon is a relay.
     pub(crate) ack_batch: AckBatch,
     pub(crate) notices: Option<Arc<dyn NoticeExchange>>,
+    pub(crate) allowances: Option<Arc<dyn AllowanceDesk>>,
     pub(crate) meter: Arc<ControlMeter>,
     pub(crate) stats: Arc<SpreadStats>,
     pub(crate) pool: PeerPool,
--- a/components/spread/src/server.rs
+++ b/components/spread/src/server.rs
@@ -14,6 +14,7 @@
 use tokio::{sync::OwnedSemaphorePermit, time::Instant};
 
 use crate::{
+    allowances::answer_asks,
     backoff::jittered,
     codec,
     hash_prefix::root_hash_prefix,
@@ -179,6 +180,15 @@
         answer_fetch(&node, request, answer).await
     }
 
+    async fn allowances(
+        self: Rc<Self>,
+        params: peer::AllowancesParams,
+        results: peer::AllowancesResults,
+    ) -> Result<(), Error> {
+        let (node, _) = self.require_session()?;
+        answer_asks(&node, params.get()?, results)
+    }
+
     async fn notices(
         self: Rc<Self>,
         params: peer::NoticesParams,
--- a/components/spread/src/state.rs
+++ b/components/spread/src/state.rs
@@ -48,10 +48,13 @@
     /// Acknowledgements.
     #[display("ack")]
     Ack,
+    /// Tokens of workspaces' limits.
+    #[display("allowance")]
+    Allowance,
 }
 
 /// All kinds, in the order of their counters.
-const CALL_KINDS: [CallKind; 8] = [
+const CALL_KINDS: [CallKind; 9] = [
     CallKind::Beat,
     CallKind::Rumor,
     CallKind::Reconcile,
@@ -60,6 +63,7 @@
     CallKind::Fetch,
     CallKind::Notice,
     CallKind::Ack,
+    CallKind::Allowance,
 ];
 
 /// Traffic of one kind of call since the start of the process: encoded payloads without the
--- a/components/spread/tests/common/mod.rs
+++ b/components/spread/tests/common/mod.rs
@@ -410,6 +410,7 @@
         let meter = Arc::new(ControlMeter::default());
         let parts = SpreadParts {
             notices: None,
+            allowances: None,
             config: config.clone(),
             members: members.clone(),
             source,
