Allowances: enforcement at the entry, and wiring in the daemon

Requests of a workspace with a rate take a token before they are placed; over the allowance they are answered 429 with a Retry-After in milliseconds. The token of a request that did not run goes back, and each further arrival at a server is charged. Workspaces without a limit do not touch this path.

--- /dev/null
+++ b/components/daemon/src/allowances.rs
@@ -0,0 +1,98 @@
+//! Connects the limits of workspaces with the request path, the configuration and the members.
+
+use std::{collections::HashMap, sync::Arc, time::Duration};
+
+use async_trait::async_trait;
+use sk_allowance::{AllowanceBook, AllowanceRate, MemberPresence};
+use sk_member::{LocalReachability, MemberRecord, MemberStatus, ReachabilityMarks, SharedMembers};
+use sk_model::{ConfigSnapshot, SettingBody};
+use sk_proxy::{AllowanceGate, AllowanceVerdict};
+use sk_spread::ConfigHolder;
+
+/// Interval between looks at the members without a change, by which lost daemons are forgotten.
+const MEMBERS_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Gives the request path access to the limits.
+pub(crate) struct BookGate {
+    pub(crate) book: Arc<AllowanceBook>,
+}
+
+#[async_trait]
+impl AllowanceGate for BookGate {
+    async fn take(&self, workspace: &str) -> AllowanceVerdict {
+        match self.book.take(workspace).await {
+            sk_allowance::AllowanceVerdict::Granted => AllowanceVerdict::Granted,
+            sk_allowance::AllowanceVerdict::Refused { retry_after } => {
+                AllowanceVerdict::Refused { retry_after }
+            }
+        }
+    }
+
+    fn give_back(&self, workspace: &str) {
+        self.book.give_back(workspace);
+    }
+
+    fn charge(&self, workspace: &str) {
+        self.book.charge(workspace);
+    }
+}
+
+/// Applies each change of the configuration and of the members to the limits. Without limited
+/// workspaces it only waits for changes of the configuration.
+pub(crate) async fn update_allowances(
+    book: Arc<AllowanceBook>,
+    config: Arc<ConfigHolder>,
+    members: Arc<SharedMembers>,
+) {
+    let mut versions = config.subscribe();
+    let mut snapshots = members.subscribe();
+    let (mut has_limits, mut is_changed) = (false, true);
+    loop {
+        versions.mark_unchanged();
+        let rates = is_changed.then(|| read_rates(&config.current()));
+        has_limits = rates.as_ref().map_or(has_limits, |rates| !rates.is_empty());
+        if has_limits {
+            let snapshot = snapshots.borrow_and_update().clone();
+            let marks = members.marks();
+            let presence = |record: &MemberRecord| presence_of(record, &marks);
+            book.set_members(
+                snapshot.values().map(|record| (record.proxy.as_str(), presence(record))),
+            );
+        }
+        if let Some(rates) = rates {
+            book.set_rates(rates);
+        }
+        let is_open;
+        (is_open, is_changed) = tokio::select! {
+            changed = versions.changed() => (changed.is_ok(), true),
+            changed = snapshots.changed(), if has_limits => (changed.is_ok(), false),
+            () = tokio::time::sleep(MEMBERS_INTERVAL), if has_limits => (true, false),
+        };
+        if !is_open {
+            return;
+        }
+    }
+}
+
+/// Returns how a daemon takes part, by its record and the marks of this daemon.
+fn presence_of(record: &MemberRecord, marks: &ReachabilityMarks) -> MemberPresence {
+    let is_unreachable = marks.get(&record.proxy) == Some(&LocalReachability::Unreachable);
+    match record.status {
+        MemberStatus::Leaving => MemberPresence::Left,
+        MemberStatus::Gone => MemberPresence::Lost,
+        MemberStatus::Alive | MemberStatus::Suspect if is_unreachable => MemberPresence::Lost,
+        MemberStatus::Alive | MemberStatus::Suspect => MemberPresence::Alive,
+    }
+}
+
+/// Returns the limits of a configuration by workspace.
+fn read_rates(snapshot: &ConfigSnapshot) -> HashMap<Arc<str>, AllowanceRate> {
+    let limit = |(_, body): (_, &SettingBody)| {
+        let SettingBody::Workspace(setting) = body else { return None };
+        let rate = setting.rate_per_thousand_s.filter(|rate| *rate > 0)?;
+        let rate_per_s = rate as f64 / 1000.0;
+        let limit = AllowanceRate { rate_per_s, burst: setting.burst as f64 };
+        Some((Arc::from(setting.name.as_str()), limit))
+    };
+    snapshot.settings().filter_map(limit).collect()
+}
--- a/components/daemon/src/daemon.rs
+++ b/components/daemon/src/daemon.rs
@@ -14,6 +14,7 @@
 
 use arc_swap::ArcSwapOption;
 use futures::{FutureExt, future::join_all};
+use sk_allowance::{AllowanceBook, OwnerCall};
 use sk_claim::ClaimClient;
 use sk_ledger::{Ledger, LedgerSettings};
 use sk_member::{HeartbeatFilter, MemberRecord, MemberStatus, SharedMembers};
@@ -26,13 +27,14 @@
 use sk_report::AckBuffer;
 use sk_settings::{DaemonSettings, SpreadMode};
 use sk_spread::{
-    ConfigHolder, ControlMeter, ForwardMode, SpreadHandle, SpreadOptions, SpreadParts, StateReader,
-    start_spread,
+    AllowancePort, ConfigHolder, ControlMeter, ForwardMode, SpreadHandle, SpreadOptions,
+    SpreadParts, StateReader, start_spread,
 };
 use sk_store::SharedStore;
-use tokio::{net::TcpListener, task::JoinHandle, time::Instant};
+use tokio::{net::TcpListener, sync::mpsc, task::JoinHandle, time::Instant};
 
 use crate::{
+    allowances::{BookGate, update_allowances},
     claims::ClaimClientGate,
     contacts::StoreContacts,
     error::DaemonError,
@@ -132,6 +134,7 @@
     ack_buffer: Arc<AckBuffer>,
     meter: Arc<ControlMeter>,
     claims: Arc<ClaimClient>,
+    allowances: Arc<AllowanceBook>,
     quarantine: Arc<SharedQuarantine>,
     counters: Arc<ProxyCounters>,
     unreachable: Arc<UnreachableTimes>,
@@ -151,7 +154,8 @@
         control: listeners.control.local_addr().unwrap_or(settings.listen.control),
         ops: settings.listen.ops,
     };
-    let parts = make_parts(settings, addresses);
+    let (allowances, owner_calls) = AllowanceBook::new(&settings.instance.name);
+    let parts = make_parts(settings, addresses, allowances);
     let own_port = Arc::new(make_port(settings, &parts, addresses));
     let port: SharedPort = own_port.clone();
     let mut ops = vec![start_ops(settings.listen.ops, port.clone())?];
@@ -159,7 +163,7 @@
     if let Some(ready) = settings.listen.ready {
         ops.push(start_ops(ready, port.clone())?);
     }
-    let spread = run_spread(settings, &parts, listeners.control)?;
+    let spread = run_spread(settings, &parts, listeners.control, owner_calls)?;
     // This is the only write; before it, the state dump has default values for the control thread.
     let _ = parts.spread.set(spread.reader());
     let guard_context = Arc::new(guard_context(settings, &parts));
@@ -189,6 +193,11 @@
             parts.counters.clone(),
             ttl,
         )),
+        tokio::spawn(update_allowances(
+            parts.allowances.clone(),
+            parts.config.clone(),
+            parts.members.clone(),
+        )),
         tokio::spawn(watch_reachability(parts.unreachable.clone(), parts.members.clone())),
         tokio::spawn(tasks::flush_reports(parts.ack_buffer.clone(), parts.store.clone(), flush)),
         tokio::spawn(send_metrics(settings.metrics.address, port, parts.counters.clone())),
@@ -344,7 +353,11 @@
     listener.local_addr().expect("a bound listener has an address")
 }
 
-fn make_parts(settings: &DaemonSettings, addresses: DaemonAddresses) -> DaemonParts {
+fn make_parts(
+    settings: &DaemonSettings,
+    addresses: DaemonAddresses,
+    allowances: AllowanceBook,
+) -> DaemonParts {
     let platform = Arc::new(PlatformAdapter::new(&settings.platform));
     let store = platform.store.clone();
     let key_prefix = settings.platform.key_prefix.clone();
@@ -353,6 +366,7 @@
     DaemonParts {
         ledger: Arc::new(Ledger::new(store.clone(), ledger_settings)),
         claims: Arc::new(ClaimClient::new(store.clone(), claim_settings(&key_prefix))),
+        allowances: Arc::new(allowances),
         store,
         local_service: Arc::new(ArcSwapOption::from(
             local_service(&platform, settings).map(Arc::new),
@@ -421,6 +435,7 @@
     settings: &DaemonSettings,
     parts: &DaemonParts,
     listener: std::net::TcpListener,
+    owner_calls: mpsc::Receiver<OwnerCall>,
 ) -> Result<SpreadHandle, DaemonError> {
     let options = SpreadOptions {
         secret: fleet_secret(settings),
@@ -445,6 +460,7 @@
         contacts: Some(Arc::new(contacts)),
         acks: Arc::new(ReportAckSink { ack_buffer: parts.ack_buffer.clone() }),
         notices: Some(Arc::new(QuarantineNotices { quarantine: parts.quarantine.clone() })),
+        allowances: Some(AllowancePort { desk: parts.allowances.clone(), calls: owner_calls }),
         meter: parts.meter.clone(),
     };
     start_spread(options, listener, spread_parts).map_err(DaemonError::Spread)
@@ -466,6 +482,7 @@
         local_service: parts.local_service.clone(),
         config_age: config_age(parts),
         max_key_age: max_key_age(settings),
+        allowances: Some(Arc::new(BookGate { book: parts.allowances.clone() })),
     }
 }
 
--- a/components/daemon/src/lib.rs
+++ b/components/daemon/src/lib.rs
@@ -1,5 +1,6 @@
 //! Connects the parts of one daemon and runs them.
 
+mod allowances;
 mod claims;
 mod contacts;
 mod daemon;
--- a/components/proxy/src/attempt_history.rs
+++ b/components/proxy/src/attempt_history.rs
@@ -66,6 +66,12 @@
             .push(AttemptRecord::unanswered(running.target.clone(), running.began.elapsed()));
     }
 
+    /// Returns the number of attempts that a server ran, or may have.
+    pub(crate) fn arrivals(&self) -> usize {
+        let ended = self.records.iter().filter(|record| record.may_have_run()).count();
+        ended + usize::from(self.running.is_some())
+    }
+
     /// Returns the daemon and server of the last attempt that ended, for the log.
     pub(crate) fn last_target(&self) -> Option<AttemptTarget> {
         self.records.last().map(|record| record.target().clone())
--- a/components/proxy/src/attempt_record.rs
+++ b/components/proxy/src/attempt_record.rs
@@ -80,6 +80,21 @@
         &self.target
     }
 
+    /// Returns whether a server ran the request, or may have.
+    pub(crate) fn may_have_run(&self) -> bool {
+        match &self.end {
+            RecordedEnd::Answered { kind, .. } => kind.is_none_or(|kind| {
+                matches!(
+                    kind,
+                    RefusalKind::DeadlinePassed
+                        | RefusalKind::AnswerLost
+                        | RefusalKind::AnswerInvalid
+                )
+            }),
+            RecordedEnd::Unanswered => true,
+        }
+    }
+
     /// Creates the record of an attempt that has no answer.
     pub(crate) fn unanswered(target: AttemptTarget, took: Duration) -> Self {
         Self { target, end: RecordedEnd::Unanswered, took }
--- a/components/proxy/src/context.rs
+++ b/components/proxy/src/context.rs
@@ -11,11 +11,11 @@
 use sk_model::ServiceName;
 
 use crate::{
-    body::ProxyBody, call::GuardToken, claim::ClaimGate, counters::ProxyCounters,
-    drain::DrainClock, failed_calls::FailedCalls, header_translation::HeaderTranslation,
-    local::LocalServerList, open_requests::OpenRequests, outcome::RefusalKind, peers::PeerClient,
-    quarantine::SharedQuarantine, returning::RefusedRequests, running_requests::RunningRequests,
-    table::SharedTable,
+    allowance::AllowanceGate, body::ProxyBody, call::GuardToken, claim::ClaimGate,
+    counters::ProxyCounters, drain::DrainClock, failed_calls::FailedCalls,
+    header_translation::HeaderTranslation, local::LocalServerList, open_requests::OpenRequests,
+    outcome::RefusalKind, peers::PeerClient, quarantine::SharedQuarantine,
+    returning::RefusedRequests, running_requests::RunningRequests, table::SharedTable,
 };
 
 /// Shared state of the entry side.
@@ -43,6 +43,8 @@
     /// taken away does not serve on at a daemon that is cut off. `None` serves by the last
     /// configuration known.
     pub max_key_age: Option<Duration>,
+    /// Limits of workspaces; `None` serves any number of requests.
+    pub allowances: Option<Arc<dyn AllowanceGate>>,
 }
 
 /// Returns the time since this daemon was last known to hold the newest configuration; `None` if
--- a/components/proxy/src/forward.rs
+++ b/components/proxy/src/forward.rs
@@ -8,6 +8,7 @@
 use sk_decide::{deadline::ENTRY_GRACE, placing::CallOutcome};
 
 use crate::{
+    allowance::take_token,
     answer::{DaemonAnswer, daemon_answer, error_answer, refuse},
     attempt::answer_request,
     attempt_history::AttemptHistory,
@@ -99,7 +100,15 @@
     match EntryRequest::read(request, host.as_deref(), &route, call, sender, limit, refused).await {
         Ok(request) => {
             request_log.rank = request.traits.rank;
-            forward_read(context, &route, request, request_log).await
+            let token = match take_token(context, request.workspace.as_ref()).await {
+                Ok(token) => token,
+                Err(response) => return count_own_refusal(context, *response),
+            };
+            let response = forward_read(context, &route, request, request_log).await;
+            if let Some(token) = token {
+                token.settle(&request_log.history, &response);
+            }
+            response
         }
         Err(response) => count_own_refusal(context, *response),
     }
--- a/components/proxy/src/lib.rs
+++ b/components/proxy/src/lib.rs
@@ -6,6 +6,7 @@
 //! design note is `docs/design/requests.md`.
 
 mod abandoned;
+mod allowance;
 mod answer;
 mod attempt;
 mod attempt_history;
@@ -52,6 +53,7 @@
 mod upload;
 mod workspaces;
 
+pub use allowance::{AllowanceGate, AllowanceVerdict};
 pub use body::{BodyError, ProxyBody};
 pub use call::GuardToken;
 pub use claim::{AttemptId, ClaimGate, ClaimKey, ClaimOutcome, ClaimVerdict};
--- a/components/proxy/src/outcome.rs
+++ b/components/proxy/src/outcome.rs
@@ -102,6 +102,8 @@
     /// The key is not known here, or may have been taken away, and this daemon cannot tell whether it
     /// holds the newest configuration.
     KeyUnconfirmed = "key-unconfirmed",
+    /// The workspace has used its allowance.
+    AllowanceExceeded = "allowance-exceeded",
     /// The service has no endpoint that takes work.
     NoEndpoint = "no-endpoint",
     /// The request uses a protocol version or method that is not carried.
--- a/components/proxy/tests/common/mod.rs
+++ b/components/proxy/tests/common/mod.rs
@@ -21,10 +21,11 @@
     ConfigSnapshot, RouteSetting, ServiceSetting, SettingBody, SnapshotRoot, TeamTree, WorkClass,
 };
 use sk_proxy::{
-    ClaimGate, DrainClock, FailedCalls, ForwardContext, GuardContext, GuardToken, ListenerHandle,
-    LocalServer, LocalServerList, NativeHeaders, PeerClient, ProxyCounters, RefusalKind,
-    RefusedRequests, RequestOutcome, RouteTable, RunningRequests, ServerLimits, SharedQuarantine,
-    SharedTable, TableOwner, TableTuning, serve_forward, serve_guard, time_since_start,
+    AllowanceGate, ClaimGate, DrainClock, FailedCalls, ForwardContext, GuardContext, GuardToken,
+    ListenerHandle, LocalServer, LocalServerList, NativeHeaders, PeerClient, ProxyCounters,
+    RefusalKind, RefusedRequests, RequestOutcome, RouteTable, RunningRequests, ServerLimits,
+    SharedQuarantine, SharedTable, TableOwner, TableTuning, serve_forward, serve_guard,
+    time_since_start,
 };
 use sk_standin::{BackendHandle, BackendOptions, start_backend};
 use tokio::net::{TcpListener, TcpStream};
@@ -47,6 +48,7 @@
     pub goal: Option<Duration>,
     pub limits: ServerLimits,
     pub claims: Option<Arc<dyn ClaimGate>>,
+    pub allowances: Option<Arc<dyn AllowanceGate>>,
     pub tuning: TableTuning,
 }
 
@@ -62,6 +64,7 @@
             goal: None,
             limits: ServerLimits::default(),
             claims: None,
+            allowances: None,
             tuning: TableTuning::default(),
         }
     }
@@ -249,6 +252,7 @@
         local_service: Arc::default(),
         config_age: Arc::new(|| Some(Duration::ZERO)),
         max_key_age: None,
+        allowances: plan.allowances.clone(),
     };
     TestDaemon {
         name: format!("daemon-{index}"),
