--- a/components/allowance/src/book.rs
+++ b/components/allowance/src/book.rs
@@ -186,7 +186,7 @@
         state.last_call = number;
         let call = OwnerCall { owner, ask, number };
         if call.owner == self.own_name {
-            let grant = state.grant(&call.ask, now);
+            let grant = state.grant(&self.own_name, &call.ask, now);
             state.conclude_call(&call, grant, now);
         } else if let Err(err) = self.calls.try_send(call) {
             state.conclude_call(&err.into_inner(), None, now);
@@ -203,10 +203,11 @@
 }
 
 impl AllowanceDesk for AllowanceBook {
-    fn grant(&self, asks: &[AllowanceAsk]) -> Vec<Option<TokenGrant>> {
+    fn grant(&self, holder: &str, asks: &[AllowanceAsk]) -> Vec<Option<TokenGrant>> {
+        let holder = Arc::from(holder);
         let now = self.now();
         let mut state = self.lock();
-        asks.iter().map(|ask| state.grant(ask, now)).collect()
+        asks.iter().map(|ask| state.grant(&holder, ask, now)).collect()
     }
 
     fn deliver(&self, call: &OwnerCall, grant: Option<TokenGrant>) {
@@ -232,12 +233,17 @@
     }
 
     /// Grants tokens of a workspace as its owner; `None` for one without a limit.
-    fn grant(&mut self, ask: &AllowanceAsk, now: Duration) -> Option<TokenGrant> {
+    fn grant(
+        &mut self,
+        holder: &Arc<str>,
+        ask: &AllowanceAsk,
+        now: Duration,
+    ) -> Option<TokenGrant> {
         let (name, rate) = self.rates.get_key_value(&ask.workspace)?;
-        let part = self.fleet.alive_part();
+        let terms = self.fleet.owner_terms();
         let bucket = self.buckets.entry(name.clone());
-        let bucket = bucket.or_insert_with(|| OwnerBucket::new(*rate, part, now));
-        Some(bucket.grant(ask.want, now))
+        let bucket = bucket.or_insert_with(|| OwnerBucket::new(*rate, terms, now));
+        Some(bucket.grant(holder, ask.want, now))
     }
 
     /// Applies the owner's answer to a call.
@@ -256,7 +262,7 @@
 
     /// Applies changed limits or members to all workspaces.
     fn apply_terms(&mut self, now: Duration) {
-        let (known, part) = (self.fleet.known, self.fleet.alive_part());
+        let (known, terms) = (self.fleet.known, self.fleet.owner_terms());
         for (name, entry) in &mut self.holders {
             if let Some(rate) = self.rates.get(name) {
                 entry.holder.set_terms(HolderTerms { rate: *rate, known }, now);
@@ -265,7 +271,7 @@
         }
         for (name, bucket) in &mut self.buckets {
             if let Some(rate) = self.rates.get(name) {
-                bucket.set_terms(*rate, part, now);
+                bucket.set_terms(*rate, terms, now);
             }
         }
     }
--- a/components/allowance/src/calls.rs
+++ b/components/allowance/src/calls.rs
@@ -27,7 +27,7 @@
 /// The state of this daemon as the control thread uses it.
 pub trait AllowanceDesk: Send + Sync {
     /// Grants tokens of workspaces to another daemon, `None` for those without a limit here.
-    fn grant(&self, asks: &[AllowanceAsk]) -> Vec<Option<TokenGrant>>;
+    fn grant(&self, holder: &str, asks: &[AllowanceAsk]) -> Vec<Option<TokenGrant>>;
 
     /// Delivers the owner's answer to a call, `None` if there was none.
     fn deliver(&self, call: &OwnerCall, grant: Option<TokenGrant>);
--- a/components/decide/src/allowance.rs
+++ b/components/decide/src/allowance.rs
@@ -11,11 +11,12 @@
 mod fleet;
 mod holder;
 mod owner;
+mod regular;
 
 pub use fallback::FallbackBucket;
 pub use fleet::{FleetTracker, FleetView, MemberPresence, choose_owner};
 pub use holder::{HolderTerms, TakeStep, TokenHolder, TokenWant};
-pub use owner::{OwnerBucket, TokenGrant};
+pub use owner::{OwnerBucket, OwnerTerms, TokenGrant};
 
 use std::time::Duration;
 
--- a/components/decide/src/allowance/fleet.rs
+++ b/components/decide/src/allowance/fleet.rs
@@ -2,6 +2,8 @@
 
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
+use super::OwnerTerms;
+
 /// Time for which a daemon that is no longer heard of counts as one that may still serve.
 const KNOWN_TIME: Duration = Duration::from_secs(20);
 
@@ -26,9 +28,9 @@
 }
 
 impl FleetView {
-    /// Returns the part of the known daemons that is alive.
-    pub fn alive_part(&self) -> f64 {
-        self.alive.len() as f64 / f64::from(self.known.max(1))
+    /// Returns the numbers of daemons for the owner of a bucket.
+    pub fn owner_terms(&self) -> OwnerTerms {
+        OwnerTerms { alive: self.alive.len() as u32, known: self.known }
     }
 }
 
--- a/components/decide/src/allowance/owner.rs
+++ b/components/decide/src/allowance/owner.rs
@@ -1,8 +1,8 @@
 //! The bucket of a workspace at the daemon that owns it.
 
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 
-use super::{AllowanceRate, LONGEST_RETRY, TokenWant, token_interval};
+use super::{AllowanceRate, LONGEST_RETRY, TokenWant, regular::RegularHolders, token_interval};
 
 /// Refill time that the bucket holds beyond the burst. Holders that were refused ask again only
 /// after a pause, and the tokens of that pause must not be lost.
@@ -21,12 +21,21 @@
     pub retry_after: Duration,
 }
 
+/// The daemons that share a limit, as its owner knows them.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct OwnerTerms {
+    /// Daemons that are alive; the others continue on their own parts.
+    pub alive: u32,
+    /// All daemons that may serve requests.
+    pub known: u32,
+}
+
 /// Token bucket of one workspace at its owner.
 #[derive(Clone, Debug)]
 pub struct OwnerBucket {
     rate: AllowanceRate,
-    /// Part of the known daemons that is alive. The others continue on their own parts.
-    part: f64,
+    terms: OwnerTerms,
+    holders: RegularHolders,
     level: f64,
     filled_at: Duration,
     /// Time up to which tokens are promised to callers that were refused.
@@ -34,26 +43,30 @@
 }
 
 impl OwnerBucket {
-    /// Creates a bucket with a single token, so that a change of owner grants no burst twice and a
-    /// workspace of few requests loses none.
-    pub fn new(rate: AllowanceRate, part: f64, now: Duration) -> Self {
-        Self { rate, part, level: 1.0, filled_at: now, promised_until: now }
+    /// Creates a bucket without the burst, so that a change of owner grants no burst twice. It has
+    /// one token and those of [`PAUSE_CREDIT`], so that a workspace of few requests loses none.
+    pub fn new(rate: AllowanceRate, terms: OwnerTerms, now: Duration) -> Self {
+        let holders = RegularHolders::default();
+        let mut bucket =
+            Self { rate, terms, holders, level: 1.0, filled_at: now, promised_until: now };
+        bucket.level += bucket.refill_rate() * PAUSE_CREDIT.as_secs_f64();
+        bucket
     }
 
-    /// Changes the limit or the part of the daemons that is alive; a lower capacity takes effect at
-    /// once.
-    pub fn set_terms(&mut self, rate: AllowanceRate, part: f64, now: Duration) {
-        if (self.rate, self.part) != (rate, part) {
+    /// Changes the limit or the daemons that share it; a lower capacity takes effect at once.
+    pub fn set_terms(&mut self, rate: AllowanceRate, terms: OwnerTerms, now: Duration) {
+        if (self.rate, self.terms) != (rate, terms) {
             self.refill(now);
-            (self.rate, self.part) = (rate, part);
+            (self.rate, self.terms) = (rate, terms);
             self.level = self.level.min(self.capacity());
             self.promised_until = self.promised_until.min(now);
         }
     }
 
     /// Grants tokens to a holder: the needed ones if there are enough, and some ahead of need.
-    pub fn grant(&mut self, want: TokenWant, now: Duration) -> TokenGrant {
+    pub fn grant(&mut self, holder: &Arc<str>, want: TokenWant, now: Duration) -> TokenGrant {
         self.refill(now);
+        self.holders.record(holder, now);
         // Repeats have run already. The debt is bounded, so that it cannot block a workspace for
         // longer than a window.
         self.level = (self.level - f64::from(want.spent)).max(-self.capacity());
@@ -79,16 +92,24 @@
     }
 
     fn refill_rate(&self) -> f64 {
-        self.rate.rate_per_s * self.part
+        self.rate.rate_per_s * self.part()
+    }
+
+    /// Returns the part of the daemons that is alive.
+    fn part(&self) -> f64 {
+        f64::from(self.terms.alive) / f64::from(self.terms.known.max(1))
     }
 
     fn capacity(&self) -> f64 {
-        (self.rate.burst * self.part).max(1.0) + self.refill_rate() * PAUSE_CREDIT.as_secs_f64()
+        (self.rate.burst * self.part()).max(1.0) + self.refill_rate() * PAUSE_CREDIT.as_secs_f64()
     }
 
     fn refill(&mut self, now: Duration) {
         let elapsed = now.saturating_sub(self.filled_at).as_secs_f64();
         self.filled_at = self.filled_at.max(now);
-        self.level = (self.level + elapsed * self.refill_rate()).min(self.capacity());
+        let known = f64::from(self.terms.known.max(1));
+        let silent = f64::from(self.holders.silent(now)) / known;
+        let refill_rate = self.rate.rate_per_s * (self.part() - silent).max(1.0 / known);
+        self.level = (self.level + elapsed * refill_rate).min(self.capacity());
     }
 }
--- a/components/spread/src/allowances.rs
+++ b/components/spread/src/allowances.rs
@@ -101,6 +101,7 @@
 /// Fails for more than [`MAX_ASKS`] asks, for malformed ones, and at a daemon without limits.
 pub(crate) fn answer_asks(
     node: &SpreadNode,
+    holder: &str,
     params: peer::allowances_params::Reader<'_>,
     mut results: peer::AllowancesResults,
 ) -> Result<(), Error> {
@@ -112,7 +113,7 @@
         return Err(Error::failed("too many asks".to_owned()));
     }
     let asks = asks.iter().map(read_ask).collect::<Result<Vec<_>, Error>>()?;
-    let grants = desk.grant(&asks);
+    let grants = desk.grant(holder, &asks);
     let mut list = results.get().init_grants(grants.len() as u32);
     for (index, grant) in grants.iter().enumerate() {
         write_grant(*grant, list.reborrow().get(index as u32));
--- a/components/spread/src/server.rs
+++ b/components/spread/src/server.rs
@@ -185,8 +185,8 @@
         params: peer::AllowancesParams,
         results: peer::AllowancesResults,
     ) -> Result<(), Error> {
-        let (node, _) = self.require_session()?;
-        answer_asks(&node, params.get()?, results)
+        let (node, session) = self.require_session()?;
+        answer_asks(&node, &session.proxy, params.get()?, results)
     }
 
     async fn notices(
