--- a/components/proxy/tests/common/mod.rs
+++ b/components/proxy/tests/common/mod.rs
@@ -19,6 +19,7 @@
 use sk_member::{EndpointRecord, EndpointStatus, MemberRecord, MemberStatus};
 use sk_model::{
     ConfigSnapshot, RouteSetting, ServiceSetting, SettingBody, SnapshotRoot, TeamTree, WorkClass,
+    WorkspaceSetting,
 };
 use sk_proxy::{
     AllowanceGate, ClaimGate, DrainClock, FailedCalls, ForwardContext, GuardContext, GuardToken,
@@ -49,6 +50,7 @@
     pub limits: ServerLimits,
     pub claims: Option<Arc<dyn ClaimGate>>,
     pub allowances: Option<Arc<dyn AllowanceGate>>,
+    pub workspaces: Vec<WorkspaceSetting>,
     pub tuning: TableTuning,
 }
 
@@ -65,6 +67,7 @@
             limits: ServerLimits::default(),
             claims: None,
             allowances: None,
+            workspaces: Vec::new(),
             tuning: TableTuning::default(),
         }
     }
@@ -92,7 +95,7 @@
 
 impl TestFleet {
     pub async fn start(plan: FleetPlan) -> Self {
-        let snapshot = make_snapshot(plan.deadline, plan.goal);
+        let snapshot = make_snapshot(plan.deadline, plan.goal, &plan.workspaces);
         let mut fleet = Self { daemons: Vec::new(), backends: Vec::new(), plan, snapshot };
         for index in 0..fleet.plan.servers.len() {
             let daemon = start_daemon(index, &fleet.plan).await;
@@ -272,7 +275,11 @@
     TcpListener::bind("127.0.0.1:0").await.expect("local port")
 }
 
-fn make_snapshot(deadline: Duration, goal: Option<Duration>) -> ConfigSnapshot {
+fn make_snapshot(
+    deadline: Duration,
+    goal: Option<Duration>,
+    workspaces: &[WorkspaceSetting],
+) -> ConfigSnapshot {
     let millis = |time: Duration| u64::try_from(time.as_millis()).expect("a short time");
     let (deadline_ms, goal_ms) = (millis(deadline), goal.map(millis));
     let route = |prefix: &str, repeatable, class| {
@@ -285,12 +292,16 @@
         })
     };
     let service = SettingBody::Service(ServiceSetting::default());
-    let settings = BTreeMap::from([
+    let mut settings = BTreeMap::from([
         (SERVICE.to_owned(), service),
         ("/team/routes/all".to_owned(), route("/", false, WorkClass::Short)),
         ("/team/routes/again".to_owned(), route("/again", true, WorkClass::Short)),
         ("/team/routes/documents".to_owned(), route("/documents", false, WorkClass::Long)),
     ]);
+    settings.extend(workspaces.iter().map(|workspace| {
+        let body = SettingBody::Workspace(workspace.clone());
+        (format!("/team/workspaces/{}", workspace.name), body)
+    }));
     let trees = BTreeMap::from([("team".to_owned(), Arc::new(TeamTree { settings }))]);
     let root = SnapshotRoot { version: 1, ..SnapshotRoot::default() };
     ConfigSnapshot { root, trees }
--- a/components/spread/tests/common/mod.rs
+++ b/components/spread/tests/common/mod.rs
@@ -18,14 +18,15 @@
 
 use async_trait::async_trait;
 use rand::RngExt;
+use sk_allowance::AllowanceBook;
 use sk_member::{MemberRecord, MemberStatus, SharedMembers, choose_relays};
 use sk_model::{
     ConfigSnapshot, ProxyAck, RouteSetting, ServiceSetting, SettingBody, SnapshotRoot, TeamTree,
     TreeRef, ValueSetting, Version,
 };
 use sk_spread::{
-    AckSink, ConfigHolder, ConfigSource, ContactMap, ContactStore, ControlMeter, SourceError,
-    SpreadHandle, SpreadOptions, SpreadParts, WatchResult, start_spread,
+    AckSink, AllowancePort, ConfigHolder, ConfigSource, ContactMap, ContactStore, ControlMeter,
+    SourceError, SpreadHandle, SpreadOptions, SpreadParts, WatchResult, start_spread,
 };
 use tokio::sync::watch;
 
@@ -301,6 +302,7 @@
     pub config: Arc<ConfigHolder>,
     pub members: Arc<SharedMembers>,
     pub meter: Arc<ControlMeter>,
+    pub allowances: Arc<AllowanceBook>,
     pub address: SocketAddr,
     pub name: String,
 }
@@ -408,9 +410,12 @@
         let config = Arc::new(ConfigHolder::new());
         let members = Arc::new(SharedMembers::new(record));
         let meter = Arc::new(ControlMeter::default());
+        let (allowances, calls) = AllowanceBook::new(name);
+        let allowances = Arc::new(allowances);
+        let port = AllowancePort { desk: allowances.clone(), calls };
         let parts = SpreadParts {
             notices: None,
-            allowances: None,
+            allowances: Some(port),
             config: config.clone(),
             members: members.clone(),
             source,
@@ -419,7 +424,7 @@
             meter: meter.clone(),
         };
         let handle = start_spread(options, listener, parts).expect("spread starts");
-        TestDaemon { handle, config, members, meter, address, name: name.to_owned() }
+        TestDaemon { handle, config, members, meter, allowances, address, name: name.to_owned() }
     }
 
     /// Starts `count` daemons in each data centre and waits until all know each other.
