--- a/components/allowance/src/book.rs
+++ b/components/allowance/src/book.rs
@@ -48,6 +48,9 @@
     pub charged: u64,
 }
 
+/// Limit, owner and counts of one workspace.
+pub type WorkspaceRow = (AllowanceRate, Option<Arc<str>>, WorkspaceCounts);
+
 /// The allowances of all workspaces at one daemon: tokens of the workspaces whose requests it
 /// receives, and buckets of those that it owns. Shared by the request path and the control thread.
 pub struct AllowanceBook {
@@ -135,7 +138,7 @@
     }
 
     /// Returns the limits, owners and counts of all workspaces with a limit, by name.
-    pub fn counts(&self) -> BTreeMap<Arc<str>, (AllowanceRate, Option<Arc<str>>, WorkspaceCounts)> {
+    pub fn counts(&self) -> BTreeMap<Arc<str>, WorkspaceRow> {
         let state = self.lock();
         let row = |(name, rate): (&Arc<str>, &AllowanceRate)| {
             let counts = state.holders.get(name).map(|entry| entry.counts).unwrap_or_default();
--- a/components/allowance/src/lib.rs
+++ b/components/allowance/src/lib.rs
@@ -9,6 +9,6 @@
 mod entry;
 mod log_pace;
 
-pub use book::{AllowanceBook, AllowanceVerdict, WorkspaceCounts};
+pub use book::{AllowanceBook, AllowanceVerdict, WorkspaceCounts, WorkspaceRow};
 pub use calls::{AllowanceAsk, AllowanceDesk, OwnerCall};
 pub use sk_decide::allowance::{AllowanceRate, MemberPresence, TokenGrant, TokenWant};
--- a/components/allowance/tests/common/mod.rs
+++ b/components/allowance/tests/common/mod.rs
@@ -61,6 +61,7 @@
 #[derive(Clone, Copy)]
 pub struct Decision {
     pub workspace: usize,
+    pub daemon: usize,
     pub at: Duration,
     pub is_granted: bool,
     /// Whether a central bucket would have admitted it.
@@ -202,7 +203,13 @@
             let verdict = book.take(&fleet.workspaces[workspace].name).await;
             let at = fleet.began.elapsed();
             let is_granted = verdict == AllowanceVerdict::Granted;
-            fleet.decisions.borrow_mut().push(Decision { workspace, at, is_granted, is_due });
+            fleet.decisions.borrow_mut().push(Decision {
+                workspace,
+                daemon: index,
+                at,
+                is_granted,
+                is_due,
+            });
         });
     }
 
--- a/components/daemon/src/daemon.rs
+++ b/components/daemon/src/daemon.rs
@@ -421,6 +421,7 @@
         quarantine: parts.quarantine.clone(),
         counters: parts.counters.clone(),
         table: parts.table.clone(),
+        allowances: parts.allowances.clone(),
         ack_buffer: parts.ack_buffer.clone(),
         spread: parts.spread.clone(),
         proxy_address: addresses.proxy,
--- a/components/daemon/src/dump.rs
+++ b/components/daemon/src/dump.rs
@@ -1,11 +1,13 @@
 //! The state dump: the state of each part of the daemon, without a call to the platform.
 
-use std::{collections::BTreeMap, time::Duration};
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
+
+use sk_allowance::{AllowanceBook, WorkspaceRow};
 
 use sk_decide::{admitting::GuardState, quarantine::QuarantineSettings};
 use sk_member::{EndpointRecord, MemberRecord, ReachabilityMarks};
 use sk_model::{ProxyId, ServiceName};
-use sk_ops::{ControlView, PeerView, RequestView, ServerView, StateDump};
+use sk_ops::{ControlView, PeerView, RequestView, ServerView, StateDump, WorkspaceView};
 use sk_proxy::{ProxyCounters, RouteTable, SharedQuarantine};
 use sk_spread::SpreadState;
 
@@ -37,6 +39,7 @@
             control: view_control(spread, self.ack_buffer.pending_data_centres()),
             requests: view_requests(&self.counters, &self.table.load()),
             servers: servers.iter().map(|endpoint| view_server(endpoint, &guards)).collect(),
+            workspaces: view_workspaces(&self.allowances),
             members: members.values().map(|record| view_peer(record, &marks)).collect(),
         }
     }
@@ -98,6 +101,23 @@
     (endpoint.service.clone(), view)
 }
 
+fn view_workspaces(allowances: &AllowanceBook) -> BTreeMap<String, WorkspaceView> {
+    let view = |(name, (rate, owner, counts)): (Arc<str>, WorkspaceRow)| {
+        let view = WorkspaceView {
+            rate_per_thousand_s: (rate.rate_per_s * 1000.0).round() as u64,
+            burst: rate.burst as u64,
+            owner: owner.map(|owner| owner.to_string()),
+            used: counts.used,
+            refused: counts.refused,
+            fallback: counts.fallback,
+            given_back: counts.given_back,
+            charged: counts.charged,
+        };
+        (name.to_string(), view)
+    };
+    allowances.counts().into_iter().map(view).collect()
+}
+
 fn view_peer(record: &MemberRecord, marks: &ReachabilityMarks) -> (ProxyId, PeerView) {
     let service =
         |endpoint: &EndpointRecord| (endpoint.service.clone(), endpoint.status.to_string());
--- a/components/daemon/src/port.rs
+++ b/components/daemon/src/port.rs
@@ -11,6 +11,7 @@
 };
 
 use async_trait::async_trait;
+use sk_allowance::AllowanceBook;
 use sk_ledger::{Ledger, SubmitError};
 use sk_member::{
     EndpointRecord, EndpointStatus, HeartbeatFilter, HeartbeatStatus, MemberRecord, MemberTable,
@@ -58,6 +59,7 @@
     pub(crate) quarantine: Arc<SharedQuarantine>,
     pub(crate) counters: Arc<ProxyCounters>,
     pub(crate) table: SharedTable,
+    pub(crate) allowances: Arc<AllowanceBook>,
     pub(crate) ack_buffer: Arc<AckBuffer>,
     /// Set as soon as the control thread runs.
     pub(crate) spread: Arc<OnceLock<StateReader>>,
--- a/components/daemon/src/scrape.rs
+++ b/components/daemon/src/scrape.rs
@@ -18,6 +18,7 @@
 //! | `sapphirekeel_server_running`, `_queued`, `_slots` | gauge | `service` | the guard's counts |
 //! | `sapphirekeel_control_bytes_total` | counter | `direction` | bytes of control traffic |
 //! | `sapphirekeel_server_limit_per_thousand_seconds` | gauge | `service` | requests that the server states as its limit; absent without one |
+//! | `sapphirekeel_workspace_used_total`, `_refused_total`, `_fallback_total` | counter | `workspace` | requests of workspaces with a limit; the first 200 by name |
 //! | `sapphirekeel_quarantined` | gauge | | requests refused because they crash servers |
 
 use std::{collections::BTreeMap, convert::Infallible, sync::Arc, time::Duration};
@@ -31,11 +32,13 @@
     Encoder, IntCounterVec, IntGaugeVec, Opts, Registry, TextEncoder,
     core::{MetricVec, MetricVecBuilder},
 };
-use sk_ops::{ServerView, SharedPort, StateDump};
+use sk_ops::{ServerView, SharedPort, StateDump, WorkspaceView};
 use sk_proxy::ProxyCounters;
 use thiserror::Error;
 use tokio::net::TcpListener;
 
+/// Most workspaces with metrics of their own, so that the text stays under 50 kB.
+const MAX_WORKSPACES: usize = 200;
 const METRICS_PATH: &str = "/metrics";
 /// Time for a client to send its request head. Without a bound, a connection that sends nothing
 /// would occupy a file descriptor forever.
@@ -194,8 +197,37 @@
     )
 }
 
+/// Registers the counts of workspaces with a limit; without one there are none.
+fn add_workspaces(writer: &MetricWriter, state: &StateDump) -> Result<(), prometheus::Error> {
+    let counts = |value: fn(&WorkspaceView) -> u64| -> Vec<(&str, u64)> {
+        let views = state.workspaces.iter().take(MAX_WORKSPACES);
+        views.map(|(name, view)| (name.as_str(), value(view))).collect()
+    };
+    if state.workspaces.is_empty() {
+        return Ok(());
+    }
+    let counter =
+        |name, help, values: Vec<(&str, u64)>| writer.counter(name, help, "workspace", &values);
+    counter(
+        "sapphirekeel_workspace_used_total",
+        "Requests within the limit.",
+        counts(|view| view.used),
+    )?;
+    counter(
+        "sapphirekeel_workspace_refused_total",
+        "Requests refused over the limit.",
+        counts(|view| view.refused),
+    )?;
+    counter(
+        "sapphirekeel_workspace_fallback_total",
+        "Requests decided without the owner.",
+        counts(|view| view.fallback),
+    )
+}
+
 fn add_gauges(registry: &Registry, state: &StateDump) -> Result<(), prometheus::Error> {
     let writer = MetricWriter(registry);
+    add_workspaces(&writer, state)?;
     let single =
         |name, help, count| writer.gauge(name, help, SCOPE_LABEL, &[(DAEMON_SCOPE, count)]);
     single("sapphirekeel_config_version", "Version in force.", state.version)?;
--- a/components/ops/src/lib.rs
+++ b/components/ops/src/lib.rs
@@ -18,4 +18,5 @@
 pub use wire::{
     ControlView, HeartbeatAnswer, HeartbeatBody, PeerView, ReadyView, RequestView,
     ServerAnnouncement, ServerState, ServerView, SettingsView, StateDump, TeamRecord, TeamView,
+    WorkspaceView,
 };
--- a/components/ops/src/wire.rs
+++ b/components/ops/src/wire.rs
@@ -185,6 +185,27 @@
     pub retries_left: BTreeMap<ServiceName, u64>,
 }
 
+/// The limit of one workspace and its requests at one daemon since that daemon's start.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+pub struct WorkspaceView {
+    /// Requests that it may send in 1000 seconds, over all daemons.
+    pub rate_per_thousand_s: u64,
+    /// Requests at once beyond that rate.
+    pub burst: u64,
+    /// The daemon that owns its bucket, as this daemon sees it.
+    pub owner: Option<ProxyId>,
+    /// Requests within the limit.
+    pub used: u64,
+    /// Requests refused over the limit.
+    pub refused: u64,
+    /// Requests decided by this daemon's own part, because the owner did not answer.
+    pub fallback: u64,
+    /// Tokens returned for requests that did not run.
+    pub given_back: u64,
+    /// Repeats that reached another server.
+    pub charged: u64,
+}
+
 /// The state of one daemon. It contains no secret.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
 pub struct StateDump {
@@ -216,6 +237,9 @@
     pub requests: RequestView,
     /// Backend servers beside it, by service.
     pub servers: BTreeMap<ServiceName, ServerView>,
+    /// Workspaces with a limit, by name.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    pub workspaces: BTreeMap<String, WorkspaceView>,
     /// All known daemons, this one included.
     pub members: BTreeMap<ProxyId, PeerView>,
 }
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -48,6 +48,8 @@
     Report(ReportArgs),
     /// Print a daemon's state
     State(StateArgs),
+    /// Print the limits of workspaces and their requests at a daemon
+    Workspace(WorkspaceArgs),
     /// Create a team or replace its token
     Team(TeamArgs),
 }
@@ -207,6 +209,44 @@
     pub json: bool,
 }
 
+/// Prints limits of workspaces, and their requests at the daemon that is called, since its start.
+#[derive(Debug, Options)]
+pub struct WorkspaceArgs {
+    /// Print this help
+    pub help: bool,
+    /// Print data as JSON
+    #[options(no_short)]
+    pub json: bool,
+    #[options(command, required)]
+    pub command: Option<WorkspaceCommand>,
+}
+
+/// What to print about workspaces.
+#[derive(Debug, Options)]
+pub enum WorkspaceCommand {
+    /// Print all workspaces with a limit
+    List(WorkspaceListArgs),
+    /// Print one workspace
+    Show(WorkspaceShowArgs),
+}
+
+/// Prints all workspaces with a limit.
+#[derive(Debug, Options)]
+pub struct WorkspaceListArgs {
+    /// Print this help
+    pub help: bool,
+}
+
+/// Prints one workspace.
+#[derive(Debug, Options)]
+pub struct WorkspaceShowArgs {
+    /// Print this help
+    pub help: bool,
+    /// Name of the workspace
+    #[options(free, required)]
+    pub name: String,
+}
+
 /// Creates a team or replaces its token. Needs the managers' token.
 #[derive(Debug, Options)]
 pub struct TeamArgs {
@@ -232,6 +272,7 @@
             Self::Get(args) => args.json,
             Self::Report(args) => args.json,
             Self::State(args) => args.json,
+            Self::Workspace(args) => args.json,
         }
     }
 }
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -12,6 +12,7 @@
 mod team;
 mod wait;
 mod withdraw;
+mod workspace;
 
 use std::process::ExitCode;
 
@@ -82,6 +83,7 @@
         CliCommand::Get(args) => get::run(&make_client()?, &args, is_json).await,
         CliCommand::Report(args) => report::run(&make_client()?, &args, is_json).await,
         CliCommand::State(_) => state::run(&make_client()?).await,
+        CliCommand::Workspace(args) => workspace::run(&make_client()?, &args, is_json).await,
         CliCommand::Team(args) => team::run(&make_client()?, &args).await,
     }
 }
