--- a/components/proxy/src/forward.rs
+++ b/components/proxy/src/forward.rs
@@ -7,6 +7,7 @@
 use sk_decide::{deadline::ENTRY_GRACE, placing::CallOutcome};
 
 use crate::{
+    allowance::take_token,
     answer::{DaemonAnswer, daemon_answer, error_answer, refuse},
     attempt::answer_request,
     attempt_history::AttemptHistory,
@@ -105,7 +106,15 @@
     match EntryRequest::read(request, host.as_deref(), &route, call, sender, limit, refused).await {
         Ok(request) => {
             request_log.rank = request.traits.rank;
-            forward_read(context, &route, request, request_log).await
+            let token = match take_token(context, request.workspace.as_ref()).await {
+                Ok(token) => token,
+                Err(response) => return count_own_refusal(context, *response),
+            };
+            let response = forward_read(context, &route, request, request_log).await;
+            if let Some(token) = token {
+                token.settle(&request_log.history, &response);
+            }
+            response
         }
         Err(response) => count_own_refusal(context, *response),
     }
