--- a/components/decide/src/lib.rs
+++ b/components/decide/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod placing;
 pub mod quarantine;
 pub mod retrying;
+pub mod rollout;
 pub mod slot_search;
 pub mod transfer_queue;
 pub mod transit_time;
