Roll-outs: orders, stages and evidence; entry, guard and relay apply them

A service's traffic could not be moved to another version with a bound on what a bad one gets. Without a [rollout] section nothing is read, sent or locked.

--- a/components/daemon/src/daemon.rs
+++ b/components/daemon/src/daemon.rs
@@ -24,10 +24,11 @@
     RefusedRequests, RunningRequests, SharedQuarantine, SharedTable, serve_forward, serve_guard,
 };
 use sk_report::AckBuffer;
+use sk_rollout::SharedRollouts;
 use sk_settings::{DaemonSettings, SpreadMode};
 use sk_spread::{
-    ConfigHolder, ControlMeter, ForwardMode, SpreadHandle, SpreadOptions, SpreadParts, StateReader,
-    start_spread,
+    ConfigHolder, ControlMeter, ForwardMode, NoticeExchange, SpreadHandle, SpreadOptions,
+    SpreadParts, StateReader, start_spread,
 };
 use sk_store::SharedStore;
 use tokio::{net::TcpListener, task::JoinHandle, time::Instant};
@@ -41,11 +42,12 @@
     notices::QuarantineNotices,
     options::{
         claim_settings, fleet_secret, local_service, max_key_age, quarantine_settings,
-        server_limits, table_owner,
+        rollout_settings, server_limits, table_owner,
     },
     platform::PlatformAdapter,
     port::DaemonPort,
     reachability::{UnreachableTimes, watch_reachability},
+    rollouts::{RolloutNotices, RolloutParts, start_rollouts},
     scrape::{ScrapeParts, serve_metrics},
     source::ReportAckSink,
     tasks,
@@ -134,6 +136,7 @@
     claims: Arc<ClaimClient>,
     quarantine: Arc<SharedQuarantine>,
     counters: Arc<ProxyCounters>,
+    rollouts: Arc<SharedRollouts>,
     unreachable: Arc<UnreachableTimes>,
     spread: Arc<OnceLock<StateReader>>,
 }
@@ -182,6 +185,7 @@
             parts.members.clone(),
             parts.servers.clone(),
             table_owner(settings),
+            parts.rollouts.clone(),
         )),
         tokio::spawn(tasks::expire_servers(
             parts.servers.clone(),
@@ -194,6 +198,7 @@
         tokio::spawn(send_metrics(settings.metrics.address, port, parts.counters.clone())),
     ];
     tasks.extend(scrape);
+    tasks.extend(run_rollouts(settings, &parts, &guard_context));
     if let Some((service, address)) =
         local_service(&parts.platform, settings).zip(settings.instance.server)
     {
@@ -368,6 +373,10 @@
         meter: Arc::default(),
         quarantine: Arc::new(SharedQuarantine::new(quarantine_settings(settings))),
         counters: Arc::default(),
+        rollouts: Arc::new(match settings.rollout {
+            Some(_) => SharedRollouts::new(),
+            None => SharedRollouts::default(),
+        }),
         unreachable: Arc::default(),
         spread: Arc::default(),
     }
@@ -405,6 +414,7 @@
         meter: parts.meter.clone(),
         unreachable: parts.unreachable.clone(),
         quarantine: parts.quarantine.clone(),
+        rollouts: parts.rollouts.clone(),
         counters: parts.counters.clone(),
         table: parts.table.clone(),
         ack_buffer: parts.ack_buffer.clone(),
@@ -444,12 +454,42 @@
         source: parts.platform.source(&parts.ledger),
         contacts: Some(Arc::new(contacts)),
         acks: Arc::new(ReportAckSink { ack_buffer: parts.ack_buffer.clone() }),
-        notices: Some(Arc::new(QuarantineNotices { quarantine: parts.quarantine.clone() })),
+        notices: notice_topics(parts),
         meter: parts.meter.clone(),
     };
     start_spread(options, listener, spread_parts).map_err(DaemonError::Spread)
 }
 
+/// Returns the topics of notices. A daemon without roll-outs does not exchange any about them.
+fn notice_topics(parts: &DaemonParts) -> Vec<Arc<dyn NoticeExchange>> {
+    let quarantine = QuarantineNotices { quarantine: parts.quarantine.clone() };
+    let mut topics: Vec<Arc<dyn NoticeExchange>> = vec![Arc::new(quarantine)];
+    if parts.rollouts.is_enabled() {
+        topics.push(Arc::new(RolloutNotices { rollouts: parts.rollouts.clone() }));
+    }
+    topics
+}
+
+/// Starts the tasks of roll-outs, none where the settings have no such section.
+fn run_rollouts(
+    settings: &DaemonSettings,
+    parts: &DaemonParts,
+    guard_context: &GuardContext,
+) -> Vec<JoinHandle<()>> {
+    let Some(rollout) = rollout_settings(settings) else { return Vec::new() };
+    start_rollouts(RolloutParts {
+        rollouts: parts.rollouts.clone(),
+        settings: rollout,
+        source: parts.platform.orders.clone(),
+        store: parts.store.clone(),
+        key_prefix: settings.platform.key_prefix.clone(),
+        members: parts.members.clone(),
+        servers: parts.servers.clone(),
+        open_requests: guard_context.open_requests.clone(),
+        spread: parts.spread.clone(),
+    })
+}
+
 fn forward_context(
     settings: &DaemonSettings,
     parts: &DaemonParts,
@@ -487,6 +527,7 @@
         running: RunningRequests::default(),
         transit_clocks: Default::default(),
         open_requests: Arc::default(),
+        rollouts: parts.rollouts.clone(),
         drain_clock: Arc::default(),
     }
 }
--- a/components/daemon/src/lib.rs
+++ b/components/daemon/src/lib.rs
@@ -12,6 +12,7 @@
 mod platform;
 mod port;
 mod reachability;
+mod rollouts;
 mod scrape;
 mod source;
 mod tasks;
--- a/components/daemon/src/options.rs
+++ b/components/daemon/src/options.rs
@@ -9,6 +9,7 @@
     placing::{PlacementFactors, PlacementOrder, PlacementSettings},
     quarantine::QuarantineSettings,
     retrying::RetrySettings,
+    rollout::RolloutSettings,
 };
 use sk_model::ServiceName;
 use sk_proxy::{ServerLimits, TableOwner, TableTuning};
@@ -33,6 +34,16 @@
     ClaimSettings { key_prefix: key_prefix.to_owned(), ..ClaimSettings::default() }
 }
 
+/// Returns the settings of roll-outs, `None` where the deployment has none.
+pub(crate) fn rollout_settings(settings: &DaemonSettings) -> Option<RolloutSettings> {
+    settings.rollout.as_ref().map(|rollout| RolloutSettings {
+        exposure_share: rollout.exposure_share,
+        exposure_slack: rollout.exposure_slack,
+        rollback: Duration::from_millis(rollout.rollback_ms),
+        ..RolloutSettings::default()
+    })
+}
+
 /// Returns the age of a daemon's configuration from which it accepts no keys of workspaces.
 pub(crate) fn max_key_age(settings: &DaemonSettings) -> Option<Duration> {
     let workspaces = &settings.workspaces;
--- a/components/daemon/src/platform.rs
+++ b/components/daemon/src/platform.rs
@@ -4,10 +4,13 @@
 
 use std::{sync::Arc, time::Duration};
 
-use sk_adapter::{ObjectClient, PlatformHeaders, PlatformSource, PlatformStore, service_path};
+use sk_adapter::{
+    ObjectClient, PlatformHeaders, PlatformOrders, PlatformSource, PlatformStore, service_path,
+};
 use sk_ledger::Ledger;
 use sk_model::ServiceName;
 use sk_proxy::{HeaderTranslation, NativeHeaders};
+use sk_rollout::OrderSource;
 use sk_settings::{PlatformKind, PlatformSettings};
 use sk_spread::ConfigSource;
 use sk_store::{HttpStore, SharedStore};
@@ -23,6 +26,8 @@
     pub(crate) headers: Arc<dyn HeaderTranslation>,
     /// Configuration that is not written by this fleet, `None` on Sapphirekeel's own platform.
     external: Option<Arc<dyn ConfigSource>>,
+    /// Orders to move traffic to other versions, `None` on Sapphirekeel's own platform.
+    pub(crate) orders: Option<Arc<dyn OrderSource>>,
 }
 
 impl PlatformAdapter {
@@ -36,6 +41,7 @@
                 store: Arc::new(HttpStore::new(&address, timeout)),
                 headers: Arc::new(NativeHeaders),
                 external: None,
+                orders: None,
             },
             PlatformKind::Objects => {
                 let client = ObjectClient::new(&address, timeout);
@@ -43,7 +49,8 @@
                     form: settings.form,
                     store: Arc::new(PlatformStore::new(client.clone())),
                     headers: Arc::new(PlatformHeaders),
-                    external: Some(Arc::new(PlatformSource::new(client))),
+                    external: Some(Arc::new(PlatformSource::new(client.clone()))),
+                    orders: Some(Arc::new(PlatformOrders::new(client))),
                 }
             }
         }
--- a/components/daemon/src/port.rs
+++ b/components/daemon/src/port.rs
@@ -30,6 +30,7 @@
     AckBuffer, ChangeReport, FleetReport, KnownProxy, ReportError, make_change_report,
     make_fleet_report, read_acks, read_in_force_times,
 };
+use sk_rollout::SharedRollouts;
 use sk_spread::{ConfigHolder, ControlMeter, StateReader};
 use sk_store::SharedStore;
 
@@ -56,6 +57,7 @@
     pub(crate) meter: Arc<ControlMeter>,
     pub(crate) unreachable: Arc<UnreachableTimes>,
     pub(crate) quarantine: Arc<SharedQuarantine>,
+    pub(crate) rollouts: Arc<SharedRollouts>,
     pub(crate) counters: Arc<ProxyCounters>,
     pub(crate) table: SharedTable,
     pub(crate) ack_buffer: Arc<AckBuffer>,
--- a/components/daemon/src/tasks.rs
+++ b/components/daemon/src/tasks.rs
@@ -16,6 +16,7 @@
     LocalServerList, ProxyCounters, RouteTable, SharedTable, TableOwner, time_since_start,
 };
 use sk_report::AckBuffer;
+use sk_rollout::SharedRollouts;
 use sk_spread::ConfigHolder;
 use sk_store::SharedStore;
 
@@ -31,26 +32,32 @@
     members: Arc<SharedMembers>,
     servers: Arc<LocalServerList>,
     owner: TableOwner,
+    rollouts: Arc<SharedRollouts>,
 ) {
+    let mut divisions = rollouts.subscribe();
     let mut versions = config.subscribe();
     let mut snapshots = members.subscribe();
     loop {
         versions.mark_unchanged();
+        divisions.mark_unchanged();
         let snapshot = snapshots.borrow_and_update().clone();
         let records = usable_records(&snapshot, &members.marks());
         record_left_servers(records.iter().copied(), &servers);
         let before = table.load_full();
-        let next = RouteTable::build(
+        rollouts.observe(snapshot.values().map(|record| &**record), tokio::time::Instant::now());
+        let next = RouteTable::build_divided(
             &before,
             &config.current(),
             records.into_iter(),
             &owner,
+            &rollouts.view(),
             time_since_start(),
         );
         table.store(Arc::new(next));
         let is_open = tokio::select! {
             changed = versions.changed() => changed.is_ok(),
             changed = snapshots.changed() => changed.is_ok(),
+            changed = divisions.changed() => changed.is_ok(),
         };
         if !is_open {
             return;
--- a/components/proxy/src/attempt.rs
+++ b/components/proxy/src/attempt.rs
@@ -24,6 +24,7 @@
     call::{AttemptTerms, GuardCall},
     clock::time_since_start,
     context::{ForwardContext, count_own_refusal},
+    division::ServiceDivision,
     entry::EntryRequest,
     entry_answer::EndpointCall,
     expiring_body::ExpiringBody,
@@ -60,8 +61,15 @@
     service.budget.record_attempt();
     service.failure_budget.record_attempt();
     let mut last = None;
+    let mut divided = service.division.as_ref().map(ServiceDivision::begin_search);
     loop {
-        let Some(placed) = choose_endpoint(service, request, history) else {
+        let placed = match &mut divided {
+            Some(divided) => {
+                divided.choose(|others| choose_endpoint(service, request, history, others))
+            }
+            None => choose_endpoint(service, request, history, &[]),
+        };
+        let Some(placed) = placed else {
             if history.search.begin_queueing() {
                 continue;
             }
@@ -192,14 +200,16 @@
     }
 }
 
-/// Chooses an endpoint for the next attempt; `None` if no endpoint is left.
+/// Chooses an endpoint for the next attempt, none of `others`; `None` if no endpoint is left.
 fn choose_endpoint(
     service: &TableService,
     request: &EntryRequest,
     history: &AttemptHistory,
+    others: &[EndpointId],
 ) -> Option<PlacedCall> {
     let may_probe = request.traits.is_repeatable && request.body.is_whole();
-    let exclude = history.search.excluded();
+    let mut exclude = history.search.excluded();
+    exclude.extend_from_slice(others);
     let now = time_since_start();
     let traits = &request.traits;
     let may_queue_at_once = traits.class == WorkClass::Long
--- a/components/proxy/src/context.rs
+++ b/components/proxy/src/context.rs
@@ -9,6 +9,7 @@
 use http::Response;
 use sk_decide::transit_time::TransitClocks;
 use sk_model::ServiceName;
+use sk_rollout::SharedRollouts;
 
 use crate::{
     body::ProxyBody, call::GuardToken, claim::ClaimGate, counters::ProxyCounters,
@@ -75,6 +76,8 @@
     pub transit_clocks: Mutex<TransitClocks>,
     /// Requests whose answers have not ended.
     pub open_requests: Arc<OpenRequests>,
+    /// Orders that move traffic to other versions of a service.
+    pub rollouts: Arc<SharedRollouts>,
     /// Time by which this daemon must have answered, once it stops.
     pub drain_clock: Arc<DrainClock>,
 }
--- a/components/proxy/src/guard.rs
+++ b/components/proxy/src/guard.rs
@@ -15,6 +15,7 @@
     deadline::GUARD_GRACE,
     quarantine::QuarantineVerdict,
 };
+use sk_rollout::{CountedRequest, GuardVerdict};
 use tokio::time::Instant;
 
 use crate::{
@@ -133,6 +134,9 @@
     let Some(server) = server.filter(|server| *server.id == *call.server) else {
         return refuse_with_delay(RefusalKind::ServerGone, Duration::ZERO);
     };
+    if let GuardVerdict::Refused = check_version(context, call) {
+        return refuse_with_delay(RefusalKind::ServerGone, Duration::ZERO);
+    }
     let is_exclusive = match classify_request(context, &request, call) {
         QuarantineVerdict::Refused(remaining) => {
             return refuse_with_delay(RefusalKind::Quarantined, remaining);
@@ -153,6 +157,14 @@
         Ok(permit) => permit,
         Err(refusal) => return refuse_admission(&server, offer.is_nested, refusal),
     };
+    // The version may have been rolled back while the request waited.
+    let counter = match check_version(context, call) {
+        GuardVerdict::Refused => {
+            return refuse_with_delay(RefusalKind::ServerGone, Duration::ZERO);
+        }
+        GuardVerdict::Counted(counter) => Some(counter),
+        GuardVerdict::Unrestricted => None,
+    };
     let key = claim_key(&request, call);
     let claim = match claim(context, key, deadline).await {
         Ok(claim) => claim,
@@ -160,7 +172,28 @@
     };
     let admitted_at = Instant::now();
     let admitted = AdmittedRequest { permit, claim, upload_time, admitted_at, deadline };
-    send(context, &server, request, call, admitted, stage).await
+    let counted = counter.map(|counter| counter.begin(call.work, deadline));
+    let response = send(context, &server, request, call, admitted, stage).await;
+    if let Some(counted) = counted {
+        count_response(counted, &response);
+    }
+    response
+}
+
+/// Returns what the orders say about a request for the version of the local server.
+fn check_version(context: &GuardContext, call: &GuardCall) -> GuardVerdict {
+    context.rollouts.check_request(&call.service, || {
+        context.servers.find(&call.service).map(|server| server.endpoint.version)
+    })
+}
+
+/// Counts a response for the order that is running.
+fn count_response(counted: CountedRequest, response: &Response<ProxyBody>) {
+    match RequestOutcome::read(response.headers()) {
+        Some(RequestOutcome::NotRun) => counted.cancel(),
+        outcome => counted
+            .finish(response.status().is_server_error() || outcome != Some(RequestOutcome::Ran)),
+    }
 }
 
 /// Receives the body of a request, if the request is worth it, and returns the request with the
--- a/components/proxy/src/lib.rs
+++ b/components/proxy/src/lib.rs
@@ -16,6 +16,7 @@
 mod clock;
 mod context;
 mod counters;
+mod division;
 mod drain;
 mod entry;
 mod entry_answer;
--- a/components/proxy/src/table.rs
+++ b/components/proxy/src/table.rs
@@ -26,9 +26,14 @@
     ConfigSnapshot, DataCentre, LimitSetting, ProxyId, RouteSetting, ServiceName, SettingBody,
     TeamName, TeamTree, Version, team_of,
 };
+use sk_rollout::{RolloutView, VersionGroup};
 use slotmap::{SlotMap, new_key_type};
 
-use crate::{clock::stable_hash, workspaces::WorkspaceTable};
+use crate::{
+    clock::stable_hash,
+    division::{DividedEndpoints, ServiceDivision},
+    workspaces::WorkspaceTable,
+};
 
 /// Time after the start of this daemon in which newly known servers count as warm. Most of them
 /// have run for long; treating all as cold would send each the same small share.
@@ -86,6 +91,8 @@
     pub name: Arc<str>,
     /// Endpoints that accept new work.
     pub endpoints: HashMap<EndpointId, TableEndpoint>,
+    /// How requests are divided between two versions, while an order is running.
+    pub(crate) division: Option<ServiceDivision>,
     /// Placement of requests among them.
     pub(crate) placement: Arc<PlacementTable>,
     /// Budget of retries to the service.
@@ -162,13 +169,32 @@
         members: impl Iterator<Item = &'a MemberRecord>,
         owner: &TableOwner,
         now: Duration,
+    ) -> Self {
+        Self::build_divided(before, snapshot, members, owner, &RolloutView::default(), now)
+    }
+
+    /// Builds a table like [`RouteTable::build`], whose services are divided by the orders that are
+    /// running and lack the versions that get nothing.
+    pub fn build_divided<'a>(
+        before: &Self,
+        snapshot: &ConfigSnapshot,
+        members: impl Iterator<Item = &'a MemberRecord>,
+        owner: &TableOwner,
+        rollouts: &RolloutView,
+        now: Duration,
     ) -> Self {
         let members: Vec<&MemberRecord> = members.collect();
         let fleet = members.iter().filter(|record| record.is_active()).count();
         let mut found = find_endpoints(members.into_iter());
         let mut build = |name: &str, previous: Option<&TableService>| {
-            let endpoints = found.remove(name).unwrap_or_default();
-            let service = build_service(previous, name, &endpoints, owner, now);
+            let mut endpoints = found.remove(name).unwrap_or_default();
+            let mut division = None;
+            if rollouts.is_enabled {
+                let previous = previous.and_then(|previous| previous.division.as_ref());
+                division = divide(rollouts, name, &mut endpoints, previous);
+            }
+            let mut service = build_service(previous, name, &endpoints, owner, now);
+            service.division = division;
             service.budget.set_fleet(fleet);
             service.failure_budget.set_fleet(fleet);
             service
@@ -329,6 +355,30 @@
     alive
 }
 
+/// Removes the endpoints of a service whose versions get nothing, and divides the others if an order
+/// is running.
+fn divide(
+    rollouts: &RolloutView,
+    service: &str,
+    endpoints: &mut Vec<(&MemberRecord, &EndpointRecord)>,
+    previous: Option<&ServiceDivision>,
+) -> Option<ServiceDivision> {
+    let present = endpoints.iter().map(|(_, endpoint)| endpoint.version.as_str()).collect();
+    let group = |version: &str| rollouts.group_of(service, version, &present);
+    endpoints.retain(|(_, endpoint)| group(&endpoint.version) != VersionGroup::Blocked);
+    let order = rollouts.service(service)?.order.as_ref()?;
+    let mut divided = DividedEndpoints::default();
+    for (member, endpoint) in endpoints.iter() {
+        match group(&endpoint.version) {
+            VersionGroup::Target => divided.target.push((endpoint_id(member), &endpoint.server)),
+            VersionGroup::Base => divided.base.push(endpoint_id(member)),
+            VersionGroup::Open | VersionGroup::Blocked => {}
+        }
+    }
+    let is_divided = !divided.target.is_empty();
+    is_divided.then(|| ServiceDivision::build(previous, order, divided))
+}
+
 /// Builds a service, with the budgets and observations of its previous table.
 fn build_service(
     previous: Option<&TableService>,
@@ -361,6 +411,7 @@
     TableService {
         name,
         endpoints,
+        division: None,
         placement: Arc::new(placement),
         budget,
         failure_budget,
--- a/components/proxy/tests/common/mod.rs
+++ b/components/proxy/tests/common/mod.rs
@@ -231,6 +231,7 @@
         transit_clocks: Default::default(),
         open_requests: Arc::default(),
         drain_clock: drain.clone(),
+        rollouts: Arc::default(),
         servers: Arc::new(LocalServerList::new(plan.limits)),
         token: GuardToken::new(SECRET),
         quarantine: Arc::default(),
--- a/components/settings/src/check.rs
+++ b/components/settings/src/check.rs
@@ -57,6 +57,7 @@
     check_experiment(&checker, settings)?;
     let revoke_ms = settings.workspaces.revoke_ms;
     checker.require_range("workspaces.revoke_ms", revoke_ms, 1_000..=600_000, "1000 to 600000")?;
+    check_rollout(&checker, settings)?;
     let hash = &settings.operators.manager_sha256;
     checker.require(
         "operators.manager_sha256",
@@ -165,6 +166,26 @@
     checker.require_range("instance.threads", threads, 0..=64, "0 to 64")
 }
 
+/// Checks the bounds of roll-outs, if there are any.
+fn check_rollout(checker: &BoundChecker, settings: &DaemonSettings) -> Result<(), SettingsError> {
+    let Some(rollout) = &settings.rollout else { return Ok(()) };
+    checker.require(
+        "rollout.exposure_share",
+        &rollout.exposure_share.to_string(),
+        (0.01..=0.5).contains(&rollout.exposure_share),
+        "a part of the requests, 0.01 to 0.5",
+    )?;
+    let slack = u64::from(rollout.exposure_slack);
+    checker.require_range("rollout.exposure_slack", slack, 0..=100_000, "0 to 100000 requests")?;
+    let rollback = rollout.rollback_ms;
+    checker.require_range(
+        "rollout.rollback_ms",
+        rollback,
+        1_000..=600_000,
+        "1000 to 600000 milliseconds",
+    )
+}
+
 fn check_experiment(
     checker: &BoundChecker,
     settings: &DaemonSettings,
--- a/components/settings/src/daemon_settings.rs
+++ b/components/settings/src/daemon_settings.rs
@@ -49,6 +49,9 @@
     /// How keys of workspaces are treated.
     #[serde(default)]
     pub workspaces: WorkspaceSettings,
+    /// Bounds of roll-outs. Absent: there are none, and versions are not distinguished.
+    #[serde(default)]
+    pub rollout: Option<ExposureSettings>,
     /// Mechanisms that are disabled to measure their effect.
     #[serde(default)]
     pub experiment: ExperimentSettings,
@@ -374,6 +377,27 @@
     }
 }
 
+/// How much a bad version may get while traffic is moved to it.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct ExposureSettings {
+    /// Part of a service's requests that a bad version may get, 0.01 to 0.5. Default 0.1.
+    pub exposure_share: f64,
+    /// Requests that it may get beyond that part, 0 to 100000; a fraction is dropped. Default 50.
+    #[serde(deserialize_with = "deserialize_floor")]
+    pub exposure_slack: u32,
+    /// Milliseconds after its 50th bad response within which it gets nothing any more, 1000 to
+    /// 600000; a fraction is dropped. Default 5000.
+    #[serde(deserialize_with = "deserialize_floor")]
+    pub rollback_ms: u64,
+}
+
+impl Default for ExposureSettings {
+    fn default() -> Self {
+        Self { exposure_share: 0.1, exposure_slack: 50, rollback_ms: 5_000 }
+    }
+}
+
 /// Where metrics are sent and served.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
--- a/components/settings/src/lib.rs
+++ b/components/settings/src/lib.rs
@@ -10,9 +10,9 @@
 mod loopback;
 
 pub use daemon_settings::{
-    DaemonSettings, GuardSettings, InstanceSettings, ListenSettings, LogSettings, MemberSettings,
-    MetricSettings, OperatorSettings, PeerSettings, PlacingOrder, PlacingSettings, PlatformKind,
-    PlatformSettings, ReportSettings, SpreadMode, SpreadSettings,
+    DaemonSettings, ExposureSettings, GuardSettings, InstanceSettings, ListenSettings, LogSettings,
+    MemberSettings, MetricSettings, OperatorSettings, PeerSettings, PlacingOrder, PlacingSettings,
+    PlatformKind, PlatformSettings, ReportSettings, SpreadMode, SpreadSettings,
 };
 pub use error::SettingsError;
 pub use experiment::{ExperimentSettings, Mechanism};
--- a/components/spread/src/driver.rs
+++ b/components/spread/src/driver.rs
@@ -65,7 +65,7 @@
     /// Receives acknowledgements at a relay.
     pub acks: Arc<dyn AckSink>,
     /// Notices about requests; without it none are distributed.
-    pub notices: Option<Arc<dyn NoticeExchange>>,
+    pub notices: Vec<Arc<dyn NoticeExchange>>,
     /// Counts control bytes.
     pub meter: Arc<ControlMeter>,
 }
@@ -91,6 +91,11 @@
         self.stats.state(self.config.is_ready())
     }
 
+    /// Returns whether this daemon watches the configuration source for its data centre.
+    pub fn is_relay(&self) -> bool {
+        self.stats.is_relay()
+    }
+
     /// Returns the time since this daemon was known to hold the newest configuration; `None` if that
     /// is unknown.
     pub fn source_age(&self) -> Option<Duration> {
--- a/components/spread/src/node.rs
+++ b/components/spread/src/node.rs
@@ -52,7 +52,7 @@
     pub(crate) acks: Arc<dyn AckSink>,
     /// Acknowledgements to pass on if this daemon is a relay.
     pub(crate) ack_batch: AckBatch,
-    pub(crate) notices: Option<Arc<dyn NoticeExchange>>,
+    pub(crate) notices: Vec<Arc<dyn NoticeExchange>>,
     pub(crate) meter: Arc<ControlMeter>,
     pub(crate) stats: Arc<SpreadStats>,
     pub(crate) pool: PeerPool,
--- a/components/spread/src/notices.rs
+++ b/components/spread/src/notices.rs
@@ -1,14 +1,21 @@
-//! Floods notices about requests over the links, so that every daemon refuses a request that
-//! crashes servers before it reaches another server.
+//! Floods notices over the links: about requests that crash servers, so that every daemon refuses
+//! them before they reach another server, and about orders that move traffic to other versions.
 
-use std::{collections::BTreeSet, rc::Rc, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    rc::Rc,
+    sync::Arc,
+    time::Duration,
+};
 
 use futures::future::join_all;
 use sk_model::ProxyId;
+use tokio::time::Instant;
 
 use crate::{
     node::{CALL_TIMEOUT, SpreadNode},
     peer_capnp::peer,
+    source::NoticeExchange,
     state::CallKind,
 };
 
@@ -16,17 +23,31 @@
 /// to 8 hops, so a request that crashes servers is known everywhere in about a second.
 const NOTICE_POLL_INTERVAL: Duration = Duration::from_millis(200);
 
-/// Sends changed notices to every link, and all notices to a new link.
+/// Time after which a link that did not accept all notices gets them again. A daemon of an earlier
+/// release knows fewer topics and accepts none of the others.
+const REFUSED_PAUSE: Duration = Duration::from_secs(1);
+
+/// Sends the notices of all topics.
+pub(crate) async fn send_notices(node: &Rc<SpreadNode>) {
+    join_all(node.notices.iter().map(|topic| send_topic(node, topic))).await;
+}
+
+/// Sends changed notices of a topic to every link, and all of them to a new link.
 ///
 /// Without the latter, a daemon that starts would run a request that all others already refuse,
 /// and its server would be the next to crash.
-pub(crate) async fn send_notices(node: &Rc<SpreadNode>) {
-    let Some(notices) = node.notices.clone() else { return };
+async fn send_topic(node: &Rc<SpreadNode>, notices: &Arc<dyn NoticeExchange>) {
     let (mut last_revision, mut informed) = (0, BTreeSet::new());
+    let mut refused: BTreeMap<ProxyId, Instant> = BTreeMap::new();
     loop {
         tokio::time::sleep(NOTICE_POLL_INTERVAL).await;
         let links = node.link_names();
-        let new_links: BTreeSet<ProxyId> = links.difference(&informed).cloned().collect();
+        refused.retain(|proxy, at| links.contains(proxy) && at.elapsed() < REFUSED_PAUSE);
+        let new_links: BTreeSet<ProxyId> = links
+            .difference(&informed)
+            .filter(|proxy| !refused.contains_key(*proxy))
+            .cloned()
+            .collect();
         informed.retain(|proxy| links.contains(proxy));
         let revision = notices.revision();
         if revision != last_revision {
@@ -37,7 +58,9 @@
         }
         match notices.encode_all() {
             Some(body) if !new_links.is_empty() => {
-                informed.extend(send_to_links(node, &new_links, &body).await)
+                informed.extend(send_to_links(node, &new_links, &body).await);
+                let lacking = new_links.difference(&informed).cloned();
+                refused.extend(lacking.map(|proxy| (proxy, Instant::now())));
             }
             Some(_) => (),
             None => informed.extend(new_links),
--- a/components/spread/src/server.rs
+++ b/components/spread/src/server.rs
@@ -186,7 +186,8 @@
     ) -> Result<(), Error> {
         let (node, _) = self.require_session()?;
         let body = params.get()?.get_body()?;
-        match node.notices.as_ref().is_none_or(|notices| notices.merge(body)) {
+        let topics = &node.notices;
+        match topics.is_empty() || topics.iter().any(|topic| topic.merge(body)) {
             true => Ok(()),
             false => Err(Error::failed("notices cannot be decoded".to_owned())),
         }
--- a/components/spread/src/source.rs
+++ b/components/spread/src/source.rs
@@ -88,7 +88,10 @@
     ) -> Result<(), SourceError>;
 }
 
-/// Notices about requests that every daemon should know, such as those that crash servers.
+/// One topic of notices that every daemon should know, such as requests that crash servers.
+///
+/// The topics share one kind of call and are told apart by the form of their messages: each topic
+/// refuses the messages of the others as malformed.
 ///
 /// Merging is idempotent and commutative. What a merge changes counts as changed here, so that
 /// each daemon sends each notice on once.
@@ -103,7 +106,7 @@
     /// none.
     fn encode_all(&self) -> Option<Vec<u8>>;
 
-    /// Merges notices from a peer and returns whether they could be decoded.
+    /// Merges notices from a peer and returns whether they could be decoded and belong to the topic.
     fn merge(&self, body: &[u8]) -> bool;
 }
 
--- a/components/spread/src/state.rs
+++ b/components/spread/src/state.rs
@@ -196,6 +196,11 @@
         change(&mut self.parts.lock().unwrap_or_else(PoisonError::into_inner))
     }
 
+    /// Returns whether this daemon is a relay.
+    pub(crate) fn is_relay(&self) -> bool {
+        self.with_parts(|parts| parts.relays.rank.is_some())
+    }
+
     /// Returns the time since the source was known to have nothing newer than the version held here.
     pub(crate) fn source_age(&self) -> Option<Duration> {
         self.with_parts(|parts| parts.source_read_at.map(|read_at| read_at.elapsed()))
--- a/components/spread/tests/common/mod.rs
+++ b/components/spread/tests/common/mod.rs
@@ -409,7 +409,7 @@
         let members = Arc::new(SharedMembers::new(record));
         let meter = Arc::new(ControlMeter::default());
         let parts = SpreadParts {
-            notices: None,
+            notices: Vec::new(),
             config: config.clone(),
             members: members.clone(),
             source,
