--- a/components/daemon/src/dump.rs
+++ b/components/daemon/src/dump.rs
@@ -5,8 +5,11 @@
 use sk_decide::{admitting::GuardState, quarantine::QuarantineSettings};
 use sk_member::{EndpointRecord, MemberRecord, ReachabilityMarks};
 use sk_model::{ProxyId, ServiceName};
-use sk_ops::{ControlView, PeerView, RequestView, ServerView, StateDump};
+use sk_ops::{
+    ControlView, PeerView, RequestView, RolloutReport, ServerView, StateDump, WorkReport,
+};
 use sk_proxy::{ProxyCounters, RouteTable, SharedQuarantine};
+use sk_rollout::{OrderReport, WorkCounts};
 use sk_spread::SpreadState;
 
 use crate::port::DaemonPort;
@@ -38,10 +41,30 @@
             requests: view_requests(&self.counters, &self.table.load()),
             servers: servers.iter().map(|endpoint| view_server(endpoint, &guards)).collect(),
             members: members.values().map(|record| view_peer(record, &marks)).collect(),
+            rollouts: self.rollouts.reports().into_iter().map(view_rollout).collect(),
         }
     }
 }
 
+fn view_rollout(report: OrderReport) -> RolloutReport {
+    let pair = |counts: WorkCounts| [counts.answers, counts.failures];
+    let works = report.by_work.into_iter().map(|(work, [target, base])| WorkReport {
+        work,
+        target: pair(target),
+        base: pair(base),
+    });
+    RolloutReport {
+        service: report.order.service,
+        target: report.order.target,
+        state: report.phase,
+        share_thousandths: report.stage.map_or(0, |record| record.stage.share_thousandths),
+        reason: report.reason,
+        sent: report.sent,
+        sent_to_target: report.sent_to_target,
+        works: works.collect(),
+    }
+}
+
 /// Counts the requests that are refused now because they crash servers.
 fn count_quarantined(quarantine: &SharedQuarantine) -> u64 {
     let refusal_time = QuarantineSettings::default().refusal_time;
--- a/components/daemon/src/scrape.rs
+++ b/components/daemon/src/scrape.rs
@@ -18,6 +18,8 @@
 //! | `sapphirekeel_server_running`, `_queued`, `_slots` | gauge | `service` | the guard's counts |
 //! | `sapphirekeel_control_bytes_total` | counter | `direction` | bytes of control traffic |
 //! | `sapphirekeel_server_limit_per_thousand_seconds` | gauge | `service` | requests that the server states as its limit; absent without one |
+//! | `sapphirekeel_rollout_share_thousandths` | gauge | `service` | part of the requests that the target version of an order gets |
+//! | `sapphirekeel_rollout_target_requests`, `_target_failures` | gauge | `service` | requests sent to the target version since the order, and its failures |
 //! | `sapphirekeel_quarantined` | gauge | | requests refused because they crash servers |
 
 use std::{collections::BTreeMap, convert::Infallible, sync::Arc, time::Duration};
@@ -31,7 +33,7 @@
     Encoder, IntCounterVec, IntGaugeVec, Opts, Registry, TextEncoder,
     core::{MetricVec, MetricVecBuilder},
 };
-use sk_ops::{ServerView, SharedPort, StateDump};
+use sk_ops::{RolloutReport, ServerView, SharedPort, StateDump};
 use sk_proxy::ProxyCounters;
 use thiserror::Error;
 use tokio::net::TcpListener;
@@ -237,5 +239,36 @@
         .filter_map(|(service, view)| Some((service.as_str(), view.limit_per_thousand_s?)))
         .collect();
     let help = "Requests in a thousand seconds that the server states as its limit.";
-    writer.gauge("sapphirekeel_server_limit_per_thousand_seconds", help, "service", &limits)
+    writer.gauge("sapphirekeel_server_limit_per_thousand_seconds", help, "service", &limits)?;
+    add_rollouts(&writer, &state.rollouts)
+}
+
+/// Adds gauges of the orders, none if there are none.
+fn add_rollouts(
+    writer: &MetricWriter<'_>,
+    rollouts: &[RolloutReport],
+) -> Result<(), prometheus::Error> {
+    if rollouts.is_empty() {
+        return Ok(());
+    }
+    let gauge = |name, help, value: fn(&RolloutReport) -> u64| {
+        let values: Vec<(&str, u64)> =
+            rollouts.iter().map(|report| (report.service.as_str(), value(report))).collect();
+        writer.gauge(name, help, "service", &values)
+    };
+    gauge(
+        "sapphirekeel_rollout_share_thousandths",
+        "Part of the requests that the target version of an order gets.",
+        |report| report.share_thousandths.into(),
+    )?;
+    gauge(
+        "sapphirekeel_rollout_target_requests",
+        "Requests sent to the target version since the order.",
+        |report| report.sent_to_target,
+    )?;
+    gauge(
+        "sapphirekeel_rollout_target_failures",
+        "Failures of the target version since the order.",
+        |report| report.works.iter().map(|work| work.target[1]).sum(),
+    )
 }
--- a/components/ops/src/lib.rs
+++ b/components/ops/src/lib.rs
@@ -16,6 +16,7 @@
 pub use port::{OperatorPort, SharedPort};
 pub use server::{OpsHandle, start_ops};
 pub use wire::{
-    ControlView, HeartbeatAnswer, HeartbeatBody, PeerView, ReadyView, RequestView,
+    ControlView, HeartbeatAnswer, HeartbeatBody, PeerView, ReadyView, RequestView, RolloutReport,
     ServerAnnouncement, ServerState, ServerView, SettingsView, StateDump, TeamRecord, TeamView,
+    WorkReport,
 };
--- a/components/ops/src/wire.rs
+++ b/components/ops/src/wire.rs
@@ -218,4 +218,39 @@
     pub servers: BTreeMap<ServiceName, ServerView>,
     /// All known daemons, this one included.
     pub members: BTreeMap<ProxyId, PeerView>,
+    /// Orders that move traffic to other versions; a daemon of an earlier release states none.
+    #[serde(default)]
+    pub rollouts: Vec<RolloutReport>,
+}
+
+/// An order that moves traffic to another version of a service.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+pub struct RolloutReport {
+    /// The service.
+    pub service: ServiceName,
+    /// Version that is to get the traffic.
+    pub target: String,
+    /// How far it has come.
+    pub state: String,
+    /// Part of the requests that the target version gets, in thousandths.
+    pub share_thousandths: u16,
+    /// Why it ended, `None` while it runs.
+    pub reason: Option<String>,
+    /// Requests sent to servers of the service since the order.
+    pub sent: u64,
+    /// Requests among them that were sent to the target version.
+    pub sent_to_target: u64,
+    /// What the servers answered, by kind of work.
+    pub works: Vec<WorkReport>,
+}
+
+/// Answers for one kind of work, as [answers, failures among them].
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+pub struct WorkReport {
+    /// The kind of work.
+    pub work: String,
+    /// Answers of the target version.
+    pub target: [u64; 2],
+    /// Answers of the other versions.
+    pub base: [u64; 2],
 }
--- a/components/rollout/src/shared.rs
+++ b/components/rollout/src/shared.rs
@@ -250,7 +250,7 @@
     /// Returns all orders for an operator.
     pub fn reports(&self) -> Vec<OrderReport> {
         let state = self.lock();
-        state.orders().iter().map(|order| make_report(&state, order)).collect()
+        state.newest_orders().map(|order| make_report(&state, order)).collect()
     }
 
     /// Applies a change to the state and publishes its effect.
--- a/components/rollout/src/state.rs
+++ b/components/rollout/src/state.rs
@@ -91,6 +91,13 @@
         of_service.max_by_key(|order| (order.created, order.revision))
     }
 
+    /// Returns the order that holds for each service.
+    pub(crate) fn newest_orders(&self) -> impl Iterator<Item = &RolloutOrder> {
+        let services: BTreeSet<&str> =
+            self.orders().iter().map(|order| order.service.as_str()).collect();
+        services.into_iter().filter_map(|service| self.newest_order(service))
+    }
+
     /// Returns whether an order is neither ended in the store nor in its stage.
     pub(crate) fn is_running(&self, order: &RolloutOrder) -> bool {
         let is_final = |record: &StageRecord| record.stage.is_final();
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -46,6 +46,8 @@
     Get(GetArgs),
     /// Print which versions the proxies have in force
     Report(ReportArgs),
+    /// Print the orders that move traffic to other versions
+    Rollout(RolloutArgs),
     /// Print a daemon's state
     State(StateArgs),
     /// Create a team or replace its token
@@ -197,6 +199,44 @@
     pub proxy: Option<String>,
 }
 
+/// Prints the orders that move traffic to other versions, as one daemon knows them.
+#[derive(Debug, Options)]
+pub struct RolloutArgs {
+    /// Print this help
+    pub help: bool,
+    /// Print data as JSON
+    #[options(no_short)]
+    pub json: bool,
+    #[options(command)]
+    pub command: Option<RolloutCommand>,
+}
+
+/// What is printed of the orders.
+#[derive(Debug, Options)]
+pub enum RolloutCommand {
+    /// All orders with their states
+    List(RolloutListArgs),
+    /// One order with its counts
+    Show(RolloutShowArgs),
+}
+
+/// Prints all orders with their states.
+#[derive(Debug, Options)]
+pub struct RolloutListArgs {
+    /// Print this help
+    pub help: bool,
+}
+
+/// Prints the order of a service: state, share, reason, and what its servers answered.
+#[derive(Debug, Options)]
+pub struct RolloutShowArgs {
+    /// Print this help
+    pub help: bool,
+    /// Path of the service, or the last part of it
+    #[options(free, required)]
+    pub service: String,
+}
+
 /// Prints one daemon's state as JSON; works also during an outage of the platform.
 #[derive(Debug, Options)]
 pub struct StateArgs {
@@ -231,6 +271,7 @@
             Self::Withdraw(args) => args.json,
             Self::Get(args) => args.json,
             Self::Report(args) => args.json,
+            Self::Rollout(args) => args.json,
             Self::State(args) => args.json,
         }
     }
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -7,6 +7,7 @@
 mod get;
 mod plan;
 mod report;
+mod rollout;
 mod state;
 mod submit;
 mod team;
@@ -81,6 +82,7 @@
         CliCommand::Withdraw(args) => withdraw::run(&make_client()?, &args, is_json).await,
         CliCommand::Get(args) => get::run(&make_client()?, &args, is_json).await,
         CliCommand::Report(args) => report::run(&make_client()?, &args, is_json).await,
+        CliCommand::Rollout(args) => rollout::run(&make_client()?, &args, is_json).await,
         CliCommand::State(_) => state::run(&make_client()?).await,
         CliCommand::Team(args) => team::run(&make_client()?, &args).await,
     }
