--- a/components/spread/src/notices.rs
+++ b/components/spread/src/notices.rs
@@ -56,13 +56,15 @@
                 send_to_links(node, &informed, &body).await;
             }
         }
+        if new_links.is_empty() {
+            continue;
+        }
         match notices.encode_all() {
-            Some(body) if !new_links.is_empty() => {
+            Some(body) => {
                 informed.extend(send_to_links(node, &new_links, &body).await);
                 let lacking = new_links.difference(&informed).cloned();
                 refused.extend(lacking.map(|proxy| (proxy, Instant::now())));
             }
-            Some(_) => (),
             None => informed.extend(new_links),
         }
     }
--- a/tests/nested_calls.rs
+++ b/tests/nested_calls.rs
@@ -59,6 +59,7 @@
         path,
         attempt,
         deadline: Duration::from_secs(2),
+        authorization: None,
     };
     send_request(entry.parse().expect("an address"), &call).await.expect("an answer").status
 }
