--- a/components/decide/src/rollout.rs
+++ b/components/decide/src/rollout.rs
@@ -10,12 +10,22 @@
 
 use std::time::Duration;
 
+use crate::rollout::judging::{AcceptanceLimits, Judgement, VersionJudge};
+use crate::rollout::plan::{MIN_CANARY, RolloutPlan};
+use crate::rollout::progress::TrafficProgress;
+
+pub(crate) use crate::rollout::evidence::time_bound;
 pub use crate::rollout::evidence::{
     GroupEvidence, ServerKey, TIME_RANGES, VersionEvidence, WorkEvidence, time_range,
 };
 pub use crate::rollout::stage::{RollbackReason, RolloutPhase, RolloutStage};
 
 mod evidence;
+mod judging;
+mod limits;
+mod plan;
+mod progress;
+mod sequential;
 mod stage;
 
 /// How a version is judged.
@@ -118,23 +128,66 @@
     pub verdict: RolloutVerdict,
 }
 
+/// Bad responses of one server after which it is not waited for others to show whether it is alone.
+const MAX_SUSPECT_FAILURES: u64 = 40;
+/// Time that a fault may hide in evidence of its version's better past.
+const RENEWAL_TIME: Duration = Duration::from_millis(2500);
+/// Servers that are added to the canary to tell a gray failure of one server from a bad version.
+const SUSPECT_SERVERS: u32 = 2;
+/// Time that a stage takes to reach all daemons, and their counts to come back.
+const REACH_TIME: Duration = Duration::from_secs(2);
+/// Factor from which the canary's share is adjusted to the rate of requests.
+const CANARY_ADJUSTMENT: f64 = 1.25;
+/// Age of the evidence: a step shows in it after this time.
+const EVIDENCE_DELAY: Duration = Duration::from_secs(1);
+
+/// What all evidence has to show before the share grows.
+const WHOLE_LIMITS: AcceptanceLimits =
+    AcceptanceLimits { answers: 30, work_answers: 8, excess: 0.12, slowness: 2.2 };
+/// What the evidence since the last step has to show.
+const FRESH_LIMITS: AcceptanceLimits =
+    AcceptanceLimits { answers: 6, work_answers: 0, excess: 0.35, slowness: 3.0 };
+/// What suffices when the time for a step has passed, for services with few requests.
+const SCARCE_LIMITS: AcceptanceLimits =
+    AcceptanceLimits { answers: 8, work_answers: 0, excess: 0.35, slowness: 2.2 };
+
 /// Decides on one order from samples of what the guards count.
 #[derive(Clone, Debug)]
 pub struct RolloutController {
     settings: RolloutSettings,
-    duration: Duration,
+    plan: RolloutPlan,
     stage: RolloutStage,
+    /// Time at which the stage was reached here.
+    stage_since: Option<Duration>,
+    /// All evidence.
+    whole: VersionJudge,
+    /// The evidence since the last step, or of the last seconds.
+    fresh: VersionJudge,
+    /// Time since which `fresh` counts.
+    fresh_since: Duration,
+    progress: TrafficProgress,
 }
 
 impl RolloutController {
     /// Creates the controller of a new order.
     pub fn new(settings: RolloutSettings, duration: Duration) -> Self {
-        Self::resume(settings, duration, RolloutStage::default())
+        Self {
+            settings,
+            plan: RolloutPlan::new(duration),
+            stage: RolloutStage::default(),
+            stage_since: None,
+            whole: VersionJudge::new(settings.method),
+            fresh: VersionJudge::new(settings.method),
+            fresh_since: Duration::ZERO,
+            progress: TrafficProgress::new(),
+        }
     }
 
-    /// Creates the controller of an order that has reached a stage, for instance at another daemon.
+    /// Creates the controller of an order that has reached a stage, for instance before a restart.
+    /// Counts of the first sample are not judged, since it is not known when they were made.
     pub fn resume(settings: RolloutSettings, duration: Duration, stage: RolloutStage) -> Self {
-        Self { settings, duration, stage }
+        let progress = TrafficProgress::resumed();
+        Self { stage, progress, ..Self::new(settings, duration) }
     }
 
     /// Returns the stage reached.
@@ -144,37 +197,149 @@
 
     /// Takes over a later stage that another daemon has decided.
     pub fn advance(&mut self, stage: RolloutStage) {
-        self.stage = self.stage.merge(stage);
+        if stage <= self.stage {
+            return;
+        }
+        // The canary's share is adjusted to the rate of requests, which starts no new stage.
+        if stage.phase != RolloutPhase::Canary {
+            self.stage_since = None;
+        }
+        self.stage = stage;
     }
 
     /// Decides on the next step. Samples have to be given in the order of their time; the time
     /// between two of them does not matter. Once the roll-out has ended the verdict stays.
     pub fn assess(&mut self, sample: &RolloutSample) -> RolloutStep {
-        let is_failing = {
-            let target = sample.target.total().total();
-            target.answers >= 50
-                && target.failures as f64 > self.settings.exposure_share * target.answers as f64
-        };
-        let (phase, share_thousandths) = match self.stage.phase {
-            RolloutPhase::Finished | RolloutPhase::RolledBack(_) => (self.stage.phase, 0),
-            _ if is_failing => (
-                RolloutPhase::RolledBack(RollbackReason::Failing {
-                    work: None,
-                    target_rate: 0,
-                    base_rate: 0,
-                }),
-                0,
-            ),
-            _ if sample.elapsed >= self.duration => {
-                (RolloutPhase::RolledBack(RollbackReason::OutOfTime), 0)
+        let now = sample.elapsed;
+        if let Some(span) = self.progress.observe(sample) {
+            self.whole.observe(&span);
+            self.fresh.observe(&span);
+        }
+        let stage_since = *self.stage_since.get_or_insert(now);
+        let fresh_from = stage_since + EVIDENCE_DELAY;
+        let is_new_stage = self.fresh_since < fresh_from && now >= fresh_from;
+        if is_new_stage || now >= self.fresh_since + RENEWAL_TIME {
+            self.fresh = self.whole.renewed();
+            self.fresh_since = now;
+        }
+        let next = self.next_stage(sample, now.saturating_sub(stage_since));
+        self.advance(next);
+        self.stage_since.get_or_insert(now);
+        self.step()
+    }
+
+    /// Returns the stage that follows from the evidence, `in_stage` after the last one was reached.
+    fn next_stage(&self, sample: &RolloutSample, in_stage: Duration) -> RolloutStage {
+        let (now, plan) = (sample.elapsed, &self.plan);
+        let is_moved = self.stage.phase == RolloutPhase::Moving;
+        let is_idle = in_stage >= REACH_TIME && self.progress.is_base_idle();
+        let fault = self.fault(sample);
+        match (self.stage.phase, fault) {
+            _ if self.stage.is_final() => self.stage,
+            _ if serves_alone(sample) => self.at(RolloutPhase::Finished, 1.0, sample),
+            (_, Some(reason)) => self.rolled_back(reason),
+            (RolloutPhase::Moving, _) if is_idle => self.at(RolloutPhase::Finished, 1.0, sample),
+            _ if now >= plan.end(is_moved) => self.rolled_back(self.lateness(sample)),
+            (RolloutPhase::Canary, _) if self.is_due(plan.canary_until, MIN_CANARY, in_stage) => {
+                let share = plan.step_share(&self.settings, sample, false);
+                self.at(RolloutPhase::Growing, share, sample)
+            }
+            (RolloutPhase::Growing, _)
+                if now <= plan.move_until() && self.is_due(plan.move_at, plan.step, in_stage) =>
+            {
+                self.at(RolloutPhase::Moving, 1.0, sample)
+            }
+            (RolloutPhase::Growing, _)
+                if now < plan.move_at
+                    && self.is_due(plan.move_at - plan.step, plan.step, in_stage) =>
+            {
+                let share = plan.step_share(&self.settings, sample, true);
+                self.at(RolloutPhase::Growing, share, sample)
+            }
+            (RolloutPhase::Canary, _) => {
+                let share = plan.canary_share(&self.settings, sample);
+                match share >= CANARY_ADJUSTMENT * self.stage.share() || self.is_suspected() {
+                    true => self.at(RolloutPhase::Canary, share, sample),
+                    false => self.stage,
+                }
+            }
+            _ => self.stage,
+        }
+    }
+
+    /// Returns whether the step planned for `at` may be made. `in_stage` has to be `min_time`, and
+    /// what the target version does has to be seen for that long.
+    fn is_due(&self, at: Duration, min_time: Duration, in_stage: Duration) -> bool {
+        let now = self.progress.now();
+        match self.settings.pacing {
+            RolloutPacing::ByTime => now >= at && self.progress.target().answers > 0,
+            RolloutPacing::ByEvidence => {
+                let is_growing = self.stage.phase == RolloutPhase::Growing;
+                let is_known = self.whole.accepts(WHOLE_LIMITS)
+                    && (!is_growing || self.fresh.accepts(FRESH_LIMITS));
+                let is_late = now >= at + self.plan.step / 2;
+                now >= at
+                    && in_stage >= min_time
+                    && self.progress.answering_for() >= min_time
+                    && self.progress.keeps_up()
+                    && !self.is_suspected()
+                    && (is_known || is_late && self.whole.accepts(SCARCE_LIMITS))
+            }
+        }
+    }
+
+    /// Returns why the version is bad, if it is.
+    fn fault(&self, sample: &RolloutSample) -> Option<RollbackReason> {
+        let target = self.progress.target();
+        [self.whole.judge(), self.fresh.judge()].into_iter().find_map(|judgement| match judgement {
+            Judgement::Bad(reason) => Some(reason),
+            Judgement::Suspected(reason) => {
+                let is_sure = match reason {
+                    RollbackReason::Slow { .. } => target.answers >= MAX_SUSPECT_FAILURES,
+                    _ => target.failures >= MAX_SUSPECT_FAILURES,
+                };
+                (is_sure || sample.target_capacity.servers == 1).then_some(reason)
             }
-            RolloutPhase::Moving if sample.base_running == 0 => (RolloutPhase::Finished, 1000),
-            _ if sample.elapsed >= self.duration / 2 => (RolloutPhase::Moving, 1000),
-            _ => (RolloutPhase::Canary, 50),
+            Judgement::Open => None,
+        })
+    }
+
+    /// Returns whether one server has shown a fault that others have not been able to show.
+    fn is_suspected(&self) -> bool {
+        let is_suspected = |judge: &VersionJudge| matches!(judge.judge(), Judgement::Suspected(_));
+        is_suspected(&self.whole) || is_suspected(&self.fresh)
+    }
+
+    /// Returns the reason of a roll-out that has not ended in time.
+    fn lateness(&self, sample: &RolloutSample) -> RollbackReason {
+        match self.stage.phase {
+            _ if sample.target_capacity.servers == 0 => RollbackReason::NoServers,
+            RolloutPhase::Moving => RollbackReason::OutOfTime,
+            _ => RollbackReason::TooLittleEvidence,
+        }
+    }
+
+    /// Returns a stage with a share that is at least the one reached.
+    fn at(&self, phase: RolloutPhase, share: f64, sample: &RolloutSample) -> RolloutStage {
+        let share = share.max(self.stage.share());
+        let servers = match phase {
+            RolloutPhase::Moving | RolloutPhase::Finished => sample.target_capacity.servers,
+            _ if self.is_suspected() => {
+                let servers = self.plan.servers(share, sample) + SUSPECT_SERVERS;
+                servers.min(sample.target_capacity.servers)
+            }
+            _ => self.plan.servers(share, sample),
         };
-        let servers = sample.target_capacity.servers;
-        self.advance(RolloutStage { phase, share_thousandths, servers });
-        self.step()
+        RolloutStage {
+            phase,
+            share_thousandths: (share * 1000.0).round() as u16,
+            servers: servers.max(self.stage.servers),
+        }
+    }
+
+    /// Returns the stage of a roll-out that is rolled back.
+    fn rolled_back(&self, reason: RollbackReason) -> RolloutStage {
+        RolloutStage { phase: RolloutPhase::RolledBack(reason), share_thousandths: 0, servers: 0 }
     }
 
     /// Returns the step of the stage reached.
@@ -187,3 +352,10 @@
         RolloutStep { share, servers: self.stage.servers, verdict }
     }
 }
+
+/// Returns whether the service has no old servers.
+fn serves_alone(sample: &RolloutSample) -> bool {
+    sample.base_capacity.servers == 0
+        && sample.base_running == 0
+        && sample.target_capacity.servers > 0
+}
--- a/components/decide/src/rollout/evidence.rs
+++ b/components/decide/src/rollout/evidence.rs
@@ -39,6 +39,11 @@
         }
     }
 
+    /// Returns the share of failures among the answers, 0 without answers.
+    pub fn failure_rate(&self) -> f64 {
+        self.failures as f64 / self.answers.max(1) as f64
+    }
+
     /// Adds the counts of another server or incarnation.
     pub fn add(&mut self, other: &Self) {
         self.answers += other.answers;
@@ -128,3 +133,9 @@
         false => (ratio.log(BOUND_RATIO).ceil() as usize).min(TIME_RANGES - 1),
     }
 }
+
+/// Returns the upper bound of a range, in seconds. The last range has none and counts as one ratio
+/// above the one before.
+pub(crate) fn time_bound(range: usize) -> f64 {
+    FIRST_BOUND.as_secs_f64() * BOUND_RATIO.powi(range as i32)
+}
--- /dev/null
+++ b/components/decide/src/rollout/progress.rs
@@ -0,0 +1,99 @@
+//! What the samples say about the course of traffic.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use crate::rollout::judging::EvidenceSpan;
+use crate::rollout::{GroupEvidence, RolloutSample, WorkEvidence};
+
+/// Time within which most requests sent to the target version are answered.
+const ANSWER_TIME: Duration = Duration::from_secs(2);
+/// Part of these that has to be answered. The others were lost, or take long by their kind.
+const ANSWERED_PART: f64 = 0.6;
+/// Time for which the old servers have to run nothing.
+const IDLE_TIME: Duration = Duration::from_millis(400);
+
+/// The samples so far, as far as later ones are compared with them.
+#[derive(Clone, Debug)]
+pub(crate) struct TrafficProgress {
+    /// Evidence of the last sample, if spans can be computed from it.
+    last: Option<(GroupEvidence, GroupEvidence)>,
+    /// Answers of the target version.
+    target: WorkEvidence,
+    /// Requests sent to the target version, by the time of the sample.
+    sent: VecDeque<(Duration, u64)>,
+    first_answer: Option<Duration>,
+    idle_since: Option<Duration>,
+    now: Duration,
+}
+
+impl TrafficProgress {
+    /// Creates the progress of a new order: all counts were made since its start.
+    pub(crate) fn new() -> Self {
+        Self { last: Some(Default::default()), ..Self::resumed() }
+    }
+
+    /// Creates the progress of an order that runs already.
+    pub(crate) fn resumed() -> Self {
+        Self {
+            last: None,
+            target: WorkEvidence::default(),
+            sent: VecDeque::new(),
+            first_answer: None,
+            idle_since: None,
+            now: Duration::ZERO,
+        }
+    }
+
+    /// Takes in a sample. Returns what was answered since the last one, unless it is the first after
+    /// a restart.
+    pub(crate) fn observe(&mut self, sample: &RolloutSample) -> Option<EvidenceSpan> {
+        self.now = sample.elapsed;
+        self.target = sample.target.total().total();
+        self.sent.push_back((self.now, sample.sent_to_target));
+        while self.sent.get(1).is_some_and(|(at, _)| *at + ANSWER_TIME <= self.now) {
+            self.sent.pop_front();
+        }
+        if self.target.answers > 0 {
+            self.first_answer.get_or_insert(self.now);
+        }
+        self.idle_since = match sample.base_running {
+            0 => Some(self.idle_since.unwrap_or(self.now)),
+            _ => None,
+        };
+        let next = (sample.target.clone(), sample.base.clone());
+        let (mut target, mut base) = next.clone();
+        let (last_target, last_base) = self.last.replace(next)?;
+        target.subtract(&last_target);
+        base.subtract(&last_base);
+        let capacity = sample.target_capacity;
+        Some(EvidenceSpan { target, base, is_cold: capacity.warm_servers < capacity.servers })
+    }
+
+    /// Returns the time of the last sample, since the order.
+    pub(crate) fn now(&self) -> Duration {
+        self.now
+    }
+
+    /// Returns how long the target version has been answering.
+    pub(crate) fn answering_for(&self) -> Duration {
+        self.first_answer.map_or(Duration::ZERO, |at| self.now.saturating_sub(at))
+    }
+
+    /// Returns the answers of the target version.
+    pub(crate) fn target(&self) -> &WorkEvidence {
+        &self.target
+    }
+
+    /// Returns whether the target version has answered what was sent to it some time ago. One that
+    /// answers nothing, or late, leaves no other evidence.
+    pub(crate) fn keeps_up(&self) -> bool {
+        let sent = self.sent.front().filter(|(at, _)| *at + ANSWER_TIME <= self.now);
+        sent.is_none_or(|(_, sent)| self.target.answers as f64 >= ANSWERED_PART * *sent as f64)
+    }
+
+    /// Returns whether the old servers have run nothing for some time.
+    pub(crate) fn is_base_idle(&self) -> bool {
+        self.idle_since.is_some_and(|at| self.now >= at + IDLE_TIME)
+    }
+}
--- a/components/lab/src/lib.rs
+++ b/components/lab/src/lib.rs
@@ -10,12 +10,17 @@
 mod fleet;
 mod link;
 mod nested;
+mod rollouts;
 mod scenario;
 mod simulation;
 
 pub use compare::{PairedMean, compare_policies};
 pub use figures::{RouteFigures, RunFigures};
 pub use fleet::DaemonPolicy;
+pub use rollouts::{
+    DrawnOrder, FaultCondition, FaultEffect, OrderOutcome, RolloutFigures, VersionFault,
+    draw_order, run_order,
+};
 pub use scenario::{
     FaultKind, FaultPlan, LoadPlan, NestedPlan, RoutePlan, Scenario, ScenarioError, ServerPlan,
     parse_scenario,
