--- a/components/decide/src/rollout.rs
+++ b/components/decide/src/rollout.rs
@@ -128,8 +128,11 @@
     pub verdict: RolloutVerdict,
 }
 
-/// Bad responses of one server after which it is not waited for others to show whether it is alone.
-const MAX_SUSPECT_FAILURES: u64 = 40;
+/// Bad responses of one server after which others are not waited for to show whether it is alone.
+const MAX_SUSPECT_FAILURES: u64 = 100;
+/// Time for which others are waited for at most. A step to use others takes effect, and shows,
+/// within 2 s.
+const MAX_SUSPECT_TIME: Duration = Duration::from_millis(3500);
 /// Time that a fault may hide in evidence of its version's better past.
 const RENEWAL_TIME: Duration = Duration::from_millis(2500);
 /// Servers that are added to the canary to tell a gray failure of one server from a bad version.
@@ -138,23 +141,29 @@
 const REACH_TIME: Duration = Duration::from_secs(2);
 /// Factor from which the canary's share is adjusted to the rate of requests.
 const CANARY_ADJUSTMENT: f64 = 1.25;
-/// Age of the evidence: a step shows in it after this time.
-const EVIDENCE_DELAY: Duration = Duration::from_secs(1);
+/// Time after which a step has taken effect and shows in the evidence.
+const EVIDENCE_DELAY: Duration = Duration::from_millis(1500);
 
 /// What all evidence has to show before the share grows.
-const WHOLE_LIMITS: AcceptanceLimits =
-    AcceptanceLimits { answers: 30, work_answers: 8, excess: 0.12, slowness: 2.2 };
+const WHOLE_LIMITS: AcceptanceLimits = AcceptanceLimits {
+    answers: 30,
+    work_answers: 6,
+    excess: 0.12,
+    work_excess: 0.45,
+    slowness: 2.2,
+};
 /// What the evidence since the last step has to show.
 const FRESH_LIMITS: AcceptanceLimits =
-    AcceptanceLimits { answers: 6, work_answers: 0, excess: 0.35, slowness: 3.0 };
+    AcceptanceLimits { answers: 6, work_answers: 0, excess: 0.35, work_excess: 0.6, slowness: 3.0 };
 /// What suffices when the time for a step has passed, for services with few requests.
 const SCARCE_LIMITS: AcceptanceLimits =
-    AcceptanceLimits { answers: 8, work_answers: 0, excess: 0.35, slowness: 2.2 };
+    AcceptanceLimits { answers: 8, work_answers: 0, excess: 0.35, work_excess: 0.6, slowness: 2.2 };
 
 /// Decides on one order from samples of what the guards count.
 #[derive(Clone, Debug)]
 pub struct RolloutController {
     settings: RolloutSettings,
+    duration: Duration,
     plan: RolloutPlan,
     stage: RolloutStage,
     /// Time at which the stage was reached here.
@@ -165,6 +174,8 @@
     fresh: VersionJudge,
     /// Time since which `fresh` counts.
     fresh_since: Duration,
+    /// Time since which one server shows a fault that others have not been able to show.
+    suspected_since: Option<Duration>,
     progress: TrafficProgress,
 }
 
@@ -173,12 +184,14 @@
     pub fn new(settings: RolloutSettings, duration: Duration) -> Self {
         Self {
             settings,
-            plan: RolloutPlan::new(duration),
+            duration,
+            plan: RolloutPlan::new(duration, Duration::ZERO),
             stage: RolloutStage::default(),
             stage_since: None,
             whole: VersionJudge::new(settings.method),
             fresh: VersionJudge::new(settings.method),
             fresh_since: Duration::ZERO,
+            suspected_since: None,
             progress: TrafficProgress::new(),
         }
     }
@@ -211,10 +224,11 @@
     /// between two of them does not matter. Once the roll-out has ended the verdict stays.
     pub fn assess(&mut self, sample: &RolloutSample) -> RolloutStep {
         let now = sample.elapsed;
-        if let Some(span) = self.progress.observe(sample) {
+        if let Some(span) = self.progress.observe(sample, self.stage.share()) {
             self.whole.observe(&span);
             self.fresh.observe(&span);
         }
+        self.plan = RolloutPlan::new(self.duration, self.progress.longest());
         let stage_since = *self.stage_since.get_or_insert(now);
         let fresh_from = stage_since + EVIDENCE_DELAY;
         let is_new_stage = self.fresh_since < fresh_from && now >= fresh_from;
@@ -222,6 +236,10 @@
             self.fresh = self.whole.renewed();
             self.fresh_since = now;
         }
+        self.suspected_since = match self.is_suspected() {
+            true => self.suspected_since.or(Some(now)),
+            false => None,
+        };
         let next = self.next_stage(sample, now.saturating_sub(stage_since));
         self.advance(next);
         self.stage_since.get_or_insert(now);
@@ -241,7 +259,7 @@
             (RolloutPhase::Moving, _) if is_idle => self.at(RolloutPhase::Finished, 1.0, sample),
             _ if now >= plan.end(is_moved) => self.rolled_back(self.lateness(sample)),
             (RolloutPhase::Canary, _) if self.is_due(plan.canary_until, MIN_CANARY, in_stage) => {
-                let share = plan.step_share(&self.settings, sample, false);
+                let share = plan.step_share(&self.settings, sample, self.progress.rate(), false);
                 self.at(RolloutPhase::Growing, share, sample)
             }
             (RolloutPhase::Growing, _)
@@ -253,15 +271,14 @@
                 if now < plan.move_at
                     && self.is_due(plan.move_at - plan.step, plan.step, in_stage) =>
             {
-                let share = plan.step_share(&self.settings, sample, true);
+                let share = plan.step_share(&self.settings, sample, self.progress.rate(), true);
                 self.at(RolloutPhase::Growing, share, sample)
             }
             (RolloutPhase::Canary, _) => {
-                let share = plan.canary_share(&self.settings, sample);
-                match share >= CANARY_ADJUSTMENT * self.stage.share() || self.is_suspected() {
-                    true => self.at(RolloutPhase::Canary, share, sample),
-                    false => self.stage,
-                }
+                let share = plan.canary_share(&self.settings, self.progress.rate());
+                let is_adjusted = share >= CANARY_ADJUSTMENT * self.stage.share();
+                let share = if is_adjusted { share } else { self.stage.share() };
+                self.at(RolloutPhase::Canary, share, sample)
             }
             _ => self.stage,
         }
@@ -294,10 +311,10 @@
         [self.whole.judge(), self.fresh.judge()].into_iter().find_map(|judgement| match judgement {
             Judgement::Bad(reason) => Some(reason),
             Judgement::Suspected(reason) => {
-                let is_sure = match reason {
-                    RollbackReason::Slow { .. } => target.answers >= MAX_SUSPECT_FAILURES,
-                    _ => target.failures >= MAX_SUSPECT_FAILURES,
-                };
+                let is_sure = target.failures >= MAX_SUSPECT_FAILURES
+                    || self
+                        .suspected_since
+                        .is_some_and(|at| sample.elapsed >= at + MAX_SUSPECT_TIME);
                 (is_sure || sample.target_capacity.servers == 1).then_some(reason)
             }
             Judgement::Open => None,
@@ -325,10 +342,11 @@
         let servers = match phase {
             RolloutPhase::Moving | RolloutPhase::Finished => sample.target_capacity.servers,
             _ if self.is_suspected() => {
-                let servers = self.plan.servers(share, sample) + SUSPECT_SERVERS;
+                let servers =
+                    self.plan.servers(share, sample, self.progress.running()) + SUSPECT_SERVERS;
                 servers.min(sample.target_capacity.servers)
             }
-            _ => self.plan.servers(share, sample),
+            _ => self.plan.servers(share, sample, self.progress.running()),
         };
         RolloutStage {
             phase,
--- a/components/decide/src/rollout/plan.rs
+++ b/components/decide/src/rollout/plan.rs
@@ -8,18 +8,29 @@
 
 use crate::rollout::{RolloutSample, RolloutSettings};
 
-/// Time of calls that the canary serves at least.
-pub(crate) const MIN_CANARY: Duration = Duration::from_secs(4);
-/// Part of the duration that is left for the old servers to finish their requests.
-const DRAIN_PART: f64 = 0.33;
-/// Bounds of that time. The evidence that nothing runs any more takes 2 s.
+/// Time after the first answer for which the canary lasts at least. With the delay of the evidence
+/// and of the next step, its servers get 4.5 s of calls.
+pub(crate) const MIN_CANARY: Duration = Duration::from_secs(3);
+/// Earliest end of the canary after the order.
+const MIN_CANARY_END: Duration = Duration::from_secs(4);
+/// Bounds of the part of the duration that is left for the old servers to finish their requests.
+const DRAIN_PARTS: [f64; 2] = [0.33, 0.5];
+/// Bounds of that time.
 const DRAIN_BOUNDS: [Duration; 2] = [Duration::from_secs(3), Duration::from_secs(60)];
+/// Time that it takes beside the longest request: the step takes effect, the evidence that nothing
+/// runs comes a second late, and the status is written.
+const DRAIN_DELAY: Duration = Duration::from_millis(2100);
+/// Factor on the longest service time seen so far.
+const LONGEST_FACTOR: f64 = 1.2;
 /// Part of the duration that each step takes.
 const STEP_PART: f64 = 0.125;
-/// Bounds of that time. A second passes before a step shows in the evidence.
-const STEP_BOUNDS: [Duration; 2] = [Duration::from_millis(1300), Duration::from_secs(20)];
-/// Steps between the canary and the move of all traffic.
-const GROWING_STEPS: u32 = 2;
+/// Bounds of that time. A step takes effect and shows in the evidence after 1.5 s.
+const STEP_BOUNDS: [Duration; 2] = [Duration::from_millis(2300), Duration::from_secs(20)];
+/// Duration from which there are two steps between the canary and the move of all traffic, and not
+/// one. The evidence of a step costs more than a second.
+const TWO_STEPS_FROM: Duration = Duration::from_secs(20);
+/// Part of the duration after which traffic is not moved any more.
+const LAST_MOVE_PART: f64 = 0.8;
 /// Time before the end at which a roll-out that is not done is rolled back, so that its status is
 /// written within the duration.
 const END_MARGIN: Duration = Duration::from_secs(1);
@@ -36,13 +47,17 @@
 const LAST_EXPOSURE_PART: f64 = 0.85;
 /// Most requests that the canary gets, also of a service with few of them.
 const MAX_CANARY_SHARE: f64 = 0.25;
+/// Greatest share of a step before the move.
+const MAX_STEP_SHARE: f64 = 0.5;
 /// Least requests that the canary gets, as a part of the exposure.
 const MIN_CANARY_PART: f64 = 0.3;
-/// Time after which the rate of the service's requests is known.
-const RATE_TIME: Duration = Duration::from_secs(1);
-/// Load of a target server in use, relative to that of a base server. Above 1, so that a fault that
-/// shows only under load shows at the canary.
+/// Load of a target server in use, relative to that of a base server.
 const TARGET_LOAD: f64 = 1.15;
+/// Part of its slots that a target server uses at least, so that a fault that shows only above half
+/// of them shows at the canary.
+const MIN_TARGET_LOAD: f64 = 0.6;
+/// Part of its slots that a target server uses at most.
+const MAX_TARGET_LOAD: f64 = 0.85;
 
 /// Times of the steps of one roll-out.
 #[derive(Clone, Copy, Debug)]
@@ -57,21 +72,23 @@
 }
 
 impl RolloutPlan {
-    /// Plans a roll-out.
-    pub(crate) fn new(duration: Duration) -> Self {
-        let part = |part: f64, [min, max]: [Duration; 2]| duration.mul_f64(part).clamp(min, max);
-        let step = part(STEP_PART, STEP_BOUNDS);
-        let move_at = duration
-            .saturating_sub(part(DRAIN_PART, DRAIN_BOUNDS))
-            .max(MIN_CANARY + step * GROWING_STEPS);
-        let canary_until = move_at - step * GROWING_STEPS;
-        Self { duration, step, canary_until, move_at }
+    /// Plans a roll-out of a service whose longest request takes `longest`.
+    pub(crate) fn new(duration: Duration, longest: Duration) -> Self {
+        let [least, most] = DRAIN_PARTS.map(|part| duration.mul_f64(part));
+        let [min, max] = DRAIN_BOUNDS;
+        let drain =
+            (DRAIN_DELAY + longest.mul_f64(LONGEST_FACTOR)).clamp(least, most).clamp(min, max);
+        let [shortest, longest] = STEP_BOUNDS;
+        let step = duration.mul_f64(STEP_PART).clamp(shortest, longest);
+        let growing = step * if duration >= TWO_STEPS_FROM { 2 } else { 1 };
+        let move_at = duration.saturating_sub(drain).max(MIN_CANARY_END + growing);
+        Self { duration, step, canary_until: move_at - growing, move_at }
     }
 
     /// Returns the time after which traffic is not moved any more, since the old servers could not
     /// finish within the duration.
     pub(crate) fn move_until(&self) -> Duration {
-        (self.duration + self.move_at) / 2
+        self.duration.mul_f64(LAST_MOVE_PART).max(self.move_at)
     }
 
     /// Returns the time at which a roll-out that is not done is rolled back.
@@ -80,15 +97,16 @@
         self.duration.saturating_sub(margin.min(self.duration / 12))
     }
 
-    /// Returns the share of the canary.
-    pub(crate) fn canary_share(&self, settings: &RolloutSettings, sample: &RolloutSample) -> f64 {
+    /// Returns the share of the canary. `rate` is that of the service's requests per second, once it
+    /// is known.
+    pub(crate) fn canary_share(&self, settings: &RolloutSettings, rate: Option<f64>) -> f64 {
         let min = settings.exposure_share * MIN_CANARY_PART;
-        let rate = rate(sample);
-        let requests = rate * (self.canary_until + REACTION).as_secs_f64();
-        match sample.elapsed < RATE_TIME || requests <= 0.0 {
-            true => min,
-            false => (CANARY_PART * self.exposure(settings, rate) / requests)
+        let time = (self.canary_until + REACTION).as_secs_f64();
+        match rate {
+            Some(rate) if rate > 0.0 => (CANARY_PART * self.exposure(settings, rate)
+                / (rate * time))
                 .clamp(min, MAX_CANARY_SHARE.max(min)),
+            _ => min,
         }
     }
 
@@ -98,23 +116,26 @@
         &self,
         settings: &RolloutSettings,
         sample: &RolloutSample,
+        rate: Option<f64>,
         is_last: bool,
     ) -> f64 {
-        let rate = rate(sample);
+        let rate = rate.unwrap_or_default();
         let left = self.exposure(settings, rate) - sample.sent_to_target as f64;
         let part = if is_last { LAST_EXPOSURE_PART } else { STEP_EXPOSURE_PART };
         let slots = |slots: u32| f64::from(slots.max(1));
         let room = slots(sample.target_capacity.slots) / slots(sample.base_capacity.slots);
-        (part * left / (rate * REACTION.as_secs_f64()).max(1.0)).clamp(0.0, room.min(0.5))
+        let time = (self.step + REACTION).as_secs_f64();
+        (part * left / (rate * time).max(1.0)).clamp(0.0, room.min(MAX_STEP_SHARE))
     }
 
-    /// Returns the number of target servers that carry a share at slightly more than the load of
-    /// the base servers.
-    pub(crate) fn servers(&self, share: f64, sample: &RolloutSample) -> u32 {
+    /// Returns the number of target servers that carry a share. `running` is the number of requests
+    /// that run at the whole service.
+    pub(crate) fn servers(&self, share: f64, sample: &RolloutSample, running: f64) -> u32 {
         let (target, base) = (sample.target_capacity, sample.base_capacity);
         let slots = f64::from(target.slots) / f64::from(target.servers.max(1));
-        let needed = share * f64::from(base.slots) / (TARGET_LOAD * slots.max(1.0));
-        (needed.round() as u32).clamp(1, target.servers.max(1))
+        let load = TARGET_LOAD * running / f64::from(base.slots.max(1));
+        let used = load.clamp(MIN_TARGET_LOAD, MAX_TARGET_LOAD) * slots.max(1.0);
+        ((share * running / used).round() as u32).clamp(1, target.servers.max(1))
     }
 
     /// Returns the requests that a bad version may get within the duration.
@@ -123,8 +144,3 @@
             + f64::from(settings.exposure_slack)
     }
 }
-
-/// Returns the requests per second that the service gets.
-fn rate(sample: &RolloutSample) -> f64 {
-    sample.sent as f64 / sample.elapsed.as_secs_f64().max(0.1)
-}
--- a/components/decide/src/rollout/sequential.rs
+++ b/components/decide/src/rollout/sequential.rs
@@ -15,18 +15,29 @@
 
 /// Probability that a good version crosses the boundary of failures, over a whole roll-out.
 const ERROR_RATE: f64 = 0.001;
-/// Variance at which the boundary is tightest: that of a hundred answers of which a few fail.
-const MIXTURE_VARIANCE: f64 = 4.0;
+/// Variance at which the boundary is tightest: that of some ten answers, so that a canary of a small
+/// service, or a rare kind of work, is judged by few failures.
+const MIXTURE_VARIANCE: f64 = 0.7;
 /// Share of failures beyond the base's that is no fault.
 const TOLERATED_EXCESS: f64 = 0.03;
 /// Part of the base's rate by which servers of one version differ in an overload.
 const TOLERATED_PART: f64 = 0.25;
 /// Factor on the variance of independent failures. Refused calls and lost responses come in groups.
-const OVERDISPERSION: f64 = 2.0;
+const OVERDISPERSION: f64 = 1.3;
 /// Answers of the base's past that count in each span, so that a span with few of them has a rate.
 const PAST_ANSWERS: f64 = 5.0;
+/// The same where the base serves nothing any more.
+const PAST_ANSWERS_ALONE: f64 = 60.0;
+/// Share of failures that is no fault where only the base's past is known: an overload may have
+/// begun since.
+const PAST_TOLERANCE: f64 = 0.12;
+/// Service times of the past that count in each span. They vary less than failures do, and a mean
+/// of few of them is far off.
+const PAST_TIMES: f64 = 50.0;
+/// Service times of the base from which others are compared with them.
+const MIN_BASE_TIMES: f64 = 8.0;
 /// Part of the past that is kept from one span to the next.
-const PAST_KEPT: f64 = 0.8;
+const PAST_KEPT: f64 = 0.9;
 /// Rate of failures expected where the base has served nothing of the kind.
 const UNKNOWN_RATE: f64 = 0.05;
 
@@ -35,12 +46,14 @@
 /// Standard deviation of the logarithm of one service time, whose spread is 0.8 of the mean.
 const TIME_DEVIATION: f64 = 0.8;
 /// Factor on service times that is no fault, however sure it is.
-const TOLERATED_SLOWNESS: f64 = 1.9;
+const TOLERATED_SLOWNESS: f64 = 2.0;
 /// Factor on service times that a good version may have.
 const USUAL_SLOWNESS: f64 = 1.2;
 /// Standard deviations of the mean beyond the usual factor that make a version slow. The servers'
 /// speeds are drawn once, so looking again adds little to the error rate.
-const SLOWNESS_DEVIATIONS: f64 = 3.2;
+const SLOWNESS_DEVIATIONS: f64 = 3.5;
+/// The same for a suspicion, which more servers confirm or refute.
+const SUSPECT_DEVIATIONS: f64 = 2.3;
 /// Factor on service times of servers that are not warm.
 const COLD_SLOWNESS: f64 = 2.2;
 
@@ -50,8 +63,10 @@
 const OUTLIER_EXCESS: f64 = 0.15;
 /// Factor on the other servers' times that makes a server an outlier.
 const OUTLIER_SLOWNESS: f64 = 2.5;
+/// Answers from which the failures of a kind of work are judged before the share grows.
+const MIN_WORK_ANSWERS: f64 = 6.0;
 /// Part of the base's answers from which a kind of work has to be seen at the target version.
-const FREQUENT_WORK: f64 = 0.1;
+const FREQUENT_WORK: f64 = 0.04;
 
 /// Sums of one kind of work at the base. The past fades.
 #[derive(Clone, Copy, Debug, Default)]
@@ -97,9 +112,11 @@
         self.log_times / self.times.max(1.0)
     }
 
-    /// Returns the sums scaled down to those of at most `PAST_ANSWERS` answers.
-    fn as_past(&self) -> Self {
-        self.scaled((PAST_ANSWERS / self.answers.max(f64::MIN_POSITIVE)).min(1.0))
+    /// Returns the sums scaled down to those of few answers and times.
+    fn as_past(&self, answers: f64) -> Self {
+        let answers = self.scaled((answers / self.answers.max(f64::MIN_POSITIVE)).min(1.0));
+        let times = self.scaled((PAST_TIMES / self.times.max(f64::MIN_POSITIVE)).min(1.0));
+        Self { times: times.times, log_times: times.log_times, ..answers }
     }
 }
 
@@ -191,10 +208,20 @@
         for (work, target) in &span.target.total().by_work {
             let level = present.get(work).copied().unwrap_or_default();
             let past = self.past.get(work).copied().unwrap_or_default();
-            let level = level.plus(&past.as_past());
+            let is_alone = level.answers < PAST_ANSWERS;
+            let past = past.as_past(if is_alone { PAST_ANSWERS_ALONE } else { PAST_ANSWERS });
+            let past_part = past.answers / (past.answers + level.answers).max(1.0);
+            let level = level.plus(&past);
+            let tolerance = TOLERATED_EXCESS + PAST_TOLERANCE * past_part;
             for (server, evidence) in &span.target.by_server {
                 let Some(evidence) = evidence.by_work.get(work) else { continue };
-                let score = score(evidence, &level, target.answers as f64, span.is_cold);
+                let control = Control {
+                    level,
+                    tolerance,
+                    target_answers: target.answers as f64,
+                    is_cold: span.is_cold,
+                };
+                let score = control.score(evidence);
                 self.scores.entry(*work).or_default().entry(*server).or_default().add(&score);
             }
         }
@@ -209,13 +236,16 @@
         Self { scores: BTreeMap::new(), ..self.clone() }
     }
 
-    /// Tests failures and service times of each kind of work, and of all together.
+    /// Tests failures and service times of each kind of work, and of all together. One server that
+    /// alone has a failure is left out.
     pub(crate) fn judge(&self) -> Judgement {
         let tests = self.scores.len() + 1;
-        let all = std::iter::once((None, self.all_works()));
+        let all = self.all_works();
+        let outliers = [failure_outlier(&all), slow_outlier(&all)];
         let works = self.scores.iter().map(|(work, scores)| (Some(*work), scores.clone()));
         let mut judgement = Judgement::Open;
-        for (work, scores) in all.chain(works) {
+        for (work, mut scores) in std::iter::once((None, all)).chain(works) {
+            outliers.iter().flatten().for_each(|outlier| drop(scores.remove(outlier)));
             let total = sum(scores.values());
             let failing = RollbackReason::Failing {
                 work,
@@ -223,8 +253,7 @@
                 base_rate: thousandths(total.expected / total.answers.max(1.0)),
             };
             let (log_ratio, _) = self.slowness(&scores);
-            let percent = (100.0 * log_ratio.exp()) as u32;
-            let slow = RollbackReason::Slow { work, percent };
+            let slow = RollbackReason::Slow { work, percent: (100.0 * log_ratio.exp()) as u32 };
             for (reason, result) in
                 [(failing, test_failures(&scores, tests)), (slow, self.test_times(&scores))]
             {
@@ -240,23 +269,28 @@
         judgement
     }
 
-    /// Returns whether the evidence rules out the limits. One server that fails much more than all
-    /// others is left out.
+    /// Returns whether the evidence rules out the limits. One server that alone has a failure is
+    /// left out.
     pub(crate) fn accepts(&self, limits: AcceptanceLimits) -> bool {
-        let mut scores = self.all_works();
-        if let Some(outlier) = failure_outlier(&scores) {
-            scores.remove(&outlier);
-        }
-        let total = sum(scores.values());
+        let mut all = self.all_works();
+        let outliers = [failure_outlier(&all), slow_outlier(&all)];
+        outliers.iter().flatten().for_each(|outlier| drop(all.remove(outlier)));
         let base_answers: f64 = self.base_answers.values().sum();
-        let is_covered = self.base_answers.iter().all(|(work, answers)| {
-            let seen = self.scores.get(work).map_or(0.0, |scores| sum(scores.values()).answers);
-            *answers < FREQUENT_WORK * base_answers || seen >= limits.work_answers as f64
-        });
-        is_covered
-            && total.answers >= limits.answers as f64
+        let accepts_work = |(work, answers): (&WorkKey, &f64)| {
+            let scores = self.scores.get(work).into_iter().flatten();
+            let total = sum(scores
+                .filter(|(server, _)| !outliers.contains(&Some(**server)))
+                .map(|(_, s)| s));
+            let is_rare = *answers < FREQUENT_WORK * base_answers;
+            let is_seen = is_rare || total.answers >= limits.work_answers as f64;
+            is_seen
+                && (total.answers < MIN_WORK_ANSWERS || total.excess_bound() <= limits.work_excess)
+        };
+        let total = sum(all.values());
+        total.answers >= limits.answers as f64
             && total.excess_bound() <= limits.excess
-            && self.slowness(&without_slow_outlier(&scores)).0 <= limits.slowness.ln()
+            && self.slowness(&all).0 <= limits.slowness.ln()
+            && self.base_answers.iter().all(accepts_work)
     }
 
     /// Returns the scores of all kinds of work together, by server.
@@ -268,25 +302,18 @@
         all
     }
 
-    /// Tests the service times.
+    /// Tests the service times. Few servers may be slow by chance.
     fn test_times(&self, scores: &BTreeMap<ServerKey, ServerScore>) -> TestResult {
-        let others = without_slow_outlier(scores);
-        match self.is_slow(scores) {
-            false => TestResult::Passed,
-            true if others.len() == scores.len() && scores.len() > 1 => TestResult::Failed,
-            true if self.is_slow(&others) => TestResult::Failed,
-            true if sum(others.values()).times < MIN_OTHER_ANSWERS || scores.len() == 1 => {
-                TestResult::Suspected
-            }
-            true => TestResult::Passed,
-        }
-    }
-
-    /// Returns whether the servers are slower than differences between servers explain.
-    fn is_slow(&self, scores: &BTreeMap<ServerKey, ServerScore>) -> bool {
         let (log_ratio, deviation) = self.slowness(scores);
-        log_ratio
-            > TOLERATED_SLOWNESS.ln().max(USUAL_SLOWNESS.ln() + SLOWNESS_DEVIATIONS * deviation)
+        let exceeds = |deviations: f64| {
+            log_ratio > TOLERATED_SLOWNESS.ln().max(USUAL_SLOWNESS.ln() + deviations * deviation)
+        };
+        match scores.len() {
+            0 => TestResult::Passed,
+            2.. if exceeds(SLOWNESS_DEVIATIONS) => TestResult::Failed,
+            _ if exceeds(SUSPECT_DEVIATIONS) => TestResult::Suspected,
+            _ => TestResult::Passed,
+        }
     }
 
     /// Returns the mean logarithm of the servers' slowness and its standard deviation.
@@ -328,44 +355,48 @@
     }
 }
 
-/// Scores the answers of one server and kind of work within a span, in which the target version
-/// gave `target_answers` of that kind.
-fn score(
-    evidence: &WorkEvidence,
-    level: &BaseLevel,
+/// What the target version is compared with, for one span and kind of work.
+struct Control {
+    level: BaseLevel,
+    /// Share of failures beyond the base's that is no fault.
+    tolerance: f64,
+    /// Answers of the whole target version.
     target_answers: f64,
     is_cold: bool,
-) -> ServerScore {
-    let answers = evidence.answers as f64;
-    let rate = if level.answers > 0.0 { level.failure_rate() } else { UNKNOWN_RATE };
-    let tolerated = (rate + TOLERATED_EXCESS + TOLERATED_PART * rate).min(1.0);
-    let spread = 1.0 + target_answers / level.answers.max(1.0);
-    let (times, log_times) = log_sum(evidence);
-    let cold = if is_cold { COLD_SLOWNESS.ln() } else { 0.0 };
-    let (times, log_ratios) = match level.times >= 1.0 {
-        true => (times, log_times - times * (level.mean_log() + cold)),
-        false => (0.0, 0.0),
-    };
-    ServerScore {
-        answers,
-        failures: evidence.failures as f64,
-        expected: answers * rate,
-        tolerated: answers * tolerated,
-        variance: OVERDISPERSION * answers * tolerated * (1.0 - tolerated) * spread,
-        times,
-        log_ratios,
+}
+
+impl Control {
+    /// Scores the answers of one server.
+    fn score(&self, evidence: &WorkEvidence) -> ServerScore {
+        let (level, answers) = (&self.level, evidence.answers as f64);
+        let rate = if level.answers > 0.0 { level.failure_rate() } else { UNKNOWN_RATE };
+        let tolerated = (rate + self.tolerance + TOLERATED_PART * rate).min(1.0);
+        let spread = 1.0 + self.target_answers / level.answers.max(1.0);
+        let (times, log_times) = log_sum(evidence);
+        let cold = if self.is_cold { COLD_SLOWNESS.ln() } else { 0.0 };
+        let (times, log_ratios) = match level.times >= MIN_BASE_TIMES {
+            true => (times, log_times - times * (level.mean_log() + cold)),
+            false => (0.0, 0.0),
+        };
+        ServerScore {
+            answers,
+            failures: evidence.failures as f64,
+            expected: answers * rate,
+            tolerated: answers * tolerated,
+            variance: OVERDISPERSION * answers * tolerated * (1.0 - tolerated) * spread,
+            times,
+            log_ratios,
+        }
     }
 }
 
 /// Tests the failures. A version is bad if it is so without its worst server too.
 fn test_failures(scores: &BTreeMap<ServerKey, ServerScore>, tests: usize) -> TestResult {
-    let total = sum(scores.values());
-    let Some((worst, _)) = worst_server(scores) else { return TestResult::Passed };
-    let others = sum(scores.iter().filter(|(server, _)| **server != worst).map(|(_, score)| score));
-    match total.crosses(tests) {
+    let worst = worst_server(scores).map(|(server, _)| server);
+    let others = scores.iter().filter(|(server, _)| Some(**server) != worst);
+    match sum(scores.values()).crosses(tests) {
         false => TestResult::Passed,
-        true if others.crosses(tests) => TestResult::Failed,
-        true if failure_outlier(scores).is_some() => TestResult::Passed,
+        true if sum(others.map(|(_, score)| score)).crosses(tests) => TestResult::Failed,
         true => TestResult::Suspected,
     }
 }
@@ -387,25 +418,21 @@
     is_outlier.then_some(server)
 }
 
-/// Returns the scores without a server that is much slower than each other one.
-fn without_slow_outlier(
-    scores: &BTreeMap<ServerKey, ServerScore>,
-) -> BTreeMap<ServerKey, ServerScore> {
-    let mut order: Vec<_> = scores.iter().filter(|(_, score)| score.times > 0.0).collect();
-    order.sort_by(|one, other| other.1.mean_log_ratio().total_cmp(&one.1.mean_log_ratio()));
-    let outlier = match order[..] {
+/// Returns the server that is much slower than each other one, if others have enough answers.
+fn slow_outlier(scores: &BTreeMap<ServerKey, ServerScore>) -> Option<ServerKey> {
+    let slowness = |score: &ServerScore| score.mean_log_ratio();
+    let mut order: Vec<_> = scores.iter().filter(|(_, score)| score.times >= 3.0).collect();
+    order.sort_by(|one, other| slowness(other.1).total_cmp(&slowness(one.1)));
+    let others = sum(order.iter().skip(1).map(|(_, score)| *score));
+    match order[..] {
         [(server, first), (_, second), ..]
-            if first.mean_log_ratio() - second.mean_log_ratio() > OUTLIER_SLOWNESS.ln() =>
+            if others.times >= MIN_OTHER_ANSWERS
+                && slowness(first) - slowness(second) > OUTLIER_SLOWNESS.ln() =>
         {
             Some(*server)
         }
         _ => None,
-    };
-    scores
-        .iter()
-        .filter(|(server, _)| Some(**server) != outlier)
-        .map(|(server, score)| (*server, *score))
-        .collect()
+    }
 }
 
 fn sum<'a>(scores: impl Iterator<Item = &'a ServerScore>) -> ServerScore {
