--- a/components/decide/src/rollout.rs
+++ b/components/decide/src/rollout.rs
@@ -148,8 +148,8 @@
 const WHOLE_LIMITS: AcceptanceLimits = AcceptanceLimits {
     answers: 30,
     work_answers: 6,
-    excess: 0.12,
-    work_excess: 0.45,
+    excess: 0.08,
+    work_excess: 0.35,
     slowness: 2.2,
 };
 /// What the evidence since the last step has to show.
--- a/components/decide/src/rollout/plan.rs
+++ b/components/decide/src/rollout/plan.rs
@@ -25,7 +25,7 @@
 /// Part of the duration that each step takes.
 const STEP_PART: f64 = 0.125;
 /// Bounds of that time. A step takes effect and shows in the evidence after 1.5 s.
-const STEP_BOUNDS: [Duration; 2] = [Duration::from_millis(2300), Duration::from_secs(20)];
+const STEP_BOUNDS: [Duration; 2] = [Duration::from_millis(1900), Duration::from_secs(20)];
 /// Duration from which there are two steps between the canary and the move of all traffic, and not
 /// one. The evidence of a step costs more than a second.
 const TWO_STEPS_FROM: Duration = Duration::from_secs(20);
@@ -39,6 +39,8 @@
 
 /// Time that a fault takes to be found and its roll-back to reach all daemons.
 const REACTION: Duration = Duration::from_millis(2500);
+/// Time that a roll-back takes to reach all daemons, beside that of a step.
+const STEP_DELAY: Duration = Duration::from_secs(1);
 /// Part of the exposure that the canary may use.
 const CANARY_PART: f64 = 0.4;
 /// Part of what is left that a step may use, the last one excepted.
@@ -121,10 +123,11 @@
     ) -> f64 {
         let rate = rate.unwrap_or_default();
         let left = self.exposure(settings, rate) - sample.sent_to_target as f64;
+        let is_last = is_last || self.duration < TWO_STEPS_FROM;
         let part = if is_last { LAST_EXPOSURE_PART } else { STEP_EXPOSURE_PART };
         let slots = |slots: u32| f64::from(slots.max(1));
         let room = slots(sample.target_capacity.slots) / slots(sample.base_capacity.slots);
-        let time = (self.step + REACTION).as_secs_f64();
+        let time = (self.step + STEP_DELAY).as_secs_f64();
         (part * left / (rate * time).max(1.0)).clamp(0.0, room.min(MAX_STEP_SHARE))
     }
 
--- a/components/decide/src/rollout/sequential.rs
+++ b/components/decide/src/rollout/sequential.rs
@@ -14,7 +14,7 @@
 use crate::rollout::{RollbackReason, ServerKey, WorkEvidence, time_bound};
 
 /// Probability that a good version crosses the boundary of failures, over a whole roll-out.
-const ERROR_RATE: f64 = 0.001;
+const ERROR_RATE: f64 = 0.002;
 /// Variance at which the boundary is tightest: that of some ten answers, so that a canary of a small
 /// service, or a rare kind of work, is judged by few failures.
 const MIXTURE_VARIANCE: f64 = 0.7;
@@ -30,7 +30,7 @@
 const PAST_ANSWERS_ALONE: f64 = 60.0;
 /// Share of failures that is no fault where only the base's past is known: an overload may have
 /// begun since.
-const PAST_TOLERANCE: f64 = 0.12;
+const PAST_TOLERANCE: f64 = 0.07;
 /// Service times of the past that count in each span. They vary less than failures do, and a mean
 /// of few of them is far off.
 const PAST_TIMES: f64 = 50.0;
