--- a/components/decide/src/rollout.rs
+++ b/components/decide/src/rollout.rs
@@ -10,6 +10,8 @@
 
 use std::time::Duration;
 
+use derive_more::Display;
+
 use crate::rollout::judging::{AcceptanceLimits, Judgement, VersionJudge};
 use crate::rollout::plan::{MIN_CANARY, RolloutPlan};
 use crate::rollout::progress::TrafficProgress;
@@ -29,20 +31,24 @@
 mod stage;
 
 /// How a version is judged.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
 pub enum RolloutMethod {
     /// A sequential test against the old servers of the same moments.
+    #[display("sequential test")]
     SequentialTest,
     /// Fixed limits of rates and quantiles by kind of work.
+    #[display("fixed limits")]
     FixedLimits,
 }
 
 /// When the share grows.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
 pub enum RolloutPacing {
     /// As soon as there is enough fresh evidence for the next step, within the time planned for it.
+    #[display("by evidence")]
     ByEvidence,
     /// At planned times, unless the version is found to be bad.
+    #[display("by time")]
     ByTime,
 }
 
--- a/components/decide/src/rollout/plan.rs
+++ b/components/decide/src/rollout/plan.rs
@@ -23,7 +23,7 @@
 /// Factor on the longest service time seen so far.
 const LONGEST_FACTOR: f64 = 1.2;
 /// Part of the duration that each step takes.
-const STEP_PART: f64 = 0.125;
+const STEP_PART: f64 = 0.17;
 /// Bounds of that time. A step takes effect and shows in the evidence after 1.5 s.
 const STEP_BOUNDS: [Duration; 2] = [Duration::from_millis(1900), Duration::from_secs(20)];
 /// Duration from which there are two steps between the canary and the move of all traffic, and not
@@ -57,7 +57,7 @@
 const TARGET_LOAD: f64 = 1.15;
 /// Part of its slots that a target server uses at least, so that a fault that shows only above half
 /// of them shows at the canary.
-const MIN_TARGET_LOAD: f64 = 0.6;
+const MIN_TARGET_LOAD: f64 = 0.75;
 /// Part of its slots that a target server uses at most.
 const MAX_TARGET_LOAD: f64 = 0.85;
 
@@ -131,14 +131,15 @@
         (part * left / (rate * time).max(1.0)).clamp(0.0, room.min(MAX_STEP_SHARE))
     }
 
-    /// Returns the number of target servers that carry a share. `running` is the number of requests
+    /// Returns the number of target servers that carry a share, rounded down, so that they work
+    /// under load. `running` is the number of requests
     /// that run at the whole service.
     pub(crate) fn servers(&self, share: f64, sample: &RolloutSample, running: f64) -> u32 {
         let (target, base) = (sample.target_capacity, sample.base_capacity);
         let slots = f64::from(target.slots) / f64::from(target.servers.max(1));
         let load = TARGET_LOAD * running / f64::from(base.slots.max(1));
         let used = load.clamp(MIN_TARGET_LOAD, MAX_TARGET_LOAD) * slots.max(1.0);
-        ((share * running / used).round() as u32).clamp(1, target.servers.max(1))
+        ((share * running / used) as u32).clamp(1, target.servers.max(1))
     }
 
     /// Returns the requests that a bad version may get within the duration.
--- a/components/lab/src/rollouts/drawn.rs
+++ b/components/lab/src/rollouts/drawn.rs
@@ -103,10 +103,12 @@
     pub fault: Option<VersionFault>,
 }
 
-/// Draws an order. The same seed gives the same order.
-pub fn draw_order(seed: u64) -> DrawnOrder {
+/// Draws an order, of a service with 3 to 300 servers of each version unless their number is given.
+/// The same seed gives the same order.
+pub fn draw_order(seed: u64, servers: Option<usize>) -> DrawnOrder {
     let rng = &mut SmallRng::seed_from_u64(seed);
-    let servers = (3.0 * 100_f64.powf(rng.random::<f64>())).round() as usize;
+    let drawn = (3.0 * 100_f64.powf(rng.random::<f64>())).round() as usize;
+    let servers = servers.unwrap_or(drawn);
     let slots = rng.random_range(6..=14);
     let works = draw_works(rng);
     let mean: f64 = works.iter().map(|work| work.share * work.mean).sum();
--- a/components/lab/src/rollouts/service.rs
+++ b/components/lab/src/rollouts/service.rs
@@ -141,24 +141,7 @@
         }
         let sample = self.samples.pop_front().expect("not empty");
         let elapsed = Duration::from_secs_f64(self.now);
-        let step = controller.assess(&RolloutSample { elapsed, ..sample.clone() });
-        if std::env::var("SEED").is_ok() {
-            println!(
-                "{elapsed:?} {:?} {step:?} tgt {} {:?} running {} sent {} {}",
-                controller.stage(),
-                sample.target.by_server.len(),
-                sample
-                    .target
-                    .total()
-                    .by_work
-                    .values()
-                    .map(|w| (w.answers, w.failures))
-                    .collect::<Vec<_>>(),
-                sample.base_running,
-                sample.sent,
-                sample.sent_to_target
-            );
-        }
+        let step = controller.assess(&RolloutSample { elapsed, ..sample });
         self.steps.push_back((self.now + STEP_DELAY.as_secs_f64(), step));
         if step.verdict != RolloutVerdict::Continue {
             self.outcome.ended.get_or_insert((elapsed, step.verdict));
--- a/src/bin/sk-lab.rs
+++ b/src/bin/sk-lab.rs
@@ -6,7 +6,9 @@
 use anyhow::Context;
 use gumdrop::Options;
 use sk_daemon::{server_limits, table_tuning};
-use sk_lab::{DaemonPolicy, Scenario, compare_policies, parse_scenario, run_scenario};
+use sk_lab::{
+    DaemonPolicy, Scenario, compare_policies, compare_rollouts, parse_scenario, run_scenario,
+};
 
 #[derive(Debug, Options)]
 struct LabArgs {
@@ -22,6 +24,8 @@
     Run(RunArgs),
     /// Compare two daemons' settings on the same seeds
     Compare(CompareArgs),
+    /// Compare the methods of roll-outs on the same randomly drawn versions
+    Rollouts(RolloutsArgs),
 }
 
 #[derive(Debug, Options)]
@@ -53,10 +57,32 @@
     seeds: u64,
 }
 
+#[derive(Debug, Options)]
+struct RolloutsArgs {
+    /// Print this help
+    help: bool,
+    /// Orders drawn
+    #[options(default = "500")]
+    orders: u64,
+    /// Seed of the first order; the others follow
+    #[options(default = "0")]
+    seed: u64,
+    /// Servers of each version, drawn from 3 to 300 if absent
+    servers: Option<usize>,
+}
+
 fn main() -> anyhow::Result<()> {
     match LabArgs::parse_args_default_or_exit().command {
         Some(LabCommand::Run(args)) => run(&args),
         Some(LabCommand::Compare(args)) => compare(&args),
+        Some(LabCommand::Rollouts(args)) => {
+            for (name, figures) in
+                compare_rollouts(args.seed..args.seed + args.orders, args.servers)
+            {
+                println!("{name}\n{figures}");
+            }
+            Ok(())
+        }
         None => anyhow::bail!("no command; see --help"),
     }
 }
