--- a/components/decide/tests/canary_share.rs
+++ b/components/decide/tests/canary_share.rs
@@ -18,7 +18,7 @@
     assert_eq!(course.verdict, RolloutVerdict::Finish);
     assert!(course.at < Duration::from_secs(12));
     let canaries = course.stages.iter().filter(|(_, stage)| stage.phase == RolloutPhase::Canary);
-    let last = canaries.last().expect("a canary");
+    let last = canaries.max_by_key(|(at, _)| *at).expect("a canary");
     assert!(last.0 >= Duration::from_secs(4), "the canary ended after {:?}", last.0);
     assert!(last.1.share() <= 0.1 && last.1.servers <= 4, "canary {}", last.1);
     assert!(course.stages.is_sorted_by_key(|(_, stage)| *stage), "stages only go forward");
--- a/components/lab/src/rollouts.rs
+++ b/components/lab/src/rollouts.rs
@@ -7,7 +7,8 @@
 use sk_decide::rollout::{RolloutMethod, RolloutPacing, RolloutSettings};
 
 pub use crate::rollouts::drawn::{
-    DrawnOrder, FaultCondition, FaultEffect, VersionFault, draw_order,
+    DrawnBurst, DrawnOrder, DrawnWork, FaultCondition, FaultEffect, GrayServer, VersionFault,
+    draw_order,
 };
 pub use crate::rollouts::outcome::{OrderOutcome, RolloutFigures};
 pub use crate::rollouts::service::run_order;
