--- a/components/daemon/src/dump.rs
+++ b/components/daemon/src/dump.rs
@@ -7,8 +7,12 @@
 use sk_decide::{admitting::GuardState, quarantine::QuarantineSettings};
 use sk_member::{EndpointRecord, MemberRecord, ReachabilityMarks};
 use sk_model::{ProxyId, ServiceName};
-use sk_ops::{ControlView, PeerView, RequestView, ServerView, StateDump, WorkspaceView};
+use sk_ops::{
+    ControlView, PeerView, RequestView, RolloutReport, ServerView, StateDump, WorkReport,
+    WorkspaceView,
+};
 use sk_proxy::{ProxyCounters, RouteTable, SharedQuarantine};
+use sk_rollout::{OrderReport, WorkCounts};
 use sk_spread::SpreadState;
 
 use crate::port::DaemonPort;
@@ -41,10 +45,30 @@
             servers: servers.iter().map(|endpoint| view_server(endpoint, &guards)).collect(),
             workspaces: view_workspaces(&self.allowances),
             members: members.values().map(|record| view_peer(record, &marks)).collect(),
+            rollouts: self.rollouts.reports().into_iter().map(view_rollout).collect(),
         }
     }
 }
 
+fn view_rollout(report: OrderReport) -> RolloutReport {
+    let pair = |counts: WorkCounts| [counts.answers, counts.failures];
+    let works = report.by_work.into_iter().map(|(work, [target, base])| WorkReport {
+        work,
+        target: pair(target),
+        base: pair(base),
+    });
+    RolloutReport {
+        service: report.order.service,
+        target: report.order.target,
+        state: report.phase,
+        share_thousandths: report.stage.map_or(0, |record| record.stage.share_thousandths),
+        reason: report.reason,
+        sent: report.sent,
+        sent_to_target: report.sent_to_target,
+        works: works.collect(),
+    }
+}
+
 /// Counts the requests that are refused now because they crash servers.
 fn count_quarantined(quarantine: &SharedQuarantine) -> u64 {
     let refusal_time = QuarantineSettings::default().refusal_time;
--- a/components/spread/tests/common/mod.rs
+++ b/components/spread/tests/common/mod.rs
@@ -414,7 +414,7 @@
         let allowances = Arc::new(allowances);
         let port = AllowancePort { desk: allowances.clone(), calls };
         let parts = SpreadParts {
-            notices: None,
+            notices: Vec::new(),
             allowances: Some(port),
             config: config.clone(),
             members: members.clone(),
