guard: fairness between workspaces in the queue by urgency

Cause: in the order of goals alone, a workspace that sends several times the server's capacity takes the slots of the others with it.

Change: within one rank and the same class of 'can still meet its goal', workspaces are served by start-time fair queueing, and goals decide within a workspace. While others wait, a workspace holds an even part of the queue (share-exceeded) and gives places beyond it up. With one flow, all is as before.

--- a/components/decide/src/admitting.rs
+++ b/components/decide/src/admitting.rs
@@ -53,9 +53,14 @@
 /// Hash of the calling service, or of the caller from outside.
 pub type CallerKey = u64;
 
-/// Team and caller that a request is counted against.
+/// Hash of the workspace whose key a caller sent.
+pub type WorkspaceKey = u64;
+
+/// Workspace, team and caller that a request is counted against.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct FlowKey {
+    /// The workspace; requests without one share what one workspace gets.
+    pub workspace: Option<WorkspaceKey>,
     /// The team.
     pub team: TeamKey,
     /// The caller within the team.
--- a/components/decide/src/admitting/urgent.rs
+++ b/components/decide/src/admitting/urgent.rs
@@ -33,8 +33,9 @@
             return released;
         }
         let service = self.service_time(request, now);
+        let limit = self.settings.queue_limit(class);
         let queue = &mut self.urgency_queues[class_index(class)];
-        if let Some(ticket) = queue.pop_less_urgent(urgency_of(request), service, now) {
+        if let Some(ticket) = queue.pop_less_urgent(urgency_of(request), service, limit, now) {
             self.calls.remove(ticket);
             released.refused.push((ticket, RefusalReason::QueueFull));
         }
@@ -91,6 +92,9 @@
                 Some(self.queue_full_reason(now))
             }
             _ if now + wait + service > request.deadline => Some(RefusalReason::DeadlineTooNear),
+            _ if !request.is_nested && !self.has_queue_share(request) => {
+                Some(RefusalReason::ShareExceeded)
+            }
             // A late call costs less than the work that would be lost with it.
             _ if request.is_nested => None,
             _ if misses_goal(request, wait, service, now) => Some(RefusalReason::GoalMissed),
@@ -101,6 +105,12 @@
         }
     }
 
+    /// Returns whether a request's workspace may queue another one.
+    fn has_queue_share(&self, request: &GuardRequest) -> bool {
+        let queue = &self.urgency_queues[class_index(request.class)];
+        queue.has_share(request.flow.workspace, self.settings.queue_limit(request.class))
+    }
+
     /// Returns whether a request of long work that could start at once would safely meet its goal on
     /// an idle link, and may miss it behind the answers that are to be sent before its own.
     pub(super) fn is_late_on_link(&self, request: &GuardRequest, now: Duration) -> bool {
@@ -239,5 +249,6 @@
 /// Returns how urgent a request is.
 pub(super) fn urgency_of(request: &GuardRequest) -> Urgency {
     let due = request.goal.unwrap_or(request.deadline);
-    Urgency { is_nested: request.is_nested, rank: request.rank, due }
+    let workspace = request.flow.workspace;
+    Urgency { is_nested: request.is_nested, rank: request.rank, due, workspace }
 }
--- a/components/decide/tests/guard_bounds.rs
+++ b/components/decide/tests/guard_bounds.rs
@@ -87,7 +87,7 @@
             Step::Offer { is_long, flow, deadline_ms, is_exclusive } => {
                 let class = if is_long { WorkClass::Long } else { WorkClass::Short };
                 let deadline = now + Duration::from_millis(deadline_ms);
-                let flow = FlowKey { team: flow / 2, caller: flow };
+                let flow = FlowKey { workspace: None, team: flow / 2, caller: flow };
                 let request = GuardRequest {
                     class,
                     flow,
--- a/components/decide/tests/link_limit.rs
+++ b/components/decide/tests/link_limit.rs
@@ -48,7 +48,7 @@
     let at = Duration::from_millis;
     GuardRequest {
         class: WorkClass::Long,
-        flow: FlowKey { team: 1, caller: 1 },
+        flow: FlowKey { workspace: None, team: 1, caller: 1 },
         deadline: at(now + 4_000),
         is_exclusive: false,
         goal: Some(at(now + GOAL_MS)),
--- a/components/decide/tests/model/mod.rs
+++ b/components/decide/tests/model/mod.rs
@@ -277,7 +277,7 @@
             return self.retry_or_end(index);
         }
         call.placed = Some(placed);
-        let flow = FlowKey { team: load.team, caller: load.flow };
+        let flow = FlowKey { workspace: None, team: load.team, caller: load.flow };
         let request = GuardRequest {
             class: load.class,
             flow,
--- a/components/decide/tests/nested_first.rs
+++ b/components/decide/tests/nested_first.rs
@@ -28,7 +28,7 @@
 fn call(now: Duration) -> GuardRequest {
     GuardRequest {
         class: WorkClass::Short,
-        flow: FlowKey { team: 1, caller: 1 },
+        flow: FlowKey { workspace: None, team: 1, caller: 1 },
         deadline: now + millis(500),
         is_exclusive: false,
         goal: Some(now + millis(200)),
--- a/components/decide/tests/noisy_neighbours.rs
+++ b/components/decide/tests/noisy_neighbours.rs
@@ -50,7 +50,7 @@
 fn request(now: Duration) -> GuardRequest {
     GuardRequest {
         class: WorkClass::Short,
-        flow: FlowKey { team: 1, caller: 1 },
+        flow: FlowKey { workspace: None, team: 1, caller: 1 },
         deadline: now + GOAL * 3,
         is_exclusive: false,
         goal: Some(now + GOAL),
--- a/components/decide/tests/own_data_centre.rs
+++ b/components/decide/tests/own_data_centre.rs
@@ -159,7 +159,7 @@
     let now = Duration::from_secs(5);
     let request = |rank: u8, max_wait: Option<Duration>| GuardRequest {
         class: WorkClass::Short,
-        flow: FlowKey { team: 1, caller: 1 },
+        flow: FlowKey { workspace: None, team: 1, caller: 1 },
         deadline: now + millis(500),
         is_exclusive: false,
         goal: Some(now + millis(200)),
--- a/components/decide/tests/rate_limits.rs
+++ b/components/decide/tests/rate_limits.rs
@@ -22,7 +22,7 @@
 fn request(now: Duration) -> GuardRequest {
     GuardRequest {
         class: WorkClass::Short,
-        flow: FlowKey { team: 1, caller: 1 },
+        flow: FlowKey { workspace: None, team: 1, caller: 1 },
         deadline: now + Duration::from_secs(10),
         is_exclusive: false,
         goal: Some(now + Duration::from_secs(2)),
--- a/components/decide/tests/shedding_server.rs
+++ b/components/decide/tests/shedding_server.rs
@@ -143,7 +143,7 @@
         }
         let offer = GuardRequest {
             class: WorkClass::Short,
-            flow: FlowKey { team: 1, caller: 1 },
+            flow: FlowKey { workspace: None, team: 1, caller: 1 },
             deadline: now + WORK * 10,
             is_exclusive: false,
             goal: Some(now + WORK * 4),
--- a/components/decide/tests/upload_link.rs
+++ b/components/decide/tests/upload_link.rs
@@ -33,7 +33,7 @@
     let came = Duration::from_millis(came_ms);
     GuardRequest {
         class: WorkClass::Short,
-        flow: FlowKey { team: 1, caller: 1 },
+        flow: FlowKey { workspace: None, team: 1, caller: 1 },
         deadline: came + Duration::from_millis(2_500),
         is_exclusive: false,
         goal: Some(came + Duration::from_millis(GOAL_MS)),
--- a/components/decide/tests/urgent_queue.rs
+++ b/components/decide/tests/urgent_queue.rs
@@ -104,7 +104,7 @@
         let work = millis(figures.work).mul_f64(0.4 + 1.2 * draw);
         let request = GuardRequest {
             class: WorkClass::Short,
-            flow: FlowKey { team: 1, caller: 1 + kind as u64 },
+            flow: FlowKey { workspace: None, team: 1, caller: 1 + kind as u64 },
             deadline: now + millis(figures.deadline),
             is_exclusive: false,
             goal: Some(now + millis(figures.goal)),
@@ -229,7 +229,7 @@
     let now = Duration::from_secs(5);
     let request = |kind: usize| GuardRequest {
         class: WorkClass::Short,
-        flow: FlowKey { team: 1, caller: 1 },
+        flow: FlowKey { workspace: None, team: 1, caller: 1 },
         deadline: now + millis(KINDS[kind].deadline),
         is_exclusive: false,
         goal: Some(now + millis(KINDS[kind].goal)),
@@ -259,7 +259,7 @@
     let now = Duration::from_secs(5);
     let request = GuardRequest {
         class: WorkClass::Short,
-        flow: FlowKey { team: 1, caller: 1 },
+        flow: FlowKey { workspace: None, team: 1, caller: 1 },
         deadline: now + millis(2_000),
         is_exclusive: false,
         goal: None,
--- a/components/lab/src/simulation.rs
+++ b/components/lab/src/simulation.rs
@@ -300,7 +300,7 @@
         }
         let request = GuardRequest {
             class: self.work_class(index),
-            flow: FlowKey { team: 0, caller: call.daemon as u64 },
+            flow: FlowKey { workspace: None, team: 0, caller: call.daemon as u64 },
             deadline: self.call_deadline(index),
             is_exclusive: false,
             goal: Some(self.goal_end(index)),
--- a/components/proxy/src/call.rs
+++ b/components/proxy/src/call.rs
@@ -1,7 +1,11 @@
 //! The description of a request that the entry daemon sends to a guard, and the token that proves
 //! the sender to be a daemon of the fleet.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    hash::{DefaultHasher, Hash, Hasher},
+    sync::Arc,
+    time::Duration,
+};
 
 use hmac::{Hmac, KeyInit, Mac};
 use http::{HeaderMap, HeaderName, HeaderValue};
@@ -9,7 +13,7 @@
 use sha2::Sha256;
 use sk_decide::{
     WorkKey,
-    admitting::{CallerKey, FlowKey, TeamKey},
+    admitting::{CallerKey, FlowKey, TeamKey, WorkspaceKey},
     deadline::CallContext,
     quarantine::Fingerprint,
     transit_time::{AnswerClock, ClockBound, ClockId, LinkOpening, TransitClocks},
@@ -249,7 +253,10 @@
 
     /// Returns the team and caller that the request is counted against.
     pub(crate) fn flow(&self) -> FlowKey {
-        FlowKey { team: self.team, caller: self.caller }
+        let workspace = self.workspace.as_deref().map(hash_workspace);
+        // Fair queues share between teams first, so a workspace takes the place of the team.
+        let team = workspace.unwrap_or(self.team);
+        FlowKey { workspace, team, caller: self.caller }
     }
 
     /// Writes the call into a request's head.
@@ -266,6 +273,13 @@
     }
 }
 
+/// Returns the key of a workspace at this guard.
+fn hash_workspace(name: &str) -> WorkspaceKey {
+    let mut hasher = DefaultHasher::new();
+    name.hash(&mut hasher);
+    hasher.finish()
+}
+
 /// Token that proves to a guard that a request comes from a daemon of its fleet.
 ///
 /// Without it, anyone who reaches the guard's listener could bypass routes, fair shares and the
