--- a/components/decide/src/admitting.rs
+++ b/components/decide/src/admitting.rs
@@ -12,10 +12,12 @@
 use rand::Rng;
 use slotmap::{SlotMap, new_key_type};
 
-use crate::admitting::estimate::{DecayingMean, DecayingPeak, ServiceEstimate};
+use crate::admitting::estimate::{DecayingMean, DecayingPeak};
 use crate::admitting::link::LinkLimit;
 use crate::admitting::queue::FlowQueue;
 use crate::admitting::rate_limit::RateLimit;
+use crate::admitting::server_load::{LoadReports, WorkEstimate};
+use crate::admitting::shed_limit::ShedLimit;
 use crate::admitting::urgency::UrgencyQueue;
 use crate::admitting::urgent::urgency_of;
 use crate::backoff::draw_between;
@@ -23,6 +25,7 @@
 
 pub use crate::admitting::outcome::{Admission, AdmitFigures, Refusal, RefusalReason, Released};
 pub use crate::admitting::rate_limit::StatedRate;
+pub use crate::admitting::server_load::ServerLoad;
 pub use crate::admitting::settings::{GuardSettings, QueueOrder};
 pub use crate::admitting::upload::LinkBacklog;
 pub use crate::admitting::urgency::Urgency;
@@ -33,7 +36,9 @@
 mod queue;
 mod rate_limit;
 mod release;
+mod server_load;
 mod settings;
+mod shed_limit;
 mod upload;
 mod urgency;
 mod urgent;
@@ -48,9 +53,14 @@
 /// Hash of the calling service, or of the caller from outside.
 pub type CallerKey = u64;
 
-/// Team and caller that a request is counted against.
+/// Hash of the workspace whose key a caller sent.
+pub type WorkspaceKey = u64;
+
+/// Workspace, team and caller that a request is counted against.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct FlowKey {
+    /// The workspace; requests without one share what one workspace gets.
+    pub workspace: Option<WorkspaceKey>,
     /// The team.
     pub team: TeamKey,
     /// The caller within the team.
@@ -130,6 +140,8 @@
     latest_start: Duration,
     /// Why it is refused if it still waits then.
     late_reason: RefusalReason,
+    /// Slowness that the server reported with its answer, one before that.
+    slowness: f64,
 }
 
 /// Whether a trial has the server for itself, or waits for that.
@@ -165,9 +177,9 @@
     fair_queues: [FlowQueue; CLASS_COUNT],
     urgency_queues: [UrgencyQueue; CLASS_COUNT],
     running: [u32; CLASS_COUNT],
-    estimates: [ServiceEstimate; CLASS_COUNT],
+    estimates: [WorkEstimate; CLASS_COUNT],
     /// Estimates by kind of work, kept where requests are ordered by urgency.
-    work_estimates: HashMap<WorkKey, ServiceEstimate>,
+    work_estimates: HashMap<WorkKey, WorkEstimate>,
     /// Peak of the slots that short work has lately used at once.
     short_peak: DecayingPeak,
     /// Mean number of calls of started requests that ran or waited here lately.
@@ -177,6 +189,10 @@
     link_limit: LinkLimit,
     /// Limit of requests a second that the server states.
     rate_limit: RateLimit,
+    /// Limit while the server refuses requests although it has a free slot.
+    shed_limit: ShedLimit,
+    /// Load that the server reports.
+    load_reports: LoadReports,
     is_draining: bool,
 }
 
@@ -197,6 +213,8 @@
             trial: TrialState::None,
             link_limit: LinkLimit::default(),
             rate_limit: RateLimit::unlimited(),
+            shed_limit: ShedLimit::default(),
+            load_reports: LoadReports::default(),
             is_draining: false,
         }
     }
@@ -208,6 +226,7 @@
         now: Duration,
         rng: &mut (impl Rng + ?Sized),
     ) -> Admission {
+        self.record_offer(now);
         if let Some(reason) = self.refusal_reason(request, now) {
             return Admission::Refused(self.refuse_offer(request, reason, now, rng));
         }
@@ -227,6 +246,7 @@
             deadline: request.deadline,
             latest_start,
             late_reason,
+            slowness: 1.0,
         });
         self.record_short_demand(class, now);
         match request.is_exclusive {
@@ -276,7 +296,8 @@
         let settings = &self.settings;
         let retry_min = match reason {
             RefusalReason::ColdStart => self.warm_up_left(now).min(settings.retry_after_min),
-            RefusalReason::Draining | RefusalReason::Busy => Duration::ZERO,
+            RefusalReason::Busy => self.shed_limit.pause_left(now),
+            RefusalReason::Draining => Duration::ZERO,
             // Another server may have room sooner than one with a low limit.
             RefusalReason::RateLimited => self.rate_wait(now).min(settings.retry_after_min),
             _ => settings.retry_after_min,
@@ -325,9 +346,14 @@
     /// taken and the short queue half full.
     pub fn load(&self, now: Duration) -> f64 {
         let queued = f64::from(self.queued(WorkClass::Short) + self.queued(WorkClass::Long));
-        let busy = f64::from(self.running_count()) + queued;
-        let full = f64::from(self.slots(now)) + f64::from(self.settings.short_queue) / 2.0;
-        (busy / full).min(1.0)
+        // Slots that the server does not have for requests now count as taken.
+        let slots = self.stated_slots(now);
+        let busy = f64::from(self.running_count() + slots - self.slots(now)) + queued;
+        let full = f64::from(slots) + f64::from(self.settings.short_queue) / 2.0;
+        match self.shed_limit.pause_left(now).is_zero() {
+            true => (busy / full).min(1.0),
+            false => 1.0,
+        }
     }
 
     /// Returns the figures that decide on a request, or `None` if it may not wait, since a free
@@ -408,7 +434,7 @@
     /// Returns the usual time of a kind of work, or of its class while the kind is not known.
     fn work_time(&self, work: WorkKey, class: WorkClass, now: Duration) -> Duration {
         match self.work_estimates.get(&work) {
-            Some(estimate) => estimate.expected(now),
+            Some(estimate) => estimate.expected(self.slowness(now), now),
             None => self.estimate(class, now),
         }
     }
@@ -437,19 +463,20 @@
             WorkClass::Long => self.long_limit(now),
             WorkClass::Short => self.slots(now) - long.min(self.long_limit(now)),
         };
-        self.estimate(class, now) * ((ahead + 1) * OVERTAKING_FACTOR) / slots.max(1)
+        let wait = self.estimate(class, now) * ((ahead + 1) * OVERTAKING_FACTOR) / slots.max(1);
+        wait.max(self.shed_limit.pause_left(now))
     }
 
     /// Returns the usual service time of a class.
     fn estimate(&self, class: WorkClass, now: Duration) -> Duration {
-        self.estimates[class_index(class)].expected(now)
+        self.estimates[class_index(class)].expected(self.slowness(now), now)
     }
 
     /// Returns the service time to plan with for a request that would queue. It can still go
     /// elsewhere, so it is only kept if it will very likely be in time; one that could start at
     /// once is admitted if it is likelier in time than not.
     fn high_estimate(&self, class: WorkClass, now: Duration) -> Duration {
-        self.estimates[class_index(class)].high_estimate(now)
+        self.estimates[class_index(class)].high_estimate(self.slowness(now), now)
     }
 
     fn running_count(&self) -> u32 {
@@ -462,9 +489,15 @@
         self.calls.values().filter(|call| call.is_nested).count() as u32
     }
 
-    /// Returns the slots available: all of a warm server, a growing part of a cold one. A cold
-    /// server that gets a full load at once serves all of it too late.
+    /// Returns the slots available, without those that the server seems not to have.
     fn slots(&self, now: Duration) -> u32 {
+        let slots = self.shed_limit.slots(self.stated_slots(now));
+        self.slots_beside_foreign(slots, now)
+    }
+
+    /// Returns the slots by the server's statement: all of a warm server, a growing part of a cold
+    /// one. A cold server that gets a full load at once serves all of it too late.
+    fn stated_slots(&self, now: Duration) -> u32 {
         let slots = self.settings.slots.max(1);
         let whole = self.settings.warm_up.as_secs_f64().max(f64::EPSILON);
         let cold = self.warm_up_left(now).as_secs_f64() / whole;
@@ -520,7 +553,9 @@
     /// Returns whether a slot is free for a request of a class.
     fn may_start(&self, class: WorkClass, now: Duration) -> bool {
         let within = class == WorkClass::Short || self.running[1] < self.long_limit(now);
-        self.trial == TrialState::None && self.running_count() < self.slots(now) && within
+        let is_paused = !self.shed_limit.pause_left(now).is_zero();
+        let is_full = is_paused || self.running_count() >= self.slots(now);
+        self.trial == TrialState::None && !is_full && within
     }
 
     /// Raises the peak of short work when a request of it arrives.
--- a/components/decide/src/admitting/release.rs
+++ b/components/decide/src/admitting/release.rs
@@ -18,10 +18,12 @@
         if let Some(call) = self.calls.get(ticket)
             && let CallStage::Running(since) = call.stage
         {
-            let (class, work) = (call.class, call.work);
+            let (class, work, slowness) = (call.class, call.work, call.slowness);
             let took = now.saturating_sub(since);
-            self.estimates[class_index(class)].add(took, now);
-            self.record_work(work, took, now);
+            self.record_taken(now);
+            self.record_prediction(ticket, now);
+            self.estimates[class_index(class)].add(took, slowness, now);
+            self.record_work(work, took, slowness, now);
             if class == WorkClass::Long {
                 self.link_limit.record_end();
             }
@@ -30,14 +32,14 @@
     }
 
     /// Adds the time that a request took to the estimate of its kind of work.
-    fn record_work(&mut self, work: WorkKey, took: Duration, now: Duration) {
+    fn record_work(&mut self, work: WorkKey, took: Duration, slowness: f64, now: Duration) {
         if self.settings.order == QueueOrder::Urgent {
             if self.work_estimates.len() >= MAX_WORK_KINDS {
                 // Estimates of withdrawn routes would stay for good; the others are learned again
                 // in seconds.
                 self.work_estimates.clear();
             }
-            self.work_estimates.entry(work).or_default().add(took, now);
+            self.work_estimates.entry(work).or_default().add(took, slowness, now);
         }
     }
 
@@ -53,6 +55,7 @@
     pub fn expire(&mut self, now: Duration) -> Released {
         let mut released = Released::default();
         self.end_trial_exclusivity(now);
+        self.shed_limit.end_pause(now);
         self.refuse_late(now, &mut released);
         while let Some(ticket) = self.take_next_startable(now) {
             self.set_running(ticket, now);
@@ -92,6 +95,9 @@
     pub fn next_expiry(&self) -> Option<Duration> {
         let queued = self.waiting().filter_map(|ticket| self.calls.get(ticket));
         let latest = queued.map(|call| call.latest_start);
+        // What waits may start when the pause of a server that refuses requests is over.
+        let pause_end = self.shed_limit.pause_end().filter(|_| self.waiting().next().is_some());
+        let latest = latest.chain(pause_end);
         match self.trial {
             TrialState::Running(_, until) => latest.chain([until]).min(),
             _ => latest.min(),
--- a/components/decide/src/admitting/urgent.rs
+++ b/components/decide/src/admitting/urgent.rs
@@ -33,8 +33,9 @@
             return released;
         }
         let service = self.service_time(request, now);
+        let limit = self.settings.queue_limit(class);
         let queue = &mut self.urgency_queues[class_index(class)];
-        if let Some(ticket) = queue.pop_less_urgent(urgency_of(request), service, now) {
+        if let Some(ticket) = queue.pop_less_urgent(urgency_of(request), service, limit, now) {
             self.calls.remove(ticket);
             released.refused.push((ticket, RefusalReason::QueueFull));
         }
@@ -91,6 +92,9 @@
                 Some(self.queue_full_reason(now))
             }
             _ if now + wait + service > request.deadline => Some(RefusalReason::DeadlineTooNear),
+            _ if !request.is_nested && !self.has_queue_share(request) => {
+                Some(RefusalReason::ShareExceeded)
+            }
             // A late call costs less than the work that would be lost with it.
             _ if request.is_nested => None,
             _ if misses_goal(request, wait, service, now) => Some(RefusalReason::GoalMissed),
@@ -101,6 +105,12 @@
         }
     }
 
+    /// Returns whether a request's workspace may queue another one.
+    fn has_queue_share(&self, request: &GuardRequest) -> bool {
+        let queue = &self.urgency_queues[class_index(request.class)];
+        queue.has_share(request.flow.workspace, self.settings.queue_limit(request.class))
+    }
+
     /// Returns whether a request of long work that could start at once would safely meet its goal on
     /// an idle link, and may miss it behind the answers that are to be sent before its own.
     pub(super) fn is_late_on_link(&self, request: &GuardRequest, now: Duration) -> bool {
@@ -165,19 +175,21 @@
     fn time_to_first_slot(&self, now: Duration) -> Duration {
         let running = self.running_count();
         let left: Duration = self.calls.values().map(|call| self.remaining_work(call, now)).sum();
-        left * 2 / (running * (running + 1)).max(1)
+        let wait = left * 2 / (running * (running + 1)).max(1);
+        wait.max(self.shed_limit.pause_left(now))
     }
 
     /// Returns how long a request that may queue would wait for a slot, for daemons that choose
-    /// among servers; `is_nested` as in [`GuardRequest::is_nested`]. Zero while a slot is free and the
-    /// server's limit leaves room.
+    /// among servers, and how much longer than usual it would then take; `is_nested` as in
+    /// [`GuardRequest::is_nested`]. Zero while a slot is free, the server's limit leaves room and the
+    /// server is as fast as usual.
     pub fn wait_hint(&self, is_nested: bool, now: Duration) -> Duration {
         self.slot_wait_hint(is_nested, now).max(self.rate_wait(now))
     }
 
     fn slot_wait_hint(&self, is_nested: bool, now: Duration) -> Duration {
         if self.running_count() < self.slots(now) {
-            return Duration::ZERO;
+            return self.shed_limit.pause_left(now).max(self.slowness_hint(now));
         }
         let goes_before = |call: &GuardedCall| call.is_nested || !is_nested;
         let queued: Duration = self
@@ -186,7 +198,8 @@
             .filter(|call| call.stage == CallStage::Queued && goes_before(call))
             .map(|call| self.work_time(call.work, call.class, now))
             .sum();
-        self.time_to_first_slot(now) + queued / self.slots(now).max(1)
+        let wait = self.time_to_first_slot(now) + queued / self.slots(now).max(1);
+        wait + self.slowness_hint(now)
     }
 
     /// Returns the expected time until a running request ends, zero for one that waits.
@@ -236,5 +249,6 @@
 /// Returns how urgent a request is.
 pub(super) fn urgency_of(request: &GuardRequest) -> Urgency {
     let due = request.goal.unwrap_or(request.deadline);
-    Urgency { is_nested: request.is_nested, rank: request.rank, due }
+    let workspace = request.flow.workspace;
+    Urgency { is_nested: request.is_nested, rank: request.rank, due, workspace }
 }
--- a/components/proxy/src/gate.rs
+++ b/components/proxy/src/gate.rs
@@ -11,7 +11,7 @@
 use sk_decide::{
     admitting::{
         Admission, AdmissionGuard, GuardRequest, GuardSettings, GuardState, LinkBacklog, Refusal,
-        RefusalReason, Released, StatedRate, Ticket,
+        RefusalReason, Released, ServerLoad, StatedRate, Ticket,
     },
     quarantine::Fingerprint,
 };
@@ -280,6 +280,20 @@
         state.sent.remove(self.ticket);
     }
 
+    /// Records that the server refused the request without running it, although a slot was free.
+    pub(crate) fn record_rejected(&self) {
+        let mut state = self.gate.lock();
+        let released = state.guard.record_rejected(self.ticket, time_since_start());
+        state.deliver(released);
+        // What still waits may start when the guard's pause is over.
+        self.gate.queued.notify_one();
+    }
+
+    /// Records the load that the server reports with the request's answer.
+    pub(crate) fn record_load(&self, load: &ServerLoad) {
+        self.gate.lock().guard.record_load(self.ticket, load, time_since_start());
+    }
+
     /// Records that the connection broke while the server had the request.
     pub(crate) fn record_broken(&self) {
         let mut state = self.gate.lock();
