allowance: tokens used while an owner is silent count when it answers again

What a holder uses in the first 1.5 s of a silence, before members notice it, is now reported as spent. The credit for pauses no longer comes on top of a burst.

--- a/components/allowance/src/entry.rs
+++ b/components/allowance/src/entry.rs
@@ -152,6 +152,6 @@
             // A request that has just gone has no use for the answer.
             let _ = request.send(verdict);
         }
-        self.holder.set_silent();
+        self.holder.set_silent(now);
     }
 }
--- a/components/decide/src/allowance/holder.rs
+++ b/components/decide/src/allowance/holder.rs
@@ -23,6 +23,10 @@
 /// then grants no further start.
 const FALLBACK_REUSE: Duration = Duration::from_secs(10);
 
+/// Time of an owner's silence in which the holder's own tokens count as spent when the owner answers
+/// again. Afterwards the owner counts the holder as cut off and refills less.
+const UNNOTICED_SILENCE: Duration = Duration::from_millis(1_500);
+
 /// What a holder asks of the owner.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct TokenWant {
@@ -30,7 +34,8 @@
     pub needed: u32,
     /// Tokens ahead of need.
     pub ahead: u32,
-    /// Tokens for requests that were sent without one, such as repeats.
+    /// Tokens for requests that were sent without one, such as repeats, and requests during a short
+    /// silence of the owner.
     pub spent: u32,
 }
 
@@ -71,6 +76,8 @@
     /// Tokens ahead of need are not asked for before, because the owner had none left.
     ahead_at: Duration,
     is_silent: bool,
+    /// When the owner became silent.
+    silent_at: Duration,
     fallback: Option<(Duration, FallbackBucket)>,
 }
 
@@ -86,6 +93,7 @@
             pause: None,
             ahead_at: now,
             is_silent: false,
+            silent_at: now,
             fallback: None,
         }
     }
@@ -146,12 +154,17 @@
     /// Takes a token of this daemon's own part of the rate.
     pub fn take_fallback(&mut self, phase: f64, now: Duration) -> TakeStep {
         let HolderTerms { rate, known } = self.terms;
-        (self.is_silent, self.pause) = (true, None);
+        self.set_silent(now);
+        self.pause = None;
+        let is_unnoticed = now.saturating_sub(self.silent_at) < UNNOTICED_SILENCE;
         let (_, fallback) = self
             .fallback
             .get_or_insert_with(|| (now, FallbackBucket::new(rate, known, phase, now)));
         match fallback.take(now) {
-            Ok(()) => TakeStep::Granted,
+            Ok(()) => {
+                self.spent = self.spent.saturating_add(u32::from(is_unnoticed));
+                TakeStep::Granted
+            }
             Err(retry_after) => TakeStep::Refused { retry_after },
         }
     }
@@ -231,8 +244,10 @@
     }
 
     /// Records that requests are decided by this daemon's own part until the owner answers.
-    pub fn set_silent(&mut self) {
-        self.is_silent = true;
+    pub fn set_silent(&mut self, now: Duration) {
+        if !std::mem::replace(&mut self.is_silent, true) {
+            self.silent_at = now;
+        }
     }
 
     /// Returns the number of tokens held.
--- a/components/decide/src/allowance/owner.rs
+++ b/components/decide/src/allowance/owner.rs
@@ -100,8 +100,11 @@
         f64::from(self.terms.alive) / f64::from(self.terms.known.max(1))
     }
 
+    /// Returns the most tokens in the bucket: the burst. The credit for pauses comes on top only where
+    /// the burst is shorter, since tokens that holders still have add to a window as well.
     fn capacity(&self) -> f64 {
-        (self.rate.burst * self.part()).max(1.0) + self.refill_rate() * PAUSE_CREDIT.as_secs_f64()
+        let credit = self.refill_rate() * PAUSE_CREDIT.as_secs_f64();
+        (self.rate.burst * self.part()).max(1.0 + credit)
     }
 
     fn refill(&mut self, now: Duration) {
