--- a/components/daemon/src/options.rs
+++ b/components/daemon/src/options.rs
@@ -146,6 +146,7 @@
                 None => cold_reserve(settings.placing.order),
             },
             evicts_less_urgent: !is_disabled(settings, Mechanism::Eviction),
+            limits_by_refusals: settings.guard.limit_by_refusals,
             limits_long_by_link: !is_disabled(settings, Mechanism::LinkLimit),
             ..admitting::GuardSettings::default()
         },
--- a/components/decide/src/admitting/settings.rs
+++ b/components/decide/src/admitting/settings.rs
@@ -39,6 +39,10 @@
     pub evicts_less_urgent: bool,
     /// Whether long work is bounded by what the link carries. Default yes.
     pub limits_long_by_link: bool,
+    /// Whether a server that refuses requests although it has a free slot gets fewer of them. Default
+    /// no: where servers refuse at random, the next attempt succeeds as often as before, and this
+    /// only takes room away.
+    pub limits_by_refusals: bool,
     /// Longest wait of a trial for an empty server. Default 200 ms, since the slots that empty
     /// meanwhile stay unused.
     pub trial_max_wait: Duration,
@@ -64,6 +68,7 @@
             cold_reserve: 0.5,
             evicts_less_urgent: true,
             limits_long_by_link: true,
+            limits_by_refusals: false,
             trial_max_wait: Duration::from_millis(200),
             trial_exclusive_time: Duration::from_millis(500),
             retry_after_min: Duration::from_secs(1),
--- a/components/decide/src/admitting/shed_limit.rs
+++ b/components/decide/src/admitting/shed_limit.rs
@@ -133,7 +133,7 @@
         let slots = self.stated_slots(now);
         let others = self.running_count().saturating_sub(1);
         match self.calls.get(ticket) {
-            Some(call) if is_running(call) => {}
+            Some(call) if self.settings.limits_by_refusals && is_running(call) => {}
             _ => return Released::default(),
         }
         match self.shed_limit.record_refusal(others, slots, now) {
--- a/components/decide/tests/shedding_server.rs
+++ b/components/decide/tests/shedding_server.rs
@@ -77,8 +77,12 @@
     /// Runs `servers` servers, of which `faulty` have the fault for a time, at a part of the fleet's
     /// capacity, and returns the counts during the fault and after it.
     fn run(servers: usize, faulty: usize, fault: Fault, load: f64) -> (Count, Count) {
-        let settings =
-            GuardSettings { order: QueueOrder::Urgent, slots: SLOTS, ..GuardSettings::default() };
+        let settings = GuardSettings {
+            order: QueueOrder::Urgent,
+            slots: SLOTS,
+            limits_by_refusals: true,
+            ..GuardSettings::default()
+        };
         let server = |index| Server {
             guard: AdmissionGuard::new(settings, Duration::ZERO),
             fault: Some(fault).filter(|_| index < faulty),
--- a/components/settings/src/daemon_settings.rs
+++ b/components/settings/src/daemon_settings.rs
@@ -260,6 +260,10 @@
     /// Default 0: after its first crash the request runs alone, which identifies the cause most
     /// reliably but makes the server unavailable to other requests meanwhile.
     pub crash_limit: u32,
+    /// Whether a server that refuses requests although it has a free slot gets fewer of them until it
+    /// answers again. Default false. For servers that have less room than they announce; where
+    /// servers refuse at random, requests are served worse with it.
+    pub limit_by_refusals: bool,
 }
 
 impl Default for GuardSettings {
@@ -274,6 +278,7 @@
             retry_least_ms: 1_000,
             retry_spread_ms: 2_000,
             crash_limit: 0,
+            limit_by_refusals: false,
         }
     }
 }
