--- a/components/model/tests/declaration_round_trip.rs
+++ b/components/model/tests/declaration_round_trip.rs
@@ -111,11 +111,15 @@
 fn faults_show_position() {
     assert_fault(
         "",
-        expect!["1:1: `kind` is missing or not a string; allowed: service, route, value, limits, workspace"],
+        expect![
+            "1:1: `kind` is missing or not a string; allowed: service, route, value, limits, workspace"
+        ],
     );
     assert_fault(
         "\nkind = 3\n",
-        expect!["2:1: `kind` is missing or not a string; allowed: service, route, value, limits, workspace"],
+        expect![
+            "2:1: `kind` is missing or not a string; allowed: service, route, value, limits, workspace"
+        ],
     );
     assert_fault(
         "kind = \"rout\"\n",
