--- a/review/standin/deployment.rs
+++ b/review/standin/deployment.rs
@@ -2,13 +2,15 @@
 
 use std::{
     collections::BTreeSet,
+    net::SocketAddr,
     path::Path,
     sync::{Arc, Mutex},
 };
 
 use crate::{
     fleet::{
-        CONTROL, INBOUND, INTERNAL, Machine, Record, Runs, Server, ServerPlan, Site, free_network,
+        CONTROL, INBOUND, INTERNAL, Machine, Record, Runs, STORE, Server, ServerPlan, Site,
+        free_network,
     },
     link::{Cut, open_link},
     store::Store,
@@ -61,7 +63,7 @@
     /// Starts the store, the daemons and their servers, and waits until all are ready.
     pub fn start(folder: &Path, record: &Record, plan: &Plan) -> Result<Self, String> {
         let net = free_network();
-        let address = format!("127.{net}.0.1:18406").parse().expect("an address");
+        let address = SocketAddr::from(([127, net, 0, 1], STORE));
         let store = Store::start(address).map_err(|err| err.to_string())?;
         store.put("config", "main", make_config(plan));
         let site = Site {
--- a/review/standin/fleet.rs
+++ b/review/standin/fleet.rs
@@ -23,6 +23,8 @@
 pub const CONTROL: u16 = 18_401;
 pub const INTERNAL: u16 = 17_320;
 pub const APPLICATION: u16 = 18_408;
+/// Port of the store, at an address of its own.
+pub const STORE: u16 = 18_406;
 
 /// Record of what was sent, answered and run.
 #[derive(Clone)]
@@ -41,15 +43,15 @@
 
 /// Returns a part of the loopback network in which nothing listens on the ports used here.
 pub fn free_network() -> u8 {
-    let from = (unix_ms() % 200) as u8;
+    // Scenarios that start at the same moment begin to look at different places.
+    let from = (unix_ms() + u64::from(std::process::id()) * 37) % 200;
     let is_free = |net: u8| {
         let ports = [INBOUND, OUTBOUND, READY, CONTROL, INTERNAL, APPLICATION, 9464];
-        ports.iter().all(|port| TcpListener::bind((Ipv4Addr::new(127, net, 1, 1), *port)).is_ok())
+        let is_unused = |ip, port| TcpListener::bind((ip, port)).is_ok();
+        let ports_free = ports.iter().all(|port| is_unused(Ipv4Addr::new(127, net, 1, 1), *port));
+        ports_free && is_unused(Ipv4Addr::new(127, net, 0, 1), STORE)
     };
-    (20..=220)
-        .map(|step| 20 + ((from as u16 + step) % 200) as u8)
-        .find(|net| is_free(*net))
-        .unwrap()
+    (20..=220).map(|step| 20 + ((from + step) % 200) as u8).find(|net| is_free(*net)).unwrap()
 }
 
 type SharedChild = Arc<Mutex<Option<Child>>>;
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -57,6 +57,7 @@
         "calls" => calls::play,
         "quota" => quota::play,
         "rollout" => rollout::play,
+        "weak" => rollout::play_weak,
         _ => {
             eprintln!("no such scenario");
             exit(2);
--- a/review/standin/rollout.rs
+++ b/review/standin/rollout.rs
@@ -1,4 +1,5 @@
-//! A roll-out begins while one of the new machines is cut off from the other machines.
+//! A roll-out to a bad version: while one of the new machines is cut off from the other machines, or
+//! to a version of which one answer in ten is a failure.
 
 use std::{
     collections::BTreeMap,
@@ -28,7 +29,22 @@
 const CUT: usize = OLD;
 const CUT_TIME: f64 = 12.0;
 
+/// Plays the roll-out with a machine that is cut off while it starts.
 pub fn play(folder: &Path, record: &Record, has_trouble: bool) -> Result<Verdict, String> {
+    play_order(folder, record, (0.3, has_trouble))
+}
+
+/// Plays the roll-out to a version that fails seldom, and cuts nothing off.
+pub fn play_weak(folder: &Path, record: &Record, has_trouble: bool) -> Result<Verdict, String> {
+    // Without the disruption the version is good, and there is nothing to judge.
+    play_order(folder, record, (if has_trouble { 0.1 } else { 0.0 }, false))
+}
+
+fn play_order(
+    folder: &Path,
+    record: &Record,
+    (failing, has_cut): (f64, bool),
+) -> Result<Verdict, String> {
     // A part of the answers of the new version are failures.
     let server = ServerPlan {
         slots: 13,
@@ -37,7 +53,7 @@
         drops_closed: true,
         failing: 0.0,
     };
-    let bad = ServerPlan { failing: 0.3, ..server.clone() };
+    let bad = ServerPlan { failing, ..server.clone() };
     let plan = Plan {
         machines: 2 * OLD,
         late: OLD,
@@ -87,7 +103,7 @@
         })
         .collect();
     sleep_ms(3000);
-    if has_trouble {
+    if has_cut {
         record.line(&format!("cut off machine {CUT}, which starts"));
         deployment.cut.set(&[CUT]);
     }
@@ -108,7 +124,7 @@
     let mut has_ended = false;
     while now() < ordered_at + DURATION + 1.0 {
         sleep_ms(20);
-        if has_trouble && now() > cut_at + CUT_TIME {
+        if has_cut && now() > cut_at + CUT_TIME {
             deployment.cut.set(&[]);
         }
         let status = deployment.store.status("rollouts", SERVICE);
@@ -158,9 +174,9 @@
         return Err(format!("only {all} requests ran"));
     }
     let text = format!(
-        "the bad version got {to_new} of {all} requests, bound {bound:.0}; {lost} requests were \
+        "the version, which fails {failing} of its requests, got {to_new} of {all} requests, bound {bound:.0}; {lost} requests were \
          running on old servers when these stopped; states of the order, in seconds from it: \
          {states:.1?}; answers by status: {statuses:?}"
     );
-    Ok(Verdict { is_broken: to_new as f64 > bound, text })
+    Ok(Verdict { is_broken: failing > 0.0 && to_new as f64 > bound, text })
 }
