--- a/review/standin/calls.rs
+++ b/review/standin/calls.rs
@@ -63,8 +63,8 @@
                 true => vec![(300, HOST.to_owned(), "/balance/owner".to_owned())],
                 false => Vec::new(),
             }),
-            // Most servers drop a request when its connection closes; these don't.
-            drops_closed: false,
+            // Most servers drop a request when its connection closes; one of six doesn't.
+            keeping: 1,
             failing: 0.0,
         },
     };
--- a/review/standin/deployment.rs
+++ b/review/standin/deployment.rs
@@ -114,7 +114,9 @@
         .enumerate()
         .map(|(index, machine)| {
             let id = format!("i-{:08x}", 0x7f3a_9100 + from + index);
-            Server::start(machine, (&id, version), plan.clone(), runs.clone(), record.clone())
+            let drops_closed = from + index >= plan.keeping;
+            let name = (id.as_str(), version);
+            Server::start(machine, name, drops_closed, plan.clone(), runs.clone(), record.clone())
         })
         .collect();
     for machine in machines {
--- a/review/standin/drain.rs
+++ b/review/standin/drain.rs
@@ -49,7 +49,7 @@
             slots: 12,
             work_ms: Arc::new(|_| 290),
             calls: Arc::new(|_| Vec::new()),
-            drops_closed: true,
+            keeping: 0,
             failing: 0.0,
         },
     };
--- a/review/standin/fleet.rs
+++ b/review/standin/fleet.rs
@@ -236,8 +236,9 @@
     pub work_ms: Arc<dyn Fn(&str) -> u64 + Send + Sync>,
     /// Calls that it makes in the course of a request: milliseconds after it began, host and path.
     pub calls: Arc<dyn Fn(&str) -> Vec<(u64, String, String)> + Send + Sync>,
-    /// Whether it stops work on a request whose connection closes.
-    pub drops_closed: bool,
+    /// How many servers, the first ones, work on a request whose connection closes. The others drop
+    /// it.
+    pub keeping: usize,
     /// Share of the requests that it answers with a failure of its own.
     pub failing: f64,
 }
@@ -278,6 +279,7 @@
     pub born: u64,
     outbound: SocketAddr,
     plan: ServerPlan,
+    drops_closed: bool,
     runs: Runs,
     pub calls: Arc<Mutex<Vec<MadeCall>>>,
     record: Record,
@@ -292,6 +294,7 @@
     pub fn start(
         machine: &Machine,
         (id, version): (&str, &str),
+        drops_closed: bool,
         plan: ServerPlan,
         runs: Runs,
         record: Record,
@@ -307,6 +310,7 @@
             born: unix_ms(),
             outbound: machine.at(OUTBOUND),
             plan,
+            drops_closed,
             runs,
             calls: Arc::default(),
             record,
@@ -442,7 +446,7 @@
             if self.has_exited.load(Ordering::SeqCst) {
                 return (0, "exit");
             }
-            if self.plan.drops_closed && is_closed(stream) {
+            if self.drops_closed && is_closed(stream) {
                 return (0, "closed");
             }
             let due = calls.last().is_some_and(|call| now() >= begin + call.0 as f64 / 1000.0);
@@ -475,7 +479,7 @@
                 status = 500;
             }
         }
-        if self.plan.drops_closed && is_closed(stream) {
+        if self.drops_closed && is_closed(stream) {
             return (status, "closed");
         }
         let draw = attempt
--- a/review/standin/pipeline.rs
+++ b/review/standin/pipeline.rs
@@ -53,7 +53,7 @@
             slots: 12,
             work_ms: Arc::new(|_| 230),
             calls: Arc::new(|_| Vec::new()),
-            drops_closed: true,
+            keeping: 0,
             failing: 0.0,
         },
     };
--- a/review/standin/quota.rs
+++ b/review/standin/quota.rs
@@ -59,7 +59,7 @@
             slots: 13,
             work_ms: Arc::new(|_| 60),
             calls: Arc::new(|_| Vec::new()),
-            drops_closed: true,
+            keeping: 0,
             failing: 0.0,
         },
     };
--- a/review/standin/rollout.rs
+++ b/review/standin/rollout.rs
@@ -50,7 +50,7 @@
         slots: 13,
         work_ms: Arc::new(|_| 100),
         calls: Arc::new(|_| Vec::new()),
-        drops_closed: true,
+        keeping: 0,
         failing: 0.0,
     };
     let bad = ServerPlan { failing, ..server.clone() };
