daemon: stores a server's departure before it is acknowledged

What callers saw: after the daemon beside a leaving server was killed and started again, a status report that the server had sent before its leave arrived late, and some 27 requests reached the server 3.8 to 8 s after its leave was acknowledged.

Cause: departures were kept in the memory of the process only, in `HeartbeatFilter` and `LeftServers`. A new process took any report of a process it had not heard of as current. The record of before, which other daemons still have, is no substitute: it is dropped by the new process, and no daemon has it after all were killed.

Fix: each daemon keeps the latest process of every server name that has left, with its start, in one object of the platform's store. It writes the object before it acknowledges a drain or a leave, and answers 503 if it cannot; the drain is in effect at once either way. A daemon that starts reads its object before it lists a server, and a report of a process that has left stays stale. While the store is away, it lists a server only if the server's own health answer says that it runs and does not leave. A later process under the same name is told apart by its start, is listed at once, and replaces the entry. The leave of an earlier process, where it names its start, no longer removes a later one.

--- a/components/daemon/src/daemon.rs
+++ b/components/daemon/src/daemon.rs
@@ -38,6 +38,7 @@
     allowances::{BookGate, update_allowances},
     claims::ClaimClientGate,
     contacts::StoreContacts,
+    departures::{DepartureStore, restore_departures},
     error::DaemonError,
     identify::identify_server,
     metrics::send_metrics,
@@ -126,6 +127,7 @@
     platform: Arc<PlatformAdapter>,
     store: SharedStore,
     heartbeats: Arc<Mutex<HeartbeatFilter>>,
+    departures: Arc<DepartureStore>,
     is_leaving: Arc<AtomicBool>,
     local_service: LocalServiceName,
     ledger: Arc<Ledger>,
@@ -207,6 +209,7 @@
         tokio::spawn(send_metrics(settings.metrics.address, port, parts.counters.clone())),
     ];
     tasks.extend(scrape);
+    tasks.push(tokio::spawn(restore_departures(own_port.clone())));
     tasks.extend(run_rollouts(settings, &parts, &guard_context));
     if let Some((service, address)) =
         local_service(&parts.platform, settings).zip(settings.instance.server)
@@ -366,6 +369,7 @@
     let platform = Arc::new(PlatformAdapter::new(&settings.platform));
     let store = platform.store.clone();
     let key_prefix = settings.platform.key_prefix.clone();
+    let departures = DepartureStore::new(store.clone(), &key_prefix, &settings.instance.name);
     let ledger_settings =
         LedgerSettings { key_prefix: key_prefix.clone(), ..LedgerSettings::default() };
     DaemonParts {
@@ -377,6 +381,7 @@
             local_service(&platform, settings).map(Arc::new),
         )),
         heartbeats: Arc::default(),
+        departures: Arc::new(departures),
         is_leaving: Arc::default(),
         platform,
         config: Arc::default(),
@@ -437,6 +442,7 @@
         proxy_address: addresses.proxy,
         platform: parts.platform.clone(),
         heartbeats: parts.heartbeats.clone(),
+        departures: parts.departures.clone(),
         is_leaving: parts.is_leaving.clone(),
     }
 }
--- a/components/daemon/src/identify.rs
+++ b/components/daemon/src/identify.rs
@@ -12,7 +12,7 @@
 use sk_proxy::{ServerIdentity, request_server_identity};
 use tokio::time::Instant;
 
-use crate::port::DaemonPort;
+use crate::port::{DaemonPort, RESTORE_WAIT};
 
 /// Time for which a server is asked. After it, its own heartbeat has arrived or it is not running.
 const IDENTIFY_TIME: Duration = Duration::from_secs(2);
@@ -26,6 +26,9 @@
     service: ServiceName,
     address: SocketAddr,
 ) {
+    // The answer itself tells that the server has not left, so a store that is away does not keep
+    // it out of service.
+    port.departures.wait_until_restored(RESTORE_WAIT).await;
     let end = Instant::now() + IDENTIFY_TIME;
     while Instant::now() < end && port.servers.endpoints().is_empty() {
         if let Some(path) = health_path(&port, &service) {
@@ -45,10 +48,25 @@
     }
 }
 
+/// Asks the server that sent a heartbeat whether it is running and not leaving.
+pub(crate) async fn confirm_running(port: &DaemonPort, heartbeat: &ServerHeartbeat) -> bool {
+    let Some(path) = health_path(port, &heartbeat.service) else { return false };
+    let headers = &*port.platform.headers;
+    match request_server_identity(headers, heartbeat.address, &path).await {
+        Ok(identity) => identity.is_some_and(|identity| identity.name == heartbeat.name),
+        Err(err) => {
+            log::debug!("daemon: cannot ask server {} for its identity: {err}.", heartbeat.name);
+            false
+        }
+    }
+}
+
 /// Returns the health check path of a service, `None` before the first configuration or where the
 /// service has no path.
 fn health_path(port: &DaemonPort, service: &ServiceName) -> Option<String> {
-    let snapshot = port.config.current();
+    // A configuration that is not in force yet may name it too: without the store, a daemon takes
+    // seconds to confirm that it has the newest one.
+    let snapshot = port.config.newest();
     let setting = snapshot.settings().find(|(path, _)| *path == service)?.1;
     match setting {
         SettingBody::Service(setting) => setting.health_path.clone(),
--- a/components/daemon/src/lib.rs
+++ b/components/daemon/src/lib.rs
@@ -4,6 +4,7 @@
 mod claims;
 mod contacts;
 mod daemon;
+mod departures;
 mod dump;
 mod error;
 mod identify;
--- a/components/daemon/src/port.rs
+++ b/components/daemon/src/port.rs
@@ -15,14 +15,15 @@
 use sk_ledger::{Ledger, SubmitError};
 use sk_member::{
     EndpointRecord, EndpointStatus, HeartbeatFilter, HeartbeatStatus, MemberRecord, MemberTable,
-    ServerHeartbeat, SharedMembers,
+    ServerBoot, ServerHeartbeat, SharedMembers,
 };
 use sk_model::{
-    ChangeRecord, ChangeRequest, ConfigSnapshot, ProxyId, TeamName, Version, unix_time_ms,
+    ChangeRecord, ChangeRequest, ConfigSnapshot, ProxyId, TeamName, UnixMillis, Version,
+    unix_time_ms,
 };
 use sk_ops::{
-    HeartbeatBody, MAX_SERVICES, OperatorPort, OpsError, ServerAnnouncement, ServerState,
-    SettingsView, StateDump, TeamRecord, TeamView,
+    HeartbeatBody, LeaveBody, MAX_SERVICES, OperatorPort, OpsError, ServerAnnouncement,
+    ServerState, SettingsView, StateDump, TeamRecord, TeamView,
 };
 use sk_proxy::{
     LocalServer, LocalServerList, ProxyCounters, SharedQuarantine, SharedTable, time_since_start,
@@ -36,6 +37,8 @@
 use sk_store::SharedStore;
 
 use crate::{
+    departures::DepartureStore,
+    identify::confirm_running,
     platform::PlatformAdapter,
     reachability::UnreachableTimes,
     tasks::publish_endpoints,
@@ -45,6 +48,11 @@
 /// Highest number of a heartbeat, counted from 0 or 1, at which its server has just started; one may
 /// have been lost.
 const MAX_START_SEQUENCE: u64 = 2;
+/// Time for which the first heartbeat of a server waits until the daemon knows which servers have
+/// left. Servers wait a second for an acknowledgement.
+pub(crate) const RESTORE_WAIT: Duration = Duration::from_millis(300);
+/// Time after which a server may repeat a heartbeat that was not accepted.
+const HEARTBEAT_RETRY: Duration = Duration::from_millis(500);
 
 /// The parts of the daemon that these calls use.
 pub(crate) struct DaemonPort {
@@ -69,6 +77,8 @@
     pub(crate) platform: Arc<PlatformAdapter>,
     /// Decides which heartbeats of local backend servers are newer than the last ones.
     pub(crate) heartbeats: Arc<Mutex<HeartbeatFilter>>,
+    /// Keeps the departures of local backend servers for later processes of this daemon.
+    pub(crate) departures: Arc<DepartureStore>,
     /// Whether this daemon is stopping.
     pub(crate) is_leaving: Arc<AtomicBool>,
 }
@@ -194,7 +204,7 @@
         (is_ready && version > 0).then_some(version)
     }
 
-    fn handle_heartbeat(
+    async fn handle_heartbeat(
         &self,
         name: &str,
         heartbeat: HeartbeatBody,
@@ -214,29 +224,41 @@
             warm_up: Duration::from_millis(heartbeat.warm_up_left),
             version: heartbeat.version,
         };
-        // The lock is held until the heartbeat is applied, so that a leave comes before or after
-        // both.
-        let mut filter = self.lock_heartbeats();
-        match filter.classify(&heartbeat, time_since_start()) {
-            HeartbeatStatus::Current => {
-                let was_running = heartbeat.sequence > MAX_START_SEQUENCE;
-                self.apply_heartbeat(heartbeat, was_running);
-            }
-            HeartbeatStatus::Stale => {
-                log::info!("ops: ignored a stale heartbeat of server {name}.")
+        let is_draining = heartbeat.status == EndpointStatus::Draining;
+        if !is_draining && !self.is_admissible(&heartbeat).await {
+            log::warn!("ops: cannot tell whether server {name} has left; not accepted.");
+            let retry_at = unix_time_ms() + HEARTBEAT_RETRY.as_millis() as UnixMillis;
+            return Err(OpsError::NotAccepted { retry_at });
+        }
+        match self.accept_heartbeat(heartbeat) {
+            Some(boot) if is_draining => self.store_departure(&boot).await?,
+            Some(boot) if self.departures.has_earlier(&boot) => {
+                let departures = self.departures.clone();
+                tokio::spawn(async move {
+                    if let Err(err) = departures.record(&boot).await {
+                        log::info!("ops: cannot store the start of server {}: {err}.", boot.name);
+                    }
+                });
             }
+            _ => {}
         }
         Ok(())
     }
 
-    fn deregister_server(&self, name: &str) -> Result<(), OpsError> {
-        let server_id =
-            self.lock_heartbeats().record_leave(name, unix_time_ms(), time_since_start());
+    async fn deregister_server(&self, name: &str, leave: LeaveBody) -> Result<(), OpsError> {
+        let (server_id, boot) = {
+            let mut filter = self.lock_heartbeats();
+            let now = time_since_start();
+            (filter.record_leave(name, leave.born, unix_time_ms(), now), filter.boot(name))
+        };
         log::info!("ops: server {name} deregistered.");
         if server_id.is_some_and(|server_id| self.servers.drain_server(&server_id)) {
             publish_endpoints(&self.servers, &self.members);
         }
-        Ok(())
+        match boot {
+            Some(boot) => self.store_departure(&boot).await,
+            None => Ok(()),
+        }
     }
 }
 
@@ -255,11 +277,56 @@
         self.heartbeats.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Applies a heartbeat unless it is stale, and returns the latest known process of its server.
+    fn accept_heartbeat(&self, heartbeat: ServerHeartbeat) -> Option<ServerBoot> {
+        // The lock is held until the heartbeat is applied, so that a leave comes before or after
+        // both.
+        let mut filter = self.lock_heartbeats();
+        let status = filter.classify(&heartbeat, time_since_start());
+        let boot = filter.boot(&heartbeat.name);
+        match status {
+            HeartbeatStatus::Current => {
+                let was_running = heartbeat.sequence > MAX_START_SEQUENCE;
+                self.apply_heartbeat(heartbeat, was_running);
+            }
+            HeartbeatStatus::Stale => {
+                log::info!("ops: ignored a stale heartbeat of server {}.", heartbeat.name)
+            }
+        }
+        boot
+    }
+
+    /// Returns whether a server that reports that it accepts work is known not to have left before
+    /// this daemon started: by the stored departures or, while the store is away, by the server's
+    /// own answer.
+    async fn is_admissible(&self, heartbeat: &ServerHeartbeat) -> bool {
+        self.lock_heartbeats().is_known(heartbeat)
+            || self.departures.wait_until_restored(RESTORE_WAIT).await
+            || confirm_running(self, heartbeat).await
+    }
+
+    /// Stores a departure, which is acknowledged after that.
+    async fn store_departure(&self, boot: &ServerBoot) -> Result<(), OpsError> {
+        self.departures.record(boot).await.map_err(|err| {
+            log::warn!("ops: cannot store the departure of server {}: {err}.", boot.name);
+            store_to_ops_error(&err)
+        })
+    }
+
+    /// Adds what earlier processes of this daemon have stored about the local backend servers.
+    pub(crate) fn restore_boots(&self, boots: &[ServerBoot]) {
+        let left = self.lock_heartbeats().restore(boots, time_since_start());
+        let drained = left.iter().filter(|id| self.servers.drain_server(id)).count();
+        if drained > 0 {
+            publish_endpoints(&self.servers, &self.members);
+        }
+    }
+
     /// Adds a server that identified itself, unless its own heartbeat or leave, or the heartbeat of
     /// another server, arrived meanwhile.
-    pub(crate) fn add_identified(&self, identity: ServerHeartbeat) {
+    pub(crate) fn add_identified(&self, mut identity: ServerHeartbeat) {
         let mut filter = self.lock_heartbeats();
-        match filter.classify_identity(&identity, time_since_start()) {
+        match filter.classify_identity(&mut identity, time_since_start()) {
             HeartbeatStatus::Current if self.servers.endpoints().is_empty() => {
                 let name = &identity.name;
                 log::info!("daemon: the local backend server identified itself as {name}.");
--- a/components/member/src/heartbeat.rs
+++ b/components/member/src/heartbeat.rs
@@ -5,6 +5,7 @@
 
 use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
 
+use serde::{Deserialize, Serialize};
 use sk_model::{ServiceName, UnixMillis};
 
 use crate::{EndpointStatus, ServerId, ServerVersion};
@@ -62,6 +63,25 @@
     Stale,
 }
 
+/// Latest known process under a server's name, and whether it has stated that it leaves. This is
+/// what a daemon that starts again needs to recognise outdated heartbeats of before.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ServerBoot {
+    /// Name of the server.
+    pub name: String,
+    /// Start of the process on its own clock; zero if it is not reported.
+    pub started_at: UnixMillis,
+    /// Whether the process has stated that it drains or leaves, which is final.
+    pub has_left: bool,
+}
+
+impl ServerBoot {
+    /// Returns whether this state follows from `known`, another state under the same name.
+    pub fn is_covered_by(&self, known: &Self) -> bool {
+        (known.started_at, known.has_left) >= (self.started_at, self.has_left)
+    }
+}
+
 /// Last known state of a server process.
 #[derive(Clone, Debug)]
 struct ProcessState {
@@ -69,6 +89,9 @@
     /// Number of its last heartbeat, `None` before the first.
     sequence: Option<u64>,
     has_left: bool,
+    /// Whether it has reported that it drains.
+    is_draining: bool,
+    /// `None` if this daemon has not heard from it.
     address: Option<SocketAddr>,
     heard_at: Duration,
 }
@@ -99,15 +122,17 @@
             _ => self.is_replaced(heartbeat, now),
         };
         if is_stale {
+            if is_draining && known.is_none() {
+                self.insert_left(&heartbeat.name, heartbeat.started_at, now);
+            }
             return HeartbeatStatus::Stale;
         }
+        let known = known.filter(|known| known.started_at == heartbeat.started_at);
         let state = ProcessState {
             started_at: heartbeat.started_at,
-            sequence: known
-                .filter(|known| known.started_at == heartbeat.started_at)
-                .and_then(|known| known.sequence)
-                .max(Some(heartbeat.sequence)),
+            sequence: known.and_then(|known| known.sequence).max(Some(heartbeat.sequence)),
             has_left: false,
+            is_draining: is_draining || known.is_some_and(|known| known.is_draining),
             address: Some(heartbeat.address),
             heard_at: now,
         };
@@ -118,19 +143,27 @@
     /// Classifies the state of a server that identified itself when it was asked, and remembers it
     /// if it is current. It is stale if the server has sent a heartbeat, which is more complete, or
     /// has left, as the answer may have been on its way meanwhile. Every heartbeat of the server is
-    /// newer.
+    /// newer. The start of its process, which an identity does not tell, is set if it is known.
     pub fn classify_identity(
         &mut self,
-        identity: &ServerHeartbeat,
+        identity: &mut ServerHeartbeat,
         now: Duration,
     ) -> HeartbeatStatus {
-        if self.processes.contains_key(&identity.name) || self.is_replaced(identity, now) {
+        match self.processes.get(&identity.name) {
+            Some(known) if known.has_left || known.address.is_some() => {
+                return HeartbeatStatus::Stale;
+            }
+            Some(known) => identity.started_at = known.started_at,
+            None => {}
+        }
+        if self.is_replaced(identity, now) {
             return HeartbeatStatus::Stale;
         }
         let state = ProcessState {
             started_at: identity.started_at,
             sequence: None,
             has_left: false,
+            is_draining: false,
             address: Some(identity.address),
             heard_at: now,
         };
@@ -139,34 +172,102 @@
     }
 
     /// Records that a server leaves, and returns the identifier of its process if it is known.
-    /// `unix_time_ms` is the time on the clock of this instance: if no heartbeat of the server
-    /// arrived before, every process with an earlier start counts as left.
+    ///
+    /// `started_at` is the start of the process that leaves, if it is reported; the leave of an
+    /// earlier process than the known one has no effect. `unix_time_ms` is the time on the clock of
+    /// this instance: if neither a start is reported nor a heartbeat of the server arrived before,
+    /// every process with an earlier start counts as left.
     pub fn record_leave(
         &mut self,
         name: &str,
+        started_at: Option<UnixMillis>,
         unix_time_ms: UnixMillis,
         now: Duration,
     ) -> Option<ServerId> {
         let known = self.processes.get_mut(name);
         let server_id = known.as_ref().map(|known| make_server_id(name, known.started_at));
-        match known {
-            Some(known) if known.sequence.is_some() => known.has_left = true,
+        match (known, started_at) {
+            (Some(known), Some(started_at)) if started_at < known.started_at => return None,
+            (Some(known), None) if known.sequence.is_some() => known.has_left = true,
+            (Some(known), Some(started_at)) if started_at == known.started_at => {
+                known.has_left = true;
+            }
             // A restarted daemon may receive the leave report first and an older heartbeat after
             // it, also of a server that has identified itself, which does not tell its start.
-            _ => {
-                let state = ProcessState {
-                    started_at: unix_time_ms,
-                    sequence: None,
-                    has_left: true,
-                    address: None,
-                    heard_at: now,
-                };
-                self.insert(name, state);
+            (known, started_at) => {
+                let latest = known.map_or(unix_time_ms, |known| known.started_at.max(unix_time_ms));
+                self.insert_left(name, started_at.unwrap_or(latest), now);
             }
         }
         server_id
     }
 
+    /// Returns the latest known process under a server's name.
+    pub fn boot(&self, name: &str) -> Option<ServerBoot> {
+        self.processes.get(name).map(|known| ServerBoot {
+            name: name.to_owned(),
+            started_at: known.started_at,
+            has_left: known.has_left || known.is_draining,
+        })
+    }
+
+    /// Returns whether a heartbeat of the same process has arrived, or its leave.
+    pub fn is_known(&self, heartbeat: &ServerHeartbeat) -> bool {
+        self.processes.get(&heartbeat.name).is_some_and(|known| {
+            known.started_at == heartbeat.started_at && (known.sequence.is_some() || known.has_left)
+        })
+    }
+
+    /// Adds what an earlier process of this daemon knew, and returns the identifiers of the
+    /// processes that this one has heard from and that have left.
+    pub fn restore(&mut self, boots: &[ServerBoot], now: Duration) -> Vec<ServerId> {
+        let mut left = Vec::new();
+        for boot in boots {
+            let known = self.processes.get_mut(&boot.name);
+            match known {
+                Some(known) if known.started_at > boot.started_at => {}
+                Some(known) if known.started_at == boot.started_at => {
+                    if boot.has_left && !known.has_left {
+                        known.has_left = true;
+                        left.push(make_server_id(&boot.name, known.started_at));
+                    }
+                }
+                known => {
+                    // A heartbeat of an earlier process was outdated. An identity may be that of
+                    // the known process, unless this has left.
+                    left.extend(
+                        known
+                            .filter(|known| boot.has_left || known.sequence.is_some())
+                            .map(|known| make_server_id(&boot.name, known.started_at)),
+                    );
+                    let state = ProcessState {
+                        started_at: boot.started_at,
+                        sequence: None,
+                        has_left: boot.has_left,
+                        is_draining: false,
+                        address: None,
+                        heard_at: now,
+                    };
+                    self.insert(&boot.name, state);
+                }
+            }
+        }
+        left
+    }
+
+    /// Remembers a process that has left and that this daemon has not heard from before.
+    fn insert_left(&mut self, name: &str, started_at: UnixMillis, now: Duration) {
+        let state = ProcessState {
+            started_at,
+            sequence: None,
+            has_left: true,
+            is_draining: false,
+            address: None,
+            heard_at: now,
+        };
+        self.insert(name, state);
+    }
+
     /// Remembers the state of a process.
     fn insert(&mut self, name: &str, state: ProcessState) {
         self.processes.insert(name.to_owned(), state);
--- a/components/member/src/lib.rs
+++ b/components/member/src/lib.rs
@@ -28,7 +28,7 @@
 pub use choice::{choose_relays, rendezvous_weight};
 pub use digest::{DIGEST_BUCKETS, MemberDigest, bucket_of};
 pub use freshness::{FreshnessProof, FreshnessTracker, HistoryPosition, PollOptions, PollerHash};
-pub use heartbeat::{HeartbeatFilter, HeartbeatStatus, ServerHeartbeat};
+pub use heartbeat::{HeartbeatFilter, HeartbeatStatus, ServerBoot, ServerHeartbeat};
 pub use marks::{LocalReachability, ReachabilityMarks};
 pub use monitor::{LivenessMonitor, MonitorEvent, MonitorOptions};
 pub use overlay::{OverlayPlan, choose_links};
--- a/components/member/tests/server_heartbeats.rs
+++ b/components/member/tests/server_heartbeats.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use sk_member::{EndpointStatus, HeartbeatFilter, HeartbeatStatus, ServerHeartbeat};
+use sk_member::{EndpointStatus, HeartbeatFilter, HeartbeatStatus, ServerBoot, ServerHeartbeat};
 
 fn heartbeat(
     name: &str,
@@ -62,10 +62,10 @@
 #[test]
 fn leave_before_heartbeat() {
     let mut filter = HeartbeatFilter::default();
-    assert_eq!(filter.record_leave("a", 1_000, at(1)), None);
+    assert_eq!(filter.record_leave("a", None, 1_000, at(1)), None);
     assert_eq!(filter.classify(&ready("a", 900, 4), at(2)), HeartbeatStatus::Stale);
     assert_eq!(filter.classify(&ready("a", 1_500, 1), at(3)), HeartbeatStatus::Current);
-    assert_eq!(filter.record_leave("a", 2_000, at(4)).as_deref(), Some("a:1500"));
+    assert_eq!(filter.record_leave("a", None, 2_000, at(4)).as_deref(), Some("a:1500"));
     assert_eq!(filter.classify(&ready("a", 1_500, 9), at(5)), HeartbeatStatus::Stale);
 }
 
@@ -89,13 +89,13 @@
 #[test]
 fn identified_leaves() {
     let mut filter = HeartbeatFilter::default();
-    assert_eq!(filter.classify_identity(&ready("a", 0, 0), at(1)), HeartbeatStatus::Current);
-    assert_eq!(filter.record_leave("a", 5_000, at(2)).as_deref(), Some("a:0"));
+    assert_eq!(filter.classify_identity(&mut ready("a", 0, 0), at(1)), HeartbeatStatus::Current);
+    assert_eq!(filter.record_leave("a", None, 5_000, at(2)).as_deref(), Some("a:0"));
     // Heartbeats sent before the leave, with and without the start of the process.
     for started_at in [0, 900] {
         assert_eq!(filter.classify(&ready("a", started_at, 7), at(3)), HeartbeatStatus::Stale);
     }
-    assert_eq!(filter.classify_identity(&ready("a", 0, 0), at(3)), HeartbeatStatus::Stale);
+    assert_eq!(filter.classify_identity(&mut ready("a", 0, 0), at(3)), HeartbeatStatus::Stale);
     assert_eq!(filter.classify(&ready("a", 6_000, 1), at(4)), HeartbeatStatus::Current);
 }
 
@@ -106,10 +106,10 @@
     let mut filter = HeartbeatFilter::default();
     let draining = heartbeat("drains", 0, 3, EndpointStatus::Draining);
     assert_eq!(filter.classify(&draining, at(1)), HeartbeatStatus::Current);
-    assert_eq!(filter.record_leave("leaves", 5_000, at(1)), None);
+    assert_eq!(filter.record_leave("leaves", None, 5_000, at(1)), None);
     for name in ["drains", "leaves"] {
-        let identity = ready(name, 0, 0);
-        assert_eq!(filter.classify_identity(&identity, at(2)), HeartbeatStatus::Stale);
+        let mut identity = ready(name, 0, 0);
+        assert_eq!(filter.classify_identity(&mut identity, at(2)), HeartbeatStatus::Stale);
     }
 }
 
@@ -117,8 +117,67 @@
 #[test]
 fn heartbeat_after_identity() {
     let mut filter = HeartbeatFilter::default();
-    assert_eq!(filter.classify_identity(&ready("a", 0, 0), at(1)), HeartbeatStatus::Current);
+    assert_eq!(filter.classify_identity(&mut ready("a", 0, 0), at(1)), HeartbeatStatus::Current);
     assert_eq!(filter.classify(&ready("a", 0, 0), at(2)), HeartbeatStatus::Current);
     assert_eq!(filter.classify(&ready("a", 0, 0), at(2)), HeartbeatStatus::Stale);
-    assert_eq!(filter.record_leave("a", 5_000, at(3)).as_deref(), Some("a:0"));
+    assert_eq!(filter.record_leave("a", None, 5_000, at(3)).as_deref(), Some("a:0"));
+}
+
+fn boot(name: &str, started_at: u64, has_left: bool) -> ServerBoot {
+    ServerBoot { name: name.to_owned(), started_at, has_left }
+}
+
+/// A daemon starts again. What its earlier process knew must make the same heartbeats stale, and no
+/// others.
+#[test]
+fn restored_departure() {
+    let mut filter = HeartbeatFilter::default();
+    assert!(filter.restore(&[boot("a", 5, true), boot("b", 7, false)], at(0)).is_empty());
+    assert_eq!(filter.classify(&ready("a", 5, 90), at(1)), HeartbeatStatus::Stale);
+    assert_eq!(filter.classify_identity(&mut ready("a", 0, 0), at(1)), HeartbeatStatus::Stale);
+    assert_eq!(filter.classify(&ready("a", 6, 1), at(1)), HeartbeatStatus::Current);
+    // Of a server that runs, only earlier processes are outdated.
+    assert_eq!(filter.classify(&ready("b", 4, 90), at(1)), HeartbeatStatus::Stale);
+    let mut identity = ready("b", 0, 0);
+    assert_eq!(filter.classify_identity(&mut identity, at(1)), HeartbeatStatus::Current);
+    assert_eq!(identity.server_id(), "b:7");
+    assert_eq!(filter.classify(&ready("b", 7, 1), at(1)), HeartbeatStatus::Current);
+}
+
+/// The departures of earlier processes arrive after the server was taken into service by its own
+/// answer.
+#[test]
+fn restored_late() {
+    let mut filter = HeartbeatFilter::default();
+    filter.classify_identity(&mut ready("identified", 0, 0), at(1));
+    filter.classify(&ready("heard", 5, 3), at(1));
+    filter.classify(&ready("successor", 9, 1), at(1));
+    let boots = [boot("identified", 4, true), boot("heard", 5, true), boot("successor", 8, true)];
+    assert_eq!(filter.restore(&boots, at(2)), ["identified:0", "heard:5"]);
+    assert_eq!(filter.restore(&boots, at(2)), [""; 0]);
+    assert_eq!(filter.classify(&ready("heard", 5, 9), at(3)), HeartbeatStatus::Stale);
+    assert_eq!(filter.classify(&ready("successor", 9, 2), at(3)), HeartbeatStatus::Current);
+}
+
+/// The leave of an earlier process arrives late. It would remove the server that has started again
+/// under the same name.
+#[test]
+fn leave_of_predecessor() {
+    let mut filter = HeartbeatFilter::default();
+    filter.classify(&ready("a", 9, 1), at(1));
+    assert_eq!(filter.record_leave("a", Some(5), 1_000, at(2)), None);
+    assert_eq!(filter.boot("a"), Some(boot("a", 9, false)));
+    assert_eq!(filter.record_leave("a", Some(9), 1_000, at(2)).as_deref(), Some("a:9"));
+    assert_eq!(filter.boot("a"), Some(boot("a", 9, true)));
+}
+
+/// A drain is final for its process, also if later heartbeats of it say otherwise.
+#[test]
+fn drain_is_final() {
+    let mut filter = HeartbeatFilter::default();
+    filter.classify(&heartbeat("a", 5, 3, EndpointStatus::Draining), at(1));
+    filter.classify(&ready("a", 5, 4), at(2));
+    assert_eq!(filter.boot("a"), Some(boot("a", 5, true)));
+    filter.classify(&ready("a", 6, 1), at(3));
+    assert_eq!(filter.boot("a"), Some(boot("a", 6, false)));
 }
--- a/components/ops/src/announcement.rs
+++ b/components/ops/src/announcement.rs
@@ -1,4 +1,4 @@
-//! Checks of announcements and heartbeats of backend servers.
+//! Checks of announcements, heartbeats and leaves of backend servers.
 //!
 //! They carry no token, so only those from the daemon's own instance are accepted. Otherwise
 //! another process could direct a service's requests to an address of its choice.
@@ -81,9 +81,7 @@
             Err(foreign_instance_error("heartbeat came from"))
         }
         _ if !is_own_instance(address.ip(), own_ips) => Err(foreign_instance_error("`address` is")),
-        _ if !is_server_id(name) => {
-            Err(malformed(&"the id; allowed: 1 to 64 of A-Z a-z 0-9 - _ . :"))
-        }
+        _ if !is_server_id(name) => Err(malformed_id_error()),
         _ if heartbeat.service.is_empty() => Err(malformed(&"`service`; allowed: a name")),
         _ if heartbeat.version.len() > MAX_VERSION_BYTES => {
             Err(malformed(&"`version`; allowed: at most 64 bytes"))
@@ -95,6 +93,26 @@
     }
 }
 
+/// Checks the leave of the server `name`.
+///
+/// # Errors
+///
+/// Returns [`OpsError::Forbidden`] for another instance, and [`OpsError::Malformed`] for an id
+/// outside its bounds.
+pub fn check_leave(name: &str, sender: IpAddr, own_ips: &[IpAddr]) -> Result<(), OpsError> {
+    match name {
+        _ if !is_own_instance(sender, own_ips) => Err(foreign_instance_error("leave came from")),
+        name if !is_server_id(name) => Err(malformed_id_error()),
+        _ => Ok(()),
+    }
+}
+
+/// Returns the refusal of an identifier outside its bounds.
+fn malformed_id_error() -> OpsError {
+    let reason = "the id; allowed: 1 to 64 of A-Z a-z 0-9 - _ . :".to_owned();
+    OpsError::Malformed { reason }
+}
+
 /// Returns the refusal of an announcement or heartbeat that comes from another instance or names an
 /// address there.
 fn foreign_instance_error(what: &str) -> OpsError {
--- a/components/ops/src/lib.rs
+++ b/components/ops/src/lib.rs
@@ -16,7 +16,7 @@
 pub use port::{OperatorPort, SharedPort};
 pub use server::{OpsHandle, start_ops};
 pub use wire::{
-    ControlView, HeartbeatAnswer, HeartbeatBody, PeerView, ReadyView, RequestView, RolloutReport,
-    ServerAnnouncement, ServerState, ServerView, SettingsView, StateDump, TeamRecord, TeamView,
-    WorkReport, WorkspaceView,
+    ControlView, HeartbeatAnswer, HeartbeatBody, LeaveBody, PeerView, ReadyView, RequestView,
+    RolloutReport, ServerAnnouncement, ServerState, ServerView, SettingsView, StateDump,
+    TeamRecord, TeamView, WorkReport, WorkspaceView,
 };
--- a/components/ops/src/port.rs
+++ b/components/ops/src/port.rs
@@ -9,7 +9,9 @@
 use sk_model::{ChangeRecord, ChangeRequest, TeamName, Version};
 use sk_report::{ChangeReport, FleetReport};
 
-use crate::{HeartbeatBody, OpsError, ServerAnnouncement, SettingsView, StateDump, TeamRecord};
+use crate::{
+    HeartbeatBody, LeaveBody, OpsError, ServerAnnouncement, SettingsView, StateDump, TeamRecord,
+};
 
 /// A port that the interface's handlers share.
 pub type SharedPort = Arc<dyn OperatorPort>;
@@ -63,7 +65,7 @@
     fn ready(&self) -> Option<Version>;
 
     /// Handles a checked heartbeat of the local backend server `name`, which listens on `address`.
-    fn handle_heartbeat(
+    async fn handle_heartbeat(
         &self,
         name: &str,
         heartbeat: HeartbeatBody,
@@ -71,7 +73,7 @@
     ) -> Result<(), OpsError>;
 
     /// Handles the deregistration of the local backend server `name`.
-    fn deregister_server(&self, name: &str) -> Result<(), OpsError>;
+    async fn deregister_server(&self, name: &str, leave: LeaveBody) -> Result<(), OpsError>;
 
     /// Handles a checked announcement of the local backend server, which listens on `address`.
     fn announce_server(
--- a/components/ops/src/server.rs
+++ b/components/ops/src/server.rs
@@ -15,10 +15,10 @@
 use sk_report::{ChangeReport, FleetReport};
 
 use crate::{
-    HeartbeatAnswer, HeartbeatBody, OpsError, ReadyView, ServerAnnouncement, SettingsView,
-    SharedPort, StateDump, TeamRecord,
+    HeartbeatAnswer, HeartbeatBody, LeaveBody, OpsError, ReadyView, ServerAnnouncement,
+    SettingsView, SharedPort, StateDump, TeamRecord,
     access::is_token,
-    announcement::{check_announcement, check_heartbeat},
+    announcement::{check_announcement, check_heartbeat, check_leave},
 };
 
 /// Largest request body, in bytes. A change holds at most one subtree, which fits one platform
@@ -296,13 +296,26 @@
     })?;
     let sender = request.request.remote_addr().ip();
     let address = check_heartbeat(&id, &heartbeat, sender, &request.context().own_ips())?;
-    request.context().handle_heartbeat(&id, heartbeat, address)?;
+    request.context().handle_heartbeat(&id, heartbeat, address).await?;
     Ok(HttpResponseOk(HeartbeatAnswer::default()))
 }
 
-/// Handles the deregistration of the local backend server.
+/// Handles the deregistration of the local backend server. The body may be empty.
 #[endpoint { method = POST, path = "/v1/servers/{id}/leave" }]
-async fn post_leave(request: OpsRequest, path: Path<ServerPath>) -> OpsResult<HeartbeatAnswer> {
-    request.context().deregister_server(&path.into_inner().id)?;
+async fn post_leave(
+    request: OpsRequest,
+    path: Path<ServerPath>,
+    body: UntypedBody,
+) -> OpsResult<HeartbeatAnswer> {
+    let id = path.into_inner().id;
+    let leave = match body.as_bytes() {
+        [] => LeaveBody::default(),
+        bytes => serde_json::from_slice(bytes).map_err(|err| {
+            log::warn!("ops: cannot decode the leave of server {id:?}: {err}.");
+            OpsError::Malformed { reason: err.to_string() }
+        })?,
+    };
+    check_leave(&id, request.request.remote_addr().ip(), &request.context().own_ips())?;
+    request.context().deregister_server(&id, leave).await?;
     Ok(HttpResponseOk(HeartbeatAnswer::default()))
 }
--- a/components/ops/src/wire.rs
+++ b/components/ops/src/wire.rs
@@ -54,6 +54,15 @@
     pub version: String,
 }
 
+/// What a local backend server says when it leaves, in the platform's format. Other fields are
+/// ignored.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+pub struct LeaveBody {
+    /// Start of its process in milliseconds since the Unix epoch, on its own clock.
+    #[serde(default)]
+    pub born: Option<UnixMillis>,
+}
+
 /// Whether a backend server accepts new work.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
 #[serde(rename_all = "kebab-case")]
--- a/components/ops/tests/common/mod.rs
+++ b/components/ops/tests/common/mod.rs
@@ -16,8 +16,8 @@
 use async_trait::async_trait;
 use sk_model::{ChangeRecord, ChangeRequest, TeamName, Version};
 use sk_ops::{
-    HeartbeatBody, OperatorPort, OpsError, OpsHandle, ServerAnnouncement, SettingsView, StateDump,
-    TeamRecord, hash_token, start_ops,
+    HeartbeatBody, LeaveBody, OperatorPort, OpsError, OpsHandle, ServerAnnouncement, SettingsView,
+    StateDump, TeamRecord, hash_token, start_ops,
 };
 use sk_report::{ChangeReport, FleetReport};
 use tokio::runtime::Runtime;
@@ -128,11 +128,16 @@
         None
     }
 
-    fn handle_heartbeat(&self, _: &str, _: HeartbeatBody, _: SocketAddr) -> Result<(), OpsError> {
+    async fn handle_heartbeat(
+        &self,
+        _: &str,
+        _: HeartbeatBody,
+        _: SocketAddr,
+    ) -> Result<(), OpsError> {
         Ok(())
     }
 
-    fn deregister_server(&self, _: &str) -> Result<(), OpsError> {
+    async fn deregister_server(&self, _: &str, _: LeaveBody) -> Result<(), OpsError> {
         Ok(())
     }
 
