--- a/components/daemon/src/departures.rs
+++ b/components/daemon/src/departures.rs
@@ -18,9 +18,8 @@
 
 use crate::port::DaemonPort;
 
-/// Largest number of boots stored, those that changed last. An instance runs one server at a time,
-/// and a heartbeat is a few seconds late at most.
-const MAX_BOOTS: usize = 16;
+/// Largest number of boots stored, those that changed last. A heartbeat is seconds late at most.
+const MAX_BOOTS: usize = 64;
 /// Largest number of attempts of one write, which is repeated after a lost answer.
 const MAX_WRITE_ATTEMPTS: usize = 3;
 /// Time for which a departure waits for the write of another one, and after which no further
@@ -77,7 +76,9 @@
         let end = Instant::now() + WRITE_TIME;
         let busy = |_| StoreError::Unavailable { reason: "another write is pending".to_owned() };
         let mut object = timeout(WRITE_TIME, self.object.lock()).await.map_err(busy)?;
-        for attempt in 1.. {
+        let mut attempts = 0;
+        loop {
+            attempts += 1;
             // The object stays unknown if the write fails.
             let known = match object.take() {
                 Some(known) => known,
@@ -93,11 +94,10 @@
                     return Ok(());
                 }
                 Err(StoreError::Conflict { .. } | StoreError::Unknown { .. })
-                    if attempt < MAX_WRITE_ATTEMPTS && Instant::now() < end => {}
+                    if attempts < MAX_WRITE_ATTEMPTS && Instant::now() < end => {}
                 Err(err) => return Err(err),
             }
         }
-        unreachable!("the last attempt returns")
     }
 
     /// Returns whether the store has an earlier boot of the same name, as far as is known here.
--- a/components/daemon/src/port.rs
+++ b/components/daemon/src/port.rs
@@ -51,7 +51,7 @@
 /// Time for which the first heartbeat of a server waits until the daemon knows which servers have
 /// left. Servers wait a second for an acknowledgement.
 pub(crate) const RESTORE_WAIT: Duration = Duration::from_millis(300);
-/// Time after which a server may repeat a heartbeat that was not accepted.
+/// Time after which a server may repeat a heartbeat or a leave that was not acknowledged.
 const HEARTBEAT_RETRY: Duration = Duration::from_millis(500);
 
 /// The parts of the daemon that these calls use.
@@ -227,8 +227,7 @@
         let is_draining = heartbeat.status == EndpointStatus::Draining;
         if !is_draining && !self.is_admissible(&heartbeat).await {
             log::warn!("ops: cannot tell whether server {name} has left; not accepted.");
-            let retry_at = unix_time_ms() + HEARTBEAT_RETRY.as_millis() as UnixMillis;
-            return Err(OpsError::NotAccepted { retry_at });
+            return Err(OpsError::NotAccepted { retry_at: heartbeat_retry_at() });
         }
         match self.accept_heartbeat(heartbeat) {
             Some(boot) if is_draining => self.store_departure(&boot).await?,
@@ -309,7 +308,7 @@
     async fn store_departure(&self, boot: &ServerBoot) -> Result<(), OpsError> {
         self.departures.record(boot).await.map_err(|err| {
             log::warn!("ops: cannot store the departure of server {}: {err}.", boot.name);
-            store_to_ops_error(&err)
+            OpsError::NotStored { retry_at: heartbeat_retry_at() }
         })
     }
 
@@ -376,6 +375,11 @@
     }
 }
 
+/// Returns when a server may repeat a heartbeat or a leave, in milliseconds since the Unix epoch.
+fn heartbeat_retry_at() -> UnixMillis {
+    unix_time_ms() + HEARTBEAT_RETRY.as_millis() as UnixMillis
+}
+
 fn report_to_ops_error(err: ReportError) -> OpsError {
     match err {
         ReportError::Store(err) => store_to_ops_error(&err),
--- a/components/ops/src/error.rs
+++ b/components/ops/src/error.rs
@@ -9,7 +9,8 @@
 use sk_model::{ChangeId, ChangeRecord, ConfigFault, UnixMillis};
 use thiserror::Error;
 
-/// Why a call was refused. Except for [`OpsError::Unknown`], the call had no effect.
+/// Why a call was refused. Except for [`OpsError::Unknown`] and [`OpsError::NotStored`], the call
+/// had no effect.
 #[derive(Clone, Debug, PartialEq, Eq, Error, Serialize, Deserialize, JsonSchema)]
 #[serde(tag = "refusal", rename_all = "kebab-case")]
 pub enum OpsError {
@@ -54,6 +55,12 @@
         /// When to retry, in milliseconds since the Unix epoch on the daemon's clock.
         retry_at: UnixMillis,
     },
+    /// A server's departure is in effect, but a daemon that starts again would not know of it.
+    #[error("in effect, not stored; retry at {retry_at}")]
+    NotStored {
+        /// When to retry, in milliseconds since the Unix epoch on the daemon's clock.
+        retry_at: UnixMillis,
+    },
     /// It is currently unknown whether the change was accepted.
     #[error("outcome unknown; look up change {change_id}")]
     Unknown {
@@ -114,7 +121,9 @@
             Self::Conflict { .. } | Self::IdReused { .. } => ErrorStatusCode::CONFLICT,
             Self::Invalid { .. } => ErrorStatusCode::UNPROCESSABLE_ENTITY,
             Self::Malformed { .. } => ErrorStatusCode::BAD_REQUEST,
-            Self::NotAccepted { .. } | Self::NotReady => ErrorStatusCode::SERVICE_UNAVAILABLE,
+            Self::NotAccepted { .. } | Self::NotStored { .. } | Self::NotReady => {
+                ErrorStatusCode::SERVICE_UNAVAILABLE
+            }
             Self::Unknown { .. } => ErrorStatusCode::GATEWAY_TIMEOUT,
             Self::NotFound { .. } => ErrorStatusCode::NOT_FOUND,
             Self::Internal { .. } => ErrorStatusCode::INTERNAL_SERVER_ERROR,
