soak: servers that deregister before a heartbeat of theirs arrives late

The soak killed daemons and drained servers, but no heartbeat was later than its server's leave, so it could not find that a daemon that starts again forgets who has left.

Seed 8000 is kept as `soak_short late_heartbeats`.

--- a/tests/soak_short.rs
+++ b/tests/soak_short.rs
@@ -69,6 +69,18 @@
     }
 }
 
+/// Servers deregister and their daemons, some or all, are killed or stopped before a heartbeat of the
+/// server arrives late. No request may reach a server that has left.
+#[test]
+fn late_heartbeats() {
+    let directory = TestDirectory::new("soak_late");
+    let faults = "server-deregister,server-drain,daemon-kill,daemon-term,herd-kill,fleet-kill,\
+                  store-away,store-loses-answers";
+    let args = ["--seed", "8000", "--minutes", "0.5", "--faults", faults];
+    let output = soak_command(&directory, &args).output().expect("it runs");
+    assert!(output.status.success(), "{}", String::from_utf8_lossy(&output.stdout));
+}
+
 /// Guards against daemons that keep running after an interrupted run, where they would disturb
 /// later measurements on the machine.
 #[test]
