member: a server that has identified itself is known at its first heartbeat

While the store is away, a daemon that has started asked a server again at its first heartbeat, also one that had just identified itself. A server whose slots are taken does not answer, so that its heartbeats would be refused and it would go out of service. Found by reading; guarded by identified_is_known.

--- a/components/member/src/heartbeat.rs
+++ b/components/member/src/heartbeat.rs
@@ -63,8 +63,8 @@
     Stale,
 }
 
-/// Latest known process under a server's name, and whether it has stated that it leaves. This is
-/// what a daemon that starts again needs to recognise outdated heartbeats of before.
+/// Latest known process under a server's name, and whether it has stated that it leaves. From this,
+/// a daemon that starts again recognises outdated heartbeats that arrive late.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ServerBoot {
     /// Name of the server.
@@ -211,10 +211,14 @@
         })
     }
 
-    /// Returns whether a heartbeat of the same process has arrived, or its leave.
+    /// Returns whether the same process has sent a heartbeat, identified itself or left.
     pub fn is_known(&self, heartbeat: &ServerHeartbeat) -> bool {
-        self.processes.get(&heartbeat.name).is_some_and(|known| {
-            known.started_at == heartbeat.started_at && (known.sequence.is_some() || known.has_left)
+        self.processes.get(&heartbeat.name).is_some_and(|known| match known.sequence {
+            // An identity does not tell the start of its process.
+            None if known.address.is_some() => known.address == Some(heartbeat.address),
+            sequence => {
+                known.started_at == heartbeat.started_at && (sequence.is_some() || known.has_left)
+            }
         })
     }
 
--- a/components/member/tests/server_heartbeats.rs
+++ b/components/member/tests/server_heartbeats.rs
@@ -159,6 +159,25 @@
     assert_eq!(filter.classify(&ready("successor", 9, 2), at(3)), HeartbeatStatus::Current);
 }
 
+/// While the store is away, a daemon asks each server that it does not know. One that has identified
+/// itself must stay in service although it does not answer once more.
+#[test]
+fn identified_is_known() {
+    let mut filter = HeartbeatFilter::default();
+    assert!(!filter.is_known(&ready("a", 5, 8)));
+    filter.classify_identity(&mut ready("a", 0, 0), at(1));
+    assert!(filter.is_known(&ready("a", 5, 8)));
+    let elsewhere =
+        ServerHeartbeat { address: "127.0.0.1:81".parse().unwrap(), ..ready("a", 5, 8) };
+    assert!(!filter.is_known(&elsewhere));
+    filter.classify(&ready("a", 5, 8), at(2));
+    assert!(filter.is_known(&ready("a", 5, 9)));
+    assert!(!filter.is_known(&ready("a", 4, 9)));
+    // What an earlier process of the daemon knew does not tell that the server runs.
+    filter.restore(&[boot("b", 5, false)], at(2));
+    assert!(!filter.is_known(&ready("b", 5, 9)));
+}
+
 /// The leave of an earlier process arrives late. It would remove the server that has started again
 /// under the same name.
 #[test]
