Departures: one constructor of unheard processes, one wait for restored ones

The state of a process that the daemon has not heard from was written out in two places of HeartbeatFilter. Both callers of wait_until_restored passed the same limit, which now stands beside it. No change of behaviour; the tests of sk-member's filter and clippy of both crates pass.

--- a/components/daemon/src/departures.rs
+++ b/components/daemon/src/departures.rs
@@ -25,6 +25,9 @@
 /// Time for which a departure waits for the write of another one, and after which no further
 /// attempt is made. Servers wait a second for an acknowledgement, then they repeat the departure.
 const WRITE_TIME: Duration = Duration::from_secs(1);
+/// Time for which the first word of a server waits until the daemon knows which servers have left.
+/// Servers wait a second for an acknowledgement.
+const RESTORE_WAIT: Duration = Duration::from_millis(300);
 /// Pauses between attempts to read the object at the start of a daemon, the first and the longest.
 const READ_PAUSES: (Duration, Duration) = (Duration::from_millis(100), Duration::from_secs(2));
 
@@ -59,12 +62,12 @@
         }
     }
 
-    /// Waits until the daemon knows what its earlier processes have stored, for at most `limit`,
-    /// and returns whether it does.
-    pub(crate) async fn wait_until_restored(&self, limit: Duration) -> bool {
+    /// Waits until the daemon knows what its earlier processes have stored, for at most
+    /// [`RESTORE_WAIT`], and returns whether it does.
+    pub(crate) async fn wait_until_restored(&self) -> bool {
         let mut is_restored = self.is_restored.subscribe();
         // The sender lives as long as this store, so the wait cannot fail.
-        timeout(limit, is_restored.wait_for(|is_restored| *is_restored)).await.is_ok()
+        timeout(RESTORE_WAIT, is_restored.wait_for(|is_restored| *is_restored)).await.is_ok()
     }
 
     /// Stores a boot unless the store already has it or a later one of the same name.
--- a/components/daemon/src/identify.rs
+++ b/components/daemon/src/identify.rs
@@ -12,7 +12,7 @@
 use sk_proxy::{ServerIdentity, request_server_identity};
 use tokio::time::Instant;
 
-use crate::port::{DaemonPort, RESTORE_WAIT};
+use crate::port::DaemonPort;
 
 /// Time for which a server is asked. After it, its own heartbeat has arrived or it is not running.
 const IDENTIFY_TIME: Duration = Duration::from_secs(2);
@@ -28,7 +28,7 @@
 ) {
     // The answer itself tells that the server has not left, so a store that is away does not keep
     // it out of service.
-    port.departures.wait_until_restored(RESTORE_WAIT).await;
+    port.departures.wait_until_restored().await;
     let end = Instant::now() + IDENTIFY_TIME;
     while Instant::now() < end && port.servers.endpoints().is_empty() {
         if let Some(path) = health_path(&port, &service) {
--- a/components/daemon/src/port.rs
+++ b/components/daemon/src/port.rs
@@ -48,9 +48,6 @@
 /// Highest number of a heartbeat, counted from 0 or 1, at which its server has just started; one may
 /// have been lost.
 const MAX_START_SEQUENCE: u64 = 2;
-/// Time for which the first heartbeat of a server waits until the daemon knows which servers have
-/// left. Servers wait a second for an acknowledgement.
-pub(crate) const RESTORE_WAIT: Duration = Duration::from_millis(300);
 /// Time after which a server may repeat a heartbeat or a leave that was not acknowledged.
 const HEARTBEAT_RETRY: Duration = Duration::from_millis(500);
 
@@ -300,7 +297,7 @@
     /// own answer.
     async fn is_admissible(&self, heartbeat: &ServerHeartbeat) -> bool {
         self.lock_heartbeats().is_known(heartbeat)
-            || self.departures.wait_until_restored(RESTORE_WAIT).await
+            || self.departures.wait_until_restored().await
             || confirm_running(self, heartbeat).await
     }
 
--- a/components/member/src/heartbeat.rs
+++ b/components/member/src/heartbeat.rs
@@ -123,7 +123,7 @@
         };
         if is_stale {
             if is_draining && known.is_none() {
-                self.insert_left(&heartbeat.name, heartbeat.started_at, now);
+                self.insert_unheard(&heartbeat.name, heartbeat.started_at, true, now);
             }
             return HeartbeatStatus::Stale;
         }
@@ -196,7 +196,7 @@
             // it, also of a server that has identified itself, which does not tell its start.
             (known, started_at) => {
                 let latest = known.map_or(unix_time_ms, |known| known.started_at.max(unix_time_ms));
-                self.insert_left(name, started_at.unwrap_or(latest), now);
+                self.insert_unheard(name, started_at.unwrap_or(latest), true, now);
             }
         }
         server_id
@@ -244,27 +244,25 @@
                             .filter(|known| boot.has_left || known.sequence.is_some())
                             .map(|known| make_server_id(&boot.name, known.started_at)),
                     );
-                    let state = ProcessState {
-                        started_at: boot.started_at,
-                        sequence: None,
-                        has_left: boot.has_left,
-                        is_draining: false,
-                        address: None,
-                        heard_at: now,
-                    };
-                    self.insert(&boot.name, state);
+                    self.insert_unheard(&boot.name, boot.started_at, boot.has_left, now);
                 }
             }
         }
         left
     }
 
-    /// Remembers a process that has left and that this daemon has not heard from before.
-    fn insert_left(&mut self, name: &str, started_at: UnixMillis, now: Duration) {
+    /// Remembers a process that this daemon has not heard from.
+    fn insert_unheard(
+        &mut self,
+        name: &str,
+        started_at: UnixMillis,
+        has_left: bool,
+        now: Duration,
+    ) {
         let state = ProcessState {
             started_at,
             sequence: None,
-            has_left: true,
+            has_left,
             is_draining: false,
             address: None,
             heard_at: now,
