--- a/components/daemon/src/allowances.rs
+++ b/components/daemon/src/allowances.rs
@@ -4,7 +4,7 @@
 
 use async_trait::async_trait;
 use sk_allowance::{AllowanceBook, AllowanceRate, MemberPresence};
-use sk_member::{LocalReachability, MemberRecord, MemberStatus, ReachabilityMarks, SharedMembers};
+use sk_member::{FleetKnowledge, MemberRecord, MemberStatus, SharedMembers};
 use sk_model::{ConfigSnapshot, SettingBody};
 use sk_proxy::{AllowanceGate, AllowanceVerdict};
 use sk_spread::ConfigHolder;
@@ -53,10 +53,16 @@
         has_limits = rates.as_ref().map_or(has_limits, |rates| !rates.is_empty());
         if has_limits {
             let snapshot = snapshots.borrow_and_update().clone();
-            let marks = members.marks();
-            let presence = |record: &MemberRecord| presence_of(record, &marks);
+            let fleet = members.fleet();
+            let listed =
+                snapshot.values().map(|record| (&record.proxy, presence_of(record, &fleet)));
+            let missing = match fleet.knows_fleet() {
+                true => MemberPresence::Missing,
+                false => MemberPresence::Unheard,
+            };
+            let unheard = fleet.unheard().map(|name| (name, missing));
             book.set_members(
-                snapshot.values().map(|record| (record.proxy.as_str(), presence(record))),
+                listed.chain(unheard).map(|(name, presence)| (name.as_str(), presence)),
             );
         }
         if let Some(rates) = rates {
@@ -74,14 +80,14 @@
     }
 }
 
-/// Returns how a daemon takes part, by its record and the marks of this daemon.
-fn presence_of(record: &MemberRecord, marks: &ReachabilityMarks) -> MemberPresence {
-    let is_unreachable = marks.get(&record.proxy) == Some(&LocalReachability::Unreachable);
+/// Returns how a daemon takes part, by its record and what this daemon knows of the fleet.
+fn presence_of(record: &MemberRecord, fleet: &FleetKnowledge) -> MemberPresence {
     match record.status {
         MemberStatus::Leaving => MemberPresence::Left,
-        MemberStatus::Gone => MemberPresence::Lost,
-        MemberStatus::Alive | MemberStatus::Suspect if is_unreachable => MemberPresence::Lost,
-        MemberStatus::Alive | MemberStatus::Suspect => MemberPresence::Alive,
+        _ if fleet.reaches(&record.proxy) => MemberPresence::Alive,
+        _ if !fleet.has(&record.proxy) => MemberPresence::Lost,
+        _ if fleet.knows_fleet() => MemberPresence::Missing,
+        _ => MemberPresence::Unheard,
     }
 }
 
--- a/components/daemon/src/contacts.rs
+++ b/components/daemon/src/contacts.rs
@@ -1,51 +1,52 @@
-//! Contacts stored in the platform, one object per data centre.
+//! Lists stored in the platform, one object per data centre: the contacts and the roster.
 //!
 //! A contact is the control address of a daemon, by which a daemon that starts without any other
-//! address finds the fleet.
+//! address finds the fleet. The roster names all daemons.
 
-use std::net::SocketAddr;
+use std::{collections::BTreeMap, marker::PhantomData, net::SocketAddr};
 
 use async_trait::async_trait;
-use sk_spread::{ContactMap, ContactStore, SourceError};
+use serde::{Serialize, de::DeserializeOwned};
+use sk_model::{DataCentre, ProxyId};
+use sk_spread::{ContactMap, ContactStore, RosterMap, RosterStore, SourceError};
 use sk_store::{SharedStore, StoreError, StoredObject};
 
-/// The contact store, kept in the platform.
-pub(crate) struct StoreContacts {
+/// Lists of the data centres, kept in the platform.
+pub(crate) struct CentreLists<T> {
     store: SharedStore,
     prefix: String,
+    item: PhantomData<fn() -> T>,
 }
 
-impl StoreContacts {
-    pub(crate) fn new(store: SharedStore, key_prefix: &str) -> Self {
-        Self { store, prefix: format!("{key_prefix}contacts/") }
+impl<T: Serialize + DeserializeOwned + PartialEq> CentreLists<T> {
+    /// Creates the store of the lists under `name`.
+    pub(crate) fn new(store: SharedStore, key_prefix: &str, name: &str) -> Self {
+        Self { store, prefix: format!("{key_prefix}{name}/"), item: PhantomData }
     }
-}
 
-#[async_trait]
-impl ContactStore for StoreContacts {
-    async fn read(&self) -> Result<ContactMap, SourceError> {
+    async fn read_all(&self) -> Result<BTreeMap<DataCentre, Vec<T>>, SourceError> {
         let objects =
             self.store.list(&self.prefix).await.map_err(|err| store_to_source_error(&err))?;
         let entry = |object: &StoredObject| {
             let data_centre = object.key.strip_prefix(&self.prefix)?.to_owned();
-            Some((data_centre, parse_addresses(object)?))
+            Some((data_centre, parse_list(object)?))
         };
         Ok(objects.iter().filter_map(entry).collect())
     }
 
-    async fn write(
+    async fn replace(
         &self,
         data_centre: &str,
-        seen: Option<&[SocketAddr]>,
-        addresses: &[SocketAddr],
+        seen: Option<&[T]>,
+        list: &[T],
     ) -> Result<(), SourceError> {
         let key = format!("{}{data_centre}", self.prefix);
-        let value = serde_json::to_string(addresses)
-            .map_err(|err| SourceError { reason: err.to_string() })?;
+        let value =
+            serde_json::to_string(list).map_err(|err| SourceError { reason: err.to_string() })?;
         let object = self.store.get(&key).await.map_err(|err| store_to_source_error(&err))?;
-        let found = object.as_ref().and_then(parse_addresses);
+        let found: Option<Vec<T>> = object.as_ref().and_then(parse_list);
         let written = match object {
-            // Another relay wrote in the meantime; overwriting would hide its addresses.
+            // Another relay wrote in the meantime; overwriting would hide its entries.
             Some(_) if found.is_some() && found.as_deref() != seen => {
                 return Err(SourceError { reason: format!("object {key} has changed") });
             }
@@ -56,8 +57,40 @@
     }
 }
 
-/// Returns the addresses, `None` where the object is malformed and is to be overwritten.
-fn parse_addresses(object: &StoredObject) -> Option<Vec<SocketAddr>> {
+#[async_trait]
+impl ContactStore for CentreLists<SocketAddr> {
+    async fn read(&self) -> Result<ContactMap, SourceError> {
+        self.read_all().await
+    }
+
+    async fn write(
+        &self,
+        data_centre: &str,
+        seen: Option<&[SocketAddr]>,
+        addresses: &[SocketAddr],
+    ) -> Result<(), SourceError> {
+        self.replace(data_centre, seen, addresses).await
+    }
+}
+
+#[async_trait]
+impl RosterStore for CentreLists<ProxyId> {
+    async fn read(&self) -> Result<RosterMap, SourceError> {
+        self.read_all().await
+    }
+
+    async fn write(
+        &self,
+        data_centre: &str,
+        seen: Option<&[ProxyId]>,
+        names: &[ProxyId],
+    ) -> Result<(), SourceError> {
+        self.replace(data_centre, seen, names).await
+    }
+}
+
+/// Returns the list, `None` where the object is malformed and is to be overwritten.
+fn parse_list<T: DeserializeOwned>(object: &StoredObject) -> Option<Vec<T>> {
     serde_json::from_str(&object.value).ok()
 }
 
--- a/components/daemon/src/daemon.rs
+++ b/components/daemon/src/daemon.rs
@@ -37,7 +37,7 @@
 use crate::{
     allowances::{BookGate, update_allowances},
     claims::ClaimClientGate,
-    contacts::StoreContacts,
+    contacts::CentreLists,
     departures::{DepartureStore, restore_departures},
     error::DaemonError,
     identify::identify_server,
@@ -469,12 +469,17 @@
         heartbeat: Duration::from_millis(settings.member.heartbeat_ms),
         suspect_after: Duration::from_millis(settings.member.suspect_ms),
     };
-    let contacts = StoreContacts::new(parts.store.clone(), &settings.platform.key_prefix);
+    let key_prefix = &settings.platform.key_prefix;
+    let contacts: CentreLists<SocketAddr> =
+        CentreLists::new(parts.store.clone(), key_prefix, "contacts");
+    let roster: CentreLists<sk_model::ProxyId> =
+        CentreLists::new(parts.store.clone(), key_prefix, "fleet");
     let spread_parts = SpreadParts {
         config: parts.config.clone(),
         members: parts.members.clone(),
         source: parts.platform.source(&parts.ledger),
         contacts: Some(Arc::new(contacts)),
+        roster: Some(Arc::new(roster)),
         acks: Arc::new(ReportAckSink { ack_buffer: parts.ack_buffer.clone() }),
         notices: notice_topics(parts),
         allowances: Some(AllowancePort { desk: parts.allowances.clone(), calls: owner_calls }),
--- a/components/daemon/src/rollouts.rs
+++ b/components/daemon/src/rollouts.rs
@@ -7,9 +7,9 @@
     time::Duration,
 };
 
-use sk_decide::rollout::RolloutSettings;
+use sk_decide::rollout::{RolloutPhase, RolloutSettings};
 use sk_logs::OutageLog;
-use sk_member::SharedMembers;
+use sk_member::{FleetKnowledge, MemberRecord, SharedMembers};
 use sk_model::unix_time_ms;
 use sk_proxy::{LocalServerList, OpenRequests};
 use sk_rollout::{
@@ -35,6 +35,8 @@
 /// Time for which a daemon must have been a relay before it acts as one. When a whole fleet
 /// restarts, each daemon is a relay in its own first snapshot of the members.
 const RELAY_SETTLE_TIME: Duration = Duration::from_millis(600);
+/// Time between looks after which a relay was paused: what it knows is older than it seems.
+const PAUSED_TIME: Duration = Duration::from_secs(1);
 
 /// Gives the control thread access to the roll-outs.
 pub(crate) struct RolloutNotices {
@@ -120,10 +122,12 @@
 async fn run_ticks(parts: Arc<RolloutParts>, memory: Arc<SharedMemory>) {
     let mut control = OrderControl::new(parts.settings);
     let (mut counted_at, mut beaten_at, mut sequence) = (Instant::now(), None, 0);
-    let mut relay_since = None;
+    let (mut relay_since, mut looked_at) = (None, Instant::now());
     loop {
         tokio::time::sleep(TICK).await;
         let now = Instant::now();
+        let is_paused = now.duration_since(looked_at) >= PAUSED_TIME;
+        looked_at = now;
         let members = parts.members.snapshot();
         parts.rollouts.observe(members.values().map(|record| &**record), now);
         let own = parts.members.own();
@@ -133,7 +137,21 @@
             let endpoints = parts.servers.endpoints();
             parts.rollouts.record_evidence(&own.proxy, own.incarnation, &endpoints, running);
         }
-        relay_since = relay_since.or(Some(now)).filter(|_| parts.is_relay());
+        let read_at = lock(&memory).read_at;
+        let read_age = read_at.map(|read_at| now.saturating_duration_since(read_at));
+        let fleet = parts.members.fleet();
+        let is_able = parts.is_relay() && fleet.knows_fleet() && !is_paused;
+        relay_since = relay_since.or(Some(now)).filter(|_| is_able);
+        if relay_since.is_none() {
+            // What was counted until now belongs to moments that the next decisions do not know.
+            control = OrderControl::new(parts.settings);
+            lock(&memory).due.clear();
+            if beaten_at.take().is_some() {
+                sequence += 1;
+                let beat = make_beat(&own, sequence, read_age);
+                parts.rollouts.merge_beat(&RelayBeat { is_last: true, ..beat }, now);
+            }
+        }
         let is_settled =
             relay_since.is_some_and(|since| now.duration_since(since) >= RELAY_SETTLE_TIME);
         if !is_settled || parts.source.is_none() {
@@ -145,23 +163,32 @@
         };
         if beaten_at.is_none_or(|at| now.duration_since(at) >= interval) {
             (beaten_at, sequence) = (Some(now), sequence + 1);
-            let read_at = lock(&memory).read_at;
-            let age = |at: Instant| now.saturating_duration_since(at).as_millis() as u64;
-            let beat = RelayBeat {
-                relay: own.proxy.clone(),
-                incarnation: own.incarnation,
-                sequence,
-                age_ms: 0,
-                read_age_ms: read_at.map(age),
-            };
-            parts.rollouts.merge_beat(&beat, now);
+            parts.rollouts.merge_beat(&make_beat(&own, sequence, read_age), now);
         }
-        decide(&parts, &mut control, &memory, now);
+        decide(&parts, &mut control, &memory, &fleet, now);
+    }
+}
+
+/// Returns a beat of this daemon as relay. `read_age` is the time since it knew all orders.
+fn make_beat(own: &MemberRecord, sequence: u64, read_age: Option<Duration>) -> RelayBeat {
+    RelayBeat {
+        relay: own.proxy.clone(),
+        incarnation: own.incarnation,
+        sequence,
+        age_ms: 0,
+        read_age_ms: read_age.map(|age| age.as_millis() as u64),
+        is_last: false,
     }
 }
 
 /// Decides on the orders, and remembers what has to be written.
-fn decide(parts: &RolloutParts, control: &mut OrderControl, memory: &SharedMemory, now: Instant) {
+fn decide(
+    parts: &RolloutParts,
+    control: &mut OrderControl,
+    memory: &SharedMemory,
+    fleet: &FleetKnowledge,
+    now: Instant,
+) {
     let rollouts = &parts.rollouts;
     let is_acting = rollouts.is_first_relay(&parts.members.own().proxy, now);
     let mut changed = Vec::new();
@@ -169,8 +196,8 @@
         let is_checked = |order: &str| lock(memory).looked_up.contains(order);
         changed = control.begin_orders(rollouts, is_checked, now, unix_time_ms());
     }
-    changed.extend(control.decide(rollouts, is_acting, now, unix_time_ms()));
-    let due = control.due_states(rollouts, now);
+    changed.extend(control.decide(rollouts, fleet, is_acting, now, unix_time_ms()));
+    let due = control.due_states(rollouts, fleet, now);
     let mut memory = lock(memory);
     memory.due = if is_acting { due } else { Vec::new() };
     for stored in changed {
@@ -257,20 +284,41 @@
         }
         let due = std::mem::take(&mut lock(&memory).due);
         for (order, state) in due {
-            write_state(&parts, &*source, &order, state).await;
+            let id = order.id();
+            // What the store had may be a later stage than the one that the state follows from.
+            let is_due = parts.rollouts.stage(&id).is_some_and(|record| match state {
+                OrderState::Done => record.stage.phase == RolloutPhase::Finished,
+                _ => true,
+            });
+            let is_saved = !lock(&memory).unsaved.contains_key(&id);
+            if is_due && (is_saved || state == OrderState::Running) {
+                write_state(&parts, &*source, &order, state).await;
+            }
         }
     }
 }
 
-/// Writes a stage to the store.
+/// Merges a stage into that of the store, and takes over what another relay has stored of the same
+/// order.
 async fn save_stage(parts: &RolloutParts, stored: &StoredStage) -> Result<(), StoreError> {
     let key = parts.stage_key(object_name(&stored.record.order));
-    let value = serde_json::to_string(stored)
+    let held = parts.store.get(&key).await?;
+    let parse = |value: &str| serde_json::from_str::<StoredStage>(value).ok();
+    let known = held.as_ref().and_then(|held| parse(&held.value));
+    let known = known.filter(|known| known.record.order == stored.record.order);
+    let merged = match &known {
+        Some(known) => stored.merged(known),
+        None => stored.clone(),
+    };
+    let value = serde_json::to_string(&merged)
         .map_err(|err| StoreError::Protocol { reason: err.to_string() })?;
-    match parts.store.get(&key).await? {
-        Some(held) => parts.store.replace(&key, held.revision, value).await.map(drop),
-        None => parts.store.create(&key, value).await.map(drop),
+    match held {
+        Some(held) if held.value == value => {}
+        Some(held) => drop(parts.store.replace(&key, held.revision, value).await?),
+        None => drop(parts.store.create(&key, value).await?),
     }
+    parts.rollouts.merge_stage(&merged.record, Instant::now());
+    Ok(())
 }
 
 /// Returns the name of an order's object, which its identity begins with.
--- a/components/daemon/src/tasks.rs
+++ b/components/daemon/src/tasks.rs
@@ -50,7 +50,7 @@
             &config.current(),
             records.into_iter(),
             &owner,
-            &rollouts.view(),
+            (&rollouts.view(), members.fleet().daemon_count()),
             time_since_start(),
         );
         table.store(Arc::new(next));
--- a/components/decide/src/allowance/fleet.rs
+++ b/components/decide/src/allowance/fleet.rs
@@ -12,8 +12,12 @@
 pub enum MemberPresence {
     /// It is heard of.
     Alive,
-    /// It is not heard of, and may still serve requests.
+    /// It is not heard of any more, and may still serve requests.
     Lost,
+    /// It belongs to the fleet and is not heard of, perhaps never since the start of the observer.
+    Missing,
+    /// It is not heard of at a daemon that does not know the fleet, and counts as serving.
+    Unheard,
     /// It has said that it leaves.
     Left,
 }
@@ -34,10 +38,11 @@
     }
 }
 
-/// Remembers when daemons were last alive.
+/// Remembers until when daemons count as ones that may serve.
 #[derive(Clone, Debug, Default)]
 pub struct FleetTracker {
-    last_alive: BTreeMap<Arc<str>, Duration>,
+    /// When each daemon was last alive or first missed; `None` for those that have left.
+    last_counted: BTreeMap<Arc<str>, Option<Duration>>,
 }
 
 impl FleetTracker {
@@ -47,21 +52,29 @@
         members: impl Iterator<Item = (&'a str, MemberPresence)>,
         now: Duration,
     ) -> FleetView {
-        let mut alive = Vec::new();
+        let (mut alive, mut counted) = (Vec::new(), BTreeMap::new());
         for (name, presence) in members {
-            match presence {
-                MemberPresence::Alive => {
-                    let name: Arc<str> = Arc::from(name);
-                    self.last_alive.insert(name.clone(), now);
-                    alive.push(name);
-                }
-                MemberPresence::Left => drop(self.last_alive.remove(name)),
-                MemberPresence::Lost => (),
+            let name: Arc<str> = Arc::from(name);
+            let before = self.last_counted.remove(&name);
+            let at = match presence {
+                MemberPresence::Alive | MemberPresence::Unheard => Some(now),
+                MemberPresence::Missing => before.unwrap_or(Some(now)),
+                MemberPresence::Lost => before.flatten(),
+                MemberPresence::Left => None,
+            };
+            if presence == MemberPresence::Alive {
+                alive.push(name.clone());
             }
+            counted.insert(name, at);
         }
-        self.last_alive.retain(|_, at| now.saturating_sub(*at) <= KNOWN_TIME);
+        // A daemon whose record has been dropped counts as long as one that is lost.
+        let is_recent =
+            |at: &Option<Duration>| at.is_some_and(|at| now.saturating_sub(at) <= KNOWN_TIME);
+        self.last_counted.retain(|_, at| is_recent(at));
+        self.last_counted.extend(counted);
         alive.sort_unstable();
-        FleetView { alive, known: self.last_alive.len() as u32 }
+        let known = self.last_counted.values().filter(|at| is_recent(at)).count() as u32;
+        FleetView { alive, known }
     }
 }
 
--- a/components/decide/src/rollout.rs
+++ b/components/decide/src/rollout.rs
@@ -110,6 +110,9 @@
     pub sent_to_target: u64,
     /// Requests that run on old servers or wait there.
     pub base_running: u32,
+    /// Whether too little is known of the old servers to end the roll-out, except for a fault of the
+    /// target version.
+    pub is_base_lost: bool,
 }
 
 /// What to do with a roll-out.
@@ -155,15 +158,28 @@
     answers: 30,
     work_answers: 6,
     excess: 0.08,
+    seen_excess: 0.08,
     work_excess: 0.35,
     slowness: 2.2,
 };
 /// What the evidence since the last step has to show.
-const FRESH_LIMITS: AcceptanceLimits =
-    AcceptanceLimits { answers: 6, work_answers: 0, excess: 0.35, work_excess: 0.6, slowness: 3.0 };
+const FRESH_LIMITS: AcceptanceLimits = AcceptanceLimits {
+    answers: 6,
+    work_answers: 0,
+    excess: 0.35,
+    seen_excess: 0.35,
+    work_excess: 0.6,
+    slowness: 3.0,
+};
 /// What suffices when the time for a step has passed, for services with few requests.
-const SCARCE_LIMITS: AcceptanceLimits =
-    AcceptanceLimits { answers: 8, work_answers: 0, excess: 0.35, work_excess: 0.6, slowness: 2.2 };
+const SCARCE_LIMITS: AcceptanceLimits = AcceptanceLimits {
+    answers: 8,
+    work_answers: 0,
+    excess: 0.35,
+    seen_excess: 0.06,
+    work_excess: 0.6,
+    slowness: 2.2,
+};
 
 /// Decides on one order from samples of what the guards count.
 #[derive(Clone, Debug)]
@@ -260,7 +276,10 @@
         let fault = self.fault(sample);
         match (self.stage.phase, fault) {
             _ if self.stage.is_final() => self.stage,
-            _ if serves_alone(sample) => self.at(RolloutPhase::Finished, 1.0, sample),
+            (_, None) if sample.is_base_lost => self.stage,
+            _ if serves_alone(sample) && !sample.is_base_lost => {
+                self.at(RolloutPhase::Finished, 1.0, sample)
+            }
             (_, Some(reason)) => self.rolled_back(reason),
             (RolloutPhase::Moving, _) if is_idle => self.at(RolloutPhase::Finished, 1.0, sample),
             _ if now >= plan.end(is_moved) => self.rolled_back(self.lateness(sample)),
--- a/components/decide/src/rollout/judging.rs
+++ b/components/decide/src/rollout/judging.rs
@@ -32,7 +32,9 @@
     pub(crate) work_answers: u64,
     /// Share of failures beyond those of the base that the evidence has to rule out.
     pub(crate) excess: f64,
-    /// The same of each kind of work.
+    /// Share of failures beyond those of the base that the evidence may show at most.
+    pub(crate) seen_excess: f64,
+    /// Share of failures of each kind of work that the evidence has to rule out.
     pub(crate) work_excess: f64,
     /// Factor on the base's service times that must not be reached.
     pub(crate) slowness: f64,
--- a/components/decide/src/rollout/progress.rs
+++ b/components/decide/src/rollout/progress.rs
@@ -11,7 +11,10 @@
 /// Part of these that has to be answered. The others were lost, or take long by their kind.
 const ANSWERED_PART: f64 = 0.6;
 /// Time from which the rate of the service's requests is known.
-const RATE_TIME: Duration = Duration::from_millis(500);
+const RATE_TIME: Duration = Duration::from_millis(1200);
+/// Time by which the counts of the guards may be older than the sample. A rate that is taken for too
+/// low gives the canary more than its part.
+const COUNT_DELAY: Duration = Duration::from_millis(700);
 /// Weight of a sample in the number of requests that run.
 const RUNNING_WEIGHT: f64 = 0.2;
 /// Time for which the old servers have to run nothing.
@@ -104,7 +107,8 @@
     /// Returns the service's requests per second, once there are enough samples.
     pub(crate) fn rate(&self) -> Option<f64> {
         let time = self.now.saturating_sub(self.first_sent?.0);
-        (time >= RATE_TIME).then(|| self.sent_since as f64 / time.as_secs_f64())
+        let counted = time.saturating_sub(COUNT_DELAY);
+        (time >= RATE_TIME).then(|| self.sent_since as f64 / counted.as_secs_f64())
     }
 
     /// Returns the longest service time of the base so far.
--- a/components/decide/src/rollout/sequential.rs
+++ b/components/decide/src/rollout/sequential.rs
@@ -163,6 +163,14 @@
         self.failures - self.tolerated > boundary
     }
 
+    /// Returns whether the failures beyond the base's are below a share, but for what chance adds at
+    /// the base's rate.
+    fn shows_excess_below(&self, share: f64) -> bool {
+        let answers = self.answers.max(1.0);
+        let rate = (self.expected / answers).min(1.0);
+        self.excess_rate() <= share + (rate * (1.0 - rate) / answers).sqrt()
+    }
+
     /// Returns an upper bound of the failures beyond the base's, at about 95 % (Agresti and Coull
     /// 1998).
     fn excess_bound(&self) -> f64 {
@@ -289,6 +297,7 @@
         let total = sum(all.values());
         total.answers >= limits.answers as f64
             && total.excess_bound() <= limits.excess
+            && total.shows_excess_below(limits.seen_excess)
             && self.slowness(&all).0 <= limits.slowness.ln()
             && self.base_answers.iter().all(accepts_work)
     }
--- a/components/decide/src/rollout/stage.rs
+++ b/components/decide/src/rollout/stage.rs
@@ -38,6 +38,13 @@
     OutOfTime,
 }
 
+impl RollbackReason {
+    /// Returns whether the target version has shown a fault.
+    pub fn is_fault(&self) -> bool {
+        matches!(self, Self::Failing { .. } | Self::Slow { .. })
+    }
+}
+
 /// Phase of a roll-out. The order of the variants is that of their precedence in a merge.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
--- a/components/member/src/lib.rs
+++ b/components/member/src/lib.rs
@@ -10,6 +10,7 @@
 mod assessment;
 mod choice;
 mod digest;
+mod fleet;
 mod freshness;
 mod heartbeat;
 mod marks;
@@ -27,6 +28,7 @@
 
 pub use choice::{choose_relays, rendezvous_weight};
 pub use digest::{DIGEST_BUCKETS, MemberDigest, bucket_of};
+pub use fleet::{FleetKnowledge, FleetRoster, RosterUpkeep};
 pub use freshness::{FreshnessProof, FreshnessTracker, HistoryPosition, PollOptions, PollerHash};
 pub use heartbeat::{HeartbeatFilter, HeartbeatStatus, ServerBoot, ServerHeartbeat};
 pub use marks::{LocalReachability, ReachabilityMarks};
--- a/components/member/src/shared_members.rs
+++ b/components/member/src/shared_members.rs
@@ -11,7 +11,7 @@
 use sk_model::ProxyId;
 use tokio::sync::watch;
 
-use crate::{MemberRecord, MemberTable, ReachabilityMarks};
+use crate::{FleetKnowledge, FleetRoster, MemberRecord, MemberTable, ReachabilityMarks};
 
 /// Snapshot of the records, by daemon name; cheap to clone.
 pub type MemberSnapshot = Arc<BTreeMap<ProxyId, Arc<MemberRecord>>>;
@@ -22,6 +22,8 @@
 pub struct SharedMembers {
     table: Mutex<MemberTable>,
     marks: Mutex<ReachabilityMarks>,
+    /// `None` until it has been read.
+    roster: Mutex<Option<FleetRoster>>,
     snapshot: watch::Sender<MemberSnapshot>,
 }
 
@@ -30,7 +32,12 @@
     pub fn new(record: MemberRecord) -> Self {
         let table = MemberTable::new(record);
         let snapshot = watch::Sender::new(Arc::new(table.records().clone()));
-        Self { table: Mutex::new(table), marks: Mutex::default(), snapshot }
+        Self {
+            table: Mutex::new(table),
+            marks: Mutex::default(),
+            roster: Mutex::default(),
+            snapshot,
+        }
     }
 
     /// Applies a change to the table, and publishes a new snapshot if `is_changed` returns true.
@@ -60,6 +67,24 @@
         self.marks.lock().unwrap_or_else(PoisonError::into_inner).clone()
     }
 
+    /// Sets the names of the daemons that the platform's store has, and wakes the subscribers.
+    pub fn set_roster(&self, roster: FleetRoster) {
+        let mut held = self.roster.lock().unwrap_or_else(PoisonError::into_inner);
+        let is_changed = held.as_ref() != Some(&roster);
+        *held = Some(roster);
+        drop(held);
+        if is_changed {
+            self.snapshot.send_modify(|_| ());
+        }
+    }
+
+    /// Returns which daemons the fleet has and which of them this one reaches.
+    pub fn fleet(&self) -> FleetKnowledge {
+        let (members, marks, own) = (self.snapshot(), self.marks(), self.own());
+        let roster = self.roster.lock().unwrap_or_else(PoisonError::into_inner);
+        FleetKnowledge::assess(&own.proxy, &members, &marks, roster.as_ref())
+    }
+
     /// Returns the current snapshot of the records.
     pub fn snapshot(&self) -> MemberSnapshot {
         self.snapshot.borrow().clone()
--- a/components/proxy/src/table.rs
+++ b/components/proxy/src/table.rs
@@ -170,22 +170,24 @@
         owner: &TableOwner,
         now: Duration,
     ) -> Self {
-        Self::build_divided(before, snapshot, members, owner, &RolloutView::default(), now)
+        let members: Vec<&MemberRecord> = members.collect();
+        let fleet = members.iter().filter(|record| record.is_active()).count();
+        let division = (&RolloutView::default(), fleet);
+        Self::build_divided(before, snapshot, members.into_iter(), owner, division, now)
     }
 
     /// Builds a table like [`RouteTable::build`], whose services are divided by the orders that are
-    /// running and lack the versions that get nothing.
+    /// running and lack the versions that get nothing. Retry budgets are divided by `fleet`, the
+    /// number of daemons.
     pub fn build_divided<'a>(
         before: &Self,
         snapshot: &ConfigSnapshot,
         members: impl Iterator<Item = &'a MemberRecord>,
         owner: &TableOwner,
-        rollouts: &RolloutView,
+        (rollouts, fleet): (&RolloutView, usize),
         now: Duration,
     ) -> Self {
-        let members: Vec<&MemberRecord> = members.collect();
-        let fleet = members.iter().filter(|record| record.is_active()).count();
-        let mut found = find_endpoints(members.into_iter());
+        let mut found = find_endpoints(members);
         let mut build = |name: &str, previous: Option<&TableService>| {
             let mut endpoints = found.remove(name).unwrap_or_default();
             let mut division = None;
--- a/components/rollout/src/control.rs
+++ b/components/rollout/src/control.rs
@@ -11,7 +11,8 @@
     RolloutController, RolloutPhase, RolloutSample, RolloutSettings, RolloutStage, RolloutVerdict,
     ServerKey,
 };
-use sk_model::UnixMillis;
+use sk_member::{FleetKnowledge, ServerId};
+use sk_model::{ProxyId, UnixMillis};
 use tokio::time::Instant;
 
 use crate::{
@@ -19,6 +20,7 @@
     records::{EvidenceRecord, GroupCounts, STAGE_ENDED, StageRecord, StoredStage, add_stored},
     shared::SharedRollouts,
     state::{RolloutState, finished, rolled_back},
+    versions::SeenServer,
 };
 
 /// Time without a request at the old servers after which none is on its way there: longer than a
@@ -27,8 +29,9 @@
 /// Time for which the target version must have been alone at its service, so that servers which
 /// this relay does not know yet are not taken for gone.
 const ALONE_TIME: Duration = Duration::from_millis(1_500);
-/// Time after the end of moving at which guards that do not answer are not waited for any more.
-const CONFIRM_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Time after which a daemon that lists no old server any more has none. Longer than a daemon that
+/// starts again needs to find the server beside it.
+const ABSENT_TIME: Duration = Duration::from_secs(5);
 
 /// Decides on the orders that are running, at a relay.
 pub struct OrderControl {
@@ -44,7 +47,32 @@
     base_quiet_since: Instant,
     /// Since when the target version is alone.
     alone_since: Option<Instant>,
-    finished_at: Option<Instant>,
+    /// Since when each host is within reach without listing an old server.
+    absent_since: BTreeMap<ProxyId, Instant>,
+}
+
+/// What is known of the old servers beside one daemon.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum HostState {
+    /// The daemon is within reach and lists old servers.
+    Present,
+    /// The daemon is within reach and lists none, perhaps because it has just started.
+    Unclear,
+    /// The daemon says that it has none, or has left the fleet.
+    Left,
+    /// The daemon is not within reach.
+    Lost,
+}
+
+/// What is known of the old servers of an order.
+#[derive(Clone, Debug, Default)]
+struct BaseHosts {
+    /// Old servers beside daemons within reach.
+    present: BTreeSet<ServerId>,
+    /// Daemons that may have old servers which they do not list.
+    unclear: u32,
+    /// Whether too few daemons are within reach to know what the old servers run.
+    is_lost: bool,
 }
 
 impl OrderControl {
@@ -68,27 +96,36 @@
             let id = order.id();
             rollouts.stage(&id).is_none() && is_checked(&id)
         });
-        let records = new.map(|order| StageRecord {
-            order: order.id(),
-            service: order.service.clone(),
-            target: order.target.clone(),
-            created: order.created,
-            started_at: unix_now,
-            stage: RolloutStage::default(),
-            base: Vec::new(),
-            note: None,
-        });
+        let begin = |order: &RolloutOrder| {
+            let known_for = rollouts.read(|state| state.known_for(&order.id(), now));
+            let record = StageRecord {
+                order: order.id(),
+                service: order.service.clone(),
+                target: order.target.clone(),
+                created: order.created,
+                // The order may have waited for a relay that can act.
+                started_at: unix_now.saturating_sub(known_for.as_millis() as UnixMillis),
+                stage: RolloutStage::default(),
+                base: Vec::new(),
+                hosts: BTreeSet::new(),
+                note: None,
+            };
+            rollouts.read(|state| record_base(state, order, &record))
+        };
+        let records = new.map(begin);
         let records: Vec<StageRecord> = records.collect();
         records.iter().for_each(|record| rollouts.merge_stage(record, now));
         let stored = |record| StoredStage { record, counts: GroupCounts::default() };
         records.into_iter().map(stored).collect()
     }
 
-    /// Decides on all running orders, and returns the stages that changed. A relay that does not act
-    /// only rolls back.
+    /// Decides on all running orders at a relay that knows the fleet, and returns the stages that
+    /// changed. A relay that does not act only rolls back a version that shows a fault: it may know
+    /// of the last step later than the one that acts.
     pub fn decide(
         &mut self,
         rollouts: &SharedRollouts,
+        fleet: &FleetKnowledge,
         is_acting: bool,
         now: Instant,
         unix_now: UnixMillis,
@@ -100,25 +137,31 @@
         for order in running {
             let Some(record) = rollouts.stage(&order.id()) else { continue };
             let elapsed = Duration::from_millis(unix_now.saturating_sub(record.started_at));
-            let (sample, mut next) =
-                rollouts.read(|state| gather(state, &order, &record, now, elapsed));
+            let controlled = self.control(&order, &record, now);
+            let (sample, mut next) = rollouts.read(|state| {
+                let next = record_base(state, &order, &record);
+                let hosts = controlled.look_at_hosts(state, &order, &next, fleet, now);
+                (gather(state, &order, &hosts, now, elapsed), next)
+            });
             let is_newest = rollouts.read(|state| {
                 state.newest_order(&order.service).is_some_and(|newest| newest.id() == order.id())
             });
-            let controlled = self.control(&order, &record, now);
             let (stage, note) = match is_newest {
-                true => controlled.assess(sample.clone(), &record, now),
+                true => controlled.assess(sample.clone(), &next, now),
                 false => (rolled_back(), Some("a newer order replaces it".to_owned())),
             };
-            let is_rollback = matches!(stage.phase, RolloutPhase::RolledBack(_));
-            if !is_acting && !is_rollback {
+            let is_fault =
+                matches!(stage.phase, RolloutPhase::RolledBack(reason) if reason.is_fault());
+            if !is_acting && !is_fault {
                 continue;
             }
             next.stage = stage;
             next.note = note;
             let is_stage_new = record.stage.merge(stage) != record.stage;
+            let is_base_new = (&record.base, &record.hosts) != (&next.base, &next.hosts);
             rollouts.merge_stage(&next, now);
-            if let Some(record) = rollouts.stage(&order.id()).filter(|_| is_stage_new) {
+            let merged = rollouts.stage(&order.id());
+            if let Some(record) = merged.filter(|_| is_stage_new || is_base_new) {
                 let counts = rollouts.read(|state| sum_counts(state, &order));
                 log::info!(
                     order:% = order.id(), elapsed_ms = elapsed.as_millis() as u64,
@@ -132,10 +175,12 @@
         changed
     }
 
-    /// Returns the states that the store lacks.
+    /// Returns the states that the store lacks. A finished order is done as soon as the old servers
+    /// are known to run nothing any more.
     pub fn due_states(
         &mut self,
         rollouts: &SharedRollouts,
+        fleet: &FleetKnowledge,
         now: Instant,
     ) -> Vec<(RolloutOrder, OrderState)> {
         let mut due = Vec::new();
@@ -145,10 +190,11 @@
                 RolloutPhase::RolledBack(_) => OrderState::RolledBack,
                 RolloutPhase::Finished => {
                     let controlled = self.control(&order, &record, now);
-                    let finished_at = *controlled.finished_at.get_or_insert(now);
-                    let is_confirmed =
-                        rollouts.read(|state| is_end_confirmed(state, &order, &record));
-                    match is_confirmed || now.duration_since(finished_at) >= CONFIRM_TIMEOUT {
+                    let is_confirmed = rollouts.read(|state| {
+                        let hosts = controlled.look_at_hosts(state, &order, &record, fleet, now);
+                        is_end_confirmed(state, &order, &hosts)
+                    });
+                    match is_confirmed {
                         true => OrderState::Done,
                         false => OrderState::Running,
                     }
@@ -175,7 +221,7 @@
             base_sent: 0,
             base_quiet_since: now,
             alone_since: None,
-            finished_at: None,
+            absent_since: BTreeMap::new(),
         });
         controlled.controller.advance(record.stage);
         controlled
@@ -183,6 +229,43 @@
 }
 
 impl ControlledOrder {
+    /// Returns what is known of the old servers of an order.
+    fn look_at_hosts(
+        &mut self,
+        state: &RolloutState,
+        order: &RolloutOrder,
+        record: &StageRecord,
+        fleet: &FleetKnowledge,
+        now: Instant,
+    ) -> BaseHosts {
+        let within_reach = base_servers(state, order).filter(|(_, it)| fleet.reaches(&it.host));
+        let (present, listing): (BTreeSet<ServerId>, BTreeSet<&ProxyId>) =
+            within_reach.map(|(server, it)| (server.clone(), &it.host)).unzip();
+        let is_absent = |host: &ProxyId| fleet.reaches(host) && !listing.contains(host);
+        self.absent_since.retain(|host, _| is_absent(host));
+        for host in record.hosts.iter().filter(|host| is_absent(host)) {
+            self.absent_since.entry(host.clone()).or_insert(now);
+        }
+        let state_of = |host: &ProxyId| match self.absent_since.get(host) {
+            _ if !fleet.has(host) => HostState::Left,
+            _ if !fleet.reaches(host) => HostState::Lost,
+            Some(since) if now.duration_since(*since) >= ABSENT_TIME => HostState::Left,
+            Some(_) => HostState::Unclear,
+            None => HostState::Present,
+        };
+        let states: Vec<HostState> = record.hosts.iter().map(state_of).collect();
+        let count = |wanted: HostState| states.iter().filter(|state| **state == wanted).count();
+        BaseHosts {
+            present,
+            unclear: count(HostState::Unclear) as u32,
+            // Without any old server known, a daemon that has not been heard of may have one.
+            is_lost: match states.is_empty() {
+                true => !fleet.is_complete(),
+                false => count(HostState::Lost) * 2 > states.len(),
+            },
+        }
+    }
+
     /// Assesses a sample, and returns the stage reached with a note for the operator.
     fn assess(
         &mut self,
@@ -200,7 +283,8 @@
         }
         let is_alone = sample.base_capacity.servers == 0
             && sample.target_capacity.servers > 0
-            && record.base.is_empty();
+            && record.base.is_empty()
+            && !sample.is_base_lost;
         self.alone_since = self.alone_since.or(Some(now)).filter(|_| is_alone);
         if self.alone_since.is_some_and(|since| now.duration_since(since) >= ALONE_TIME) {
             return (finished(), Some("the target version already serves alone".to_owned()));
@@ -217,20 +301,35 @@
     }
 }
 
-/// Returns the sample of an order, and its record with the versions seen beside the target version.
+/// Returns the record of an order with the versions seen beside the target version, and where.
+fn record_base(state: &RolloutState, order: &RolloutOrder, record: &StageRecord) -> StageRecord {
+    let mut next = record.clone();
+    let versions = state.versions.of_service(&order.service).into_iter().flatten();
+    let others = versions.filter(|(version, _)| **version != order.target && !version.is_empty());
+    for (version, sighting) in others {
+        next.base.push(version.clone());
+        next.hosts.extend(sighting.servers().map(|(_, server)| server.host.clone()));
+    }
+    next.base.sort();
+    next.base.dedup();
+    next
+}
+
+/// Returns the sample of an order.
 fn gather(
     state: &RolloutState,
     order: &RolloutOrder,
-    record: &StageRecord,
+    hosts: &BaseHosts,
     now: Instant,
     elapsed: Duration,
-) -> (RolloutSample, StageRecord) {
+) -> RolloutSample {
     let is_target = |version: &str| version == order.target;
     let mut sample = RolloutSample {
         elapsed,
         target_capacity: state.versions.capacity(&order.service, now, is_target),
         base_capacity: state.versions.capacity(&order.service, now, |version| !is_target(version)),
-        base_running: base_running(state, order),
+        base_running: base_running(state, order, hosts),
+        is_base_lost: hosts.is_lost,
         ..RolloutSample::default()
     };
     if let Some(stored) = state.stored.get(&order.id()) {
@@ -250,41 +349,39 @@
         };
         group.add_server(server_key(&counted.server), &counted.evidence());
     }
-    let present = state.versions.of_service(&order.service).into_iter().flat_map(BTreeMap::keys);
-    let others = present.filter(|version| !is_target(version) && !version.is_empty()).cloned();
-    let base: BTreeSet<String> = record.base.iter().cloned().chain(others).collect();
-    (sample, StageRecord { base: base.into_iter().collect(), ..record.clone() })
+    sample
 }
 
 /// Returns the number of requests on old servers. A guard that does not know yet that all requests
-/// go to the target version counts as running one.
-fn base_running(state: &RolloutState, order: &RolloutOrder) -> u32 {
+/// go to the target version counts as running one, and so does a daemon that may have old servers.
+fn base_running(state: &RolloutState, order: &RolloutOrder, hosts: &BaseHosts) -> u32 {
     let known = last_records(state, order);
-    let running = base_servers(state, order).map(|server| match known.get(server) {
+    let running = hosts.present.iter().map(|server| match known.get(server.as_str()) {
         Some(record) if record.stage_known >= 1000 => record.running,
         Some(record) => record.running.max(1),
         None => 1,
     });
-    running.sum()
+    running.sum::<u32>() + hosts.unclear
 }
 
-/// Returns whether all guards of old servers know that the order has ended and run nothing.
-fn is_end_confirmed(state: &RolloutState, order: &RolloutOrder, record: &StageRecord) -> bool {
+/// Returns whether the guards of the old servers know that the order has ended and run nothing. Those
+/// of a few daemons that are not within reach are not waited for.
+fn is_end_confirmed(state: &RolloutState, order: &RolloutOrder, hosts: &BaseHosts) -> bool {
     let known = last_records(state, order);
     let is_ended =
         |record: &&EvidenceRecord| record.stage_known == STAGE_ENDED && record.running == 0;
-    record.base.is_empty()
-        || base_servers(state, order).all(|server| known.get(server).is_some_and(is_ended))
+    let is_present_ended = |server: &ServerId| known.get(server.as_str()).is_some_and(is_ended);
+    !hosts.is_lost && hosts.unclear == 0 && hosts.present.iter().all(is_present_ended)
 }
 
 /// Returns the servers of the service that are not of the target version.
 fn base_servers<'a>(
     state: &'a RolloutState,
     order: &'a RolloutOrder,
-) -> impl Iterator<Item = &'a str> {
+) -> impl Iterator<Item = (&'a ServerId, &'a SeenServer)> {
     let versions = state.versions.of_service(&order.service).into_iter().flatten();
     let others = versions.filter(|(version, _)| **version != order.target);
-    others.flat_map(|(_, sighting)| sighting.servers().map(String::as_str))
+    others.flat_map(|(_, sighting)| sighting.servers())
 }
 
 /// Returns the last record of each server.
--- a/components/rollout/src/records.rs
+++ b/components/rollout/src/records.rs
@@ -1,6 +1,6 @@
 //! Records about orders that daemons exchange. Each kind merges in any order.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use serde::{Deserialize, Serialize};
 use sk_decide::rollout::{
@@ -32,6 +32,10 @@
     pub stage: RolloutStage,
     /// Versions that ran beside the target version.
     pub base: Vec<ServerVersion>,
+    /// Daemons beside which servers of these versions have been seen since the order. The order is
+    /// not done before most of them have said that their servers run nothing any more.
+    #[serde(default, skip_serializing_if = "BTreeSet::is_empty")]
+    pub hosts: BTreeSet<ProxyId>,
     /// Why it ended, if the stage does not say.
     pub note: Option<String>,
 }
@@ -48,6 +52,7 @@
         self.base.extend(other.base.iter().cloned());
         self.base.sort();
         self.base.dedup();
+        self.hosts.extend(other.hosts.iter().cloned());
         *self != before
     }
 
@@ -72,6 +77,20 @@
     pub counts: GroupCounts,
 }
 
+impl StoredStage {
+    /// Returns this merged with what the store has of the same order. The counts that cover more
+    /// requests hold.
+    #[must_use]
+    pub fn merged(&self, other: &Self) -> Self {
+        let mut merged = self.clone();
+        merged.record.merge(&other.record);
+        if other.counts.sent > merged.counts.sent {
+            merged.counts.clone_from(&other.counts);
+        }
+        merged
+    }
+}
+
 /// Counts of an order, summed over the guards of its service.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(default)]
@@ -176,4 +195,8 @@
     pub age_ms: u64,
     /// Milliseconds since the relay knew all orders, `None` if it has never read them.
     pub read_age_ms: Option<u64>,
+    /// Whether the relay does not take part any more, so that another one need not wait for its
+    /// silence.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub is_last: bool,
 }
--- a/components/rollout/src/shared.rs
+++ b/components/rollout/src/shared.rs
@@ -105,7 +105,7 @@
 
     /// Takes over the orders read from the store.
     pub fn merge_book(&self, book: &OrderBook, now: Instant) {
-        self.change(now, |state| state.merge_book(book));
+        self.change(now, |state| state.merge_book(book, now));
     }
 
     /// Records a beat of this daemon as relay.
--- a/components/rollout/src/state.rs
+++ b/components/rollout/src/state.rs
@@ -58,6 +58,8 @@
     /// Counts from before a restart of all daemons, at relays only.
     pub(crate) stored: BTreeMap<OrderId, GroupCounts>,
     pub(crate) versions: VersionTable,
+    /// When each order became known here.
+    first_known: BTreeMap<OrderId, Instant>,
     changed: ChangedKeys,
 }
 
@@ -114,17 +116,29 @@
         let live = self
             .beats
             .iter()
-            .filter(move |(_, heard)| now.saturating_duration_since(heard.sent_at) < MAX_SILENCE);
+            .filter(move |(_, heard)| now.saturating_duration_since(heard.sent_at) < MAX_SILENCE)
+            .filter(|(_, heard)| !heard.beat.is_last);
         live.map(|(relay, _)| relay)
     }
 
+    /// Returns for how long an order has been known here.
+    pub(crate) fn known_for(&self, order: &str, now: Instant) -> Duration {
+        let since = self.first_known.get(order).copied().unwrap_or(now);
+        now.saturating_duration_since(since)
+    }
+
     /// Takes over the orders read from the store, and returns whether anything changed.
-    pub(crate) fn merge_book(&mut self, book: &OrderBook) -> bool {
+    pub(crate) fn merge_book(&mut self, book: &OrderBook, now: Instant) -> bool {
         if self.book.as_ref().is_some_and(|held| held.position >= book.position) {
             return false;
         }
         let is_changed = self.book.as_ref().is_none_or(|held| held.orders != book.orders);
         self.book = Some(book.clone());
+        let ids: BTreeSet<OrderId> = book.orders.iter().map(RolloutOrder::id).collect();
+        self.first_known.retain(|id, _| ids.contains(id));
+        for id in ids {
+            self.first_known.entry(id).or_insert(now);
+        }
         self.changed.book |= is_changed;
         if is_changed {
             self.end_missing();
@@ -251,7 +265,7 @@
             is_changed |= self.merge_stage(record);
         }
         if let Some(book) = &notice.book {
-            is_changed |= self.merge_book(book);
+            is_changed |= self.merge_book(book, now);
         }
         for beat in &notice.beats {
             is_changed |= self.merge_beat(beat, now);
--- a/components/rollout/src/versions.rs
+++ b/components/rollout/src/versions.rs
@@ -4,7 +4,7 @@
 
 use sk_decide::rollout::VersionCapacity;
 use sk_member::{EndpointStatus, MemberRecord, ServerId, ServerVersion};
-use sk_model::ServiceName;
+use sk_model::{ProxyId, ServiceName};
 use std::time::Duration;
 use tokio::time::Instant;
 
@@ -20,8 +20,18 @@
 pub struct VersionSighting {
     /// Since when the version is known.
     first_seen: Instant,
-    /// Servers that are ready, with their slots and since when each is known.
-    servers: BTreeMap<ServerId, (u32, Instant)>,
+    /// Servers that are ready.
+    servers: BTreeMap<ServerId, SeenServer>,
+}
+
+/// A server that is ready.
+#[derive(Clone, Debug)]
+pub(crate) struct SeenServer {
+    /// The daemon beside it.
+    pub(crate) host: ProxyId,
+    slots: u32,
+    /// Since when it is known.
+    since: Instant,
 }
 
 /// Versions of all services.
@@ -49,12 +59,14 @@
                 let first_seen = old.as_ref().map_or(now, |old| old.first_seen);
                 let since = old
                     .and_then(|old| old.servers.get(&endpoint.server))
-                    .map_or(now, |(_, since)| *since);
+                    .map_or(now, |server| server.since);
                 let versions = self.services.entry(endpoint.service.clone()).or_default();
                 let sighting = versions
                     .entry(endpoint.version.clone())
                     .or_insert_with(|| VersionSighting { first_seen, servers: BTreeMap::new() });
-                sighting.servers.insert(endpoint.server.clone(), (endpoint.slots, since));
+                let host = record.proxy.clone();
+                let server = SeenServer { host, slots: endpoint.slots, since };
+                sighting.servers.insert(endpoint.server.clone(), server);
             }
         }
     }
@@ -84,10 +96,10 @@
         let mut capacity = VersionCapacity::default();
         let versions = self.services.get(service).into_iter().flatten();
         for (_, sighting) in versions.filter(|(version, _)| is_wanted(version)) {
-            for (slots, since) in sighting.servers.values() {
+            for server in sighting.servers.values() {
                 capacity.servers += 1;
-                capacity.slots += slots;
-                capacity.warm_servers += u32::from(now.duration_since(*since) >= WARM_AGE);
+                capacity.slots += server.slots;
+                capacity.warm_servers += u32::from(now.duration_since(server.since) >= WARM_AGE);
             }
         }
         capacity
@@ -122,7 +134,7 @@
 
 impl VersionSighting {
     /// Returns the servers that are ready.
-    pub(crate) fn servers(&self) -> impl Iterator<Item = &ServerId> {
-        self.servers.keys()
+    pub(crate) fn servers(&self) -> impl Iterator<Item = (&ServerId, &SeenServer)> {
+        self.servers.iter()
     }
 }
--- a/components/rollout/tests/cut_daemon.rs
+++ b/components/rollout/tests/cut_daemon.rs
@@ -32,7 +32,7 @@
 
 fn beat(sequence: u64) -> RelayBeat {
     let relay = "relay".to_owned();
-    RelayBeat { relay, incarnation: 1, sequence, age_ms: 0, read_age_ms: Some(0) }
+    RelayBeat { relay, incarnation: 1, sequence, age_ms: 0, read_age_ms: Some(0), is_last: false }
 }
 
 fn order() -> RolloutOrder {
@@ -56,6 +56,7 @@
         started_at: 1,
         stage: RolloutStage { phase, share_thousandths, servers: 1 },
         base: vec!["v1".to_owned()],
+        hosts: BTreeSet::new(),
         note: None,
     }
 }
--- a/components/spread/src/driver.rs
+++ b/components/spread/src/driver.rs
@@ -34,8 +34,9 @@
     options::SpreadOptions,
     relays::maintain_relays,
     repair::reconcile_repeatedly,
+    roster::maintain_roster,
     rumors::send_own_record,
-    source::{AckSink, ConfigSource, ContactStore, NoticeExchange},
+    source::{AckSink, ConfigSource, ContactStore, NoticeExchange, RosterStore},
     start::become_ready,
     state::{SpreadState, SpreadStats},
     tasks::{ConfirmOutcome, FetchTask, ForwardTask},
@@ -63,6 +64,8 @@
     pub source: Arc<dyn ConfigSource>,
     /// Stores contacts; without it only seeds are tried.
     pub contacts: Option<Arc<dyn ContactStore>>,
+    /// Stores the names of the fleet's daemons; without it the members are the fleet.
+    pub roster: Option<Arc<dyn RosterStore>>,
     /// Receives acknowledgements at a relay.
     pub acks: Arc<dyn AckSink>,
     /// Notices about requests; without it none are distributed.
@@ -196,10 +199,12 @@
     let asks = parts.allowances.as_mut().map(AllowancePort::take_calls);
     let (node, receivers) = make_node(options, parts, stats);
     let stage = watch::Sender::new(JoinStage::Pending);
+    let is_roster_tried = watch::Sender::new(false);
     tokio::join!(
         accept_peers(&node, listener),
         join_fleet(&node, &stage),
-        become_ready(&node, stage.subscribe()),
+        become_ready(&node, stage.subscribe(), is_roster_tried.subscribe()),
+        maintain_roster(&node, &is_roster_tried),
         maintain_contacts(&node),
         maintain_relays(&node),
         maintain_links(&node),
@@ -239,6 +244,7 @@
         source_outage: OutageLog::new("spread", "the configuration source"),
         freshness: RefCell::new(FreshnessTracker::new(&own.proxy, options.takeover_options())),
         contacts: parts.contacts,
+        roster: parts.roster,
         acks: parts.acks,
         ack_batch: Default::default(),
         notices: parts.notices,
--- a/components/spread/src/join.rs
+++ b/components/spread/src/join.rs
@@ -182,7 +182,8 @@
 
 /// Returns the contacts to store: those stored already that are still members, filled up with
 /// relays and then with other members. Stored ones come first, so that only the loss of a contact
-/// causes a write.
+/// causes a write. A daemon that does not know the fleet cannot tell which of them are lost, and
+/// keeps the others as far as there is room.
 fn choose_contacts(node: &SpreadNode, stored: &[SocketAddr]) -> Vec<SocketAddr> {
     let own = node.members.own();
     let members = node.member_snapshot();
@@ -200,5 +201,11 @@
             wanted.push(address);
         }
     }
+    if !node.members.fleet().knows_fleet() {
+        let others: Vec<SocketAddr> =
+            stored.iter().copied().filter(|address| !wanted.contains(address)).collect();
+        wanted.extend(others);
+        wanted.truncate(MAX_CONTACTS);
+    }
     wanted
 }
--- a/components/spread/src/lib.rs
+++ b/components/spread/src/lib.rs
@@ -29,6 +29,7 @@
 mod relay_view;
 mod relays;
 mod repair;
+mod roster;
 mod rumors;
 mod server;
 mod session;
@@ -52,7 +53,8 @@
 pub use options::{ForwardMode, SpreadOptions};
 pub use sk_member::HistoryPosition;
 pub use source::{
-    AckSink, ConfigSource, ContactMap, ContactStore, NoticeExchange, SourceError, WatchResult,
+    AckSink, ConfigSource, ContactMap, ContactStore, NoticeExchange, RosterMap, RosterStore,
+    SourceError, WatchResult,
 };
 pub use state::{CallKind, KindBytes, SpreadState};
 pub use tasks::VersionOrigin;
--- a/components/spread/src/node.rs
+++ b/components/spread/src/node.rs
@@ -25,7 +25,7 @@
     options::SpreadOptions,
     pool::PeerPool,
     relay_view::RelayView,
-    source::{AckSink, ConfigSource, ContactStore, NoticeExchange},
+    source::{AckSink, ConfigSource, ContactStore, NoticeExchange, RosterStore},
     state::SpreadStats,
     tasks::{ConfirmOutcome, FetchTask, ForwardTask, VersionOrigin},
 };
@@ -50,6 +50,7 @@
     /// Freshness proofs: when this daemon or a peer last knew that the held version is the newest.
     pub(crate) freshness: RefCell<FreshnessTracker>,
     pub(crate) contacts: Option<Arc<dyn ContactStore>>,
+    pub(crate) roster: Option<Arc<dyn RosterStore>>,
     pub(crate) acks: Arc<dyn AckSink>,
     /// Acknowledgements to pass on if this daemon is a relay.
     pub(crate) ack_batch: AckBatch,
--- a/components/spread/src/source.rs
+++ b/components/spread/src/source.rs
@@ -1,18 +1,21 @@
 //! Interfaces that the rest of the daemon implements for the control thread: the configuration
-//! source, the contact store, notices and the sink of acknowledgements.
+//! source, the stores of contacts and names, notices and the sink of acknowledgements.
 
 use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
 
 use async_trait::async_trait;
 use sk_member::HistoryPosition;
-use sk_model::{ConfigSnapshot, DataCentre, ProxyAck};
+use sk_model::{ConfigSnapshot, DataCentre, ProxyAck, ProxyId};
 use thiserror::Error;
 use tokio::time::Instant;
 
 /// Control addresses by data centre, as stored in the platform.
 pub type ContactMap = BTreeMap<DataCentre, Vec<SocketAddr>>;
 
-/// Failure of the configuration source or the contact store.
+/// Names of daemons by data centre, as stored in the platform.
+pub type RosterMap = BTreeMap<DataCentre, Vec<ProxyId>>;
+
+/// Failure of the configuration source or of a store of contacts or names.
 #[derive(Clone, Debug, PartialEq, Eq, Error)]
 #[error("configuration source: {reason}")]
 pub struct SourceError {
@@ -88,6 +91,31 @@
     ) -> Result<(), SourceError>;
 }
 
+/// Stores the names of the fleet's daemons.
+#[async_trait]
+pub trait RosterStore: Send + Sync {
+    /// Reads the names of all data centres.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`SourceError`] if the platform is unreachable.
+    async fn read(&self) -> Result<RosterMap, SourceError>;
+
+    /// Replaces the names of one data centre. Must fail if another daemon has written since
+    /// `previous` was read.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`SourceError`] if the platform is unreachable or another daemon wrote in
+    /// between.
+    async fn write(
+        &self,
+        data_centre: &str,
+        previous: Option<&[ProxyId]>,
+        names: &[ProxyId],
+    ) -> Result<(), SourceError>;
+}
+
 /// One topic of notices that every daemon should know, such as requests that crash servers.
 ///
 /// The topics share one kind of call and are told apart by the form of their messages: each topic
--- a/components/spread/src/start.rs
+++ b/components/spread/src/start.rs
@@ -43,6 +43,9 @@
 /// Number of times that a busy member is asked.
 const MAX_MEMBER_TRIES: usize = 5;
 
+/// Time for which a daemon that reaches no other waits for the roster.
+const ROSTER_TIME: Duration = Duration::from_secs(2);
+
 /// Best answer of the data centre's relays to a starting daemon, from worst to best.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum RelayAnswer {
@@ -57,7 +60,11 @@
 }
 
 /// Asks the relays, and finally the platform itself, until this daemon is ready.
-pub(crate) async fn become_ready(node: &Rc<SpreadNode>, mut stage: watch::Receiver<JoinStage>) {
+pub(crate) async fn become_ready(
+    node: &Rc<SpreadNode>,
+    mut stage: watch::Receiver<JoinStage>,
+    mut is_roster_tried: watch::Receiver<bool>,
+) {
     // When a whole fleet restarts, these random times spread the daemons over the window: the
     // first ones read the platform and the later ones get the version from them. A daemon whose
     // peers are all unreachable starts later by that time. At least half of the window passes
@@ -70,6 +77,12 @@
     // Nobody can be asked before the first round of joining is over.
     let first_round = stage.wait_for(|stage| *stage != JoinStage::Pending);
     let _ = tokio::time::timeout_at(window_end, first_round).await;
+    // A daemon that reaches no other must know from the roster whether there are any before it
+    // serves; one that has joined others learns it from them.
+    if node.other_members().is_empty() {
+        let tried = is_roster_tried.wait_for(|is_tried| *is_tried);
+        let _ = tokio::time::timeout(ROSTER_TIME, tried).await;
+    }
     while !node.config.is_ready() {
         let stage = *stage.borrow();
         let answer = match stage {
--- a/components/spread/tests/common/mod.rs
+++ b/components/spread/tests/common/mod.rs
@@ -420,6 +420,7 @@
             members: members.clone(),
             source,
             contacts: Some(contacts),
+            roster: None,
             acks: self.sink.clone(),
             meter: meter.clone(),
         };
