proxy: one decision on calls of servers, which holds until the parent's time budget ends

And any request with X-Sapphirekeel-Hops: 1 was served without a key.

Cause: a request counted as a server's call if it had a header that anyone may send, or if its id named a request that the guard was waiting for. The first is open to callers; the second ended with the guard's future (requester gone, guard gave up, head of the answer passed on) and with the process. The listener of a daemon that stops asked only the first.

Why this works: one decision, by what a daemon has handed out. Native servers copy a MAC; where ids of calls name their parent, it has to be one that this daemon has sent, whose time budget and answer have not ended, and the call has to come from the same machine without a key.

Tests changed: entry_stops and hop_headers took the word of a caller for a server's call; they now show that it proves nothing, and the same with a proof. nested_call_logged made the call before its parent ran; it makes it while the parent runs.

--- a/components/daemon/src/daemon.rs
+++ b/components/daemon/src/daemon.rs
@@ -20,7 +20,7 @@
 use sk_member::{HeartbeatFilter, MemberRecord, MemberStatus, SharedMembers};
 use sk_ops::{OpsHandle, SharedPort, start_ops};
 use sk_proxy::{
-    ConfigAge, FailedCalls, ForwardContext, GuardContext, GuardToken, ListenerActivity,
+    CallProofs, ConfigAge, FailedCalls, ForwardContext, GuardContext, GuardToken, ListenerActivity,
     ListenerHandle, LocalServerList, LocalServiceName, OpenRequests, PeerClient, ProxyCounters,
     RefusedRequests, RunningRequests, SharedQuarantine, SharedTable, serve_forward, serve_guard,
 };
@@ -54,6 +54,7 @@
     scrape::{ScrapeParts, serve_metrics},
     source::ReportAckSink,
     tasks,
+    unfinished::{DepositSender, PeerRecall},
 };
 
 /// Addresses that a daemon listens on.
@@ -109,6 +110,7 @@
     forward: ListenerHandle,
     guard: ListenerHandle,
     guard_context: Arc<GuardContext>,
+    deposits: Arc<DepositSender>,
     ops: Vec<OpsHandle>,
     spread: SpreadHandle,
     tasks: Vec<JoinHandle<()>>,
@@ -172,7 +174,13 @@
     // This is the only write; before it, the state dump has default values for the control thread.
     let _ = parts.spread.set(spread.reader());
     let guard_context = Arc::new(guard_context(settings, &parts));
-    let forward_context = forward_context(settings, &parts, guard_context.clone());
+    let peers = PeerClient::new(guard_context.token.clone());
+    let deposits = Arc::new(DepositSender::new(
+        parts.members.clone(),
+        peers.clone(),
+        guard_context.running.clone(),
+    ));
+    let forward_context = forward_context(settings, &parts, guard_context.clone(), peers);
     let forward = serve_forward(listeners.proxy, Arc::new(forward_context));
     let guard = serve_guard(listeners.guard, guard_context.clone());
     let times = StopTimes {
@@ -210,6 +218,8 @@
     ];
     tasks.extend(scrape);
     tasks.push(tokio::spawn(restore_departures(own_port.clone())));
+    let sender = deposits.clone();
+    tasks.push(tokio::spawn(async move { sender.run().await }));
     tasks.extend(run_rollouts(settings, &parts, &guard_context));
     if let Some((service, address)) =
         local_service(&parts.platform, settings).zip(settings.instance.server)
@@ -230,6 +240,7 @@
         forward,
         guard,
         guard_context,
+        deposits,
         ops,
         spread,
         tasks,
@@ -293,6 +304,8 @@
         let (is_forward_clean, is_guard_clean) = tokio::join!(forward_stop, guard_stop);
         let in_flight = self.guard_context.counters.snapshot().in_flight;
         log::info!(is_clean = is_forward_clean, in_flight; "daemon: the entry stopped.");
+        // Its server may go on with what this daemon has sent to it.
+        self.deposits.send().await;
         // A caller that keeps its connection open must not keep the process running.
         let ops = join_all(self.ops.into_iter().map(OpsHandle::stop));
         if tokio::time::timeout(OPS_STOP_TIMEOUT, ops).await.is_err() {
@@ -522,10 +535,14 @@
     settings: &DaemonSettings,
     parts: &DaemonParts,
     guard_context: Arc<GuardContext>,
+    peers: PeerClient,
 ) -> ForwardContext {
+    let recall =
+        PeerRecall::new(parts.members.clone(), peers.clone(), guard_context.running.clone());
     ForwardContext {
         table: parts.table.clone(),
-        peers: PeerClient::new(guard_context.token.clone()),
+        peers,
+        recall: Some(Arc::new(recall)),
         guard_context,
         counters: parts.counters.clone(),
         max_body_bytes: settings.guard.max_body_bytes,
@@ -554,6 +571,7 @@
         headers: parts.platform.headers.clone(),
         failed_calls: FailedCalls::default(),
         running: RunningRequests::default(),
+        proofs: CallProofs::new(&fleet_secret(settings), &settings.instance.name),
         transit_clocks: Default::default(),
         open_requests: Arc::default(),
         rollouts: parts.rollouts.clone(),
--- a/components/daemon/src/lib.rs
+++ b/components/daemon/src/lib.rs
@@ -19,6 +19,7 @@
 mod source;
 mod tasks;
 mod team_records;
+mod unfinished;
 
 pub use daemon::{DaemonAddresses, DaemonHandle, start_daemon};
 pub use error::DaemonError;
--- a/components/proxy/src/attempt.rs
+++ b/components/proxy/src/attempt.rs
@@ -32,6 +32,7 @@
     hints::ReadHints,
     outcome::{RefusalKind, RequestOutcome},
     peers::PeerError,
+    running_requests::RunningRequest,
     table::{TableEndpoint, TableService},
     tracked_body::TrackedBody,
 };
@@ -277,12 +278,18 @@
     if endpoint.is_own {
         return forward_to_server(Arc::clone(&context.guard_context), request, call, None).await;
     }
+    let deadline = Instant::now() + call.context().remaining;
+    let attempt = context.headers.attempt_id(request.headers()).and_then(|id| id.to_str().ok());
+    let running = &context.guard_context.running;
+    let running = attempt.map(|id| running.begin_at(&endpoint.proxy, id, deadline));
     match context.peers.send(request, call, &endpoint.guard).await {
         Ok(response) => {
             let version = response.version();
-            response.map(|body| CheckedBody::new(body, version).boxed_unsync())
+            let response = response.map(|body| CheckedBody::new(body, version).boxed_unsync());
+            track_answer(response, running)
         }
         Err(PeerError::Unsent(err)) => {
+            running.map(RunningRequest::end);
             log::debug!("proxy: daemon {} cannot be reached: {err}.", endpoint.proxy);
             count_own_refusal(context, refuse(RefusalKind::Unreachable))
         }
@@ -297,6 +304,26 @@
     }
 }
 
+/// Keeps an attempt for its guard until its answer has ended. Where a daemon answers in place of the
+/// server, and cannot say that nothing ran, the server may work on.
+fn track_answer(
+    response: Response<ProxyBody>,
+    running: Option<RunningRequest>,
+) -> Response<ProxyBody> {
+    let Some(running) = running else { return response };
+    let outcome = RequestOutcome::read(response.headers());
+    match outcome {
+        Some(RequestOutcome::NotRun) => {
+            running.end();
+            response
+        }
+        Some(RequestOutcome::Ran) if RefusalKind::read(response.headers()).is_none() => {
+            response.map(|body| TrackedBody::new(body, running).boxed_unsync())
+        }
+        _ => response,
+    }
+}
+
 /// Evaluates the answer to an attempt and reports it to the endpoint's placement record.
 fn evaluate_answer(
     context: &ForwardContext,
--- a/components/proxy/src/context.rs
+++ b/components/proxy/src/context.rs
@@ -12,11 +12,23 @@
 use sk_rollout::SharedRollouts;
 
 use crate::{
-    allowance::AllowanceGate, body::ProxyBody, call::GuardToken, claim::ClaimGate,
-    counters::ProxyCounters, drain::DrainClock, failed_calls::FailedCalls,
-    header_translation::HeaderTranslation, local::LocalServerList, open_requests::OpenRequests,
-    outcome::RefusalKind, peers::PeerClient, quarantine::SharedQuarantine,
-    returning::RefusedRequests, running_requests::RunningRequests, table::SharedTable,
+    allowance::AllowanceGate,
+    body::ProxyBody,
+    call::GuardToken,
+    claim::ClaimGate,
+    counters::ProxyCounters,
+    drain::DrainClock,
+    failed_calls::FailedCalls,
+    header_translation::HeaderTranslation,
+    local::LocalServerList,
+    open_requests::OpenRequests,
+    outcome::RefusalKind,
+    peers::PeerClient,
+    quarantine::SharedQuarantine,
+    returning::RefusedRequests,
+    running_requests::RunningRequests,
+    server_calls::{CallProofs, UnfinishedRecall},
+    table::SharedTable,
 };
 
 /// Shared state of the entry side.
@@ -44,6 +56,9 @@
     /// taken away does not serve on at a daemon that is cut off. `None` serves by the last
     /// configuration known.
     pub max_key_age: Option<Duration>,
+    /// What an earlier process of this daemon has sent to the local server; `None` if nobody can be
+    /// asked.
+    pub recall: Option<Arc<dyn UnfinishedRecall>>,
     /// Limits of workspaces; `None` serves any number of requests.
     pub allowances: Option<Arc<dyn AllowanceGate>>,
 }
@@ -72,8 +87,10 @@
     pub headers: Arc<dyn HeaderTranslation>,
     /// Failed calls of the server, for the log lines of the requests for which it made them.
     pub failed_calls: FailedCalls,
-    /// Requests that the server is running.
+    /// Requests that servers may be working on.
     pub running: RunningRequests,
+    /// Proofs that native servers copy into their calls.
+    pub proofs: CallProofs,
     /// Clocks of the sending daemons, by which transit delays are estimated.
     pub transit_clocks: Mutex<TransitClocks>,
     /// Requests whose answers have not ended.
--- a/components/proxy/src/exchange.rs
+++ b/components/proxy/src/exchange.rs
@@ -27,7 +27,7 @@
     gate::AdmitPermit,
     guard::refuse_admission,
     header_translation::{AnswerVerdict, ServerRequestInfo},
-    headers::{header_text, strip_hop_headers, strip_own_headers},
+    headers::{strip_hop_headers, strip_own_headers},
     hints::write_service_time,
     local::GuardedServer,
     open_exchange::{AnswerDelivery, OpenExchange},
@@ -35,6 +35,8 @@
     pool::AcquiredSender,
     quarantine::check_for_crash,
     read_ahead::{AheadBody, read_ahead},
+    running_requests::RunningRequest,
+    server_calls::write_proof,
     times::TimeStage,
     tracked_body::{BodyEndHandler, BodyProgress, TrackedBody},
     transfers::{ScheduledBody, is_large},
@@ -67,6 +69,8 @@
     pub(crate) upload_time: Duration,
     pub(crate) admitted_at: Instant,
     pub(crate) deadline: Instant,
+    /// Whether the request entered at this daemon.
+    pub(crate) is_from_here: bool,
 }
 
 /// Sends an admitted request to the server and returns its answer, or one made here that states
@@ -105,7 +109,12 @@
     let attempt = context.headers.attempt_id(request.headers()).cloned();
     let mut request = server_request(context, request, server, call, admitted.deadline);
     let mut copy = resendable_copy(&request, call);
-    let _running = attempt.as_ref().map(|id| context.running.begin(header_text(Some(id))));
+    let (deadline, is_from_here) = (admitted.deadline, admitted.is_from_here);
+    let begin = || {
+        let id = attempt.as_ref()?.to_str().ok()?;
+        Some(context.running.begin(id, deadline, is_from_here))
+    };
+    let mut running = begin();
     loop {
         let AcquiredSender { mut sender, idle } =
             match server.pool.acquire(call.is_repeatable).await {
@@ -132,6 +141,7 @@
             release_unsent(admitted).await;
             return refuse_admission(server, call.is_nested, refusal);
         }
+        running.iter_mut().for_each(|running| running.set_sent(true));
         match sender.try_send_request(request).await {
             Ok(response) => {
                 let exchange = OpenExchange {
@@ -144,6 +154,7 @@
                     fingerprint: call.fingerprint,
                     sender,
                     permit: admitted.permit,
+                    running: running.take(),
                 };
                 let (status, headers) = (response.status(), response.headers());
                 let verdict = context.headers.classify_answer(status, headers, attempt.as_ref());
@@ -177,6 +188,7 @@
                 Some(unsent) => {
                     request = unsent;
                     admitted.record_unsent(stage);
+                    running.iter_mut().for_each(|running| running.set_sent(false));
                 }
                 None => {
                     let err = err.into_error();
@@ -193,6 +205,8 @@
                         );
                         request = again;
                         *stage = SendStage::Resent;
+                        // The server may be working on the first copy.
+                        drop(std::mem::replace(&mut running, begin()));
                         continue;
                     }
                     log::info!(
@@ -355,14 +369,15 @@
 async fn reject_answer(
     verdict: AnswerVerdict,
     goal: Option<Duration>,
-    exchange: OpenExchange,
+    mut exchange: OpenExchange,
     claim: Option<PendingClaim>,
 ) -> Response<ProxyBody> {
-    let (server, is_nested) = (&exchange.delivery.server, exchange.delivery.is_nested);
+    let (server, is_nested) = (exchange.delivery.server.clone(), exchange.delivery.is_nested);
     let id = &server.id;
     let mut response = match verdict {
         AnswerVerdict::NotExecuted => {
             log::info!("guard: server {id} rejected a request without running it.");
+            exchange.running.take().map(RunningRequest::end);
             if let Some(claim) = claim {
                 claim.release_unrun().await;
             }
@@ -409,6 +424,9 @@
         workspace: call.workspace.as_deref(),
     };
     context.headers.write_request(headers, &info);
+    if context.headers.passes_proofs() {
+        write_proof(headers, context.proofs.make(info.context.remaining));
+    }
     if !headers.contains_key(header::HOST) {
         headers.insert(header::HOST, server.host.clone());
     }
--- a/components/proxy/src/forward.rs
+++ b/components/proxy/src/forward.rs
@@ -1,10 +1,11 @@
 //! The entry side of the request path: from a caller to the guard beside a backend server.
 
-use std::{net::IpAddr, sync::Arc, time::Duration};
+use std::{sync::Arc, time::Duration};
 
-use http::{HeaderMap, HeaderValue, Request, Response, StatusCode, header};
+use http::{HeaderValue, Request, Response, StatusCode, header};
 use http_body_util::BodyExt;
 use sk_decide::{deadline::ENTRY_GRACE, placing::CallOutcome};
+use tokio::time::Instant;
 
 use crate::{
     allowance::take_token,
@@ -15,11 +16,12 @@
     context::{ForwardContext, count_own_refusal},
     entry::{CallOrigin, EntryRequest, check_carried, host_of},
     entry_answer::InFlightCount,
-    headers::{is_nested, read_context},
+    headers::read_context,
     hints::strip_hints,
     outcome::{RETRY_AFTER_MS_HEADER, RefusalKind, RequestOutcome},
     pipeline::PipelinePlace,
     request_log::RequestLog,
+    server_calls::{CallerPeer, check_server_call},
     table::{RouteMatch, RouteTable},
     times::TimeStage,
     tracked_body::TrackedBody,
@@ -32,11 +34,11 @@
 /// Metrics label of requests that no route leads to a service.
 const NO_SERVICE: &str = "none";
 
-/// Forwards one request of a caller at an address and streams the answer back.
+/// Forwards one request of a caller and streams the answer back.
 pub async fn forward(
     context: Arc<ForwardContext>,
     mut request: Request<CallerBody>,
-    caller: IpAddr,
+    caller: CallerPeer,
 ) -> Response<ProxyBody> {
     let place = request.extensions_mut().remove::<PipelinePlace>();
     let drain_clock = context.guard_context.drain_clock.clone();
@@ -64,18 +66,18 @@
 fn begin_log(
     context: &Arc<ForwardContext>,
     request: &Request<CallerBody>,
-    caller: IpAddr,
+    caller: CallerPeer,
 ) -> RequestLog {
     let attempt = context.headers.attempt_id(request.headers()).cloned();
     let (method, host) = (request.method().clone(), host_of(request));
-    RequestLog::new(context.clone(), attempt, caller, method, host, request.uri().path())
+    RequestLog::new(context.clone(), attempt, caller.address, method, host, request.uri().path())
 }
 
 /// Finds the route of a request, reads the request and forwards it.
 async fn forward_routed(
     context: &ForwardContext,
     mut request: Request<CallerBody>,
-    caller: IpAddr,
+    caller: CallerPeer,
     request_log: &mut RequestLog,
 ) -> Response<ProxyBody> {
     if let Err(response) = check_carried(&request) {
@@ -88,13 +90,20 @@
         return refuse_unrouted(context, &table);
     };
     let deadline = Duration::from_millis(route.setting.deadline_ms);
+    let needs_key = table.workspaces().requires_keys() && !route.setting.is_public;
+    let asked_at = Instant::now();
+    let is_server_call = check_server_call(context, request.headers(), caller, needs_key).await;
     let remaining = context.headers.remaining(request.headers());
-    let mut call = read_context(request.headers(), remaining, deadline);
+    let remaining = remaining.map(|remaining| remaining.saturating_sub(asked_at.elapsed()));
+    let mut call = read_context(request.headers(), is_server_call, remaining, deadline);
     call.remaining = context.guard_context.drain_clock.bound_remaining(call.remaining);
-    request_log.set_service(&route.service.name);
+    request_log.set_service(&route.service.name, is_server_call);
     request_log.deadline = Some(call.remaining);
     (request_log.rank, request_log.goal_ms) = (route.setting.rank, route.setting.goal_ms);
-    let origin = origin_of(context, &request, caller);
+    let origin = match is_server_call {
+        true => CallOrigin::Nested(local_service(context)),
+        false => CallOrigin::Outside(caller.address),
+    };
     let workspace = match authenticate(context, &table, &route, &mut request, &origin) {
         Ok(workspace) => workspace,
         Err(response) => return count_own_refusal(context, *response),
@@ -235,22 +244,9 @@
     response
 }
 
-/// Returns where a request comes from: a service beside this daemon, or a caller outside.
-fn origin_of(
-    context: &ForwardContext,
-    request: &Request<CallerBody>,
-    caller: IpAddr,
-) -> CallOrigin {
-    let headers = request.headers();
-    let is_nested = is_nested(headers) || is_call_of_running(context, headers);
-    let service = is_nested.then(|| context.guard_context.servers.first_service());
-    service.flatten().map_or(CallOrigin::Outside(caller), CallOrigin::Nested)
-}
-
-/// Returns whether the local server makes a call for a request that it is running. The id of a call
-/// alone proves nothing, since callers choose their ids.
-fn is_call_of_running(context: &ForwardContext, headers: &HeaderMap) -> bool {
-    let attempt = context.headers.attempt_id(headers);
-    let parent = attempt.and_then(|attempt| context.headers.parent_request_id(attempt));
-    parent.is_some_and(|parent| context.guard_context.running.contains(parent))
+/// Returns the name of the service beside this daemon, empty if it is not known.
+fn local_service(context: &ForwardContext) -> String {
+    let listed = context.guard_context.servers.first_service();
+    let named = || context.local_service.load().as_deref().cloned();
+    listed.or_else(named).unwrap_or_default()
 }
--- a/components/proxy/src/guard.rs
+++ b/components/proxy/src/guard.rs
@@ -36,6 +36,7 @@
     receive::receive_body,
     times::TimeStage,
     transfers::is_large,
+    unfinished::{answer_unfinished, read_subject},
 };
 
 /// How a request reached this daemon.
@@ -60,6 +61,9 @@
             context.counters.count_refusal(kind);
             return daemon_answer(StatusCode::FORBIDDEN, RequestOutcome::NotRun, kind);
         }
+        None if read_subject(request.headers()).is_some() => {
+            return answer_unfinished(&context, request).await;
+        }
         None => {
             let kind = RefusalKind::Malformed;
             return daemon_answer(StatusCode::BAD_REQUEST, RequestOutcome::NotRun, kind);
@@ -171,7 +175,9 @@
         Err(response) => return *response,
     };
     let admitted_at = Instant::now();
-    let admitted = AdmittedRequest { permit, claim, upload_time, admitted_at, deadline };
+    let is_from_here = !arrival.is_over_link;
+    let admitted =
+        AdmittedRequest { permit, claim, upload_time, admitted_at, deadline, is_from_here };
     let counted = counter.map(|counter| counter.begin(call.work, deadline));
     let response = send(context, &server, request, call, admitted, stage).await;
     if let Some(counted) = counted {
--- a/components/proxy/src/header_translation.rs
+++ b/components/proxy/src/header_translation.rs
@@ -73,9 +73,13 @@
     /// Returns the id of the caller's attempt, which servers repeat in their answers.
     fn attempt_id<'a>(&self, headers: &'a HeaderMap) -> Option<&'a HeaderValue>;
 
-    /// Returns the id of the request for which a server makes this call, if the call's id contains
-    /// it.
-    fn parent_request_id<'a>(&self, attempt: &'a HeaderValue) -> Option<&'a str>;
+    /// Returns the id of the request for which a server makes a call, if the call's id contains it.
+    fn parent_request_id<'a>(&self, attempt: &'a str) -> Option<&'a str>;
+
+    /// Returns whether servers copy the proofs of [`CallProofs`](crate::CallProofs) into their calls.
+    fn passes_proofs(&self) -> bool {
+        false
+    }
 
     /// Returns how long the caller will wait, if the request states it.
     fn remaining(&self, headers: &HeaderMap) -> Option<Duration>;
@@ -116,10 +120,14 @@
         None
     }
 
-    fn parent_request_id<'a>(&self, _attempt: &'a HeaderValue) -> Option<&'a str> {
+    fn parent_request_id<'a>(&self, _attempt: &'a str) -> Option<&'a str> {
         None
     }
 
+    fn passes_proofs(&self) -> bool {
+        true
+    }
+
     fn remaining(&self, headers: &HeaderMap) -> Option<Duration> {
         read_number(headers, crate::headers::DEADLINE_HEADER).map(Duration::from_millis)
     }
--- a/components/proxy/src/headers.rs
+++ b/components/proxy/src/headers.rs
@@ -109,15 +109,18 @@
 }
 
 /// Reads the context of a call, bounded by the deadline of its route. `remaining` is how long the
-/// caller will wait, if it states that.
+/// caller will wait, if it states that. Hops and retries are read from calls of servers only.
 pub(crate) fn read_context(
     headers: &HeaderMap,
+    is_server_call: bool,
     remaining: Option<Duration>,
     deadline: Duration,
 ) -> CallContext {
     let remaining = remaining.unwrap_or(deadline);
-    let number =
-        |name| read_number(headers, name).map_or(0, |count| u8::try_from(count).unwrap_or(u8::MAX));
+    let number = |name| {
+        let count = read_number(headers, name).filter(|_| is_server_call);
+        count.map_or(0, |count| u8::try_from(count).unwrap_or(u8::MAX))
+    };
     let (hops, retried_above) = (number(HOPS_HEADER), number(RETRIED_HEADER));
     CallContext { remaining, hops, retried_above }.limited_to(deadline)
 }
@@ -135,12 +138,6 @@
     headers.get(name)?.to_str().ok()?.parse().ok()
 }
 
-/// Returns whether a call is nested: made by a service while it handles a call that came through a
-/// daemon.
-pub(crate) fn is_nested(headers: &HeaderMap) -> bool {
-    headers.get(HOPS_HEADER).is_some_and(|hops| hops.as_bytes() != b"0")
-}
-
 /// Writes the context that a backend server's nested calls carry on.
 pub(crate) fn write_context(headers: &mut HeaderMap, call: &CallContext) {
     let millis = u64::try_from(call.remaining.as_millis()).unwrap_or(u64::MAX);
--- a/components/proxy/src/lib.rs
+++ b/components/proxy/src/lib.rs
@@ -47,11 +47,13 @@
 mod returning;
 mod running_requests;
 mod serve;
+mod server_calls;
 mod sockets;
 mod table;
 mod times;
 mod tracked_body;
 mod transfers;
+mod unfinished;
 mod upload;
 mod workspaces;
 
@@ -81,8 +83,9 @@
 pub use peers::PeerClient;
 pub use quarantine::SharedQuarantine;
 pub use returning::RefusedRequests;
-pub use running_requests::RunningRequests;
+pub use running_requests::{RunningRequests, UnfinishedRequest};
 pub use serve::{ListenerHandle, serve_forward, serve_guard};
+pub use server_calls::{CallProofs, CallerPeer, PARENT_HEADER, UnfinishedRecall};
 pub use sk_decide::{
     admitting::{ServerLoad, StatedRate},
     quarantine::SuspectRecord,
@@ -92,4 +95,5 @@
     TableTuning,
 };
 pub use times::{RequestTimes, TimeStage};
+pub use unfinished::UnfinishedError;
 pub use workspaces::{TableWorkspace, WorkspaceAllowance, WorkspaceTable};
--- a/components/proxy/src/local.rs
+++ b/components/proxy/src/local.rs
@@ -228,6 +228,11 @@
         self.current.load().get(service).map(|entry| entry.guarded.clone())
     }
 
+    /// Returns whether a server beside this daemon has an address.
+    pub(crate) fn is_at(&self, address: std::net::IpAddr) -> bool {
+        self.current.load().values().any(|entry| entry.server.address.ip() == address)
+    }
+
     /// Returns the name of a service that runs beside this daemon, the first one if there are more.
     pub(crate) fn first_service(&self) -> Option<ServiceName> {
         self.current.load().keys().next().cloned()
--- a/components/proxy/src/open_exchange.rs
+++ b/components/proxy/src/open_exchange.rs
@@ -15,6 +15,7 @@
     local::GuardedServer,
     pool::ServerSender,
     quarantine::check_for_crash,
+    running_requests::RunningRequest,
     tracked_body::{BodyEndHandler, BodyProgress},
 };
 
@@ -35,16 +36,19 @@
     pub(crate) fingerprint: Fingerprint,
     pub(crate) sender: ServerSender,
     pub(crate) permit: AdmitPermit,
+    /// The request, for which the server may make calls until its answer has ended.
+    pub(crate) running: Option<RunningRequest>,
 }
 
 impl OpenExchange {
     /// Ends an exchange whose answer was read completely: its connection may be used again. What is
     /// left is to deliver the answer, if it was read ahead.
     pub(crate) fn complete(self) -> AnswerDelivery {
-        let Self { delivery, fingerprint, sender, permit } = self;
+        let Self { delivery, fingerprint, sender, permit, running } = self;
         delivery.context.quarantine.record_success(fingerprint);
         delivery.server.pool.release(sender);
         permit.finish();
+        running.map(RunningRequest::end);
         delivery
     }
 
--- a/components/proxy/src/peers.rs
+++ b/components/proxy/src/peers.rs
@@ -16,7 +16,7 @@
     FutureExt,
     future::{BoxFuture, Shared},
 };
-use http::{Request, Response, Uri, uri::Authority};
+use http::{HeaderMap, Request, Response, Uri, uri::Authority};
 use hyper::{
     body::Incoming,
     client::conn::http2::{self, SendRequest},
@@ -134,9 +134,41 @@
     /// Returns a [`PeerError`], which states whether anything was sent.
     pub(crate) async fn send(
         &self,
-        mut request: Request<ProxyBody>,
+        request: Request<ProxyBody>,
         mut call: GuardCall,
         guard: &Authority,
+    ) -> Result<Response<Incoming>, PeerError> {
+        let response = self
+            .send_on(request, guard, |headers, waited, opening| {
+                let clock = self.lock_clocks().get(guard).copied();
+                call.mark_sent(waited, opening, clock.as_ref());
+                call.write(headers);
+            })
+            .await?;
+        self.record_clock(guard, &response);
+        Ok(response)
+    }
+
+    /// Sends a request that is meant for a daemon itself and returns the head of its answer.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`PeerError`], which states whether anything was sent.
+    pub(crate) async fn send_plain(
+        &self,
+        request: Request<ProxyBody>,
+        guard: &Authority,
+    ) -> Result<Response<Incoming>, PeerError> {
+        self.send_on(request, guard, |_, _, _| ()).await
+    }
+
+    /// Sends a request on the connection to a guard. `stamp` completes its head, each time that it is
+    /// sent, with the time that it has waited and the opening of the connection.
+    async fn send_on(
+        &self,
+        mut request: Request<ProxyBody>,
+        guard: &Authority,
+        mut stamp: impl FnMut(&mut HeaderMap, Duration, LinkOpening),
     ) -> Result<Response<Incoming>, PeerError> {
         address_to(&mut request, guard);
         self.token.write(request.headers_mut());
@@ -151,14 +183,9 @@
                 self.remove(guard, &shared);
                 continue;
             }
-            let clock = self.lock_clocks().get(guard).copied();
-            call.mark_sent(asked_at.elapsed(), connection.opening, clock.as_ref());
-            call.write(request.headers_mut());
+            stamp(request.headers_mut(), asked_at.elapsed(), connection.opening);
             let mut failure = match connection.sender.try_send_request(request).await {
-                Ok(response) => {
-                    self.record_clock(guard, &response);
-                    return Ok(response);
-                }
+                Ok(response) => return Ok(response),
                 Err(failure) => failure,
             };
             let unsent = failure.take_message();
--- a/components/proxy/src/pipeline.rs
+++ b/components/proxy/src/pipeline.rs
@@ -14,12 +14,13 @@
 mod stream;
 mod turn;
 
-use std::net::IpAddr;
-
 use futures::future::BoxFuture;
 use http::{Request, Response};
 
-use crate::body::{CallerBody, ProxyBody};
+use crate::{
+    body::{CallerBody, ProxyBody},
+    server_calls::CallerPeer,
+};
 
 pub(crate) use budget::PipelineBudget;
 pub(crate) use head::RequestHead;
@@ -39,6 +40,6 @@
     fn run(
         &self,
         request: Request<CallerBody>,
-        caller: IpAddr,
+        caller: CallerPeer,
     ) -> BoxFuture<'static, Response<ProxyBody>>;
 }
--- a/components/proxy/src/pipeline/ahead.rs
+++ b/components/proxy/src/pipeline/ahead.rs
@@ -1,6 +1,6 @@
 //! What was read of a connection beyond the request that is being answered.
 
-use std::{collections::VecDeque, net::IpAddr, sync::Arc};
+use std::{collections::VecDeque, sync::Arc};
 
 use bytes::BytesMut;
 use http::Request;
@@ -14,7 +14,7 @@
     head::{ParsedHead, RequestHead, is_last, parse_head},
     started::StartedRequest,
 };
-use crate::body::CallerBody;
+use crate::{body::CallerBody, server_calls::CallerPeer};
 
 /// Requests that are read ahead on one connection.
 const MAX_REQUESTS: usize = 16;
@@ -47,7 +47,7 @@
 pub(super) struct LookAhead {
     service: Arc<dyn EarlyService>,
     budget: Arc<PipelineBudget>,
-    caller: IpAddr,
+    caller: CallerPeer,
     bytes: BytesMut,
     /// Room that is taken for the bytes.
     share: Option<OwnedSemaphorePermit>,
@@ -62,7 +62,7 @@
     pub(super) fn new(
         service: Arc<dyn EarlyService>,
         budget: Arc<PipelineBudget>,
-        caller: IpAddr,
+        caller: CallerPeer,
     ) -> Self {
         let (bytes, requests) = (BytesMut::new(), VecDeque::new());
         let (share, parsed, is_opaque) = (None, 0, false);
--- a/components/proxy/src/pipeline/stream.rs
+++ b/components/proxy/src/pipeline/stream.rs
@@ -2,7 +2,6 @@
 
 use std::{
     io,
-    net::IpAddr,
     pin::Pin,
     sync::Arc,
     task::{Context, Poll, ready},
@@ -20,7 +19,7 @@
     head::HeadScan,
     turn::{BodyFraming, TurnLink},
 };
-use crate::lingering::PeerState;
+use crate::{lingering::PeerState, server_calls::CallerPeer};
 
 /// Time between checks of whether a caller has closed a connection from which nothing more is
 /// read. Its requests have to end within half a second.
@@ -73,7 +72,7 @@
     pub(crate) fn pipelined(
         inner: S,
         (service, budget): (Arc<dyn EarlyService>, Arc<PipelineBudget>),
-        caller: IpAddr,
+        caller: CallerPeer,
     ) -> (Self, Arc<TurnLink>) {
         let link = Arc::<TurnLink>::default();
         let pipeline = StreamPipeline {
--- a/components/proxy/src/request_log.rs
+++ b/components/proxy/src/request_log.rs
@@ -111,10 +111,11 @@
     }
 
     /// Sets the service that the route leads to, and registers a call of the local server.
-    pub(crate) fn set_service(&mut self, service: &Arc<str>) {
+    pub(crate) fn set_service(&mut self, service: &Arc<str>, is_server_call: bool) {
         self.service = Some(service.clone());
         let headers = &self.context.headers;
-        let parent = self.attempt.as_ref().and_then(|attempt| headers.parent_request_id(attempt));
+        let parent = self.attempt.as_ref().filter(|_| is_server_call);
+        let parent = parent.and_then(|attempt| headers.parent_request_id(attempt.to_str().ok()?));
         self.call =
             parent.map(|parent| self.context.guard_context.failed_calls.begin(parent, service));
     }
--- a/components/proxy/src/serve.rs
+++ b/components/proxy/src/serve.rs
@@ -16,7 +16,7 @@
     FutureExt,
     future::{BoxFuture, Either},
 };
-use http::{HeaderValue, Request, Response, Version, header};
+use http::{HeaderMap, HeaderValue, Request, Response, Version, header};
 use hyper::{body::Incoming, service::service_fn};
 use hyper_util::{
     rt::{TokioExecutor, TokioIo, TokioTimer},
@@ -33,10 +33,10 @@
     entry::is_repeatable,
     forward::forward,
     guard::handle_peer_request,
-    headers::is_nested,
     lingering::{LingeringStream, ListenerActivity},
     outcome::RefusalKind,
     pipeline::{EarlyService, PipelineBudget, PipelineStream, RequestHead, Turn, TurnBody},
+    server_calls::{CallerPeer, is_server_call},
     sockets::probe_accepted,
 };
 
@@ -130,8 +130,19 @@
     address: IpAddr,
     /// When the connection was accepted, on the clock of [`transit_now`].
     accepted_at: Duration,
+    /// Whether the peer is on the same instance.
+    is_local: bool,
 }
 
+impl AcceptedPeer {
+    fn caller(&self) -> CallerPeer {
+        CallerPeer { address: self.address, is_local: self.is_local }
+    }
+}
+
+/// Returns whether a request belongs to work in flight, which a listener that stops still accepts.
+type InFlightCheck = Arc<dyn Fn(&HeaderMap, CallerPeer) -> bool + Send + Sync>;
+
 /// A running listener.
 pub struct ListenerHandle {
     drain_state: Arc<DrainState>,
@@ -180,8 +191,12 @@
     let drain_state = Arc::<DrainState>::default();
     let service = ForwardService { context: context.clone(), drain_state: drain_state.clone() };
     let early = Some((Arc::new(service) as Arc<dyn EarlyService>, Arc::default()));
-    serve((ENTRY_LOG, listener), (server, idle), drain_state, early, move |request, peer| {
-        forward(context.clone(), request.map(Some), peer.address)
+    let of_servers = context.clone();
+    let is_in_flight: InFlightCheck =
+        Arc::new(move |headers, peer| is_server_call(&of_servers, headers, peer));
+    let shutdown = (drain_state, is_in_flight);
+    serve((ENTRY_LOG, listener), (server, idle), shutdown, early, move |request, peer| {
+        forward(context.clone(), request.map(Some), peer.caller())
     })
 }
 
@@ -207,7 +222,7 @@
     fn run(
         &self,
         request: Request<CallerBody>,
-        caller: IpAddr,
+        caller: CallerPeer,
     ) -> BoxFuture<'static, Response<ProxyBody>> {
         forward(self.context.clone(), request, caller).boxed()
     }
@@ -224,8 +239,9 @@
         .max_local_error_reset_streams(None)
         .max_send_buf_size(SEND_BUFFER)
         .initial_stream_window_size(GUARD_STREAM_WINDOW);
-    let (server, drain_state) = ((server, || HEAD_TIMEOUT), Arc::default());
-    serve((GUARD_LOG, listener), server, drain_state, None, move |request, peer| {
+    let is_in_flight: InFlightCheck = Arc::new(|_, _| false);
+    let (server, shutdown) = ((server, || HEAD_TIMEOUT), (Arc::default(), is_in_flight));
+    serve((GUARD_LOG, listener), server, shutdown, None, move |request, peer| {
         handle_peer_request(context.clone(), request, peer.accepted_at)
     })
 }
@@ -266,7 +282,7 @@
 fn serve<L, H, F>(
     listener: (ListenerLog, TcpListener),
     server: (ServerBuilder, L),
-    drain_state: Arc<DrainState>,
+    (drain_state, is_in_flight): (Arc<DrainState>, InFlightCheck),
     early: Option<EarlyParts>,
     handle: H,
 ) -> ListenerHandle
@@ -281,7 +297,7 @@
         listener,
         server,
         (handle, early),
-        (drain_state.clone(), activity.clone()),
+        (drain_state.clone(), is_in_flight, activity.clone()),
         stop.subscribe(),
     );
     ListenerHandle { drain_state, activity, stop, task: tokio::spawn(accept) }
@@ -292,7 +308,7 @@
     (listener_log, listener): (ListenerLog, TcpListener),
     (mut server, idle): (ServerBuilder, L),
     (handle, early): (H, Option<EarlyParts>),
-    (drain_state, activity): (Arc<DrainState>, Arc<ListenerActivity>),
+    (drain_state, is_in_flight, activity): (Arc<DrainState>, InFlightCheck, Arc<ListenerActivity>),
     mut stopped: watch::Receiver<bool>,
 ) where
     L: Fn() -> Duration + Send + 'static,
@@ -307,7 +323,10 @@
         };
         let (stream, peer) = match accepted {
             Ok((stream, address)) => {
-                (stream, AcceptedPeer { address: address.ip(), accepted_at: transit_now() })
+                let address = address.ip();
+                let is_own = stream.local_addr().is_ok_and(|own| own.ip() == address);
+                let is_local = is_own || address.is_loopback();
+                (stream, AcceptedPeer { address, accepted_at: transit_now(), is_local })
             }
             Err(err) => {
                 log::warn!("proxy: cannot accept a connection: {err}.");
@@ -318,20 +337,21 @@
         // Small answers must not wait for the peer's delayed acknowledgement.
         let _ = stream.set_nodelay(true);
         probe_accepted(&stream);
-        let (handle, drain, drain_state) =
-            (handle.clone(), drain_state.clone(), drain_state.clone());
+        let (handle, drain, drain_state, is_in_flight) =
+            (handle.clone(), drain_state.clone(), drain_state.clone(), is_in_flight.clone());
         let stream = LingeringStream::new(stream, activity.clone());
         let (stream, link) = match &early {
             Some((service, budget)) => {
                 let parts = (service.clone(), budget.clone());
-                let (stream, link) = PipelineStream::pipelined(stream, parts, peer.address);
+                let (stream, link) = PipelineStream::pipelined(stream, parts, peer.caller());
                 (stream, Some(link))
             }
             None => (PipelineStream::plain(stream), None),
         };
         let service = service_fn(move |request| {
             let turn = link.as_ref().and_then(|link| Turn::begin(link, &request));
-            let answer = answer_in_turn(&handle, &drain_state, (request, turn), peer);
+            let shutdown = (&drain_state, &is_in_flight);
+            let answer = answer_in_turn(&handle, shutdown, (request, turn), peer);
             async move { Ok::<_, Infallible>(answer.await) }
         });
         // Limits may have changed since the previous connection.
@@ -355,7 +375,7 @@
 /// it if the listener is shutting down.
 fn answer_in_turn<H, F>(
     handle: &H,
-    drain_state: &Arc<DrainState>,
+    (drain_state, is_in_flight): (&Arc<DrainState>, &InFlightCheck),
     (mut request, mut turn): (Request<Incoming>, Option<Turn>),
     peer: AcceptedPeer,
 ) -> impl Future<Output = Response<TurnBody>> + Send + use<H, F>
@@ -364,7 +384,8 @@
     F: Future<Output = Response<ProxyBody>> + Send + 'static,
 {
     let is_http1 = request.version() == Version::HTTP_11;
-    let is_refused = drain_state.has_reached(DrainStage::Refusing) && !is_nested(request.headers());
+    let is_refused = drain_state.has_reached(DrainStage::Refusing)
+        && !is_in_flight(request.headers(), peer.caller());
     if let Some(place) = turn.as_ref().and_then(Turn::place) {
         request.extensions_mut().insert(place);
     }
--- a/components/proxy/tests/common/mod.rs
+++ b/components/proxy/tests/common/mod.rs
@@ -22,11 +22,11 @@
     WorkspaceSetting,
 };
 use sk_proxy::{
-    AllowanceGate, ClaimGate, DrainClock, FailedCalls, ForwardContext, GuardContext, GuardToken,
-    ListenerHandle, LocalServer, LocalServerList, NativeHeaders, PeerClient, ProxyCounters,
-    RefusalKind, RefusedRequests, RequestOutcome, RouteTable, RunningRequests, ServerLimits,
-    SharedQuarantine, SharedTable, TableOwner, TableTuning, serve_forward, serve_guard,
-    time_since_start,
+    AllowanceGate, CallProofs, ClaimGate, DrainClock, FailedCalls, ForwardContext, GuardContext,
+    GuardToken, ListenerHandle, LocalServer, LocalServerList, NativeHeaders, PeerClient,
+    ProxyCounters, RefusalKind, RefusedRequests, RequestOutcome, RouteTable, RunningRequests,
+    ServerLimits, SharedQuarantine, SharedTable, TableOwner, TableTuning, serve_forward,
+    serve_guard, time_since_start,
 };
 use sk_standin::{BackendHandle, BackendOptions, start_backend};
 use tokio::net::{TcpListener, TcpStream};
@@ -84,6 +84,7 @@
     pub quarantine: Arc<SharedQuarantine>,
     pub counters: Arc<ProxyCounters>,
     pub drain: Arc<DrainClock>,
+    pub proofs: CallProofs,
 }
 
 pub struct TestFleet {
@@ -234,6 +235,7 @@
     let guard_context = Arc::new(GuardContext {
         failed_calls: FailedCalls::default(),
         running: RunningRequests::default(),
+        proofs: CallProofs::new("a secret of the tests", "d1"),
         transit_clocks: Default::default(),
         open_requests: Arc::default(),
         drain_clock: drain.clone(),
@@ -256,6 +258,7 @@
         local_service: Arc::default(),
         config_age: Arc::new(|| Some(Duration::ZERO)),
         max_key_age: None,
+        recall: None,
         allowances: plan.allowances.clone(),
     };
     TestDaemon {
@@ -265,6 +268,7 @@
         forward_handle: Some(serve_forward(forward_listener, Arc::new(forward_context))),
         servers: guard_context.servers.clone(),
         quarantine: guard_context.quarantine.clone(),
+        proofs: guard_context.proofs.clone(),
         guard_handle: Some(serve_guard(guard_listener, guard_context)),
         table,
         counters,
--- a/components/proxy/tests/graceful_stop.rs
+++ b/components/proxy/tests/graceful_stop.rs
@@ -69,7 +69,11 @@
     let answer = get(&http1(), fleet.entry(), "/late").await;
     assert_eq!(answer.reason(), Some(RefusalKind::Draining));
     assert_eq!(answer.outcome(), Some(RequestOutcome::NotRun));
-    let nested = [("x-sapphirekeel-hops", "1")];
+    let hops = [("x-sapphirekeel-hops", "1")];
+    let answer = send(&http1(), fleet.entry(), "GET", "/forged", &hops, "").await;
+    assert_eq!(answer.reason(), Some(RefusalKind::Draining), "a caller's word proves nothing");
+    let proof = fleet.daemons[0].proofs.make(Duration::from_secs(1));
+    let nested = [("x-sapphirekeel-parent", proof.to_str().expect("digits"))];
     let answer = send(&http1(), fleet.entry(), "GET", "/nested", &nested, "").await;
     assert_eq!(answer.outcome(), Some(RequestOutcome::Ran), "work in flight may call on");
     assert!(forward.stop(DRAIN).await);
--- a/components/proxy/tests/whole_answers.rs
+++ b/components/proxy/tests/whole_answers.rs
@@ -2,6 +2,8 @@
 
 mod common;
 
+use std::time::Duration;
+
 use common::{FleetPlan, MAX_BODY_BYTES, TestFleet, get, http1, http2, send, wait_for};
 use http::StatusCode;
 use sk_proxy::{RefusalKind, RequestOutcome};
@@ -170,13 +172,19 @@
     ];
     let answer = send(&http1(), fleet.entry(), "GET", "/", &headers, "").await;
     assert_eq!(answer.status, StatusCode::OK, "{answer:?}");
-    // The hops of the caller and one more.
-    assert_eq!(answer.json()["hops"], "4");
+    // A caller's word for the hops does not count.
+    assert_eq!(answer.json()["hops"], "1");
     let answer = answer.json();
     let arrived = answer["headers"].as_array().expect("names of headers");
     for name in ["x-private", "te", "upgrade", "x-sapphirekeel-call", "x-sapphirekeel-token"] {
         assert!(!arrived.iter().any(|arrived| arrived == name), "{name} arrived: {arrived:?}");
     }
+    // A server's call has the hops of its parent and one more.
+    let proof = fleet.daemons[0].proofs.make(Duration::from_secs(1));
+    let headers =
+        [("x-sapphirekeel-hops", "3"), ("x-sapphirekeel-parent", proof.to_str().expect("digits"))];
+    let answer = send(&http1(), fleet.entry(), "GET", "/", &headers, "").await;
+    assert_eq!(answer.json()["hops"], "4");
 }
 
 /// Guards against a sender outside the fleet that sends to a guard directly, past routes and fair
--- a/components/standin/src/backend.rs
+++ b/components/standin/src/backend.rs
@@ -40,8 +40,12 @@
 /// Path at which the stand-in reports its load.
 const LOAD_PATH: &str = "/load";
 /// Headers that a service copies from a request into the calls that it makes for it.
-const CONTEXT_HEADERS: [&str; 3] =
-    ["x-sapphirekeel-deadline-ms", "x-sapphirekeel-hops", "x-sapphirekeel-retried"];
+const CONTEXT_HEADERS: [&str; 4] = [
+    "x-sapphirekeel-deadline-ms",
+    "x-sapphirekeel-hops",
+    "x-sapphirekeel-retried",
+    "x-sapphirekeel-parent",
+];
 
 /// Behaviour of the stand-in.
 #[derive(Clone, Debug)]
--- a/tests/nested_calls.rs
+++ b/tests/nested_calls.rs
@@ -81,9 +81,13 @@
     wait_served(&proxy, "/board/up").await;
 
     server.set_mode(AnswerMode::Fails);
+    server.set_work_time(Duration::from_millis(600));
     // The nested call of the server, through its own daemon, ends before the server answers.
+    let own = proxy.clone();
+    let request = tokio::spawn(async move { send(&own, "/board/confirm", "a1").await });
+    tokio::time::sleep(Duration::from_millis(300)).await;
     assert_eq!(send(&server_daemon.address("proxy"), "/docs/plan", "a1.c1").await, 503);
-    assert_eq!(send(&proxy, "/board/confirm", "a1").await, 500);
+    assert_eq!(request.await.expect("it ends"), 500);
     let line = line_of(&entry, "a1");
     let tries = line["tries"].as_str().unwrap_or_default();
     assert!(
@@ -92,7 +96,6 @@
     );
 
     // A server that abandons its nested call answers before the daemon sees the end of that call.
-    server.set_work_time(Duration::from_millis(600));
     let (own, call) = (proxy.clone(), server_daemon.address("proxy"));
     let request = tokio::spawn(async move { send(&own, "/board/confirm", "a2").await });
     tokio::time::sleep(Duration::from_millis(300)).await;
