proxy: a stop answers pipelined requests that were passed on to servers

Cause: the first answer after the announcement of the stop closed the connection, whatever had been started behind it, and a listener that stopped closed each connection after its current answer.

Why this works: an answer closes the connection only if nothing was started behind it; nothing is started any more after the announcement, so the last one that was does. A listener that stops waits for requests that run ahead of their turn, until 0.1 s before the end of its time.

--- a/components/proxy/src/pipeline/ahead.rs
+++ b/components/proxy/src/pipeline/ahead.rs
@@ -124,6 +124,11 @@
         Some((request, length))
     }
 
+    /// Returns whether any request was started.
+    pub(super) fn has_started(&self) -> bool {
+        self.requests.iter().any(|request| request.started.is_some())
+    }
+
     /// Continues to read heads behind one that was handed out. As long as others wait in between, the
     /// head that ends what is read here is still to come.
     pub(super) fn resume(&mut self) {
--- a/components/proxy/src/pipeline/budget.rs
+++ b/components/proxy/src/pipeline/budget.rs
@@ -30,6 +30,13 @@
         self.started.clone().try_acquire_owned().ok()
     }
 
+    /// Waits until no request runs ahead of its turn.
+    pub(crate) async fn wait_idle(&self) {
+        // The permits are returned with the turns of the requests, so this never waits for long.
+        let all = u32::try_from(MAX_STARTED).unwrap_or(u32::MAX);
+        let _ = self.started.acquire_many(all).await;
+    }
+
     /// Takes room for bytes, if there is enough.
     pub(super) fn take_bytes(&self, count: usize) -> Option<OwnedSemaphorePermit> {
         let count = u32::try_from(count).ok()?;
--- a/components/proxy/src/pipeline/stream.rs
+++ b/components/proxy/src/pipeline/stream.rs
@@ -139,6 +139,7 @@
             self.peer_check = None;
             self.reading = match self.ahead.take_next() {
                 Some((request, length)) => {
+                    self.link.set_started(self.ahead.has_started());
                     self.link.set_next(request);
                     Reading::Parsed(length)
                 }
@@ -195,7 +196,10 @@
         }
         if !self.ahead.is_empty() && !self.is_stalled {
             let (link, service) = (&self.link, &*self.service);
+            // Set before, so that no answer closes the connection while a request is being started.
+            link.set_started(true);
             self.ahead.start_safe(|| link.is_current_safe(service));
+            link.set_started(self.ahead.has_started());
         }
         Poll::Pending
     }
--- a/components/proxy/src/pipeline/turn.rs
+++ b/components/proxy/src/pipeline/turn.rs
@@ -57,6 +57,8 @@
     is_written: AtomicBool,
     /// Whether the connection closes after the current answer.
     is_closing: AtomicBool,
+    /// Whether requests behind the current one were started, or are about to be.
+    has_started: AtomicBool,
 }
 
 impl TurnLink {
@@ -84,6 +86,11 @@
         self.is_written.swap(false, Ordering::AcqRel)
     }
 
+    /// Sets whether requests behind the current one were started, or are about to be.
+    pub(super) fn set_started(&self, has_started: bool) {
+        self.has_started.store(has_started, Ordering::Release);
+    }
+
     pub(super) fn is_closing(&self) -> bool {
         self.is_closing.load(Ordering::Acquire)
     }
@@ -138,6 +145,12 @@
         self.next.as_ref().map(AheadRequest::place)
     }
 
+    /// Returns whether requests behind this one were started. Their answers are owed, so the
+    /// connection must not close before them.
+    pub(crate) fn has_started_behind(&self) -> bool {
+        self.link.has_started.load(Ordering::Acquire)
+    }
+
     /// Ends the turn with the end of the answer. If the answer closes the connection, the requests
     /// behind it end at once.
     pub(crate) fn end(self, response: Response<ProxyBody>) -> Response<TurnBody> {
--- a/components/proxy/src/serve.rs
+++ b/components/proxy/src/serve.rs
@@ -50,6 +50,9 @@
 /// receives the refusal and goes elsewhere. A request that met the close of its connection instead
 /// would end with an unknown outcome for its sender, although it did not run.
 const MIN_REFUSAL_TIME: Duration = Duration::from_millis(200);
+/// Time at the end of a stop in which connections are closed, whether or not requests run ahead of
+/// their turn on them.
+const CLOSE_TIME: Duration = Duration::from_millis(100);
 /// Largest head of a caller's request in bytes; a larger one is answered with 431.
 const ENTRY_HEAD_BYTES: u32 = 32 * 1024;
 /// Largest head at the guard in bytes: a caller's and what the entry daemon adds.
@@ -147,7 +150,9 @@
 pub struct ListenerHandle {
     drain_state: Arc<DrainState>,
     activity: Arc<ListenerActivity>,
-    stop: watch::Sender<bool>,
+    /// When the listener stops accepting, the time until which connections wait for requests that
+    /// run ahead of their turn.
+    stop: watch::Sender<Option<Instant>>,
     task: JoinHandle<()>,
 }
 
@@ -174,9 +179,11 @@
     /// their answers, and returns whether all requests ended.
     pub async fn stop(self, bound: Duration) -> bool {
         let refused_at = self.drain_state.refuse_new();
+        let end = Instant::now() + bound;
+        let ahead_until = end.checked_sub(CLOSE_TIME.min(bound)).unwrap_or(end);
         let stop = async {
             tokio::time::sleep_until(refused_at + MIN_REFUSAL_TIME).await;
-            self.stop.send_replace(true);
+            self.stop.send_replace(Some(ahead_until));
             self.task.await
         };
         tokio::time::timeout(bound, stop).await.is_ok() || self.activity.is_all_sent()
@@ -291,7 +298,7 @@
     H: Fn(Request<Incoming>, AcceptedPeer) -> F + Clone + Send + 'static,
     F: Future<Output = Response<ProxyBody>> + Send + 'static,
 {
-    let stop = watch::Sender::new(false);
+    let stop = watch::Sender::new(None);
     let activity = Arc::new(ListenerActivity::default());
     let accept = accept_until_stopped(
         listener,
@@ -309,7 +316,7 @@
     (mut server, idle): (ServerBuilder, L),
     (handle, early): (H, Option<EarlyParts>),
     (drain_state, is_in_flight, activity): (Arc<DrainState>, InFlightCheck, Arc<ListenerActivity>),
-    mut stopped: watch::Receiver<bool>,
+    mut stopped: watch::Receiver<Option<Instant>>,
 ) where
     L: Fn() -> Duration + Send + 'static,
     H: Fn(Request<Incoming>, AcceptedPeer) -> F + Clone + Send + 'static,
@@ -319,7 +326,7 @@
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
-            _ = stopped.wait_for(|stop| *stop) => break,
+            _ = stopped.wait_for(Option::is_some) => break,
         };
         let (stream, peer) = match accepted {
             Ok((stream, address)) => {
@@ -368,6 +375,11 @@
         });
     }
     drop(listener);
+    // The library closes each connection after its current answer, also if requests behind it run.
+    let ahead_until = *stopped.borrow();
+    if let Some(((_, budget), until)) = early.zip(ahead_until) {
+        let _ = tokio::time::timeout_at(until, budget.wait_idle()).await;
+    }
     graceful.shutdown().await;
 }
 
@@ -402,7 +414,8 @@
             Some(answer) => answer.await,
             None => refuse_with_delay(RefusalKind::Draining, Duration::ZERO),
         };
-        if is_http1 && drain_state.has_reached(DrainStage::Leaving) {
+        let is_last = !turn.as_ref().is_some_and(Turn::has_started_behind);
+        if is_http1 && is_last && drain_state.has_reached(DrainStage::Leaving) {
             response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
         }
         match turn {
