Roll-outs: hosts that have the new version, paused relays; deposits only where something is due

A daemon that lists a server of the target version in place of an old one counts as without old servers at once, not after 5 s. A stored stage of the release before, which names old versions but no daemons, does not end an order by what is not seen.

--- a/components/daemon/src/rollouts.rs
+++ b/components/daemon/src/rollouts.rs
@@ -140,9 +140,9 @@
         let read_at = lock(&memory).read_at;
         let read_age = read_at.map(|read_at| now.saturating_duration_since(read_at));
         let fleet = parts.members.fleet();
-        let is_able = parts.is_relay() && fleet.knows_fleet() && !is_paused;
-        relay_since = relay_since.or(Some(now)).filter(|_| is_able);
-        if relay_since.is_none() {
+        let is_able = parts.is_relay() && fleet.knows_fleet();
+        relay_since = relay_since.filter(|_| !is_paused).or(Some(now)).filter(|_| is_able);
+        if !is_able {
             // What was counted until now belongs to moments that the next decisions do not know.
             control = OrderControl::new(parts.settings);
             lock(&memory).due.clear();
--- a/components/daemon/src/unfinished.rs
+++ b/components/daemon/src/unfinished.rs
@@ -93,6 +93,8 @@
     members: Arc<SharedMembers>,
     peers: PeerClient,
     running: RunningRequests,
+    /// The daemon that has got the last deposit.
+    keeper: Mutex<Option<ProxyId>>,
 }
 
 impl DepositSender {
@@ -102,30 +104,32 @@
         peers: PeerClient,
         running: RunningRequests,
     ) -> Self {
-        Self { members, peers, running }
+        Self { members, peers, running, keeper: Mutex::default() }
     }
 
     /// Sends deposits until it is dropped.
     pub(crate) async fn run(&self) {
-        let mut keeper = None;
         loop {
             tokio::time::sleep(DEPOSIT_INTERVAL).await;
-            let next = self.choose_keeper();
-            if keeper != next {
-                self.running.reset_deposit();
-            }
-            keeper = next;
             self.send().await;
         }
     }
 
-    /// Sends what is due.
+    /// Sends what is due, and to a daemon that keeps nothing yet all that no other one knows.
     pub(crate) async fn send(&self) {
-        let Some((name, guard)) = self.choose_keeper() else { return };
-        let requests = self.running.take_deposit();
+        let mut keeper = self.keeper.lock().await;
+        let mut requests = self.running.take_deposit();
         if requests.is_empty() {
             return;
         }
+        let Some((name, guard)) = self.choose_keeper() else {
+            return self.running.reset_deposit();
+        };
+        if keeper.as_ref() != Some(&name) {
+            self.running.reset_deposit();
+            requests = self.running.take_deposit();
+        }
+        *keeper = Some(name.clone());
         let own = self.members.own().proxy.clone();
         let deposit = self.peers.deposit_unfinished(guard, &own, &requests);
         let sent = timeout(DEPOSIT_TIME, deposit).await;
--- a/components/rollout/src/control.rs
+++ b/components/rollout/src/control.rs
@@ -238,9 +238,12 @@
         fleet: &FleetKnowledge,
         now: Instant,
     ) -> BaseHosts {
-        let within_reach = base_servers(state, order).filter(|(_, it)| fleet.reaches(&it.host));
+        let within_reach =
+            servers_of(state, order, false).filter(|(_, it)| fleet.reaches(&it.host));
         let (present, listing): (BTreeSet<ServerId>, BTreeSet<&ProxyId>) =
             within_reach.map(|(server, it)| (server.clone(), &it.host)).unzip();
+        let replaced: BTreeSet<&ProxyId> =
+            servers_of(state, order, true).map(|(_, server)| &server.host).collect();
         let is_absent = |host: &ProxyId| fleet.reaches(host) && !listing.contains(host);
         self.absent_since.retain(|host, _| is_absent(host));
         for host in record.hosts.iter().filter(|host| is_absent(host)) {
@@ -249,6 +252,7 @@
         let state_of = |host: &ProxyId| match self.absent_since.get(host) {
             _ if !fleet.has(host) => HostState::Left,
             _ if !fleet.reaches(host) => HostState::Lost,
+            Some(_) if replaced.contains(host) => HostState::Left,
             Some(since) if now.duration_since(*since) >= ABSENT_TIME => HostState::Left,
             Some(_) => HostState::Unclear,
             None => HostState::Present,
@@ -260,7 +264,7 @@
             unclear: count(HostState::Unclear) as u32,
             // Without any old server known, a daemon that has not been heard of may have one.
             is_lost: match states.is_empty() {
-                true => !fleet.is_complete(),
+                true => !fleet.is_complete() || !record.base.is_empty(),
                 false => count(HostState::Lost) * 2 > states.len(),
             },
         }
@@ -374,14 +378,15 @@
     !hosts.is_lost && hosts.unclear == 0 && hosts.present.iter().all(is_present_ended)
 }
 
-/// Returns the servers of the service that are not of the target version.
-fn base_servers<'a>(
+/// Returns the servers of the target version, or the others of its service.
+fn servers_of<'a>(
     state: &'a RolloutState,
     order: &'a RolloutOrder,
+    is_target: bool,
 ) -> impl Iterator<Item = (&'a ServerId, &'a SeenServer)> {
     let versions = state.versions.of_service(&order.service).into_iter().flatten();
-    let others = versions.filter(|(version, _)| **version != order.target);
-    others.flat_map(|(_, sighting)| sighting.servers())
+    let wanted = versions.filter(move |(version, _)| (**version == order.target) == is_target);
+    wanted.flat_map(|(_, sighting)| sighting.servers())
 }
 
 /// Returns the last record of each server.
