--- a/components/member/src/shared_members.rs
+++ b/components/member/src/shared_members.rs
@@ -16,6 +16,30 @@
 /// Snapshot of the records, by daemon name; cheap to clone.
 pub type MemberSnapshot = Arc<BTreeMap<ProxyId, Arc<MemberRecord>>>;
 
+/// What the fleet was assessed from, and the result.
+struct FleetAssessment {
+    members: MemberSnapshot,
+    marks: ReachabilityMarks,
+    roster: Option<Arc<FleetRoster>>,
+    knowledge: Arc<FleetKnowledge>,
+}
+
+impl FleetAssessment {
+    /// Returns whether it was made from these very parts.
+    fn is_of(
+        &self,
+        members: &MemberSnapshot,
+        marks: &ReachabilityMarks,
+        roster: Option<&Arc<FleetRoster>>,
+    ) -> bool {
+        let is_same_roster = match (&self.roster, roster) {
+            (Some(known), Some(roster)) => Arc::ptr_eq(known, roster),
+            (known, roster) => known.is_none() && roster.is_none(),
+        };
+        is_same_roster && Arc::ptr_eq(&self.members, members) && Arc::ptr_eq(&self.marks, marks)
+    }
+}
+
 /// The member table behind a lock, with a snapshot whose changes readers can await.
 ///
 /// Only control traffic takes the lock; the request path reads a table built from the snapshot.
@@ -23,7 +47,9 @@
     table: Mutex<MemberTable>,
     marks: Mutex<ReachabilityMarks>,
     /// `None` until it has been read.
-    roster: Mutex<Option<FleetRoster>>,
+    roster: Mutex<Option<Arc<FleetRoster>>>,
+    /// The last assessment of the fleet.
+    assessed: Mutex<Option<FleetAssessment>>,
     snapshot: watch::Sender<MemberSnapshot>,
 }
 
@@ -36,6 +62,7 @@
             table: Mutex::new(table),
             marks: Mutex::default(),
             roster: Mutex::default(),
+            assessed: Mutex::default(),
             snapshot,
         }
     }
@@ -70,19 +97,33 @@
     /// Sets the names of the daemons that the platform's store has, and wakes the subscribers.
     pub fn set_roster(&self, roster: FleetRoster) {
         let mut held = self.roster.lock().unwrap_or_else(PoisonError::into_inner);
-        let is_changed = held.as_ref() != Some(&roster);
-        *held = Some(roster);
-        drop(held);
-        if is_changed {
-            self.snapshot.send_modify(|_| ());
+        if held.as_deref() == Some(&roster) {
+            return;
         }
+        *held = Some(Arc::new(roster));
+        drop(held);
+        self.snapshot.send_modify(|_| ());
     }
 
     /// Returns which daemons the fleet has and which of them this one reaches.
-    pub fn fleet(&self) -> FleetKnowledge {
-        let (members, marks, own) = (self.snapshot(), self.marks(), self.own());
-        let roster = self.roster.lock().unwrap_or_else(PoisonError::into_inner);
-        FleetKnowledge::assess(&own.proxy, &members, &marks, roster.as_ref())
+    pub fn fleet(&self) -> Arc<FleetKnowledge> {
+        let (members, marks) = (self.snapshot(), self.marks());
+        let roster = self.roster.lock().unwrap_or_else(PoisonError::into_inner).clone();
+        let mut assessed = self.assessed.lock().unwrap_or_else(PoisonError::into_inner);
+        match &*assessed {
+            Some(known) if known.is_of(&members, &marks, roster.as_ref()) => {
+                known.knowledge.clone()
+            }
+            _ => {
+                let own = self.own();
+                let knowledge =
+                    FleetKnowledge::assess(&own.proxy, &members, &marks, roster.as_deref());
+                let knowledge = Arc::new(knowledge);
+                let result = knowledge.clone();
+                *assessed = Some(FleetAssessment { members, marks, roster, knowledge });
+                result
+            }
+        }
     }
 
     /// Returns the current snapshot of the records.
