proxy, daemon: a recall of unfinished requests waits 0.5 s; plain ends of running requests

Answers of daemons on a busy machine come later than in 0.3 s, and a call that is refused then fails the work of its server. No behaviour of the rest changes.

--- a/components/daemon/src/unfinished.rs
+++ b/components/daemon/src/unfinished.rs
@@ -16,7 +16,7 @@
 /// Time after the start of the daemon in which others are asked. Longer than most time budgets.
 const RECALL_PERIOD: Duration = Duration::from_secs(30);
 /// Time for which a call waits for the answers.
-const RECALL_TIME: Duration = Duration::from_millis(300);
+const RECALL_TIME: Duration = Duration::from_millis(500);
 /// Interval between looks for other daemons while none is known.
 const MEMBER_POLL: Duration = Duration::from_millis(20);
 /// Interval between deposits.
--- a/components/proxy/src/attempt.rs
+++ b/components/proxy/src/attempt.rs
@@ -289,7 +289,9 @@
             track_answer(response, running)
         }
         Err(PeerError::Unsent(err)) => {
-            running.map(RunningRequest::end);
+            if let Some(running) = running {
+                running.end();
+            }
             log::debug!("proxy: daemon {} cannot be reached: {err}.", endpoint.proxy);
             count_own_refusal(context, refuse(RefusalKind::Unreachable))
         }
--- a/components/proxy/src/exchange.rs
+++ b/components/proxy/src/exchange.rs
@@ -35,7 +35,6 @@
     pool::AcquiredSender,
     quarantine::check_for_crash,
     read_ahead::{AheadBody, read_ahead},
-    running_requests::RunningRequest,
     server_calls::write_proof,
     times::TimeStage,
     tracked_body::{BodyEndHandler, BodyProgress, TrackedBody},
@@ -141,7 +140,9 @@
             release_unsent(admitted).await;
             return refuse_admission(server, call.is_nested, refusal);
         }
-        running.iter_mut().for_each(|running| running.set_sent(true));
+        if let Some(running) = &mut running {
+            running.set_sent(true);
+        }
         match sender.try_send_request(request).await {
             Ok(response) => {
                 let exchange = OpenExchange {
@@ -188,7 +189,9 @@
                 Some(unsent) => {
                     request = unsent;
                     admitted.record_unsent(stage);
-                    running.iter_mut().for_each(|running| running.set_sent(false));
+                    if let Some(running) = &mut running {
+                        running.set_sent(false);
+                    }
                 }
                 None => {
                     let err = err.into_error();
@@ -377,7 +380,9 @@
     let mut response = match verdict {
         AnswerVerdict::NotExecuted => {
             log::info!("guard: server {id} rejected a request without running it.");
-            exchange.running.take().map(RunningRequest::end);
+            if let Some(running) = exchange.running.take() {
+                running.end();
+            }
             if let Some(claim) = claim {
                 claim.release_unrun().await;
             }
--- a/components/proxy/src/open_exchange.rs
+++ b/components/proxy/src/open_exchange.rs
@@ -48,7 +48,9 @@
         delivery.context.quarantine.record_success(fingerprint);
         delivery.server.pool.release(sender);
         permit.finish();
-        running.map(RunningRequest::end);
+        if let Some(running) = running {
+            running.end();
+        }
         delivery
     }
 
