member, daemon: knowledge of the fleet without copies; fewer deposits of running requests

Names of all daemons were copied at each change of a member, and each daemon with calls sent ten deposits a second. The fleet is now counted without copies; what is deposited has run for 0.1 s, five times a second at most, and the daemon that keeps it is chosen again only if the fleet has changed.

--- a/components/daemon/src/unfinished.rs
+++ b/components/daemon/src/unfinished.rs
@@ -5,7 +5,7 @@
 
 use async_trait::async_trait;
 use futures::future::join_all;
-use sk_member::{MemberRecord, SharedMembers, rendezvous_weight};
+use sk_member::{FleetKnowledge, MemberRecord, SharedMembers, rendezvous_weight};
 use sk_model::ProxyId;
 use sk_proxy::{PeerClient, RunningRequests, UnfinishedRecall};
 use tokio::{
@@ -20,7 +20,7 @@
 /// Interval between looks for other daemons while none is known.
 const MEMBER_POLL: Duration = Duration::from_millis(20);
 /// Interval between deposits.
-const DEPOSIT_INTERVAL: Duration = Duration::from_millis(100);
+const DEPOSIT_INTERVAL: Duration = Duration::from_millis(200);
 /// Time for one deposit.
 const DEPOSIT_TIME: Duration = Duration::from_millis(500);
 
@@ -93,10 +93,13 @@
     members: Arc<SharedMembers>,
     peers: PeerClient,
     running: RunningRequests,
-    /// The daemon that has got the last deposit.
-    keeper: Mutex<Option<ProxyId>>,
+    /// The daemon that has got the last deposit, and the fleet that it was chosen from.
+    keeper: Mutex<Option<(Arc<FleetKnowledge>, Keeper)>>,
 }
 
+/// Name and guard of a daemon that keeps requests of another one.
+type Keeper = (ProxyId, SocketAddr);
+
 impl DepositSender {
     /// Creates the sender of a daemon.
     pub(crate) fn new(
@@ -122,14 +125,21 @@
         if requests.is_empty() {
             return;
         }
-        let Some((name, guard)) = self.choose_keeper() else {
-            return self.running.reset_deposit();
+        let fleet = self.members.fleet();
+        let (name, guard) = match &*keeper {
+            Some((of, keeper)) if Arc::ptr_eq(of, &fleet) => keeper.clone(),
+            before => {
+                let Some(next) = self.choose_keeper() else {
+                    return self.running.reset_deposit();
+                };
+                if before.as_ref().is_none_or(|(_, before)| *before != next) {
+                    self.running.reset_deposit();
+                    requests = self.running.take_deposit();
+                }
+                *keeper = Some((fleet, next.clone()));
+                next
+            }
         };
-        if keeper.as_ref() != Some(&name) {
-            self.running.reset_deposit();
-            requests = self.running.take_deposit();
-        }
-        *keeper = Some(name.clone());
         let own = self.members.own().proxy.clone();
         let deposit = self.peers.deposit_unfinished(guard, &own, &requests);
         let sent = timeout(DEPOSIT_TIME, deposit).await;
@@ -140,7 +150,7 @@
     }
 
     /// Returns the daemon that keeps requests of this one, one of its data centre if there is any.
-    fn choose_keeper(&self) -> Option<(ProxyId, SocketAddr)> {
+    fn choose_keeper(&self) -> Option<Keeper> {
         let own = self.members.own();
         let rank = |other: &Arc<MemberRecord>| {
             let is_near = other.data_centre == own.data_centre;
--- a/components/member/src/fleet.rs
+++ b/components/member/src/fleet.rs
@@ -3,6 +3,7 @@
 
 use std::{
     collections::{BTreeMap, BTreeSet},
+    sync::Arc,
     time::Duration,
 };
 
@@ -20,14 +21,18 @@
 pub type FleetRoster = BTreeSet<ProxyId>;
 
 /// The daemons of the fleet as one of them knows them.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug)]
 pub struct FleetKnowledge {
-    /// Whether the roster has been read.
-    has_roster: bool,
-    known: BTreeSet<ProxyId>,
-    reached: BTreeSet<ProxyId>,
-    /// Known daemons of which there is no record here.
-    unheard: BTreeSet<ProxyId>,
+    own: ProxyId,
+    members: MemberSnapshot,
+    marks: ReachabilityMarks,
+    /// `None` while it has not been read.
+    roster: Option<Arc<FleetRoster>>,
+    /// Numbers of daemons that belong to the fleet, and of those within reach among them.
+    known: usize,
+    reached: usize,
+    /// Whether the first of the known daemons by name is within reach.
+    reaches_first: bool,
 }
 
 impl FleetKnowledge {
@@ -36,61 +41,79 @@
         own: &str,
         members: &MemberSnapshot,
         marks: &ReachabilityMarks,
-        roster: Option<&FleetRoster>,
+        roster: Option<&Arc<FleetRoster>>,
     ) -> Self {
-        let is_leaving = |name: &ProxyId| {
-            members.get(name).is_some_and(|record| record.status == MemberStatus::Leaving)
+        let mut fleet = Self {
+            own: own.to_owned(),
+            members: members.clone(),
+            marks: marks.clone(),
+            roster: roster.cloned(),
+            known: 0,
+            reached: 0,
+            reaches_first: false,
         };
         let active = members.values().filter(|record| record.is_active());
-        let mut known: BTreeSet<ProxyId> = active.map(|record| record.proxy.clone()).collect();
-        let listed = roster.into_iter().flatten().filter(|name| !is_leaving(name));
-        known.extend(listed.cloned());
-        let is_reached = |name: &&ProxyId| {
-            let record = members.get(*name);
-            *name == own || record.is_some_and(|record| is_within_reach(record, marks))
-        };
-        let reached = known.iter().filter(is_reached).cloned().collect();
-        let unheard = known.iter().filter(|name| !members.contains_key(*name)).cloned().collect();
-        Self { has_roster: roster.is_some(), known, reached, unheard }
+        fleet.reached = active.clone().filter(|record| fleet.reaches(&record.proxy)).count();
+        fleet.known = active.clone().count() + fleet.missing().count();
+        let first_active = active.map(|record| &record.proxy).next();
+        let first = first_active.into_iter().chain(fleet.missing().next()).min();
+        fleet.reaches_first = first.is_some_and(|first| fleet.reaches(first));
+        fleet
     }
 
     /// Returns whether this daemon may decide for the fleet: it reaches most of the daemons, or half
     /// of them and among these the first by name. This holds for one of any groups at most that do
     /// not reach each other.
     pub fn knows_fleet(&self) -> bool {
-        let (known, reached) = (self.known.len(), self.reached.len());
-        let has_first = self.known.first().is_some_and(|first| self.reached.contains(first));
-        self.has_roster && (reached * 2 > known || reached * 2 == known && has_first)
+        let (known, reached) = (self.known, self.reached);
+        let is_most = reached * 2 > known || reached * 2 == known && self.reaches_first;
+        self.is_roster_read() && is_most
     }
 
     /// Returns whether the roster has been read.
     pub fn is_roster_read(&self) -> bool {
-        self.has_roster
+        self.roster.is_some()
     }
 
     /// Returns whether the fleet is known, with the record of each of its daemons.
     pub fn is_complete(&self) -> bool {
-        self.knows_fleet() && self.unheard.is_empty()
+        self.knows_fleet() && self.unheard().next().is_none()
     }
 
     /// Returns whether a daemon belongs to the fleet, as far as is known here.
     pub fn has(&self, proxy: &str) -> bool {
-        self.known.contains(proxy)
+        let is_listed = || self.roster.as_ref().is_some_and(|roster| roster.contains(proxy));
+        match self.members.get(proxy) {
+            Some(record) if record.is_active() => true,
+            Some(record) => record.status != MemberStatus::Leaving && is_listed(),
+            None => is_listed(),
+        }
     }
 
     /// Returns whether this daemon reaches another one.
     pub fn reaches(&self, proxy: &str) -> bool {
-        self.reached.contains(proxy)
+        let record = self.members.get(proxy).filter(|record| record.is_active());
+        record.is_some_and(|record| proxy == self.own || is_within_reach(record, &self.marks))
     }
 
     /// Returns the daemons of the roster of which there is no record here.
     pub fn unheard(&self) -> impl Iterator<Item = &ProxyId> {
-        self.unheard.iter()
+        let listed = self.roster.iter().flat_map(|roster| roster.iter());
+        listed.filter(|name| !self.members.contains_key(*name))
     }
 
     /// Returns the number of daemons of the fleet, at least one.
     pub fn daemon_count(&self) -> usize {
-        self.known.len().max(1)
+        self.known.max(1)
+    }
+
+    /// Returns the daemons of the roster that are not active members and have not left.
+    fn missing(&self) -> impl Iterator<Item = &ProxyId> {
+        let listed = self.roster.iter().flat_map(|roster| roster.iter());
+        listed.filter(|name| match self.members.get(*name) {
+            Some(record) => !record.is_active() && record.status != MemberStatus::Leaving,
+            None => true,
+        })
     }
 }
 
--- a/components/member/src/shared_members.rs
+++ b/components/member/src/shared_members.rs
@@ -117,7 +117,7 @@
             _ => {
                 let own = self.own();
                 let knowledge =
-                    FleetKnowledge::assess(&own.proxy, &members, &marks, roster.as_deref());
+                    FleetKnowledge::assess(&own.proxy, &members, &marks, roster.as_ref());
                 let knowledge = Arc::new(knowledge);
                 let result = knowledge.clone();
                 *assessed = Some(FleetAssessment { members, marks, roster, knowledge });
--- a/components/proxy/src/running_requests.rs
+++ b/components/proxy/src/running_requests.rs
@@ -22,6 +22,8 @@
 const CALL_TRANSIT: Duration = Duration::from_millis(200);
 /// Longest remaining time that is taken from another daemon.
 const MAX_REMAINING: Duration = Duration::from_secs(600);
+/// Age from which a request is deposited with another daemon. Most end before that.
+const DEPOSIT_AGE: Duration = Duration::from_millis(100);
 /// Time between removals of requests whose time budget has ended.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -42,6 +44,7 @@
 /// Copies of one request at one server.
 #[derive(Debug)]
 struct RunEntry {
+    began: Instant,
     /// When the last of their time budgets ends, with the transit of a call.
     until: Instant,
     /// Copies that are open here.
@@ -137,7 +140,9 @@
             return Vec::new();
         }
         let here = table.places.get_mut(&None).into_iter().flatten();
+        let is_old = |entry: &RunEntry| now.duration_since(entry.began) >= DEPOSIT_AGE;
         let due = here.filter(|(_, entry)| entry.is_from_here && !entry.is_deposited);
+        let due = due.filter(|(_, entry)| is_old(entry));
         due.filter_map(|(attempt, entry)| {
             entry.is_deposited = true;
             entry.describe(attempt, now)
@@ -201,6 +206,7 @@
             None => {
                 self.count += 1;
                 map.entry(attempt.to_owned()).or_insert(RunEntry {
+                    began: Instant::now(),
                     until,
                     open: 0,
                     is_uncertain: false,
