--- a/components/daemon/src/unfinished.rs
+++ b/components/daemon/src/unfinished.rs
@@ -13,7 +13,7 @@
     time::{Instant, timeout, timeout_at},
 };
 
-/// Time after the start of the daemon in which others are asked. Longer than most time budgets.
+/// Time after the start of the daemon in which others are asked. Longer than most deadlines.
 const RECALL_PERIOD: Duration = Duration::from_secs(30);
 /// Time for which a call waits for the answers.
 const RECALL_TIME: Duration = Duration::from_millis(500);
--- a/components/proxy/src/running_requests.rs
+++ b/components/proxy/src/running_requests.rs
@@ -17,14 +17,14 @@
 
 /// Largest number of requests that are known at once.
 const MAX_REQUESTS: usize = 16_384;
-/// Time after its time budget for which a request is known: the transit of a call that the server
+/// Time after its deadline for which a request is known: the transit of a call that the server
 /// has made at the last moment.
 const CALL_TRANSIT: Duration = Duration::from_millis(200);
 /// Longest remaining time that is taken from another daemon.
 const MAX_REMAINING: Duration = Duration::from_secs(600);
 /// Age from which a request is deposited with another daemon. Most end before that.
 const DEPOSIT_AGE: Duration = Duration::from_millis(100);
-/// Time between removals of requests whose time budget has ended.
+/// Time between removals of requests whose deadline has passed.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
 
 /// A request that a server may be working on, as daemons tell each other.
@@ -33,7 +33,7 @@
     /// Id of the caller's attempt.
     #[serde(rename = "i")]
     pub attempt: String,
-    /// Milliseconds until its time budget ends.
+    /// Milliseconds until its deadline.
     #[serde(rename = "m")]
     pub remaining_ms: u64,
 }
@@ -45,7 +45,7 @@
 #[derive(Debug)]
 struct RunEntry {
     began: Instant,
-    /// When the last of their time budgets ends, with the transit of a call.
+    /// When the last of their deadlines passes, with the transit of a call.
     until: Instant,
     /// Copies that are open here.
     open: u32,
@@ -83,7 +83,7 @@
 }
 
 impl RunningRequests {
-    /// Adds a request that is sent to the local server, whose time budget ends at `deadline`.
+    /// Adds a request that is sent to the local server, which has to end by `deadline`.
     /// `is_from_here` tells whether it entered at this daemon.
     pub(crate) fn begin(
         &self,
@@ -220,7 +220,7 @@
         true
     }
 
-    /// Removes the requests whose time budgets have ended, at most once in an interval.
+    /// Removes the requests whose deadlines have passed, at most once in an interval.
     fn sweep(&mut self, now: Instant) {
         if self.swept_at.is_some_and(|at| now.duration_since(at) < SWEEP_INTERVAL) {
             return;
@@ -248,7 +248,7 @@
 }
 
 impl RunEntry {
-    /// Describes the request for another daemon; `None` once its time budget has ended.
+    /// Describes the request for another daemon; `None` once its deadline has passed.
     fn describe(&self, attempt: &str, now: Instant) -> Option<UnfinishedRequest> {
         let remaining = self.until.checked_duration_since(now)?;
         let remaining_ms = remaining.as_millis() as u64;
@@ -274,7 +274,7 @@
     }
 }
 
-/// Without a certain end the server may work on until the time budget ends.
+/// Without a certain end the server may work on until the deadline.
 impl Drop for RunningRequest {
     fn drop(&mut self) {
         self.finish(!self.is_sent);
--- a/components/proxy/src/server_calls.rs
+++ b/components/proxy/src/server_calls.rs
@@ -68,7 +68,7 @@
         Self { mac }
     }
 
-    /// Makes the proof of a request whose time budget ends after `remaining`.
+    /// Makes the proof of a request whose deadline passes after `remaining`.
     ///
     /// # Panics
     ///
@@ -79,7 +79,7 @@
         HeaderValue::from_str(&text).expect("digits")
     }
 
-    /// Returns whether the headers hold a proof whose time budget has not ended.
+    /// Returns whether the headers hold a proof whose deadline has not passed.
     pub(crate) fn is_in(&self, headers: &HeaderMap) -> bool {
         let value = headers.get(PARENT_HEADER).and_then(|value| value.to_str().ok());
         let Some((until, signature)) = value.and_then(|value| value.split_once('.')) else {
