member: an assessment of the fleet keeps its parts once

FleetAssessment held the members, marks and roster that FleetKnowledge holds as well; the knowledge now says itself whether it is of these parts. Behaviour is the same.

--- a/components/member/src/fleet.rs
+++ b/components/member/src/fleet.rs
@@ -61,6 +61,20 @@
         fleet
     }
 
+    /// Returns whether it was assessed from these very parts.
+    pub(crate) fn is_of(
+        &self,
+        members: &MemberSnapshot,
+        marks: &ReachabilityMarks,
+        roster: Option<&Arc<FleetRoster>>,
+    ) -> bool {
+        let is_same_roster = match (&self.roster, roster) {
+            (Some(known), Some(roster)) => Arc::ptr_eq(known, roster),
+            (known, roster) => known.is_none() && roster.is_none(),
+        };
+        is_same_roster && Arc::ptr_eq(&self.members, members) && Arc::ptr_eq(&self.marks, marks)
+    }
+
     /// Returns whether this daemon may decide for the fleet: it reaches most of the daemons, or half
     /// of them and among these the first by name. This holds for one of any groups at most that do
     /// not reach each other.
--- a/components/member/src/shared_members.rs
+++ b/components/member/src/shared_members.rs
@@ -16,30 +16,6 @@
 /// Snapshot of the records, by daemon name; cheap to clone.
 pub type MemberSnapshot = Arc<BTreeMap<ProxyId, Arc<MemberRecord>>>;
 
-/// What the fleet was assessed from, and the result.
-struct FleetAssessment {
-    members: MemberSnapshot,
-    marks: ReachabilityMarks,
-    roster: Option<Arc<FleetRoster>>,
-    knowledge: Arc<FleetKnowledge>,
-}
-
-impl FleetAssessment {
-    /// Returns whether it was made from these very parts.
-    fn is_of(
-        &self,
-        members: &MemberSnapshot,
-        marks: &ReachabilityMarks,
-        roster: Option<&Arc<FleetRoster>>,
-    ) -> bool {
-        let is_same_roster = match (&self.roster, roster) {
-            (Some(known), Some(roster)) => Arc::ptr_eq(known, roster),
-            (known, roster) => known.is_none() && roster.is_none(),
-        };
-        is_same_roster && Arc::ptr_eq(&self.members, members) && Arc::ptr_eq(&self.marks, marks)
-    }
-}
-
 /// The member table behind a lock, with a snapshot whose changes readers can await.
 ///
 /// Only control traffic takes the lock; the request path reads a table built from the snapshot.
@@ -49,7 +25,7 @@
     /// `None` until it has been read.
     roster: Mutex<Option<Arc<FleetRoster>>>,
     /// The last assessment of the fleet.
-    assessed: Mutex<Option<FleetAssessment>>,
+    assessed: Mutex<Option<Arc<FleetKnowledge>>>,
     snapshot: watch::Sender<MemberSnapshot>,
 }
 
@@ -111,17 +87,12 @@
         let roster = self.roster.lock().unwrap_or_else(PoisonError::into_inner).clone();
         let mut assessed = self.assessed.lock().unwrap_or_else(PoisonError::into_inner);
         match &*assessed {
-            Some(known) if known.is_of(&members, &marks, roster.as_ref()) => {
-                known.knowledge.clone()
-            }
+            Some(known) if known.is_of(&members, &marks, roster.as_ref()) => known.clone(),
             _ => {
                 let own = self.own();
                 let knowledge =
                     FleetKnowledge::assess(&own.proxy, &members, &marks, roster.as_ref());
-                let knowledge = Arc::new(knowledge);
-                let result = knowledge.clone();
-                *assessed = Some(FleetAssessment { members, marks, roster, knowledge });
-                result
+                assessed.insert(Arc::new(knowledge)).clone()
             }
         }
     }
