--- a/tests/soak_short.rs
+++ b/tests/soak_short.rs
@@ -3,6 +3,7 @@
 mod common;
 
 use std::{
+    collections::BTreeSet,
     fs,
     process::{Command, Stdio},
 };
@@ -81,6 +82,40 @@
     assert!(output.status.success(), "{}", String::from_utf8_lossy(&output.stdout));
 }
 
+/// Guards against a server that reports to a stopped daemon's port, which has been given out again
+/// to another server. No two processes of a run may listen at the same address.
+#[test]
+fn separate_addresses() {
+    let directory = TestDirectory::new("soak_addresses");
+    let folder = directory.0.to_str().expect("path");
+    let size = ["--minutes", "0.1", "--daemons", "4", "--faults", "daemon-reload"];
+    let output = Command::new(env!("CARGO_BIN_EXE_sk-soak"))
+        .args(["replay", "1", "--folder", folder])
+        .args(size)
+        .env("RUST_LOG", "sk_soak=debug")
+        .output()
+        .expect("it runs");
+    let log = String::from_utf8_lossy(&output.stderr);
+    let mut entries = fs::read_dir(&directory.0).expect("the folder of the run is kept");
+    let run = entries.next().expect("a folder").expect("it is read").path();
+    let server_addresses = log.lines().filter_map(|line| line.split_once(" listens at "));
+    let server_hosts = server_addresses.filter_map(|(_, address)| address.split_once(':'));
+    let mut hosts: Vec<String> = server_hosts.map(|(host, _)| host.to_owned()).collect();
+    for daemon in 0..DAEMONS {
+        let settings = fs::read_to_string(run.join(format!("d{daemon}.toml")));
+        let settings = settings.expect("settings are kept");
+        let settings: toml::Table = settings.parse().expect("settings are TOML");
+        let listen = settings["listen"].as_table().expect("a table");
+        let address = |name: &str| listen[name].as_str().expect("an address").to_owned();
+        let names = ["proxy", "guard", "control", "ops"];
+        let own: BTreeSet<String> = names.map(address).into();
+        assert_eq!(own.len(), 1, "one host with any port: {own:?}");
+        hosts.extend(own.iter().map(|address| address.replace(":0", "")));
+    }
+    assert_eq!(hosts.len(), 2 * DAEMONS, "{log}");
+    assert_eq!(hosts.iter().collect::<BTreeSet<_>>().len(), hosts.len(), "{hosts:?}");
+}
+
 /// Guards against daemons that keep running after an interrupted run, where they would disturb
 /// later measurements on the machine.
 #[test]
