--- a/tests/server_calls.rs
+++ b/tests/server_calls.rs
@@ -225,6 +225,19 @@
     }
 }
 
+/// Guards against calls that are refused once the guard has given up their parent, since the daemon at
+/// which that entered is gone.
+#[tokio::test(flavor = "multi_thread")]
+async fn entry_gone() {
+    let mut fleet = CallFleet::start("entry_gone").await;
+    let parent = fleet.begin(2, "a1").await;
+    fleet.daemons[2] = None;
+    assert_ne!(parent.await.expect("it ends"), 200);
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    assert_eq!(fleet.call("a1.c1"), 200);
+    assert_eq!(fleet.call("b7.c1"), 401);
+}
+
 /// Guards against calls that are refused once the head of their parent's answer has been sent.
 #[tokio::test(flavor = "multi_thread")]
 async fn answer_streams() {
