Tests: one start of platform daemons, one set of roll-out records

tests/server_calls.rs and tests/departed_servers.rs wrote the same settings and addresses, old_servers.rs and cut_daemon.rs the same members and orders.

--- a/components/rollout/tests/cut_daemon.rs
+++ b/components/rollout/tests/cut_daemon.rs
@@ -1,64 +1,21 @@
 //! Rules of a daemon that hears of no relay, or does not know the orders yet.
 
+mod common;
+
 use std::{collections::BTreeSet, time::Duration};
 
+use common::{SERVICE, member, order, stage_record};
 use sk_decide::rollout::{RolloutPhase, RolloutStage};
-use sk_member::{EndpointRecord, EndpointStatus, MemberRecord, MemberStatus};
-use sk_rollout::{OrderBook, RelayBeat, RolloutOrder, SharedRollouts, StageRecord, VersionGroup};
+use sk_rollout::{OrderBook, RelayBeat, SharedRollouts, StageRecord, VersionGroup};
 use tokio::time::Instant;
 
-const SERVICE: &str = "/operator/services/board";
-
-fn member(name: &str, version: &str) -> MemberRecord {
-    let address = "127.0.0.1:1".parse().expect("an address");
-    MemberRecord {
-        proxy: name.to_owned(),
-        incarnation: 1,
-        sequence: 1,
-        status: MemberStatus::Alive,
-        data_centre: "a".to_owned(),
-        region: "r".to_owned(),
-        control: address,
-        guard: address,
-        endpoints: vec![EndpointRecord {
-            service: SERVICE.to_owned(),
-            server: format!("server of {name}"),
-            slots: 4,
-            status: EndpointStatus::Ready,
-            version: version.to_owned(),
-        }],
-    }
-}
-
 fn beat(sequence: u64) -> RelayBeat {
     let relay = "relay".to_owned();
     RelayBeat { relay, incarnation: 1, sequence, age_ms: 0, read_age_ms: Some(0), is_last: false }
 }
 
-fn order() -> RolloutOrder {
-    RolloutOrder {
-        name: "board".to_owned(),
-        service: SERVICE.to_owned(),
-        target: "v2".to_owned(),
-        duration_ms: 12_000,
-        created: 7,
-        revision: 7,
-        state: None,
-    }
-}
-
 fn stage(share_thousandths: u16, phase: RolloutPhase) -> StageRecord {
-    StageRecord {
-        order: order().id(),
-        service: SERVICE.to_owned(),
-        target: "v2".to_owned(),
-        created: 7,
-        started_at: 1,
-        stage: RolloutStage { phase, share_thousandths, servers: 1 },
-        base: vec!["v1".to_owned()],
-        hosts: BTreeSet::new(),
-        note: None,
-    }
+    stage_record(RolloutStage { phase, share_thousandths, servers: 1 }, 1, &[])
 }
 
 fn group(rollouts: &SharedRollouts, version: &str) -> VersionGroup {
@@ -74,9 +31,9 @@
 #[test]
 fn silent_relays() {
     let (rollouts, begin) = (SharedRollouts::new(), Instant::now());
-    let members = [member("d1", "v1"), member("d2", "v2")];
+    let members = [member("d1", Some("v1")), member("d2", Some("v2"))];
     rollouts.merge_stage(&stage(50, RolloutPhase::Canary), begin);
-    rollouts.merge_book(&OrderBook { position: 9, orders: vec![order()] }, begin);
+    rollouts.merge_book(&OrderBook { position: 9, orders: vec![order(None)] }, begin);
     rollouts.merge_beat(&beat(1), begin);
     for (after_ms, expected) in [(0, 0.05), (2_900, 0.05), (3_100, 0.0), (9_000, 0.0)] {
         rollouts.observe(members.iter(), begin + Duration::from_millis(after_ms));
@@ -93,7 +50,7 @@
 fn held_back() {
     let (rollouts, begin) = (SharedRollouts::new(), Instant::now());
     let at = |after_ms: u64| begin + Duration::from_millis(after_ms);
-    let members = [member("d1", "v1"), member("d2", "v2")];
+    let members = [member("d1", Some("v1")), member("d2", Some("v2"))];
     rollouts.observe(members[..1].iter(), begin);
     rollouts.merge_beat(&beat(1), at(1_000));
     rollouts.observe(members.iter(), at(1_000));
@@ -133,7 +90,7 @@
     // The same over the wire, and once more to a daemon that knows everything.
     let (sender, receiver) = (SharedRollouts::new(), SharedRollouts::new());
     stages.iter().for_each(|record| sender.merge_stage(record, now));
-    sender.merge_book(&OrderBook { position: 9, orders: vec![order()] }, now);
+    sender.merge_book(&OrderBook { position: 9, orders: vec![order(None)] }, now);
     let body = sender.encode_changed().expect("changes");
     assert!(receiver.merge_notice(&body));
     assert_eq!(receiver.stage(&stages[0].order), expected);
--- a/components/rollout/tests/old_servers.rs
+++ b/components/rollout/tests/old_servers.rs
@@ -1,22 +1,17 @@
 //! What a relay has to know of the old servers before an order is done.
 
-use std::{
-    collections::{BTreeMap, BTreeSet},
-    sync::Arc,
-    time::Duration,
-};
+mod common;
+
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
+use common::{member, order, stage_record};
 use sk_decide::rollout::{RolloutPhase, RolloutSettings, RolloutStage};
-use sk_member::{
-    EndpointRecord, EndpointStatus, FleetKnowledge, FleetRoster, LocalReachability, MemberRecord,
-    MemberSnapshot, MemberStatus,
-};
+use sk_member::{FleetKnowledge, FleetRoster, LocalReachability, MemberRecord, MemberSnapshot};
 use sk_rollout::{
-    EvidenceRecord, OrderBook, OrderControl, OrderState, RolloutOrder, SharedRollouts, StageRecord,
+    EvidenceRecord, OrderBook, OrderControl, OrderState, SharedRollouts, StageRecord,
 };
 use tokio::time::Instant;
 
-const SERVICE: &str = "/operator/services/board";
 /// Value of [`EvidenceRecord::stage_known`] of a guard that knows the end of the order.
 const ENDED: u16 = 1001;
 
@@ -31,53 +26,14 @@
     sequence: u64,
 }
 
-fn member(name: &str, version: Option<&str>) -> MemberRecord {
-    let address = "127.0.0.1:1".parse().expect("an address");
-    let endpoint = |version: &str| EndpointRecord {
-        service: SERVICE.to_owned(),
-        server: format!("server of {name}"),
-        slots: 4,
-        status: EndpointStatus::Ready,
-        version: version.to_owned(),
-    };
-    MemberRecord {
-        proxy: name.to_owned(),
-        incarnation: 1,
-        sequence: 1,
-        status: MemberStatus::Alive,
-        data_centre: "a".to_owned(),
-        region: "r".to_owned(),
-        control: address,
-        guard: address,
-        endpoints: version.into_iter().map(endpoint).collect(),
-    }
-}
-
-fn order() -> RolloutOrder {
-    RolloutOrder {
-        name: "board".to_owned(),
-        service: SERVICE.to_owned(),
-        target: "v2".to_owned(),
-        duration_ms: 12_000,
-        created: 7,
-        revision: 7,
-        state: Some(OrderState::Running),
-    }
-}
-
+/// Returns the record of a phase. Without hosts no old server has been seen.
 fn stage(phase: RolloutPhase, hosts: &[&str]) -> StageRecord {
-    let base = if hosts.is_empty() { Vec::new() } else { vec!["v1".to_owned()] };
-    StageRecord {
-        order: order().id(),
-        service: SERVICE.to_owned(),
-        target: "v2".to_owned(),
-        created: 7,
-        started_at: 1_000_000,
-        stage: RolloutStage { phase, share_thousandths: 1000, servers: 1 },
-        base,
-        hosts: hosts.iter().map(|host| host.to_string()).collect::<BTreeSet<_>>(),
-        note: None,
+    let stage = RolloutStage { phase, share_thousandths: 1000, servers: 1 };
+    let mut record = stage_record(stage, 1_000_000, hosts);
+    if hosts.is_empty() {
+        record.base.clear();
     }
+    record
 }
 
 impl TestRelay {
@@ -85,7 +41,10 @@
     fn new(phase: RolloutPhase, hosts: &[&str], members: &[(&str, Option<&str>)]) -> Self {
         let (rollouts, begin) = (SharedRollouts::new(), Instant::now());
         rollouts.merge_stage(&stage(phase, hosts), begin);
-        rollouts.merge_book(&OrderBook { position: 9, orders: vec![order()] }, begin);
+        rollouts.merge_book(
+            &OrderBook { position: 9, orders: vec![order(Some(OrderState::Running))] },
+            begin,
+        );
         let record = |(name, version): &(&str, Option<&str>)| {
             (name.to_string(), Arc::new(member(name, *version)))
         };
@@ -104,7 +63,7 @@
     fn report(&mut self, host: &str, stage_known: u16, running: u32) {
         self.sequence += 1;
         let evidence = EvidenceRecord {
-            order: order().id(),
+            order: order(None).id(),
             daemon: host.to_owned(),
             incarnation: 1,
             sequence: self.sequence,
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -8,9 +8,14 @@
     collections::BTreeMap,
     fs,
     io::{BufRead, BufReader, Read},
+    net::SocketAddr,
     path::{Path, PathBuf},
     process::{Child, Command, ExitStatus, Output, Stdio},
-    sync::{Arc, Mutex, mpsc},
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicU8, Ordering},
+        mpsc,
+    },
     thread::JoinHandle,
     time::{Duration, Instant},
 };
@@ -213,6 +218,70 @@
     }
 }
 
+/// Port of control traffic of daemons that start again, below those that the system gives out.
+const CONTROL_PORT: u16 = 7_600;
+
+/// A daemon of a fleet that runs on the platform.
+pub struct PlatformDaemon<'a> {
+    pub name: &'a str,
+    pub service: &'a str,
+    /// Server beside it.
+    pub server: Option<SocketAddr>,
+    pub control: SocketAddr,
+    pub store: SocketAddr,
+    /// Settings of its guard.
+    pub guard: &'a str,
+}
+
+/// Starts a daemon that runs on the platform, with its settings in a directory.
+pub fn start_platform_daemon(
+    directory: &TestDirectory,
+    daemon: &PlatformDaemon<'_>,
+) -> TestProcess {
+    let PlatformDaemon { name, service, server, control, store, guard } = daemon;
+    let server = server.map(|address| format!("server = \"{address}\"")).unwrap_or_default();
+    let text = format!(
+        r#"
+        [instance]
+        name = "{name}"
+        data_centre = "a"
+        region = "r"
+        service = "{service}"
+        {server}
+        [listen]
+        proxy = "127.0.0.1:0"
+        guard = "127.0.0.1:0"
+        control = "{control}"
+        ops = "127.0.0.1:0"
+        [platform]
+        address = "{store}"
+        form = "objects"
+        timeout_ms = 1000
+        [peers]
+        secret = "fleet in {folder}"
+        [placing]
+        order = "soonest"
+        [guard]
+        {guard}
+        "#,
+        folder = directory.0.display(),
+    );
+    let file = format!("{name}.toml");
+    directory.write(&file, &text);
+    let file = directory.0.join(file);
+    let (program, file) = (env!("CARGO_BIN_EXE_sapphirekeeld"), file.to_str().expect("path"));
+    tokio::task::block_in_place(|| TestProcess::start(program, &[file]))
+}
+
+/// Returns an address of loopback that no other test uses. A daemon that starts again listens at its
+/// address of before, which must not be one that the system gives out to others meanwhile.
+pub fn own_address() -> SocketAddr {
+    static COUNT: AtomicU8 = AtomicU8::new(1);
+    let [.., high, low] = std::process::id().to_be_bytes();
+    let count = COUNT.fetch_add(1, Ordering::Relaxed);
+    SocketAddr::from(([127, high.max(1), low, count], CONTROL_PORT))
+}
+
 /// Runs the operators' command line against a daemon's ops address.
 pub fn run_cli(daemon: &str, token: &str, args: &[&str]) -> Output {
     Command::new(env!("CARGO_BIN_EXE_sapphirekeel"))
--- a/tests/departed_servers.rs
+++ b/tests/departed_servers.rs
@@ -4,19 +4,19 @@
 
 use std::{
     net::SocketAddr,
-    sync::atomic::{AtomicU8, Ordering},
     time::{Duration, Instant},
 };
 
-use common::{TestDirectory, TestProcess, WAIT_BOUND, call, wait_for};
+use common::{
+    PlatformDaemon, TestDirectory, TestProcess, WAIT_BOUND, call, own_address,
+    start_platform_daemon, wait_for,
+};
 use hyper::Method;
 use sk_adapter_standin::{
     AnswerMode, BackendServer, CallerRequest, HOST, StoreMode, StoreServer, make_config,
     make_heartbeat, make_route, send_heartbeat, send_leave, send_leave_of, send_request,
 };
 
-/// Port of control traffic, below those that the system gives out.
-const CONTROL_PORT: u16 = 7_600;
 /// Start of the server's process.
 const BORN: u64 = 1_000;
 /// Number of the heartbeat that arrives late.
@@ -56,47 +56,15 @@
     }
 
     fn start_daemon(&mut self, daemon: usize) {
-        let text = format!(
-            r#"
-            [instance]
-            name = "d{daemon}"
-            data_centre = "a"
-            region = "r"
-            service = "{service}"
-            {server}
-            [listen]
-            proxy = "127.0.0.1:0"
-            guard = "127.0.0.1:0"
-            control = "{control}"
-            ops = "127.0.0.1:0"
-            [platform]
-            address = "{store}"
-            form = "objects"
-            timeout_ms = 1000
-            [peers]
-            secret = "fleet in {folder}"
-            [placing]
-            order = "soonest"
-            [guard]
-            leave_ms = 50
-            drain_ms = 500
-            retry_least_ms = 10
-            retry_spread_ms = 10
-            "#,
-            service = ["board", "docs"][daemon],
-            server = match daemon {
-                0 => format!("server = \"{}\"", self.server.address()),
-                _ => String::new(),
-            },
-            control = self.controls[daemon],
-            store = self.store.address(),
-            folder = self.directory.0.display(),
-        );
-        let name = format!("d{daemon}.toml");
-        self.directory.write(&name, &text);
-        let file = self.directory.0.join(name);
-        let (program, file) = (env!("CARGO_BIN_EXE_sapphirekeeld"), file.to_str().expect("path"));
-        let process = tokio::task::block_in_place(|| TestProcess::start(program, &[file]));
+        let plan = PlatformDaemon {
+            name: &format!("d{daemon}"),
+            service: ["board", "docs"][daemon],
+            server: (daemon == 0).then(|| self.server.address()),
+            control: self.controls[daemon],
+            store: self.store.address(),
+            guard: "leave_ms = 50\ndrain_ms = 500\nretry_least_ms = 10\nretry_spread_ms = 10",
+        };
+        let process = start_platform_daemon(&self.directory, &plan);
         self.daemons[daemon] = Some(process);
     }
 
@@ -183,15 +151,6 @@
     }
 }
 
-/// Returns an address of loopback that no other test uses. A daemon that starts again listens at its
-/// address of before, which must not be one that the system gives out to others meanwhile.
-fn own_address() -> SocketAddr {
-    static COUNT: AtomicU8 = AtomicU8::new(1);
-    let [.., high, low] = std::process::id().to_be_bytes();
-    let count = COUNT.fetch_add(1, Ordering::Relaxed);
-    SocketAddr::from(([127, high.max(1), low, count], CONTROL_PORT))
-}
-
 /// A daemon that starts again must not take a late report for that of a running server.
 #[tokio::test(flavor = "multi_thread")]
 async fn killed_after_leave() {
--- a/tests/server_calls.rs
+++ b/tests/server_calls.rs
@@ -6,11 +6,12 @@
 
 use std::{
     net::SocketAddr,
-    sync::atomic::{AtomicU8, Ordering},
     time::{Duration, Instant},
 };
 
-use common::{TestDirectory, TestProcess, WAIT_BOUND};
+use common::{
+    PlatformDaemon, TestDirectory, TestProcess, WAIT_BOUND, own_address, start_platform_daemon,
+};
 use hyper::Method;
 use serde_json::json;
 use sk_adapter_standin::{
@@ -19,8 +20,6 @@
 };
 use tokio::task::JoinHandle;
 
-/// Port of control traffic, below those that the system gives out.
-const CONTROL_PORT: u16 = 7_601;
 const KEY: &str = "Bearer key-1";
 /// Time budget of a request.
 const BUDGET: Duration = Duration::from_secs(6);
@@ -76,45 +75,15 @@
     }
 
     fn start_daemon(&mut self, daemon: usize) {
-        let text = format!(
-            r#"
-            [instance]
-            name = "d{daemon}"
-            data_centre = "a"
-            region = "r"
-            service = "{service}"
-            {server}
-            [listen]
-            proxy = "127.0.0.1:0"
-            guard = "127.0.0.1:0"
-            control = "{control}"
-            ops = "127.0.0.1:0"
-            [platform]
-            address = "{store}"
-            form = "objects"
-            timeout_ms = 1000
-            [peers]
-            secret = "fleet in {folder}"
-            [placing]
-            order = "soonest"
-            [guard]
-            leave_ms = 50
-            drain_ms = 1500
-            "#,
-            service = ["board", "docs", "front"][daemon],
-            server = match self.servers.get(daemon) {
-                Some(server) => format!("server = \"{}\"", server.address()),
-                None => String::new(),
-            },
-            control = self.controls[daemon],
-            store = self.store.address(),
-            folder = self.directory.0.display(),
-        );
-        let name = format!("d{daemon}.toml");
-        self.directory.write(&name, &text);
-        let file = self.directory.0.join(name);
-        let (program, file) = (env!("CARGO_BIN_EXE_sapphirekeeld"), file.to_str().expect("path"));
-        let process = tokio::task::block_in_place(|| TestProcess::start(program, &[file]));
+        let plan = PlatformDaemon {
+            name: &format!("d{daemon}"),
+            service: ["board", "docs", "front"][daemon],
+            server: self.servers.get(daemon).map(BackendServer::address),
+            control: self.controls[daemon],
+            store: self.store.address(),
+            guard: "leave_ms = 50\ndrain_ms = 1500",
+        };
+        let process = start_platform_daemon(&self.directory, &plan);
         self.daemons[daemon] = Some(process);
     }
 
@@ -206,14 +175,6 @@
     Ok(send_request(entry, &call).await?.status)
 }
 
-/// Returns an address of loopback that no other test uses.
-fn own_address() -> SocketAddr {
-    static COUNT: AtomicU8 = AtomicU8::new(1);
-    let [.., high, low] = std::process::id().to_be_bytes();
-    let count = COUNT.fetch_add(1, Ordering::Relaxed);
-    SocketAddr::from(([127, high.max(1), low, count], CONTROL_PORT))
-}
-
 /// Guards against calls that are refused once the requester of their parent has left.
 #[tokio::test(flavor = "multi_thread")]
 async fn requester_left() {
