rollout: what is known of the old servers has a file of its own

A move without a change of behaviour: control.rs decides, old_servers.rs says which old servers are there and what they run.

--- a/components/rollout/src/control.rs
+++ b/components/rollout/src/control.rs
@@ -11,16 +11,16 @@
     RolloutController, RolloutPhase, RolloutSample, RolloutSettings, RolloutStage, RolloutVerdict,
     ServerKey,
 };
-use sk_member::{FleetKnowledge, ServerId};
-use sk_model::{ProxyId, UnixMillis};
+use sk_member::FleetKnowledge;
+use sk_model::UnixMillis;
 use tokio::time::Instant;
 
 use crate::{
+    old_servers::{AbsentHosts, OldServers},
     orders::{OrderId, OrderState, RolloutOrder},
-    records::{EvidenceRecord, GroupCounts, STAGE_ENDED, StageRecord, StoredStage, add_stored},
+    records::{GroupCounts, StageRecord, StoredStage, add_stored},
     shared::SharedRollouts,
     state::{RolloutState, finished, rolled_back},
-    versions::SeenServer,
 };
 
 /// Time without a request at the old servers after which none is on its way there: longer than a
@@ -29,10 +29,6 @@
 /// Time for which the target version must have been alone at its service, so that servers which
 /// this relay does not know yet are not taken for gone.
 const ALONE_TIME: Duration = Duration::from_millis(1_500);
-/// Time after which a daemon that lists no old server any more has none. Longer than a daemon that
-/// starts again needs to find the server beside it.
-const ABSENT_TIME: Duration = Duration::from_secs(5);
-
 /// Decides on the orders that are running, at a relay.
 pub struct OrderControl {
     settings: RolloutSettings,
@@ -47,32 +43,7 @@
     base_quiet_since: Instant,
     /// Since when the target version is alone.
     alone_since: Option<Instant>,
-    /// Since when each host is within reach without listing an old server.
-    absent_since: BTreeMap<ProxyId, Instant>,
-}
-
-/// What is known of the old servers beside one daemon.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum HostState {
-    /// The daemon is within reach and lists old servers.
-    Present,
-    /// The daemon is within reach and lists none, perhaps because it has just started.
-    Unclear,
-    /// The daemon says that it has none, or has left the fleet.
-    Left,
-    /// The daemon is not within reach.
-    Lost,
-}
-
-/// What is known of the old servers of an order.
-#[derive(Clone, Debug, Default)]
-struct BaseHosts {
-    /// Old servers beside daemons within reach.
-    present: BTreeSet<ServerId>,
-    /// Daemons that may have old servers which they do not list.
-    unclear: u32,
-    /// Whether too few daemons are within reach to know what the old servers run.
-    is_lost: bool,
+    absent_hosts: AbsentHosts,
 }
 
 impl OrderControl {
@@ -140,7 +111,7 @@
             let controlled = self.control(&order, &record, now);
             let (sample, mut next) = rollouts.read(|state| {
                 let next = record_base(state, &order, &record);
-                let hosts = controlled.look_at_hosts(state, &order, &next, fleet, now);
+                let hosts = controlled.absent_hosts.assess(state, &order, &next, fleet, now);
                 (gather(state, &order, &hosts, now, elapsed), next)
             });
             let is_newest = rollouts.read(|state| {
@@ -191,8 +162,9 @@
                 RolloutPhase::Finished => {
                     let controlled = self.control(&order, &record, now);
                     let is_confirmed = rollouts.read(|state| {
-                        let hosts = controlled.look_at_hosts(state, &order, &record, fleet, now);
-                        is_end_confirmed(state, &order, &hosts)
+                        let hosts =
+                            controlled.absent_hosts.assess(state, &order, &record, fleet, now);
+                        hosts.have_ended(state, &order)
                     });
                     match is_confirmed {
                         true => OrderState::Done,
@@ -221,7 +193,7 @@
             base_sent: 0,
             base_quiet_since: now,
             alone_since: None,
-            absent_since: BTreeMap::new(),
+            absent_hosts: AbsentHosts::default(),
         });
         controlled.controller.advance(record.stage);
         controlled
@@ -229,47 +201,6 @@
 }
 
 impl ControlledOrder {
-    /// Returns what is known of the old servers of an order.
-    fn look_at_hosts(
-        &mut self,
-        state: &RolloutState,
-        order: &RolloutOrder,
-        record: &StageRecord,
-        fleet: &FleetKnowledge,
-        now: Instant,
-    ) -> BaseHosts {
-        let within_reach =
-            servers_of(state, order, false).filter(|(_, it)| fleet.reaches(&it.host));
-        let (present, listing): (BTreeSet<ServerId>, BTreeSet<&ProxyId>) =
-            within_reach.map(|(server, it)| (server.clone(), &it.host)).unzip();
-        let replaced: BTreeSet<&ProxyId> =
-            servers_of(state, order, true).map(|(_, server)| &server.host).collect();
-        let is_absent = |host: &ProxyId| fleet.reaches(host) && !listing.contains(host);
-        self.absent_since.retain(|host, _| is_absent(host));
-        for host in record.hosts.iter().filter(|host| is_absent(host)) {
-            self.absent_since.entry(host.clone()).or_insert(now);
-        }
-        let state_of = |host: &ProxyId| match self.absent_since.get(host) {
-            _ if !fleet.has(host) => HostState::Left,
-            _ if !fleet.reaches(host) => HostState::Lost,
-            Some(_) if replaced.contains(host) => HostState::Left,
-            Some(since) if now.duration_since(*since) >= ABSENT_TIME => HostState::Left,
-            Some(_) => HostState::Unclear,
-            None => HostState::Present,
-        };
-        let states: Vec<HostState> = record.hosts.iter().map(state_of).collect();
-        let count = |wanted: HostState| states.iter().filter(|state| **state == wanted).count();
-        BaseHosts {
-            present,
-            unclear: count(HostState::Unclear) as u32,
-            // Without any old server known, a daemon that has not been heard of may have one.
-            is_lost: match states.is_empty() {
-                true => !fleet.is_complete() || !record.base.is_empty(),
-                false => count(HostState::Lost) * 2 > states.len(),
-            },
-        }
-    }
-
     /// Assesses a sample, and returns the stage reached with a note for the operator.
     fn assess(
         &mut self,
@@ -323,7 +254,7 @@
 fn gather(
     state: &RolloutState,
     order: &RolloutOrder,
-    hosts: &BaseHosts,
+    hosts: &OldServers,
     now: Instant,
     elapsed: Duration,
 ) -> RolloutSample {
@@ -332,7 +263,7 @@
         elapsed,
         target_capacity: state.versions.capacity(&order.service, now, is_target),
         base_capacity: state.versions.capacity(&order.service, now, |version| !is_target(version)),
-        base_running: base_running(state, order, hosts),
+        base_running: hosts.running(state, order),
         is_base_lost: hosts.is_lost,
         ..RolloutSample::default()
     };
@@ -356,55 +287,6 @@
     sample
 }
 
-/// Returns the number of requests on old servers. A guard that does not know yet that all requests
-/// go to the target version counts as running one, and so does a daemon that may have old servers.
-fn base_running(state: &RolloutState, order: &RolloutOrder, hosts: &BaseHosts) -> u32 {
-    let known = last_records(state, order);
-    let running = hosts.present.iter().map(|server| match known.get(server.as_str()) {
-        Some(record) if record.stage_known >= 1000 => record.running,
-        Some(record) => record.running.max(1),
-        None => 1,
-    });
-    running.sum::<u32>() + hosts.unclear
-}
-
-/// Returns whether the guards of the old servers know that the order has ended and run nothing. Those
-/// of a few daemons that are not within reach are not waited for.
-fn is_end_confirmed(state: &RolloutState, order: &RolloutOrder, hosts: &BaseHosts) -> bool {
-    let known = last_records(state, order);
-    let is_ended =
-        |record: &&EvidenceRecord| record.stage_known == STAGE_ENDED && record.running == 0;
-    let is_present_ended = |server: &ServerId| known.get(server.as_str()).is_some_and(is_ended);
-    !hosts.is_lost && hosts.unclear == 0 && hosts.present.iter().all(is_present_ended)
-}
-
-/// Returns the servers of the target version, or the others of its service.
-fn servers_of<'a>(
-    state: &'a RolloutState,
-    order: &'a RolloutOrder,
-    is_target: bool,
-) -> impl Iterator<Item = (&'a ServerId, &'a SeenServer)> {
-    let versions = state.versions.of_service(&order.service).into_iter().flatten();
-    let wanted = versions.filter(move |(version, _)| (**version == order.target) == is_target);
-    wanted.flat_map(|(_, sighting)| sighting.servers())
-}
-
-/// Returns the last record of each server.
-fn last_records<'a>(
-    state: &'a RolloutState,
-    order: &RolloutOrder,
-) -> BTreeMap<&'a str, &'a EvidenceRecord> {
-    let mut last: BTreeMap<&str, &EvidenceRecord> = BTreeMap::new();
-    let id = order.id();
-    for record in state.all_evidence().filter(|record| record.order == id) {
-        let held = last.entry(&record.server).or_insert(record);
-        if held.incarnation < record.incarnation {
-            *held = record;
-        }
-    }
-    last
-}
-
 /// Returns the sums of an order for the store.
 fn sum_counts(state: &RolloutState, order: &RolloutOrder) -> GroupCounts {
     let mut counts = state.stored.get(&order.id()).cloned().unwrap_or_default();
--- a/components/rollout/src/lib.rs
+++ b/components/rollout/src/lib.rs
@@ -8,6 +8,7 @@
 mod control;
 mod counts;
 mod error;
+mod old_servers;
 mod orders;
 mod records;
 mod shared;
