--- a/components/proxy/tests/table_rebuilt.rs
+++ b/components/proxy/tests/table_rebuilt.rs
@@ -2,10 +2,12 @@
 
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
+use sk_decide::retrying::RetrySettings;
 use sk_model::{
     ConfigSnapshot, RouteSetting, ServiceSetting, SettingBody, SnapshotRoot, SplitPart, TeamTree,
 };
-use sk_proxy::{RouteTable, TableOwner};
+use sk_proxy::{RouteTable, TableOwner, TableTuning};
+use sk_rollout::RolloutView;
 
 const OLD: &str = "/team/old";
 const NEW: &str = "/team/new";
@@ -69,3 +71,21 @@
     assert_eq!(table.version(), 2);
     assert!(table.find(None, "/board/7").is_none());
 }
+
+/// Guards against a daemon that sees few others and takes the fleet's whole budget of retries. The
+/// fleet has as many daemons as are known, not as many as are members here.
+#[test]
+fn part_of_budget() {
+    let retry = RetrySettings { is_shared: true, cap: 20_000, ..RetrySettings::default() };
+    let tuning = TableTuning { retry, ..TableTuning::default() };
+    let owner = TableOwner { tuning, ..TableOwner::default() };
+    let mut table = RouteTable::default();
+    for (daemons, expected) in [(1, 20), (4, 5), (20, 1)] {
+        let (members, view) = (std::iter::empty(), RolloutView::default());
+        let division = (&view, daemons);
+        let now = Duration::ZERO;
+        table = RouteTable::build_divided(&table, &snapshot(), members, &owner, division, now);
+        let service = table.find(None, "/board/7").expect("a route").service;
+        assert_eq!(service.remaining_retries(), expected, "{daemons} daemons");
+    }
+}
