--- a/review/standin-2/kit.rs
+++ b/review/standin-2/kit.rs
@@ -382,9 +382,20 @@
     status: Json,
 }
 
+/// A copy of the store's objects.
+#[derive(Clone)]
+pub struct StoreCopy {
+    revision: u64,
+    kinds: BTreeMap<String, BTreeMap<String, Object>>,
+}
+
 #[derive(Default)]
 struct StoreState {
     revision: u64,
+    /// Number of times that the store has come back from a copy.
+    era: u64,
+    /// Revision from which on the history is kept.
+    kept_since: u64,
     kinds: BTreeMap<String, BTreeMap<String, Object>>,
     events: Vec<(u64, String, Json)>,
 }
@@ -395,6 +406,8 @@
     state: Mutex<StoreState>,
     changed: Condvar,
     pub calls: AtomicU64,
+    /// Whether it refuses all calls with a reset or an end of their connections.
+    pub is_away: AtomicBool,
 }
 
 fn number(value: u64) -> Json {
@@ -436,6 +449,23 @@
         (store, address)
     }
 
+    /// Takes a copy, from which the store may come back.
+    pub fn copy(&self) -> StoreCopy {
+        let state = lock(&self.state);
+        StoreCopy { revision: state.revision, kinds: state.kinds.clone() }
+    }
+
+    /// Comes back from a copy, in a new era. Watches from before get 410.
+    pub fn restore(&self, copy: StoreCopy) {
+        let mut state = lock(&self.state);
+        state.revision = copy.revision;
+        state.kinds = copy.kinds;
+        state.events.clear();
+        state.era += 1;
+        state.kept_since = copy.revision;
+        self.changed.notify_all();
+    }
+
     /// Writes an object as the operator does.
     pub fn put(&self, kind: &str, name: &str, specification: Json) -> u64 {
         let mut state = lock(&self.state);
@@ -448,9 +478,13 @@
         while let Ok(Some(head)) = wire.read_head() {
             let Ok(body) = wire.read_body(&head) else { return };
             self.calls.fetch_add(1, Ordering::Relaxed);
+            if self.is_away.load(Ordering::Relaxed) {
+                return;
+            }
             let (status, answer) = self.answer(&head, &String::from_utf8_lossy(&body));
-            let lines = "Content-Type: application/json\r\n";
-            if wire.write_answer(status, lines, answer.to_string().as_bytes()).is_err() {
+            let era = lock(&self.state).era;
+            let lines = format!("Content-Type: application/json\r\nStore-Era: {}\r\n", era + 1);
+            if wire.write_answer(status, &lines, answer.to_string().as_bytes()).is_err() {
                 return;
             }
         }
@@ -549,7 +583,11 @@
     fn watch(&self, kind: &str, after: u64, wait_ms: u64) -> (&'static str, Json) {
         let end = Instant::now() + Duration::from_millis(wait_ms.min(30_000));
         let mut state = lock(&self.state);
+        let era = state.era;
         loop {
+            if state.era != era || after < state.kept_since || after > state.revision {
+                return ("410 Gone", Json::Null);
+            }
             let is_new = |(revision, of, _): &&(u64, String, Json)| *revision > after && of == kind;
             let events: Vec<Json> =
                 state.events.iter().filter(is_new).map(|(_, _, event)| event.clone()).collect();
@@ -644,6 +682,8 @@
     pub slots: u32,
     running: AtomicU64,
     leaving: AtomicBool,
+    /// Whether its health answer is good although it leaves.
+    pub is_lying: AtomicBool,
     is_up: AtomicBool,
     sequence: AtomicU64,
     runs: Arc<Mutex<Vec<Run>>>,
@@ -666,6 +706,7 @@
             slots,
             running: AtomicU64::new(0),
             leaving: AtomicBool::new(false),
+            is_lying: AtomicBool::new(false),
             is_up: AtomicBool::new(true),
             sequence: AtomicU64::new(0),
             runs: runs.clone(),
@@ -692,7 +733,8 @@
         while let Ok(Some(head)) = wire.read_head() {
             if head.word(1) == "/health" {
                 let lines = format!("X-Instance-Id: {}\r\n{}", self.id, self.load_line());
-                let is_leaving = self.leaving.load(Ordering::Relaxed);
+                let is_lying = self.is_lying.load(Ordering::Relaxed);
+                let is_leaving = self.leaving.load(Ordering::Relaxed) && !is_lying;
                 let status = if is_leaving { "503 Service Unavailable" } else { "200 OK" };
                 if wire.write_answer(status, &lines, b"").is_err() {
                     return;
@@ -751,6 +793,11 @@
         )
     }
 
+    /// Makes a status report that isn't sent yet.
+    pub fn take_report(&self) -> String {
+        self.report_body("ready")
+    }
+
     /// Sends one status report and returns whether it was acknowledged.
     pub fn report(&self, control: SocketAddr) -> bool {
         let state = if self.leaving.load(Ordering::Relaxed) { "draining" } else { "ready" };
