Stop: all times follow the platform's grace

Cause: deploy/daemon.toml set leave_ms and drain_ms for a grace of six seconds and did not read bounds.grace. On the same path, the entry closed its listener while its own server ran requests that had entered there, so that the server's calls failed; and a request whose body arrived after the entry had begun to refuse was passed on and cut at the end of the stop.

guard.grace_s takes the grace, and StopSchedule derives all times of a stop from it. Attempts carry the time that is left of the stop, the entry stays open while the guard has open requests, and a request whose body is complete too late is refused as not run.

--- a/components/daemon/src/daemon.rs
+++ b/components/daemon/src/daemon.rs
@@ -16,13 +16,15 @@
 use futures::{FutureExt, future::join_all};
 use sk_allowance::{AllowanceBook, OwnerCall};
 use sk_claim::ClaimClient;
+use sk_decide::stopping::StopSchedule;
 use sk_ledger::{Ledger, LedgerSettings};
 use sk_member::{HeartbeatFilter, MemberRecord, MemberStatus, SharedMembers};
 use sk_ops::{OpsHandle, SharedPort, start_ops};
 use sk_proxy::{
-    CallProofs, ConfigAge, FailedCalls, ForwardContext, GuardContext, GuardToken, ListenerActivity,
-    ListenerHandle, LocalServerList, LocalServiceName, OpenRequests, PeerClient, ProxyCounters,
-    RefusedRequests, RunningRequests, SharedQuarantine, SharedTable, serve_forward, serve_guard,
+    CallProofs, ConfigAge, DrainTimes, FailedCalls, ForwardContext, GuardContext, GuardToken,
+    ListenerActivity, ListenerHandle, LocalServerList, LocalServiceName, OpenRequests, PeerClient,
+    ProxyCounters, RefusedRequests, RunningRequests, SharedQuarantine, SharedTable, serve_forward,
+    serve_guard,
 };
 use sk_report::AckBuffer;
 use sk_rollout::SharedRollouts;
@@ -45,7 +47,7 @@
     notices::QuarantineNotices,
     options::{
         claim_settings, fleet_secret, local_service, max_key_age, quarantine_settings,
-        rollout_settings, server_limits, table_owner,
+        rollout_settings, server_limits, stop_schedule, table_owner,
     },
     platform::PlatformAdapter,
     port::DaemonPort,
@@ -89,20 +91,10 @@
 /// Interval between checks whether peers are silent.
 const SILENCE_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
-/// Bounds on the phases of a stop.
-#[derive(Clone, Copy, Debug)]
-struct StopTimes {
-    /// Time before new requests are refused. Meanwhile other daemons learn that this one leaves,
-    /// and answers ask callers to send the next request elsewhere.
-    leave: Duration,
-    /// Time for requests in flight after that.
-    drain: Duration,
-}
-
 /// A running daemon.
 pub struct DaemonHandle {
     addresses: DaemonAddresses,
-    times: StopTimes,
+    schedule: StopSchedule,
     is_leaving: Arc<AtomicBool>,
     local_service: LocalServiceName,
     platform: Arc<PlatformAdapter>,
@@ -183,10 +175,6 @@
     let forward_context = forward_context(settings, &parts, guard_context.clone(), peers);
     let forward = serve_forward(listeners.proxy, Arc::new(forward_context));
     let guard = serve_guard(listeners.guard, guard_context.clone());
-    let times = StopTimes {
-        leave: Duration::from_millis(settings.guard.leave_ms),
-        drain: Duration::from_millis(settings.guard.drain_ms),
-    };
     let flush = Duration::from_millis(settings.report.flush_ms);
     let ttl = Duration::from_millis(settings.guard.announce_ttl_ms);
     let scrape = ScrapeParts { port: port.clone(), counters: parts.counters.clone() };
@@ -232,7 +220,7 @@
     }
     Ok(DaemonHandle {
         addresses,
-        times,
+        schedule: stop_schedule(settings),
         is_leaving: parts.is_leaving,
         local_service: parts.local_service,
         platform: parts.platform,
@@ -276,29 +264,35 @@
     pub async fn stop(mut self) -> bool {
         log::info!("daemon: stopping.");
         self.is_leaving.store(true, Ordering::Release);
-        let end = Instant::now() + self.times.leave + self.times.drain;
-        self.guard_context.drain_clock.begin_drain(end, self.times.drain);
+        let (begin, schedule) = (Instant::now(), self.schedule);
+        let end = begin + schedule.end;
+        self.guard_context.drain_clock.begin_drain(DrainTimes {
+            refuse_at: begin + schedule.leave,
+            answer_by: begin + schedule.answer_by,
+        });
         self.forward.announce_shutdown();
         // The local backend server keeps running, and other daemons use it until callers have left.
         // If it were withdrawn at once while a third of a fleet stops, callers would notice the
         // loss of the servers.
-        let notice = self.times.leave.min(GUARD_LEAVE_NOTICE);
-        tokio::time::sleep(self.times.leave - notice).await;
+        let notice = schedule.leave.min(GUARD_LEAVE_NOTICE);
+        tokio::time::sleep(schedule.leave - notice).await;
         self.members.update(|table| table.set_status(MemberStatus::Leaving), |changed| *changed);
         self.guard.announce_shutdown();
         tokio::time::sleep(notice).await;
         self.forward.refuse_new();
-        // A request that still waits for the server after half of the drain would not finish by its
-        // end.
-        let (servers, half) = (self.guard_context.servers.clone(), self.times.drain / 2);
+        let servers = self.guard_context.servers.clone();
         self.tasks.push(tokio::spawn(async move {
-            tokio::time::sleep(half).await;
+            tokio::time::sleep_until(begin + schedule.refuse_queued).await;
             servers.refuse_queued();
         }));
         let open_requests = self.guard_context.open_requests.clone();
-        let guard_stop = stop_guard(self.guard, open_requests, end).boxed().shared();
+        let guard_stop = stop_guard(self.guard, open_requests.clone(), end).boxed().shared();
         let forward_at = end.checked_sub(CLOSE_MARGIN).unwrap_or(end);
-        let _ = tokio::time::timeout_at(forward_at, guard_stop.clone()).await;
+        let work_end = async {
+            guard_stop.clone().await;
+            wait_until_served(&open_requests).await;
+        };
+        let _ = tokio::time::timeout_at(forward_at, work_end).await;
         let forward_stop = self.forward.stop(end.saturating_duration_since(Instant::now()));
         // Answers of the guard may still be on their way while the callers' connections close.
         let (is_forward_clean, is_guard_clean) = tokio::join!(forward_stop, guard_stop);
@@ -336,6 +330,14 @@
     is_clean
 }
 
+/// Waits until no request of a guard is open. Those that entered at this daemon have no connection
+/// of another one, and their server may still make calls on new connections to the entry.
+async fn wait_until_served(open_requests: &OpenRequests) {
+    while open_requests.count() > 0 {
+        tokio::time::sleep(SILENCE_CHECK_INTERVAL).await;
+    }
+}
+
 /// Waits until no request of a guard has been open, and no byte has passed on its connections, for
 /// [`SILENT_PEER_TIME`].
 async fn wait_until_silent(open_requests: &OpenRequests, activity: &ListenerActivity) {
--- a/components/daemon/src/lib.rs
+++ b/components/daemon/src/lib.rs
@@ -23,4 +23,4 @@
 
 pub use daemon::{DaemonAddresses, DaemonHandle, start_daemon};
 pub use error::DaemonError;
-pub use options::{server_limits, table_tuning};
+pub use options::{server_limits, stop_schedule, table_tuning};
--- a/components/daemon/src/options.rs
+++ b/components/daemon/src/options.rs
@@ -10,6 +10,7 @@
     quarantine::QuarantineSettings,
     retrying::RetrySettings,
     rollout::RolloutSettings,
+    stopping::StopSchedule,
 };
 use sk_model::ServiceName;
 use sk_proxy::{ServerLimits, TableOwner, TableTuning};
@@ -50,6 +51,16 @@
     workspaces.strict_revocation.then(|| Duration::from_millis(workspaces.revoke_ms))
 }
 
+/// Returns the phases of a stop: within the platform's grace, if the settings state it.
+pub fn stop_schedule(settings: &DaemonSettings) -> StopSchedule {
+    let guard = &settings.guard;
+    let leave = Duration::from_millis(guard.leave_ms);
+    match guard.grace_s {
+        Some(grace_s) => StopSchedule::within_grace(Duration::from_secs_f64(grace_s), leave),
+        None => StopSchedule::of_phases(leave, Duration::from_millis(guard.drain_ms)),
+    }
+}
+
 /// Returns the secret that daemons prove to each other. It includes the key prefix: if two fleets
 /// were given the same secret by mistake, a daemon that gets an address of the other fleet would
 /// otherwise be admitted there, with a different history under the same versions.
--- a/components/decide/src/lib.rs
+++ b/components/decide/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod retrying;
 pub mod rollout;
 pub mod slot_search;
+pub mod stopping;
 pub mod transfer_queue;
 pub mod transit_time;
 
--- a/components/proxy/src/attempt.rs
+++ b/components/proxy/src/attempt.rs
@@ -89,7 +89,8 @@
             continue;
         }
         let elapsed = request.began.elapsed();
-        let terms = match request.call.next_hop(elapsed, history.retries) {
+        let call = request.bounded_call(&context.guard_context.drain_clock);
+        let terms = match call.next_hop(elapsed, history.retries) {
             Ok(context) => AttemptTerms {
                 context,
                 goal: request.goal_remaining(),
--- a/components/proxy/src/drain.rs
+++ b/components/proxy/src/drain.rs
@@ -4,25 +4,27 @@
 
 use tokio::{sync::watch, time::Instant};
 
-/// Time reserved at the end of a daemon's drain for answers to reach their callers: the grace
-/// after a deadline, the transit over a busy link and the orderly close of connections.
-const ANSWER_RESERVE: Duration = Duration::from_millis(300);
-/// Divisor of a drain's length that yields the largest such reserve.
-const ANSWER_RESERVE_DIVISOR: u32 = 4;
+/// When a stopping daemon refuses and answers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct DrainTimes {
+    /// When it stops accepting requests. One whose body arrives later is refused as well.
+    pub refuse_at: Instant,
+    /// When each of its requests is answered.
+    pub answer_by: Instant,
+}
 
-/// The end of a daemon's drain, which bounds the deadlines of its requests.
+/// The times of a daemon's drain, which bound the deadlines of its requests.
 ///
 /// A request that is still open when the process ends loses its connection without an answer, and
 /// its caller cannot know whether it ran. Therefore each request is answered before: a guard
 /// refuses as not run what cannot be served by then, while there is time to send it elsewhere.
 #[derive(Debug, Default)]
-pub struct DrainClock(watch::Sender<Option<Instant>>);
+pub struct DrainClock(watch::Sender<Option<DrainTimes>>);
 
 impl DrainClock {
-    /// Begins a drain of length `drain` that ends at `end`.
-    pub fn begin_drain(&self, end: Instant, drain: Duration) {
-        let reserve = ANSWER_RESERVE.min(drain / ANSWER_RESERVE_DIVISOR);
-        self.0.send_replace(Some(end.checked_sub(reserve).unwrap_or(end)));
+    /// Begins a drain.
+    pub fn begin_drain(&self, times: DrainTimes) {
+        self.0.send_replace(Some(times));
     }
 
     /// Returns whether a drain has begun.
@@ -30,9 +32,14 @@
         self.0.borrow().is_some()
     }
 
+    /// Returns whether new requests are refused.
+    pub(crate) fn is_refusing(&self) -> bool {
+        self.0.borrow().is_some_and(|times| times.refuse_at <= Instant::now())
+    }
+
     /// Bounds a deadline by the end of the drain, if one has begun.
     pub(crate) fn bound(&self, deadline: Instant) -> Instant {
-        self.0.borrow().map_or(deadline, |end| deadline.min(end))
+        self.0.borrow().map_or(deadline, |times| deadline.min(times.answer_by))
     }
 
     /// Bounds the remaining time of a request that arrives now.
--- a/components/proxy/src/entry.rs
+++ b/components/proxy/src/entry.rs
@@ -13,6 +13,7 @@
     body::CallerBody,
     call::{CallSource, CallTraits},
     clock::stable_hash,
+    drain::DrainClock,
     headers::{KEY_HEADER, join_cookies, strip_hop_headers, strip_own_headers},
     outcome::{RefusalKind, RequestOutcome},
     returning::{RefusedRequests, RequestKey},
@@ -136,6 +137,12 @@
         self.traits.goal.map(|goal| goal.saturating_sub(self.first_arrival.elapsed()))
     }
 
+    /// Returns the context of the call, bounded by the drain of this daemon.
+    pub(crate) fn bounded_call(&self, clock: &DrainClock) -> CallContext {
+        let until = clock.bound(self.began + self.call.remaining);
+        self.call.limited_to(until.saturating_duration_since(self.began))
+    }
+
     /// Returns the time remaining until its deadline.
     pub(crate) fn remaining(&self) -> Duration {
         self.call.remaining.saturating_sub(self.began.elapsed())
--- a/components/proxy/src/forward.rs
+++ b/components/proxy/src/forward.rs
@@ -9,7 +9,7 @@
 
 use crate::{
     allowance::take_token,
-    answer::{DaemonAnswer, daemon_answer, error_answer, refuse},
+    answer::{DaemonAnswer, daemon_answer, error_answer, refuse, refuse_with_delay},
     attempt::answer_request,
     attempt_history::AttemptHistory,
     body::{CallerBody, ProxyBody},
@@ -113,6 +113,10 @@
     let limit = limit.min(context.max_body_bytes);
     let (refused, sender) = (&context.refused, (origin, workspace));
     match EntryRequest::read(request, host.as_deref(), &route, call, sender, limit, refused).await {
+        // Its body took until the daemon stopped accepting requests.
+        Ok(_) if context.guard_context.drain_clock.is_refusing() && !is_server_call => {
+            count_own_refusal(context, refuse_with_delay(RefusalKind::Draining, Duration::ZERO))
+        }
         Ok(request) => {
             request_log.rank = request.traits.rank;
             let token = match take_token(context, request.workspace.as_ref()).await {
--- a/components/proxy/src/lib.rs
+++ b/components/proxy/src/lib.rs
@@ -64,7 +64,7 @@
 pub use clock::time_since_start;
 pub use context::{ConfigAge, ForwardContext, GuardContext, LocalServiceName};
 pub use counters::{CounterSnapshot, ProxyCounters};
-pub use drain::DrainClock;
+pub use drain::{DrainClock, DrainTimes};
 pub use failed_calls::FailedCalls;
 pub use forward::forward;
 pub use header_translation::{
--- a/components/proxy/tests/graceful_stop.rs
+++ b/components/proxy/tests/graceful_stop.rs
@@ -9,7 +9,7 @@
 };
 
 use common::{FleetPlan, SERVICE, TestAnswer, TestFleet, get, http1, http2, send, wait_for};
-use sk_proxy::{RefusalKind, RequestOutcome};
+use sk_proxy::{DrainTimes, RefusalKind, RequestOutcome};
 use tokio::task::JoinHandle;
 
 const DRAIN: Duration = Duration::from_secs(10);
@@ -118,7 +118,8 @@
     let (running, before) = start_waiting(&fleet).await;
     let drain = Duration::from_millis(800);
     let end = tokio::time::Instant::now() + drain;
-    fleet.daemons[0].drain.begin_drain(end, drain);
+    let answer_by = end - Duration::from_millis(200);
+    fleet.daemons[0].drain.begin_drain(DrainTimes { refuse_at: end, answer_by });
     let after = ask(fleet.entry(), "/waits?tag=after");
     for waiting in [after, before] {
         let answer = tokio::time::timeout_at(end, waiting).await.expect("an answer in time");
--- a/components/settings/src/check.rs
+++ b/components/settings/src/check.rs
@@ -107,6 +107,12 @@
         "1024 to 1073741824",
     )?;
     checker.require_range("guard.drain_ms", guard.drain_ms, 0..=600_000, "0 to 600000")?;
+    checker.require(
+        "guard.grace_s",
+        &guard.grace_s.unwrap_or_default().to_string(),
+        guard.grace_s.is_none_or(|grace_s| (0.1..=86_400.0).contains(&grace_s)),
+        "0.1 to 86400",
+    )?;
     checker.require_range(
         "guard.announce_ttl_ms",
         guard.announce_ttl_ms,
--- a/components/settings/src/daemon_settings.rs
+++ b/components/settings/src/daemon_settings.rs
@@ -245,12 +245,17 @@
     /// Default 16777216.
     pub max_body_bytes: u64,
     /// Milliseconds that a graceful stop waits for requests in flight, 0 to 600000. Default 30000.
+    /// Without effect where `grace_s` is set.
     pub drain_ms: u64,
+    /// Seconds after the signal to stop at which the platform ends the process, 0.1 to 86400; a
+    /// fraction is allowed. All times of a stop follow from it. Absent where nothing ends the
+    /// process: a stop then takes `leave_ms` and up to `drain_ms`.
+    pub grace_s: Option<f64>,
     /// Milliseconds without an announcement after which the server counts as gone, 200 to 60000.
     /// Default 3000.
     pub announce_ttl_ms: u64,
     /// Milliseconds for which a stopping daemon still accepts requests, so that callers learn of
-    /// the stop before they are refused, 0 to 60000. Default 300.
+    /// the stop before they are refused, 0 to 60000. Default 300. At most about half of `grace_s`.
     pub leave_ms: u64,
     /// Shortest delay in milliseconds before a refused caller may retry, 0 to 60000. Default 1000.
     pub retry_least_ms: u64,
@@ -273,6 +278,7 @@
             connections: 100,
             max_body_bytes: 16 * 1024 * 1024,
             drain_ms: 30_000,
+            grace_s: None,
             announce_ttl_ms: 3_000,
             leave_ms: 300,
             retry_least_ms: 1_000,
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -2,6 +2,7 @@
 
 #![allow(dead_code)] // No test file uses all of it.
 
+pub mod deployment;
 pub mod requests;
 
 use std::{
