Platform: a version that the store accepted is in force, whatever it contains

The platform's store has accepted it by its own, which are wider, and nobody hears of a daemon's refusal.

With platform.form = "objects" a version has to be intact (SnapshotCheck). Declarations of teams are checked as before.

--- a/components/daemon/src/daemon.rs
+++ b/components/daemon/src/daemon.rs
@@ -47,7 +47,7 @@
     notices::QuarantineNotices,
     options::{
         claim_settings, fleet_secret, local_service, max_key_age, quarantine_settings,
-        rollout_settings, server_limits, stop_schedule, table_owner,
+        rollout_settings, server_limits, snapshot_check, stop_schedule, table_owner,
     },
     platform::PlatformAdapter,
     port::DaemonPort,
@@ -399,7 +399,7 @@
         departures: Arc::new(departures),
         is_leaving: Arc::default(),
         platform,
-        config: Arc::default(),
+        config: Arc::new(ConfigHolder::with_check(snapshot_check(settings))),
         members: Arc::new(SharedMembers::new(own_record(settings, addresses))),
         servers: Arc::new(LocalServerList::new(server_limits(settings))),
         table: SharedTable::default(),
--- a/components/daemon/src/options.rs
+++ b/components/daemon/src/options.rs
@@ -15,6 +15,7 @@
 use sk_model::ServiceName;
 use sk_proxy::{ServerLimits, TableOwner, TableTuning};
 use sk_settings::{DaemonSettings, Mechanism, PlacingOrder, PlatformKind};
+use sk_spread::SnapshotCheck;
 
 use crate::platform::PlatformAdapter;
 
@@ -51,6 +52,14 @@
     workspaces.strict_revocation.then(|| Duration::from_millis(workspaces.revoke_ms))
 }
 
+/// Returns which versions a daemon accepts. The users' platform accepts only valid ones.
+pub(crate) fn snapshot_check(settings: &DaemonSettings) -> SnapshotCheck {
+    match settings.platform.form {
+        PlatformKind::Own => SnapshotCheck::Valid,
+        PlatformKind::Objects => SnapshotCheck::Intact,
+    }
+}
+
 /// Returns the phases of a stop: within the platform's grace, if the settings state it.
 pub fn stop_schedule(settings: &DaemonSettings) -> StopSchedule {
     let guard = &settings.guard;
--- a/components/proxy/src/entry.rs
+++ b/components/proxy/src/entry.rs
@@ -83,7 +83,7 @@
 /// Returns the host that a request is for: that of its target, otherwise that of its header.
 pub(crate) fn host_of<B>(request: &Request<B>) -> Option<String> {
     let target = request.uri().authority().map(|authority| authority.as_str());
-    let header = || request.headers().get(header::HOST)?.to_str().ok();
+    let header = || str::from_utf8(request.headers().get(header::HOST)?.as_bytes()).ok();
     target.or_else(header).map(str::to_owned)
 }
 
--- a/components/spread/src/codec.rs
+++ b/components/spread/src/codec.rs
@@ -11,7 +11,7 @@
 use flate2::{Compression, read::ZlibDecoder, write::ZlibEncoder};
 use serde::{Serialize, de::DeserializeOwned};
 use sk_member::{EndpointRecord, EndpointStatus, MemberRecord, MemberStatus, MemberSuspicion};
-use sk_model::{ProxyAck, RejectedVersion, TreeRef, check_path};
+use sk_model::{ProxyAck, RejectedVersion, TreeRef};
 
 use crate::{
     peer_capnp::{ack, endpoint, fetch_request, member, suspicion, update},
@@ -26,9 +26,10 @@
 const MAX_ENDPOINTS: u32 = 64;
 /// Maximum number of digest buckets in one message.
 const MAX_BUCKETS: u32 = 1_024;
-/// Longest name, address, hash or service path in bytes. The longest that settings or the model
-/// allow is a path of 200 bytes; stored records with longer ones would let a peer fill the memory.
-const MAX_TEXT_BYTES: usize = 256;
+/// Longest name, address, hash or service path in bytes. A platform that sets no bound may use names
+/// of over a thousand characters, three times as long when escaped; stored records with longer ones
+/// would let a peer fill the memory.
+const MAX_TEXT_BYTES: usize = 4_096;
 /// Largest subtree in bytes after decompression: several at the platform's limit of one megabyte.
 /// A few bytes from a faulty peer could otherwise decompress to fill the memory.
 const MAX_DECOMPRESSED_BYTES: u64 = 8 << 20;
@@ -237,7 +238,9 @@
 
 fn read_endpoint(reader: endpoint::Reader<'_>) -> Result<EndpointRecord, Error> {
     let service = read_text(reader.get_service()?)?;
-    check_path(&service).map_err(|err| Error::failed(err.to_string()))?;
+    if !service.starts_with('/') {
+        return Err(Error::failed(format!("`{service}` is not the path of a service")));
+    }
     Ok(EndpointRecord {
         service,
         server: read_text(reader.get_server()?)?,
--- a/components/spread/src/config_holder.rs
+++ b/components/spread/src/config_holder.rs
@@ -40,6 +40,17 @@
     Rejected(RejectedVersion),
 }
 
+/// Which snapshots a holder accepts.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum SnapshotCheck {
+    /// Those that are intact and valid.
+    #[default]
+    Valid,
+    /// All that are intact. For a source that accepts only valid configurations itself: whatever
+    /// else this daemon finds odd in one must not keep the rest of it out of force.
+    Intact,
+}
+
 /// The newest snapshot, which may wait for readiness, and earlier ones.
 #[derive(Default)]
 struct HolderState {
@@ -58,6 +69,7 @@
 /// first version that a peer sends, which may be older than the one its predecessor served, and
 /// callers would see routes move back.
 pub struct ConfigHolder {
+    check: SnapshotCheck,
     current: ArcSwap<ConfigSnapshot>,
     state: Mutex<HolderState>,
     status: watch::Sender<ConfigStatus>,
@@ -68,6 +80,7 @@
     fn default() -> Self {
         let status = ConfigStatus { version: 0, since: 0, source: ProxyId::new(), rejected: None };
         Self {
+            check: SnapshotCheck::default(),
             current: ArcSwap::default(),
             state: Mutex::default(),
             status: watch::Sender::new(status),
@@ -82,6 +95,11 @@
         Self::default()
     }
 
+    /// Creates such a holder that accepts the snapshots that pass a check.
+    pub fn with_check(check: SnapshotCheck) -> Self {
+        Self { check, ..Self::default() }
+    }
+
     /// Returns the configuration in force: the empty one until the daemon is ready.
     pub fn current(&self) -> Arc<ConfigSnapshot> {
         self.current.load_full()
@@ -141,7 +159,7 @@
         }
     }
 
-    /// Accepts a snapshot as a whole if it is newer and valid, and rejects it as a whole
+    /// Accepts a snapshot as a whole if it is newer and passes the check, and rejects it as a whole
     /// otherwise.
     pub fn offer(&self, snapshot: ConfigSnapshot, source: &str, now: UnixMillis) -> OfferOutcome {
         // The lock makes comparison and swap one step: of two snapshots offered at once by
@@ -154,7 +172,7 @@
         if version <= state.newest.version() {
             return OfferOutcome::NotNewer;
         }
-        if let Some(reason) = find_error(&snapshot) {
+        if let Some(reason) = find_error(&snapshot, self.check) {
             return OfferOutcome::Rejected(self.reject(&mut state, &snapshot, reason));
         }
         let snapshot = Arc::new(snapshot);
@@ -210,10 +228,13 @@
     }
 }
 
-/// Returns the first reason why a snapshot is invalid.
-fn find_error(snapshot: &ConfigSnapshot) -> Option<String> {
+/// Returns the first reason why a snapshot does not pass a check.
+fn find_error(snapshot: &ConfigSnapshot, check: SnapshotCheck) -> Option<String> {
     if !snapshot.is_intact() {
         return Some("a subtree is missing or does not match its hash".to_owned());
     }
-    validate_trees(&snapshot.trees).first().map(ToString::to_string)
+    match check {
+        SnapshotCheck::Valid => validate_trees(&snapshot.trees).first().map(ToString::to_string),
+        SnapshotCheck::Intact => None,
+    }
 }
--- a/components/spread/src/lib.rs
+++ b/components/spread/src/lib.rs
@@ -46,7 +46,7 @@
 mod peer_capnp;
 
 pub use allowances::AllowancePort;
-pub use config_holder::{ConfigHolder, ConfigStatus, OfferOutcome};
+pub use config_holder::{ConfigHolder, ConfigStatus, OfferOutcome, SnapshotCheck};
 pub use counted::{ControlBytes, ControlMeter};
 pub use driver::{SpreadHandle, SpreadParts, StateReader, start_spread};
 pub use forward::{ForwardMethod, ForwardPlan, plan_forward};
