Server calls: 503 for as long as a daemon that has started again may lack their parents

Cause: a call has no key and is known by its parent, which daemons keep in memory. With all of them killed nobody knows it, and a daemon that has just started took the call for a caller without a key.

The list of running requests now says when it may lack some: after the start of a process that is not the first (instance.first_start) and after it was full, for the longest deadline of a route. Until then what may be a call is answered 503 call-unconfirmed, at once; no server gets it. A wrong key, an id of another form and another machine get 401 as before.

--- a/components/daemon/src/daemon.rs
+++ b/components/daemon/src/daemon.rs
@@ -572,7 +572,10 @@
         counters: parts.counters.clone(),
         headers: parts.platform.headers.clone(),
         failed_calls: FailedCalls::default(),
-        running: RunningRequests::default(),
+        running: match settings.instance.first_start {
+            true => RunningRequests::default(),
+            false => RunningRequests::after_restart(),
+        },
         proofs: CallProofs::new(&fleet_secret(settings), &settings.instance.name),
         transit_clocks: Default::default(),
         open_requests: Arc::default(),
--- a/components/proxy/src/forward.rs
+++ b/components/proxy/src/forward.rs
@@ -21,7 +21,7 @@
     outcome::{RETRY_AFTER_MS_HEADER, RefusalKind, RequestOutcome},
     pipeline::PipelinePlace,
     request_log::RequestLog,
-    server_calls::{CallerPeer, check_server_call},
+    server_calls::{CallVerdict, CallerPeer, check_server_call},
     table::{RouteMatch, RouteTable},
     times::TimeStage,
     tracked_body::TrackedBody,
@@ -92,7 +92,12 @@
     let deadline = Duration::from_millis(route.setting.deadline_ms);
     let needs_key = table.workspaces().requires_keys() && !route.setting.is_public;
     let asked_at = Instant::now();
-    let is_server_call = check_server_call(context, request.headers(), caller, needs_key).await;
+    let longest = || table.longest_deadline();
+    let verdict = check_server_call(context, request.headers(), caller, needs_key, longest).await;
+    if verdict == CallVerdict::Unknown {
+        return count_own_refusal(context, refuse(RefusalKind::CallUnconfirmed));
+    }
+    let is_server_call = verdict == CallVerdict::Call;
     let remaining = context.headers.remaining(request.headers());
     let remaining = remaining.map(|remaining| remaining.saturating_sub(asked_at.elapsed()));
     let mut call = read_context(request.headers(), is_server_call, remaining, deadline);
--- a/components/proxy/src/outcome.rs
+++ b/components/proxy/src/outcome.rs
@@ -102,6 +102,9 @@
     /// The key is not known here, or may have been taken away, and this daemon cannot tell whether it
     /// holds the newest configuration.
     KeyUnconfirmed = "key-unconfirmed",
+    /// The request may be a call that the local server makes for a request that an earlier process of
+    /// this daemon has sent to it.
+    CallUnconfirmed = "call-unconfirmed",
     /// The workspace has used its allowance.
     AllowanceExceeded = "allowance-exceeded",
     /// The service has no endpoint that takes work.
--- a/components/proxy/src/running_requests.rs
+++ b/components/proxy/src/running_requests.rs
@@ -66,6 +66,8 @@
     swept_at: Option<Instant>,
     /// Whether the local server has made a call since the start of this daemon.
     has_calls: bool,
+    /// When requests at the local server were last lost from the list, or may have been.
+    lost_at: Option<Instant>,
 }
 
 /// Requests that backend servers may be working on, bounded in number and in time.
@@ -83,6 +85,20 @@
 }
 
 impl RunningRequests {
+    /// Creates the list of a daemon of which an earlier process may have sent requests to the local
+    /// server until now.
+    pub fn after_restart() -> Self {
+        let table = RunTable { lost_at: Some(Instant::now()), ..RunTable::default() };
+        Self(Arc::new(Mutex::new(table)))
+    }
+
+    /// Returns whether the local server may be working on a request that is not known here, if none
+    /// takes longer than `longest`.
+    pub(crate) fn may_lack_some(&self, longest: Duration) -> bool {
+        let lost_at = self.lock().lost_at;
+        lost_at.is_some_and(|lost_at| lost_at.elapsed() < longest + CALL_TRANSIT)
+    }
+
     /// Adds a request that is sent to the local server, which has to end by `deadline`.
     /// `is_from_here` tells whether it entered at this daemon.
     pub(crate) fn begin(
@@ -202,7 +218,12 @@
         };
         let entry = match map.get_mut(attempt) {
             Some(entry) => entry,
-            None if self.count >= MAX_REQUESTS => return false,
+            None if self.count >= MAX_REQUESTS => {
+                if place.is_none() {
+                    self.lost_at = Some(Instant::now());
+                }
+                return false;
+            }
             None => {
                 self.count += 1;
                 map.entry(attempt.to_owned()).or_insert(RunEntry {
--- a/components/proxy/src/server_calls.rs
+++ b/components/proxy/src/server_calls.rs
@@ -113,23 +113,40 @@
     guard.proofs.is_in(headers) || parents_of(context, headers, peer).any(is_running)
 }
 
-/// Returns whether a request is a call of the local server. Shortly after the start of the daemon it
-/// asks the other daemons about one whose parent is not known here.
+/// Whether a request is a call of the local server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum CallVerdict {
+    /// It is one.
+    Call,
+    /// It is none.
+    NoCall,
+    /// It may be one whose parent is known to no daemon any more.
+    Unknown,
+}
+
+/// Decides whether a request is a call of the local server. Shortly after the start of the daemon it
+/// asks the other daemons about one whose parent is not known here. `longest` returns the longest
+/// time that a parent can take.
 pub(crate) async fn check_server_call(
     context: &ForwardContext,
     headers: &HeaderMap,
     peer: CallerPeer,
     needs_key: bool,
-) -> bool {
+    longest: impl FnOnce() -> Duration,
+) -> CallVerdict {
     if is_server_call(context, headers, peer) {
-        return true;
+        return CallVerdict::Call;
+    }
+    if !needs_key || parents_of(context, headers, peer).next().is_none() {
+        return CallVerdict::NoCall;
+    }
+    if let Some(recall) = &context.recall {
+        recall.recall().await;
     }
-    match &context.recall {
-        Some(recall) if needs_key && parents_of(context, headers, peer).next().is_some() => {
-            recall.recall().await;
-            is_server_call(context, headers, peer)
-        }
-        _ => false,
+    match () {
+        () if is_server_call(context, headers, peer) => CallVerdict::Call,
+        () if context.guard_context.running.may_lack_some(longest()) => CallVerdict::Unknown,
+        () => CallVerdict::NoCall,
     }
 }
 
--- a/components/proxy/src/table.rs
+++ b/components/proxy/src/table.rs
@@ -255,6 +255,13 @@
         self.services.values()
     }
 
+    /// Returns the longest deadline of a route.
+    pub(crate) fn longest_deadline(&self) -> Duration {
+        let routes = self.routes.named.values().flatten().chain(&self.routes.any);
+        let longest = routes.map(|route| route.setting.deadline_ms).max();
+        Duration::from_millis(longest.unwrap_or_default())
+    }
+
     /// Returns the route of a request: the one with the longest prefix that covers its path, and on
     /// equal prefixes the one that names the host.
     pub fn find(&self, host: Option<&str>, path: &str) -> Option<RouteMatch<'_>> {
--- a/components/settings/src/daemon_settings.rs
+++ b/components/settings/src/daemon_settings.rs
@@ -76,6 +76,11 @@
     /// Absent asks no server.
     #[serde(default)]
     pub server: Option<SocketAddr>,
+    /// Whether no earlier process of the daemon can have sent requests to the local backend server.
+    /// Default false: calls that such a server may make for them are refused for some seconds, and not
+    /// rejected for good, if they cannot be told from requests without a key.
+    #[serde(default)]
+    pub first_start: bool,
     /// Threads that forward requests, 1 to 64. Default 0: one for each core of the system.
     #[serde(default)]
     pub threads: usize,
--- a/tests/departed_servers.rs
+++ b/tests/departed_servers.rs
@@ -63,6 +63,7 @@
             control: self.controls[daemon],
             store: self.store.address(),
             guard: "leave_ms = 50\ndrain_ms = 500\nretry_least_ms = 10\nretry_spread_ms = 10",
+            first_start: false,
         };
         let process = start_platform_daemon(&self.directory, &plan);
         self.daemons[daemon] = Some(process);
