Allowances: a bucket lasts for one ownership

Cause: a daemon kept the bucket of a workspace when the members showed another owner, and the bucket filled for all the time since its last grant. The next change of owner granted the burst again.

A bucket is dropped when its ownership is interrupted: by the members, or by a suspension of the process, which sees no change of them. A daemon that is asked by mistake has no burst, its own part does not fill while the owner answers, and the shared budget of retries starts empty after a restart.

--- a/components/allowance/src/book.rs
+++ b/components/allowance/src/book.rs
@@ -1,7 +1,7 @@
 //! The allowances of all workspaces at one daemon.
 
 use std::{
-    collections::{BTreeMap, HashMap},
+    collections::{BTreeMap, HashMap, HashSet},
     sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::Duration,
 };
@@ -20,6 +20,11 @@
 /// Calls that wait for the control thread. Beyond them requests are decided by this daemon's own
 /// part at once.
 const MAX_QUEUED_CALLS: usize = 256;
+/// Time without a sign of life of this process after which another daemon may own its buckets. Others
+/// suspect it after a longer silence.
+const LONGEST_PAUSE: Duration = Duration::from_millis(1_400);
+/// Time after which the bucket of a workspace that another daemon owns is made anew.
+const FOREIGN_LIFETIME: Duration = Duration::from_secs(1);
 
 /// Answer to a request of a workspace.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -67,6 +72,10 @@
     fleet: FleetView,
     holders: HashMap<Arc<str>, HolderEntry>,
     buckets: HashMap<Arc<str>, OwnerBucket>,
+    /// Workspaces whose buckets this daemon owns.
+    owned: HashSet<Arc<str>>,
+    /// Last sign of life of this process, if it gives any.
+    alive_at: Option<Duration>,
     last_call: u64,
 }
 
@@ -85,7 +94,7 @@
         state.buckets.retain(|name, _| rates.contains_key(name));
         state.holders.retain(|name, _| rates.contains_key(name));
         state.rates = rates;
-        state.apply_terms(now);
+        state.apply_terms(&self.own_name, now);
     }
 
     /// Sets the members that this daemon knows, itself included.
@@ -95,10 +104,19 @@
         let fleet = state.tracker.observe(members, now);
         if fleet != state.fleet {
             state.fleet = fleet;
-            state.apply_terms(now);
+            state.apply_terms(&self.own_name, now);
         }
     }
 
+    /// Records that this process runs. Without such a sign, which is due about every second, it counts
+    /// as one that was suspended, and other daemons have taken over its buckets.
+    pub fn record_alive(&self) {
+        let now = self.now();
+        let mut state = self.lock();
+        state.check_pause(now);
+        state.alive_at = Some(now);
+    }
+
     /// Takes a token for a request, from this daemon's tokens or from the owner. Without an answer
     /// of the owner within [`OWNER_TIMEOUT`] this daemon's own part of the rate decides.
     pub async fn take(&self, workspace: &str) -> AllowanceVerdict {
@@ -242,10 +260,15 @@
         ask: &AllowanceAsk,
         now: Duration,
     ) -> Option<TokenGrant> {
+        self.check_pause(now);
         let (name, rate) = self.rates.get_key_value(&ask.workspace)?;
         let terms = self.fleet.owner_terms();
         let bucket = self.buckets.entry(name.clone());
         let bucket = bucket.or_insert_with(|| OwnerBucket::new(*rate, terms, now));
+        // The holder knows another fleet. While the owner grants tokens, this bucket must not fill.
+        if !self.owned.contains(name) && bucket.idle_time(now) >= FOREIGN_LIFETIME {
+            *bucket = OwnerBucket::new(*rate, terms, now);
+        }
         Some(bucket.grant(holder, ask.want, now))
     }
 
@@ -263,8 +286,24 @@
         }
     }
 
-    /// Applies changed limits or members to all workspaces.
-    fn apply_terms(&mut self, now: Duration) {
+    /// Drops the buckets of a process that was suspended. Others have granted their tokens meanwhile.
+    fn check_pause(&mut self, now: Duration) {
+        let was_paused = |at: &Duration| now.saturating_sub(*at) >= LONGEST_PAUSE;
+        if self.alive_at.take_if(|at| was_paused(at)).is_some() {
+            self.buckets.clear();
+        }
+    }
+
+    /// Applies changed limits or members to all workspaces. Only the buckets remain that this daemon
+    /// owned before as well: while another one owns a bucket, that one grants its tokens.
+    fn apply_terms(&mut self, own_name: &str, now: Duration) {
+        let is_own = |name: &str| {
+            choose_owner(name, &self.fleet.alive).is_some_and(|owner| &**owner == own_name)
+        };
+        let names = self.rates.keys().filter(|name| is_own(name));
+        let owned_before = std::mem::replace(&mut self.owned, names.cloned().collect());
+        let is_kept = |name: &Arc<str>| owned_before.contains(name) && self.owned.contains(name);
+        self.buckets.retain(|name, _| is_kept(name));
         let (known, terms) = (self.fleet.known, self.fleet.owner_terms());
         for (name, entry) in &mut self.holders {
             if let Some(rate) = self.rates.get(name) {
--- a/components/allowance/tests/common/mod.rs
+++ b/components/allowance/tests/common/mod.rs
@@ -54,6 +54,8 @@
     name: Arc<str>,
     book: RefCell<Arc<AllowanceBook>>,
     is_running: Cell<bool>,
+    /// Whether it has said that it leaves.
+    has_left: Cell<bool>,
     side: Cell<u8>,
 }
 
@@ -87,7 +89,8 @@
             let name: Arc<str> = Arc::from(format!("daemon-{index}"));
             // Replaced by `boot`.
             let book = RefCell::new(Arc::new(AllowanceBook::new(&name).0));
-            Rc::new(Daemon { name, book, is_running: Cell::new(true), side: Cell::new(0) })
+            let (is_running, has_left) = (Cell::new(true), Cell::new(false));
+            Rc::new(Daemon { name, book, is_running, has_left, side: Cell::new(0) })
         };
         let fleet = Rc::new(Self {
             daemons: (0..count).map(daemon).collect(),
@@ -110,6 +113,7 @@
         book.set_rates(self.rates.borrow().clone());
         daemon.book.replace(Arc::new(book));
         daemon.is_running.set(true);
+        daemon.has_left.set(false);
         tokio::task::spawn_local(run_calls(
             self.clone(),
             index,
@@ -147,6 +151,14 @@
         indices.for_each(|index| self.daemons[index].is_running.set(false));
     }
 
+    /// Stops daemons after they have said that they leave.
+    pub fn stop(&self, indices: impl Iterator<Item = usize>) {
+        indices.for_each(|index| {
+            self.daemons[index].is_running.set(false);
+            self.daemons[index].has_left.set(true);
+        });
+    }
+
     pub fn restart(self: &Rc<Self>, indices: impl Iterator<Item = usize>) {
         indices.for_each(|index| self.boot(index));
     }
@@ -171,6 +183,7 @@
             let presence = |(other, record): (usize, &'_ Rc<Daemon>)| {
                 let presence = match index == other || self.can_reach(index, other) {
                     true => MemberPresence::Alive,
+                    false if record.has_left.get() => MemberPresence::Left,
                     false => MemberPresence::Lost,
                 };
                 (record.name.clone(), presence)
--- a/components/daemon/src/allowances.rs
+++ b/components/daemon/src/allowances.rs
@@ -10,7 +10,7 @@
 use sk_spread::ConfigHolder;
 
 /// Interval between looks at the members without a change, by which lost daemons are forgotten.
-const MEMBERS_INTERVAL: Duration = Duration::from_secs(1);
+const MEMBERS_INTERVAL: Duration = Duration::from_millis(500);
 
 /// Gives the request path access to the limits.
 pub(crate) struct BookGate {
@@ -52,6 +52,7 @@
         let rates = is_changed.then(|| read_rates(&config.current()));
         has_limits = rates.as_ref().map_or(has_limits, |rates| !rates.is_empty());
         if has_limits {
+            book.record_alive();
             let snapshot = snapshots.borrow_and_update().clone();
             let fleet = members.fleet();
             let listed =
--- a/components/daemon/src/options.rs
+++ b/components/daemon/src/options.rs
@@ -108,6 +108,7 @@
         cap: placing.retry_burst * (1000 - placing.retry_margin),
         floor: placing.retry_floor,
         is_shared: placing.retry_shared,
+        starts_full: settings.instance.first_start || !placing.retry_shared,
         free_moves: placing.free_moves,
         retries_server_failures: !is_disabled(settings, Mechanism::FailureRetries),
         ..RetrySettings::default()
--- a/components/decide/src/allowance/fallback.rs
+++ b/components/decide/src/allowance/fallback.rs
@@ -15,6 +15,9 @@
     capacity: f64,
     level: f64,
     filled_at: Duration,
+    /// Most tokens that it starts with.
+    start: f64,
+    is_suspended: bool,
 }
 
 impl FallbackBucket {
@@ -25,13 +28,29 @@
     pub fn new(rate: AllowanceRate, known: u32, phase: f64, now: Duration) -> Self {
         let part = 1.0 / f64::from(known.max(1));
         let capacity = (rate.burst * part).max(1.0);
-        let level = (phase + START_TOKENS * part).min(capacity);
-        Self { rate_per_s: rate.rate_per_s * part, capacity, level, filled_at: now }
+        let start = (phase + START_TOKENS * part).min(capacity);
+        Self {
+            rate_per_s: rate.rate_per_s * part,
+            capacity,
+            level: start,
+            filled_at: now,
+            start,
+            is_suspended: false,
+        }
+    }
+
+    /// Stops the refill until the next token is taken, because the owner grants tokens again. What
+    /// was saved up beyond the start is lost, since the owner's bucket holds it as well.
+    pub fn suspend(&mut self) {
+        self.level = self.level.min(self.start);
+        self.is_suspended = true;
     }
 
     /// Changes the limit or the number of daemons.
     pub fn set_terms(&mut self, rate: AllowanceRate, known: u32, now: Duration) {
-        self.refill(now);
+        if !self.is_suspended {
+            self.refill(now);
+        }
         let part = 1.0 / f64::from(known.max(1));
         (self.rate_per_s, self.capacity) = (rate.rate_per_s * part, (rate.burst * part).max(1.0));
         self.level = self.level.min(self.capacity);
@@ -63,8 +82,11 @@
     }
 
     fn refill(&mut self, now: Duration) {
-        let elapsed = now.saturating_sub(self.filled_at).as_secs_f64();
+        let elapsed = match std::mem::take(&mut self.is_suspended) {
+            true => Duration::ZERO,
+            false => now.saturating_sub(self.filled_at),
+        };
         self.filled_at = self.filled_at.max(now);
-        self.level = (self.level + elapsed * self.rate_per_s).min(self.capacity);
+        self.level = (self.level + elapsed.as_secs_f64() * self.rate_per_s).min(self.capacity);
     }
 }
--- a/components/decide/src/allowance/holder.rs
+++ b/components/decide/src/allowance/holder.rs
@@ -193,7 +193,11 @@
 
     /// Adds the tokens that the owner granted to `want`.
     pub fn receive(&mut self, want: TokenWant, grant: TokenGrant, now: Duration) {
-        self.is_silent = false;
+        if std::mem::take(&mut self.is_silent)
+            && let Some((_, fallback)) = &mut self.fallback
+        {
+            fallback.suspend();
+        }
         self.fallback.take_if(|(began, _)| now.saturating_sub(*began) >= FALLBACK_REUSE);
         if grant.tokens > 0 {
             self.tokens.push_back((now + TOKEN_LIFETIME, grant.tokens));
--- a/components/decide/src/allowance/owner.rs
+++ b/components/decide/src/allowance/owner.rs
@@ -63,6 +63,11 @@
         }
     }
 
+    /// Returns the time since the last grant.
+    pub fn idle_time(&self, now: Duration) -> Duration {
+        now.saturating_sub(self.filled_at)
+    }
+
     /// Grants tokens to a holder: the needed ones if there are enough, and some ahead of need.
     pub fn grant(&mut self, holder: &Arc<str>, want: TokenWant, now: Duration) -> TokenGrant {
         self.refill(now);
--- a/components/decide/src/retrying.rs
+++ b/components/decide/src/retrying.rs
@@ -61,6 +61,9 @@
     /// part. Default no. Without it, a hundred daemons that lose a server at one moment send a
     /// hundred times the retries that one may.
     pub is_shared: bool,
+    /// Whether a budget starts full. Default yes. One that is shared must not after a restart: the
+    /// process before may just have spent its part.
+    pub starts_full: bool,
     /// Attempts that no server accepted, and that are made again elsewhere without drawing on the
     /// budget. Default 0. Such an attempt costs the fleet a message and a server nothing.
     pub free_moves: u8,
@@ -100,6 +103,7 @@
             floor: 1000,
             cap: 20_000,
             is_shared: false,
+            starts_full: true,
             free_moves: 0,
             retries_server_failures: true,
             backoff,
@@ -122,11 +126,12 @@
 }
 
 impl RetryBudget {
-    /// Creates a full budget at `now`.
+    /// Creates a budget at `now`, full or empty.
     pub fn new(settings: RetrySettings, now: Duration) -> Self {
+        let tokens = if settings.starts_full { settings.cap } else { 0 };
         Self {
             settings,
-            tokens: AtomicU64::new(settings.cap),
+            tokens: AtomicU64::new(tokens),
             paid_until: AtomicU64::new(whole_millis(now)),
             fleet: AtomicU64::new(1),
         }
