Guard: nothing is sent to a server after its drain

Cause: each connection that had been idle and broke in place of an answer counted as dropped while idle, however long the server had had the request. The copy went to the same server whatever its state, with the deadline of the first sending. A request that waited for a connection was sent after the drain as well, since a closed pool opened new ones.

The break has to come within 50 ms of the sending, each sending asks the gate under its lock, a closed pool opens nothing, and the headers are written at each sending with the time that is left.

--- a/components/decide/src/admitting.rs
+++ b/components/decide/src/admitting.rs
@@ -265,6 +265,11 @@
         }
     }
 
+    /// Returns whether all new requests are refused.
+    pub fn is_draining(&self) -> bool {
+        self.is_draining
+    }
+
     /// Refuses all new requests from now on and returns the queued ones, not run, so that they can
     /// be placed elsewhere. Running ones go on.
     pub fn drain(&mut self) -> Released {
--- a/components/decide/src/idle_limit.rs
+++ b/components/decide/src/idle_limit.rs
@@ -17,10 +17,20 @@
 /// Shortest idle time that a reset is attributed to. On a connection that was in use just now a
 /// reset is the server's choice or its death, and says nothing of idle ones: with such resets
 /// counted, a server that lost answers got a new connection for nearly each request.
-pub const MIN_STALE_IDLE: Duration = Duration::from_millis(100);
+const MIN_STALE_IDLE: Duration = Duration::from_millis(100);
+/// Longest time from the sending of a request to the reset of a connection that its server had dropped
+/// while it was idle: a round trip within an instance, on a busy machine. Later the server had the
+/// request, and may have run it.
+const MAX_STALE_RESET: Duration = Duration::from_millis(50);
 /// Time in which a lowered limit doubles.
 const LIMIT_DOUBLING_TIME: Duration = Duration::from_secs(5);
 
+/// Returns whether a server had dropped a connection while it was idle. The connection had been idle for
+/// `idle`, `None` for a new one, and was reset `held` after a request was sent on it.
+pub fn was_stale(idle: Option<Duration>, held: Duration) -> bool {
+    idle.is_some_and(|idle| idle >= MIN_STALE_IDLE) && held <= MAX_STALE_RESET
+}
+
 /// Limit on the idle time of one server's connections.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct IdleLimit {
--- a/components/proxy/src/exchange.rs
+++ b/components/proxy/src/exchange.rs
@@ -12,7 +12,7 @@
     admitting::RefusalReason,
     backoff::draw_between,
     deadline::{BODY_GRACE, CallContext},
-    idle_limit::MIN_STALE_IDLE,
+    idle_limit::was_stale,
 };
 use tokio::time::Instant;
 
@@ -32,7 +32,7 @@
     local::GuardedServer,
     open_exchange::{AnswerDelivery, OpenExchange},
     outcome::{RefusalKind, RequestOutcome},
-    pool::AcquiredSender,
+    pool::{AcquiredSender, ConnectError},
     quarantine::check_for_crash,
     read_ahead::{AheadBody, read_ahead},
     server_calls::write_proof,
@@ -106,7 +106,7 @@
     stage: &mut SendStage,
 ) -> Response<ProxyBody> {
     let attempt = context.headers.attempt_id(request.headers()).cloned();
-    let mut request = server_request(context, request, server, call, admitted.deadline);
+    let mut request = server_request(request, server);
     let mut copy = resendable_copy(&request, call);
     let (deadline, is_from_here) = (admitted.deadline, admitted.is_from_here);
     let begin = || {
@@ -118,6 +118,10 @@
         let AcquiredSender { mut sender, idle } =
             match server.pool.acquire(call.is_repeatable).await {
                 Ok(found) => found,
+                Err(ConnectError::Closed) => {
+                    return refuse_before_send(server, call, admitted, RefusalReason::Draining)
+                        .await;
+                }
                 Err(err) => {
                     log::info!("guard: no connection to server {}: {err}.", server.id);
                     check_for_crash(
@@ -135,11 +139,10 @@
         }
         // The answer to a request that is sent now is newer than all that has been heard.
         let sent_at = time_since_start();
-        if !admitted.record_sent(call, stage) {
-            let refusal = server.gate.refuse(RefusalReason::RateLimited);
-            release_unsent(admitted).await;
-            return refuse_admission(server, call.is_nested, refusal);
+        if let Err(reason) = admitted.record_sent(call, stage) {
+            return refuse_before_send(server, call, admitted, reason).await;
         }
+        write_server_headers(context, request.headers_mut(), server, call, admitted.deadline);
         if let Some(running) = &mut running {
             running.set_sent(true);
         }
@@ -195,13 +198,15 @@
                 }
                 None => {
                     let err = err.into_error();
-                    let idle = idle.filter(|idle| *idle >= MIN_STALE_IDLE && !err.is_user());
+                    let held = time_since_start().saturating_sub(sent_at);
+                    let idle = idle.filter(|_| was_stale(idle, held) && !err.is_user());
                     if let Some(idle) = idle {
                         server.pool.record_stale(idle);
                     }
                     // Resent once, without delay: the server most likely dropped the connection
                     // while it was idle.
-                    if let Some(again) = copy.take().filter(|_| idle.is_some()) {
+                    let may_resend = idle.is_some() && !server.is_retired();
+                    if let Some(again) = copy.take().filter(|_| may_resend) {
                         log::info!(
                             "guard: server {} reset an idle connection; resending: {err}.",
                             server.id
@@ -236,18 +241,22 @@
 }
 
 impl AdmittedRequest {
-    /// Records that the server may receive the request from now on, and returns whether it may be
-    /// sent.
-    #[must_use]
-    fn record_sent(&mut self, call: &GuardCall, stage: &mut SendStage) -> bool {
-        if !self.permit.record_sent(call.fingerprint) {
-            return false;
-        }
+    /// Records that the server may receive the request from now on.
+    ///
+    /// # Errors
+    ///
+    /// Returns the reason why the request may not be sent.
+    fn record_sent(
+        &mut self,
+        call: &GuardCall,
+        stage: &mut SendStage,
+    ) -> Result<(), RefusalReason> {
+        self.permit.record_sent(call.fingerprint)?;
         if *stage != SendStage::Resent {
             *stage = SendStage::Sent;
         }
         self.set_claim(ClaimOutcome::Unknown);
-        true
+        Ok(())
     }
 
     /// Records that no byte of the request was sent, unless a first copy was.
@@ -274,6 +283,18 @@
     refuse(kind)
 }
 
+/// Refuses an admitted request that may not be sent any more.
+async fn refuse_before_send(
+    server: &GuardedServer,
+    call: &GuardCall,
+    admitted: AdmittedRequest,
+    reason: RefusalReason,
+) -> Response<ProxyBody> {
+    let refusal = server.gate.refuse(reason);
+    release_unsent(admitted).await;
+    refuse_admission(server, call.is_nested, refusal)
+}
+
 /// Releases the slot and the claim of an admitted request that was not sent.
 async fn release_unsent(admitted: AdmittedRequest) {
     drop(admitted.permit);
@@ -409,19 +430,26 @@
     CallContext { remaining, ..call.context() }
 }
 
-/// Creates the request for the server: its path alone as target, the caller's host, and the
-/// platform's headers.
-fn server_request(
-    context: &GuardContext,
-    mut request: Request<ProxyBody>,
-    server: &GuardedServer,
-    call: &GuardCall,
-    deadline: Instant,
-) -> Request<ProxyBody> {
+/// Creates the request for the server: its path alone as target, and the caller's host.
+fn server_request(mut request: Request<ProxyBody>, server: &GuardedServer) -> Request<ProxyBody> {
     let path = request.uri().path_and_query().cloned();
     *request.uri_mut() = path.map_or_else(http::Uri::default, http::Uri::from);
     *request.version_mut() = http::Version::HTTP_11;
     let headers = request.headers_mut();
+    if !headers.contains_key(header::HOST) {
+        headers.insert(header::HOST, server.host.clone());
+    }
+    request
+}
+
+/// Writes the platform's headers with the time that is left now, for each sending anew.
+fn write_server_headers(
+    context: &GuardContext,
+    headers: &mut HeaderMap,
+    server: &GuardedServer,
+    call: &GuardCall,
+    deadline: Instant,
+) {
     let info = ServerRequestInfo {
         context: remaining_context(call, deadline),
         server: &server.name,
@@ -432,8 +460,4 @@
     if context.headers.passes_proofs() {
         write_proof(headers, context.proofs.make(info.context.remaining));
     }
-    if !headers.contains_key(header::HOST) {
-        headers.insert(header::HOST, server.host.clone());
-    }
-    request
 }
--- a/components/proxy/src/gate.rs
+++ b/components/proxy/src/gate.rs
@@ -261,16 +261,22 @@
 }
 
 impl AdmitPermit {
-    /// Records that the request is being sent to the server, and returns whether it may be: the
-    /// server's limit may have come down since the request was admitted.
-    #[must_use]
-    pub(crate) fn record_sent(&self, fingerprint: Fingerprint) -> bool {
+    /// Records that the request is being sent to the server.
+    ///
+    /// # Errors
+    ///
+    /// Returns the reason why it may not be: since the request was admitted, the server may have begun
+    /// to drain, or its limit may have come down.
+    pub(crate) fn record_sent(&self, fingerprint: Fingerprint) -> Result<(), RefusalReason> {
         let mut state = self.gate.lock();
-        let may_send = state.guard.record_sent(self.ticket, time_since_start());
-        if may_send {
-            state.sent.insert(self.ticket, fingerprint);
+        if state.guard.is_draining() {
+            return Err(RefusalReason::Draining);
+        }
+        if !state.guard.record_sent(self.ticket, time_since_start()) {
+            return Err(RefusalReason::RateLimited);
         }
-        may_send
+        state.sent.insert(self.ticket, fingerprint);
+        Ok(())
     }
 
     /// Records that nothing was sent after all.
--- a/components/proxy/src/pool.rs
+++ b/components/proxy/src/pool.rs
@@ -33,6 +33,9 @@
     /// The server does not accept a connection in time.
     #[error("server does not accept a connection in time")]
     Timeout,
+    /// The server drains or has gone; no connection to it is opened any more.
+    #[error("server drains")]
+    Closed,
     /// The connection failed before use.
     #[error("connection failed: {0}")]
     Handshake(#[from] hyper::Error),
@@ -89,7 +92,7 @@
     ///
     /// # Errors
     ///
-    /// Returns a [`ConnectError`] if the server accepts no connection.
+    /// Returns a [`ConnectError`] if the server accepts no connection, or the pool is closed.
     pub(crate) async fn acquire(
         self: &Arc<Self>,
         is_repeatable: bool,
@@ -97,6 +100,9 @@
         loop {
             let verdict = {
                 let mut state = self.lock();
+                if state.is_closed {
+                    return Err(ConnectError::Closed);
+                }
                 if let Some(found) = state.take_idle(is_repeatable) {
                     return Ok(found);
                 }
@@ -143,11 +149,13 @@
         self.lock().idle.retain(|idle| !is_old(idle));
     }
 
-    /// Closes idle connections and keeps none from now on. Those in use finish.
+    /// Closes idle connections, and keeps and opens none from now on. Those in use finish.
     pub(crate) fn close(&self) {
         let mut state = self.lock();
         state.is_closed = true;
         state.idle.clear();
+        drop(state);
+        self.returned.notify_waiters();
     }
 
     /// Returns the number of open connections.
