Guard: an answer with a status over 599 is invalid

Reported from other systems: an answer with status 000 reached its client.

Cause: the library reads all numbers of three digits from 100, and nothing else looked.

Endless heads and bodies: endless_bytes, 7 tests, hold as before.

--- a/components/proxy/src/exchange.rs
+++ b/components/proxy/src/exchange.rs
@@ -48,6 +48,10 @@
 /// Longest such window, also without a goal.
 const MAX_SHED_RETRY_DELAY: Duration = Duration::from_millis(100);
 
+/// Largest status of an answer (RFC 9110, section 15). The library reads all numbers of three digits
+/// from 100.
+const MAX_STATUS: u16 = 599;
+
 /// How far a request has come, for the answer at its deadline.
 #[derive(Clone, Copy, PartialEq, Eq)]
 pub(crate) enum SendStage {
@@ -162,6 +166,12 @@
                 };
                 let (status, headers) = (response.status(), response.headers());
                 let verdict = context.headers.classify_answer(status, headers, attempt.as_ref());
+                let verdict = match verdict {
+                    AnswerVerdict::Valid if status.as_u16() > MAX_STATUS => {
+                        AnswerVerdict::Incomplete
+                    }
+                    verdict => verdict,
+                };
                 let took = admitted.admitted_at.elapsed();
                 let outcome = if status.is_server_error() { "failed" } else { "answered" };
                 let times = context.counters.times();
