Proxy: the configuration's limits on bodies and heads decide

Cause: guard.max_body_bytes is not in deploy/daemon.toml and applied beside the configuration's limit; the largest head was a constant, and the library reads 100 lines by default.

On the users' platform the configuration alone limits bodies, which are streamed. Connections open with the configuration's largest head, from 32 to 256 KiB, and 1024 lines.

--- a/components/daemon/src/options.rs
+++ b/components/daemon/src/options.rs
@@ -52,6 +52,14 @@
     workspaces.strict_revocation.then(|| Duration::from_millis(workspaces.revoke_ms))
 }
 
+/// Returns the largest body of a request. On the users' platform the configuration alone says it.
+pub(crate) fn max_body_bytes(settings: &DaemonSettings) -> u64 {
+    match settings.platform.form {
+        PlatformKind::Own => settings.guard.max_body_bytes,
+        PlatformKind::Objects => u64::MAX,
+    }
+}
+
 /// Returns which versions a daemon accepts. The users' platform accepts only valid ones.
 pub(crate) fn snapshot_check(settings: &DaemonSettings) -> SnapshotCheck {
     match settings.platform.form {
--- a/components/proxy/src/serve.rs
+++ b/components/proxy/src/serve.rs
@@ -53,10 +53,16 @@
 /// Time at the end of a stop in which connections are closed, whether or not requests run ahead of
 /// their turn on them.
 const CLOSE_TIME: Duration = Duration::from_millis(100);
-/// Largest head of a caller's request in bytes; a larger one is answered with 431.
+/// Largest head of a caller's request in bytes, unless the configuration allows more; a larger one is
+/// answered with 431.
 const ENTRY_HEAD_BYTES: u32 = 32 * 1024;
-/// Largest head at the guard in bytes: a caller's and what the entry daemon adds.
-const GUARD_HEAD_BYTES: u32 = 64 * 1024;
+/// Largest head that a configuration can allow, in bytes. Each connection may hold one in memory.
+const MAX_ENTRY_HEAD_BYTES: u32 = 256 * 1024;
+/// Largest number of lines in a caller's head.
+const MAX_HEAD_LINES: usize = 1_024;
+/// Largest head at the guard in bytes: a caller's, what the entry daemon adds, and the overhead that
+/// HTTP/2 counts for each line.
+const GUARD_HEAD_BYTES: u32 = MAX_ENTRY_HEAD_BYTES + 128 * 1024;
 /// Concurrent requests on one connection of a caller.
 const ENTRY_STREAMS: u32 = 256;
 /// Concurrent requests from one daemon: all slots and queue places of a server several times over,
@@ -194,7 +200,7 @@
 pub fn serve_forward(listener: TcpListener, context: Arc<ForwardContext>) -> ListenerHandle {
     let server = build_server(ENTRY_HEAD_BYTES, ENTRY_STREAMS, ENTRY_RESETS);
     let table = context.table.clone();
-    let idle = move || table.load().limits().map_or(HEAD_TIMEOUT, idle_limit);
+    let limits = move || table.load().limits().map_or(USUAL_LIMITS, connection_limits);
     let drain_state = Arc::<DrainState>::default();
     let service = ForwardService { context: context.clone(), drain_state: drain_state.clone() };
     let early = Some((Arc::new(service) as Arc<dyn EarlyService>, Arc::default()));
@@ -202,7 +208,7 @@
     let is_in_flight: InFlightCheck =
         Arc::new(move |headers, peer| is_server_call(&of_servers, headers, peer));
     let shutdown = (drain_state, is_in_flight);
-    serve((ENTRY_LOG, listener), (server, idle), shutdown, early, move |request, peer| {
+    serve((ENTRY_LOG, listener), (server, limits), shutdown, early, move |request, peer| {
         forward(context.clone(), request.map(Some), peer.caller())
     })
 }
@@ -247,17 +253,34 @@
         .max_send_buf_size(SEND_BUFFER)
         .initial_stream_window_size(GUARD_STREAM_WINDOW);
     let is_in_flight: InFlightCheck = Arc::new(|_, _| false);
-    let (server, shutdown) = ((server, || HEAD_TIMEOUT), (Arc::default(), is_in_flight));
+    let (server, shutdown) = ((server, || USUAL_LIMITS), (Arc::default(), is_in_flight));
     serve((GUARD_LOG, listener), server, shutdown, None, move |request, peer| {
         handle_peer_request(context.clone(), request, peer.accepted_at)
     })
 }
 
-/// Returns how long a caller's connection may go without a whole head. The library's timer starts
-/// at the end of the previous answer, so it has to cover both limits. A connection closed sooner,
-/// although its caller may still use it, would fail the next request.
-fn idle_limit(limits: &LimitSetting) -> Duration {
-    Duration::from_millis(limits.idle_timeout_ms.saturating_add(limits.head_timeout_ms))
+/// Limits of one connection.
+#[derive(Clone, Copy, Debug)]
+struct ConnectionLimits {
+    /// How long it may go without a whole head.
+    idle: Duration,
+    /// Largest head of a request over HTTP/1.1, in bytes.
+    head_bytes: u32,
+}
+
+/// Limits where the configuration sets none.
+const USUAL_LIMITS: ConnectionLimits =
+    ConnectionLimits { idle: HEAD_TIMEOUT, head_bytes: ENTRY_HEAD_BYTES };
+
+/// Returns the limits of a caller's connection. The library's timer starts at the end of the previous
+/// answer, so it has to cover both times. A connection closed sooner, although its caller may still
+/// use it, would fail the next request.
+fn connection_limits(limits: &LimitSetting) -> ConnectionLimits {
+    let head_bytes = u32::try_from(limits.max_head_bytes).unwrap_or(MAX_ENTRY_HEAD_BYTES);
+    ConnectionLimits {
+        idle: Duration::from_millis(limits.idle_timeout_ms.saturating_add(limits.head_timeout_ms)),
+        head_bytes: head_bytes.clamp(ENTRY_HEAD_BYTES, MAX_ENTRY_HEAD_BYTES),
+    }
 }
 
 type ServerBuilder = auto::Builder<TokioExecutor>;
@@ -269,7 +292,7 @@
         .http1()
         .timer(TokioTimer::new())
         .header_read_timeout(HEAD_TIMEOUT)
-        .max_buf_size(head_bytes as usize);
+        .max_headers(MAX_HEAD_LINES);
     server
         .http2()
         .timer(TokioTimer::new())
@@ -284,8 +307,8 @@
 /// What starts requests of a listener ahead of their turn, and the bounds for it.
 type EarlyParts = (Arc<dyn EarlyService>, Arc<PipelineBudget>);
 
-/// Accepts connections in a task and passes their requests to `handle`. `idle` returns the current
-/// limit of [`idle_limit`].
+/// Accepts connections in a task and passes their requests to `handle`, with the limits that a function
+/// returns for each connection.
 fn serve<L, H, F>(
     listener: (ListenerLog, TcpListener),
     server: (ServerBuilder, L),
@@ -294,7 +317,7 @@
     handle: H,
 ) -> ListenerHandle
 where
-    L: Fn() -> Duration + Send + 'static,
+    L: Fn() -> ConnectionLimits + Send + 'static,
     H: Fn(Request<Incoming>, AcceptedPeer) -> F + Clone + Send + 'static,
     F: Future<Output = Response<ProxyBody>> + Send + 'static,
 {
@@ -313,12 +336,12 @@
 /// Accepts connections until stopped, then waits for the requests in flight.
 async fn accept_until_stopped<L, H, F>(
     (listener_log, listener): (ListenerLog, TcpListener),
-    (mut server, idle): (ServerBuilder, L),
+    (mut server, limits): (ServerBuilder, L),
     (handle, early): (H, Option<EarlyParts>),
     (drain_state, is_in_flight, activity): (Arc<DrainState>, InFlightCheck, Arc<ListenerActivity>),
     mut stopped: watch::Receiver<Option<Instant>>,
 ) where
-    L: Fn() -> Duration + Send + 'static,
+    L: Fn() -> ConnectionLimits + Send + 'static,
     H: Fn(Request<Incoming>, AcceptedPeer) -> F + Clone + Send + 'static,
     F: Future<Output = Response<ProxyBody>> + Send + 'static,
 {
@@ -362,7 +385,8 @@
             async move { Ok::<_, Infallible>(answer.await) }
         });
         // Limits may have changed since the previous connection.
-        server.http1().header_read_timeout(idle());
+        let ConnectionLimits { idle, head_bytes } = limits();
+        server.http1().header_read_timeout(idle).max_buf_size(head_bytes as usize);
         let connection = server.serve_connection(TokioIo::new(stream), service).into_owned();
         let connection = graceful.watch(connection);
         tokio::spawn(async move {
--- a/components/settings/src/daemon_settings.rs
+++ b/components/settings/src/daemon_settings.rs
@@ -247,7 +247,7 @@
     /// Default 100.
     pub connections: u32,
     /// Largest request body in bytes, 1024 to 1073741824; larger ones get status 413.
-    /// Default 16777216.
+    /// Default 16777216. Without effect on the users' platform, whose configuration limits bodies.
     pub max_body_bytes: u64,
     /// Milliseconds that a graceful stop waits for requests in flight, 0 to 600000. Default 30000.
     /// Without effect where `grace_s` is set.
