--- a/components/daemon/src/daemon.rs
+++ b/components/daemon/src/daemon.rs
@@ -46,7 +46,7 @@
     metrics::send_metrics,
     notices::QuarantineNotices,
     options::{
-        claim_settings, fleet_secret, local_service, max_body_bytes, max_key_age,
+        announce_ttl, claim_settings, fleet_secret, local_service, max_body_bytes, max_key_age,
         quarantine_settings, rollout_settings, server_limits, snapshot_check, stop_schedule,
         table_owner,
     },
@@ -177,7 +177,7 @@
     let forward = serve_forward(listeners.proxy, Arc::new(forward_context));
     let guard = serve_guard(listeners.guard, guard_context.clone());
     let flush = Duration::from_millis(settings.report.flush_ms);
-    let ttl = Duration::from_millis(settings.guard.announce_ttl_ms);
+    let ttl = announce_ttl(settings);
     let scrape = ScrapeParts { port: port.clone(), counters: parts.counters.clone() };
     let scrape =
         listeners.metrics.map(|listener| tokio::spawn(serve_metrics(listener, Arc::new(scrape))));
--- a/components/daemon/src/options.rs
+++ b/components/daemon/src/options.rs
@@ -112,7 +112,7 @@
         ..defaults
     };
     let retry = RetrySettings {
-        deposit: placing.retry_deposit,
+        deposit: retry_deposit(settings),
         cap: placing.retry_burst * (1000 - placing.retry_margin),
         floor: placing.retry_floor,
         is_shared: placing.retry_shared,
@@ -124,6 +124,24 @@
     TableTuning { placement, retry }
 }
 
+/// Returns the thousandths of a retry that a request pays in. Of a part that another party states some
+/// is left, because repeats are counted later than requests.
+fn retry_deposit(settings: &DaemonSettings) -> u64 {
+    const USED_THOUSANDTHS: f64 = 700.0;
+    let placing = &settings.placing;
+    // The ratio is at most one.
+    let used = placing.retry_ratio.map(|ratio| (ratio * USED_THOUSANDTHS).round() as u64);
+    used.unwrap_or(placing.retry_deposit)
+}
+
+/// Returns the time without an announcement after which a server counts as gone.
+pub(crate) fn announce_ttl(settings: &DaemonSettings) -> Duration {
+    const MISSED_ANNOUNCEMENTS: u64 = 3;
+    let guard = &settings.guard;
+    let by_interval = guard.announce_interval_ms.map(|interval| interval * MISSED_ANNOUNCEMENTS);
+    Duration::from_millis(by_interval.unwrap_or(guard.announce_ttl_ms))
+}
+
 /// Returns the fraction of its slots that a server which has just started does not use yet.
 ///
 /// A server whose work takes a tenth of a second is slow after its start regardless of how many
--- a/components/settings/src/check.rs
+++ b/components/settings/src/check.rs
@@ -119,6 +119,8 @@
         200..=60_000,
         "200 to 60000",
     )?;
+    let interval = guard.announce_interval_ms.unwrap_or(1);
+    checker.require_range("guard.announce_interval_ms", interval, 1..=60_000, "1 to 60000")?;
     checker.require_range("guard.leave_ms", guard.leave_ms, 0..=60_000, "0 to 60000")?;
     checker.require_range(
         "guard.retry_least_ms",
@@ -148,6 +150,12 @@
     let placing = &settings.placing;
     checker.require_range("placing.warm_up_ms", placing.warm_up_ms, 0..=600_000, "0 to 600000")?;
     checker.require_range("placing.retry_deposit", placing.retry_deposit, 0..=1000, "0 to 1000")?;
+    checker.require(
+        "placing.retry_ratio",
+        &placing.retry_ratio.unwrap_or_default().to_string(),
+        placing.retry_ratio.is_none_or(|ratio| (0.0..=1.0).contains(&ratio)),
+        "a part of the requests, 0 to 1",
+    )?;
     checker.require_range("placing.retry_burst", placing.retry_burst, 0..=10_000, "0 to 10000")?;
     checker.require_range("placing.retry_margin", placing.retry_margin, 0..=900, "0 to 900")?;
     checker.require_range(
--- a/components/settings/src/daemon_settings.rs
+++ b/components/settings/src/daemon_settings.rs
@@ -5,7 +5,7 @@
 use std::net::{Ipv4Addr, SocketAddr};
 
 use serde::{Deserialize, Serialize};
-use sk_model::{DataCentre, ProxyId, deserialize_floor};
+use sk_model::{DataCentre, ProxyId, deserialize_floor, deserialize_floor_option};
 
 use crate::ExperimentSettings;
 
@@ -259,6 +259,10 @@
     /// Milliseconds without an announcement after which the server counts as gone, 200 to 60000.
     /// Default 3000.
     pub announce_ttl_ms: u64,
+    /// Milliseconds between two announcements, 1 to 60000, where the platform states them; the server
+    /// counts as gone after three. Absent where `announce_ttl_ms` says it; a fraction is dropped.
+    #[serde(deserialize_with = "deserialize_floor_option")]
+    pub announce_interval_ms: Option<u64>,
     /// Milliseconds for which a stopping daemon still accepts requests, so that callers learn of
     /// the stop before they are refused, 0 to 60000. Default 300. At most about half of `grace_s`.
     pub leave_ms: u64,
@@ -285,6 +289,7 @@
             drain_ms: 30_000,
             grace_s: None,
             announce_ttl_ms: 3_000,
+            announce_interval_ms: None,
             leave_ms: 300,
             retry_least_ms: 1_000,
             retry_spread_ms: 2_000,
@@ -319,6 +324,9 @@
     /// Thousandths of a retry that each request adds to the retry budget of its service, 0 to 1000.
     /// Default 100.
     pub retry_deposit: u64,
+    /// Part of a service's requests that may be repeated ones, 0 to 1, where another party states it;
+    /// seven tenths of it are used in place of `retry_deposit`. Absent for none.
+    pub retry_ratio: Option<f64>,
     /// Largest retry budget of a service, in retries, 0 to 10000; a fraction is dropped. Default 20.
     #[serde(deserialize_with = "deserialize_floor")]
     pub retry_burst: u64,
@@ -343,6 +351,7 @@
             order: PlacingOrder::Draw,
             warm_up_ms: 30_000,
             retry_deposit: 100,
+            retry_ratio: None,
             retry_burst: 20,
             retry_margin: 0,
             retry_floor: 1_000,
--- a/components/settings/tests/bad_settings.rs
+++ b/components/settings/tests/bad_settings.rs
@@ -99,6 +99,9 @@
         ("guard", "crash_limit = 1"),
         ("guard", "leave_ms = 60001"),
         ("placing", "retry_deposit = 1001"),
+        ("placing", "retry_ratio = 1.5"),
+        ("guard", "grace_s = 0"),
+        ("guard", "announce_interval_ms = 0"),
         ("placing", "free_moves = 17"),
         ("placing", "order = \"best\""),
         ("report", "flush_ms = 1"),
@@ -115,6 +118,9 @@
         daemon.toml:14:1: `guard.crash_limit` is 1; allowed: 0, or 2 to 4
         daemon.toml:14:1: `guard.leave_ms` is 60001; allowed: 0 to 60000
         daemon.toml:14:1: `placing.retry_deposit` is 1001; allowed: 0 to 1000
+        daemon.toml:14:1: `placing.retry_ratio` is 1.5; allowed: a part of the requests, 0 to 1
+        daemon.toml:14:1: `guard.grace_s` is 0; allowed: 0.1 to 86400
+        daemon.toml:14:1: `guard.announce_interval_ms` is 0; allowed: 1 to 60000
         daemon.toml:14:1: `placing.free_moves` is 17; allowed: 0 to 16
         daemon.toml:14:9: `order`: unknown variant `best`, expected `draw` or `soonest`
         daemon.toml:14:1: `report.flush_ms` is 1; allowed: 50 to 600000
@@ -152,7 +158,7 @@
     assert_refusal(
         &format!("{VALID}\n[placing]\noff = [\"work-kinds\"]\n"),
         expect![
-            "daemon.toml:14:1: unknown field `off`, expected one of `order`, `warm_up_ms`, `retry_deposit`, `retry_burst`, `retry_margin`, `retry_floor`, `retry_shared`, `free_moves`"
+            "daemon.toml:14:1: unknown field `off`, expected one of `order`, `warm_up_ms`, `retry_deposit`, `retry_ratio`, `retry_burst`, `retry_margin`, `retry_floor`, `retry_shared`, `free_moves`"
         ],
     );
 }
--- a/tests/stop_grace.rs
+++ b/tests/stop_grace.rs
@@ -5,21 +5,19 @@
 use std::{
     io::{Read, Write},
     net::{SocketAddr, TcpStream},
-    path::Path,
     time::{Duration, Instant},
 };
 
 use common::{
     TestDirectory, TestProcess, WAIT_BOUND,
-    deployment::{deployment_fields, render_settings, start_deployed_daemon},
+    deployment::{deployment_fields, start_deployed_daemon},
 };
 use hyper::Method;
-use serde_json::{Value, json};
+use serde_json::json;
 use sk_adapter_standin::{
     AnswerMode, BackendServer, CallerAnswer, CallerRequest, HOST, StoreServer, make_config,
     make_heartbeat, make_route, send_heartbeat, send_request,
 };
-use sk_settings::{DaemonSettings, read_settings};
 use tokio::task::JoinHandle;
 
 /// Seconds from SIGTERM until the platform ends a process.
@@ -171,21 +169,3 @@
     assert!(answer.starts_with("HTTP/1.1 503 "), "{read:?} {answer}");
     assert_eq!(fleet.servers[1].run_count("late"), 0);
 }
-
-fn settings_for(bounds: Value) -> DaemonSettings {
-    let directory = TestDirectory::new("settings_for");
-    let store = SocketAddr::from(([127, 0, 0, 1], 7500));
-    let fields = deployment_fields("d0", "board", None, store, bounds);
-    directory.write("d0.toml", &render_settings(&fields));
-    read_settings(Path::new(&directory.0.join("d0.toml"))).expect("good settings")
-}
-
-/// Guards against a template in which the times of a stop do not follow the grace.
-#[test]
-fn template_follows() {
-    for (grace, expected) in [(json!(16), 16.0), (json!(2.5), 2.5)] {
-        let settings = settings_for(json!({ "grace": grace }));
-        assert_eq!(settings.guard.grace_s, Some(expected));
-    }
-    assert_eq!(settings_for(json!({})).guard.grace_s, None);
-}
