Allowances, proxy: less work for the checks of ownership and of heads

Owners were computed for all workspaces at each change of the members, and room for 1024 lines was prepared for each head. A bucket now remembers whether the daemon owns it, and a connection has room for a line for each 128 bytes of the largest head, 256 to 1024.

The tests of both (quota_returns, caller_limits) pass unchanged.

--- a/components/allowance/src/book.rs
+++ b/components/allowance/src/book.rs
@@ -1,7 +1,7 @@
 //! The allowances of all workspaces at one daemon.
 
 use std::{
-    collections::{BTreeMap, HashMap, HashSet},
+    collections::{BTreeMap, HashMap},
     sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::Duration,
 };
@@ -65,15 +65,20 @@
     state: Mutex<BookState>,
 }
 
+/// A bucket that grants tokens here.
+struct OpenBucket {
+    bucket: OwnerBucket,
+    /// Whether this daemon owns it. A holder that knows another fleet may ask another daemon.
+    is_own: bool,
+}
+
 #[derive(Default)]
 struct BookState {
     rates: HashMap<Arc<str>, AllowanceRate>,
     tracker: FleetTracker,
     fleet: FleetView,
     holders: HashMap<Arc<str>, HolderEntry>,
-    buckets: HashMap<Arc<str>, OwnerBucket>,
-    /// Workspaces whose buckets this daemon owns.
-    owned: HashSet<Arc<str>>,
+    buckets: HashMap<Arc<str>, OpenBucket>,
     /// Last sign of life of this process, if it gives any.
     alive_at: Option<Duration>,
     last_call: u64,
@@ -207,7 +212,7 @@
         state.last_call = number;
         let call = OwnerCall { owner, ask, number };
         if call.owner == self.own_name {
-            let grant = state.grant(&self.own_name, &call.ask, now);
+            let grant = state.grant(&self.own_name, &self.own_name, &call.ask, now);
             state.conclude_call(&call, grant, now);
         } else if let Err(err) = self.calls.try_send(call) {
             state.conclude_call(&err.into_inner(), None, now);
@@ -228,7 +233,7 @@
         let holder = Arc::from(holder);
         let now = self.now();
         let mut state = self.lock();
-        asks.iter().map(|ask| state.grant(&holder, ask, now)).collect()
+        asks.iter().map(|ask| state.grant(&self.own_name, &holder, ask, now)).collect()
     }
 
     fn deliver(&self, call: &OwnerCall, grant: Option<TokenGrant>) {
@@ -256,6 +261,7 @@
     /// Grants tokens of a workspace as its owner; `None` for one without a limit.
     fn grant(
         &mut self,
+        own_name: &str,
         holder: &Arc<str>,
         ask: &AllowanceAsk,
         now: Duration,
@@ -263,13 +269,16 @@
         self.check_pause(now);
         let (name, rate) = self.rates.get_key_value(&ask.workspace)?;
         let terms = self.fleet.owner_terms();
-        let bucket = self.buckets.entry(name.clone());
-        let bucket = bucket.or_insert_with(|| OwnerBucket::new(*rate, terms, now));
-        // The holder knows another fleet. While the owner grants tokens, this bucket must not fill.
-        if !self.owned.contains(name) && bucket.idle_time(now) >= FOREIGN_LIFETIME {
-            *bucket = OwnerBucket::new(*rate, terms, now);
+        let alive = &self.fleet.alive;
+        let open = self.buckets.entry(name.clone()).or_insert_with(|| OpenBucket {
+            bucket: OwnerBucket::new(*rate, terms, now),
+            is_own: is_owner(own_name, name, alive),
+        });
+        // While the owner grants tokens, this bucket must not fill.
+        if !open.is_own && open.bucket.idle_time(now) >= FOREIGN_LIFETIME {
+            open.bucket = OwnerBucket::new(*rate, terms, now);
         }
-        Some(bucket.grant(holder, ask.want, now))
+        Some(open.bucket.grant(holder, ask.want, now))
     }
 
     /// Applies the owner's answer to a call.
@@ -297,13 +306,8 @@
     /// Applies changed limits or members to all workspaces. Only the buckets remain that this daemon
     /// owned before as well: while another one owns a bucket, that one grants its tokens.
     fn apply_terms(&mut self, own_name: &str, now: Duration) {
-        let is_own = |name: &str| {
-            choose_owner(name, &self.fleet.alive).is_some_and(|owner| &**owner == own_name)
-        };
-        let names = self.rates.keys().filter(|name| is_own(name));
-        let owned_before = std::mem::replace(&mut self.owned, names.cloned().collect());
-        let is_kept = |name: &Arc<str>| owned_before.contains(name) && self.owned.contains(name);
-        self.buckets.retain(|name, _| is_kept(name));
+        let alive = &self.fleet.alive;
+        self.buckets.retain(|name, open| open.is_own && is_owner(own_name, name, alive));
         let (known, terms) = (self.fleet.known, self.fleet.owner_terms());
         for (name, entry) in &mut self.holders {
             if let Some(rate) = self.rates.get(name) {
@@ -311,10 +315,15 @@
             }
             entry.set_owner(choose_owner(name, &self.fleet.alive).cloned());
         }
-        for (name, bucket) in &mut self.buckets {
+        for (name, open) in &mut self.buckets {
             if let Some(rate) = self.rates.get(name) {
-                bucket.set_terms(*rate, terms, now);
+                open.bucket.set_terms(*rate, terms, now);
             }
         }
     }
 }
+
+/// Returns whether a daemon owns the bucket of a workspace.
+fn is_owner(daemon: &str, workspace: &str, alive: &[Arc<str>]) -> bool {
+    choose_owner(workspace, alive).is_some_and(|owner| &**owner == daemon)
+}
--- a/components/proxy/src/serve.rs
+++ b/components/proxy/src/serve.rs
@@ -58,8 +58,10 @@
 const ENTRY_HEAD_BYTES: u32 = 32 * 1024;
 /// Largest head that a configuration can allow, in bytes. Each connection may hold one in memory.
 const MAX_ENTRY_HEAD_BYTES: u32 = 256 * 1024;
+/// Bytes of a head for which one line is allowed. The library prepares room for all lines of a head.
+const BYTES_PER_LINE: u32 = 128;
 /// Largest number of lines in a caller's head.
-const MAX_HEAD_LINES: usize = 1_024;
+const MAX_HEAD_LINES: u32 = 1_024;
 /// Largest head at the guard in bytes: a caller's, what the entry daemon adds, and the overhead that
 /// HTTP/2 counts for each line.
 const GUARD_HEAD_BYTES: u32 = MAX_ENTRY_HEAD_BYTES + 128 * 1024;
@@ -288,11 +290,7 @@
 /// Creates the HTTP server settings of a listener.
 fn build_server(head_bytes: u32, streams: u32, resets: usize) -> ServerBuilder {
     let mut server = auto::Builder::new(TokioExecutor::new());
-    server
-        .http1()
-        .timer(TokioTimer::new())
-        .header_read_timeout(HEAD_TIMEOUT)
-        .max_headers(MAX_HEAD_LINES);
+    server.http1().timer(TokioTimer::new()).header_read_timeout(HEAD_TIMEOUT);
     server
         .http2()
         .timer(TokioTimer::new())
@@ -386,7 +384,12 @@
         });
         // Limits may have changed since the previous connection.
         let ConnectionLimits { idle, head_bytes } = limits();
-        server.http1().header_read_timeout(idle).max_buf_size(head_bytes as usize);
+        let lines = (head_bytes / BYTES_PER_LINE).min(MAX_HEAD_LINES);
+        server
+            .http1()
+            .header_read_timeout(idle)
+            .max_buf_size(head_bytes as usize)
+            .max_headers(lines as usize);
         let connection = server.serve_connection(TokioIo::new(stream), service).into_owned();
         let connection = graceful.watch(connection);
         tokio::spawn(async move {
